--- /dev/null
+++ b/attempt/status.go
@@ -0,0 +1,65 @@
+package attempt
+
+// Status says how an attempt ended.
+type Status uint8
+
+// The statuses of an attempt.
+const (
+	OK          Status = iota
+	VersionGone        // the upstream does not hold the version; not run
+	Shed               // the upstream refused under load; not run
+	Leaving            // the upstream is draining; not run
+	NotSent            // dropped before anything was sent; not run
+	Refused            // connection refused; not run
+	Failed             // an error after the request may have left; unknown
+	TimedOut           // the deadline passed after the request was sent; unknown
+	Mismatched         // the reply was late, crossed, cut or doubled; unknown
+	Cancelled          // cancelled by its owner; unknown unless Ran says no
+)
+
+var statusNames = [...]string{
+	"ok", "version_gone", "shed", "leaving", "not_sent", "refused", "failed", "timed_out", "mismatched", "cancelled",
+}
+
+// String returns the name of s.
+func (s Status) String() string {
+	if int(s) < len(statusNames) {
+		return statusNames[s]
+	}
+	return "unknown"
+}
+
+// Ran says whether work was run. The zero value is Unknown, so that a
+// forgotten field never claims a proof.
+type Ran uint8
+
+// Unknown, No and Yes are the values of Ran.
+const (
+	Unknown Ran = iota
+	No
+	Yes
+)
+
+var ranNames = [...]string{"unknown", "no", "yes"}
+
+// String returns the name of r.
+func (r Ran) String() string {
+	if int(r) < len(ranNames) {
+		return ranNames[r]
+	}
+	return "unknown"
+}
+
+// MarshalText encodes r as its name.
+func (r Ran) MarshalText() ([]byte, error) { return []byte(r.String()), nil }
+
+// UnmarshalText decodes a name; anything else decodes as Unknown.
+func (r *Ran) UnmarshalText(b []byte) error {
+	*r = Unknown
+	for i, name := range ranNames {
+		if string(b) == name {
+			*r = Ran(i)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/experiment/loop.go
@@ -0,0 +1,64 @@
+package experiment
+
+import (
+	"container/heap"
+
+	"lentillink.example/lentillink/clock"
+)
+
+// Loop runs callbacks in virtual time. Callbacks of the same millisecond run
+// in the order in which they were scheduled.
+type Loop struct {
+	now    clock.Millis
+	seq    uint64
+	events eventHeap
+}
+
+type event struct {
+	at  clock.Millis
+	seq uint64
+	run func()
+}
+
+// NewLoop returns a loop that starts at now.
+func NewLoop(now clock.Millis) *Loop { return &Loop{now: now} }
+
+// Now returns the current virtual time.
+func (l *Loop) Now() clock.Millis { return l.now }
+
+// At schedules run; a time in the past means now.
+func (l *Loop) At(at clock.Millis, run func()) {
+	l.seq++
+	heap.Push(&l.events, event{at: max(at, l.now), seq: l.seq, run: run})
+}
+
+// After schedules run d from now.
+func (l *Loop) After(d clock.Millis, run func()) { l.At(l.now+d, run) }
+
+// RunUntil runs every callback that is due by end, then sets the time to end.
+func (l *Loop) RunUntil(end clock.Millis) {
+	for len(l.events) > 0 && l.events[0].at <= end {
+		next := heap.Pop(&l.events).(event)
+		l.now = next.at
+		next.run()
+	}
+	l.now = max(l.now, end)
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	if h[i].at != h[j].at {
+		return h[i].at < h[j].at
+	}
+	return h[i].seq < h[j].seq
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *eventHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return last
+}
--- /dev/null
+++ b/experiment/upstream.go
@@ -0,0 +1,128 @@
+package experiment
+
+import (
+	"math"
+	"math/rand/v2"
+
+	"lentillink.example/lentillink/attempt"
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/coverage"
+)
+
+// Upstream is a fake upstream in virtual time. Each connection carries one
+// request at a time. Its exported fields may be changed while a run goes on,
+// which is how faults are injected.
+type Upstream struct {
+	MedianMs    float64 // median service time
+	Sigma       float64 // spread of the log-normal service time
+	SlowFactor  float64 // multiplies every service time; 1 for a healthy upstream
+	SlowShare   float64 // share of requests that take SlowRequest times as long
+	SlowRequest float64
+	Workers     int // requests served at once; more queue inside the upstream, 0 for no bound
+	ShedAbove   int // inner queue length above which it sheds, 0 for never
+	Dead        bool
+	Leaving     bool
+	Held        []uint64
+	Epoch       uint64
+	Ranges      []coverage.Range
+	ColdUntil   clock.Millis // service times are ColdFactor times longer before this time
+	ColdFactor  float64
+
+	loop    *Loop
+	rng     *rand.Rand
+	busy    int
+	waiting []func()
+	started int
+	ran     map[string]int
+}
+
+// NewUpstream returns a healthy fake with one snapshot version.
+func NewUpstream(loop *Loop, rng *rand.Rand, keys coverage.Range) *Upstream {
+	return &Upstream{
+		MedianMs: 8, Sigma: 0.35, SlowFactor: 1, SlowRequest: 10, ColdFactor: 5,
+		Held: []uint64{1}, Epoch: 1, Ranges: []coverage.Range{keys},
+		loop: loop, rng: rng, ran: make(map[string]int),
+	}
+}
+
+// Started returns the number of requests that the upstream began to run.
+func (u *Upstream) Started() int { return u.started }
+
+// Ran returns how often the order with the given id was run.
+func (u *Upstream) Ran(id string) int { return u.ran[id] }
+
+// Serve handles one request and calls done with its reply in virtual time.
+// A dead upstream refuses the connection.
+func (u *Upstream) Serve(req attempt.Request, done func(attempt.Reply)) {
+	reply := attempt.Reply{ID: req.ID, Upstream: req.Upstream, Held: u.Held, Epoch: u.Epoch, Leaving: u.Leaving}
+	if status, refused := u.refusal(req); refused {
+		reply.Status, reply.Ran = status, attempt.No
+		u.loop.After(1, func() { done(reply) })
+		return
+	}
+	begin := u.loop.Now()
+	work := func() {
+		u.run(req, func() {
+			reply.Status, reply.Ran, reply.Version = attempt.OK, attempt.Yes, req.Version
+			reply.Epoch, reply.Ranges, reply.Held, reply.Leaving = u.Epoch, u.Ranges, u.Held, u.Leaving
+			reply.ServiceMs = u.loop.Now() - begin
+			done(reply)
+		})
+	}
+	if u.Workers > 0 && u.busy >= u.Workers {
+		u.waiting = append(u.waiting, work)
+		return
+	}
+	work()
+}
+
+func (u *Upstream) refusal(req attempt.Request) (attempt.Status, bool) {
+	switch {
+	case u.Dead:
+		return attempt.Refused, true
+	case u.Leaving:
+		return attempt.Leaving, true
+	case u.ShedAbove > 0 && len(u.waiting) >= u.ShedAbove:
+		return attempt.Shed, true
+	case req.Kind == attempt.Query && !u.holds(req.Version):
+		return attempt.VersionGone, true
+	}
+	return attempt.OK, false
+}
+
+func (u *Upstream) run(req attempt.Request, finish func()) {
+	u.busy++
+	u.started++
+	if req.Kind == attempt.Order {
+		u.ran[req.OrderID]++
+	}
+	u.loop.After(u.serviceTime(), func() {
+		u.busy--
+		finish()
+		if len(u.waiting) > 0 {
+			next := u.waiting[0]
+			u.waiting = u.waiting[1:]
+			next()
+		}
+	})
+}
+
+func (u *Upstream) serviceTime() clock.Millis {
+	ms := u.MedianMs * math.Exp(u.Sigma*u.rng.NormFloat64()) * u.SlowFactor
+	if u.rng.Float64() < u.SlowShare {
+		ms *= u.SlowRequest
+	}
+	if u.loop.Now() < u.ColdUntil {
+		ms *= u.ColdFactor
+	}
+	return clock.Millis(math.Ceil(ms))
+}
+
+func (u *Upstream) holds(version uint64) bool {
+	for _, v := range u.Held {
+		if v == version {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/preset/policy.go
@@ -0,0 +1,47 @@
+package preset
+
+import (
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/rank"
+)
+
+// OutageRule says what happens to orders while the configuration store is down.
+type OutageRule string
+
+// OutageRefuse refuses at once as not run. OutageWait waits until the deadline, then refuses.
+const (
+	OutageRefuse OutageRule = "refuse"
+	OutageWait   OutageRule = "wait"
+)
+
+// RankPolicy is what one rank gets under a preset.
+type RankPolicy struct {
+	DeadlineMs         clock.Millis `json:"deadline_ms"`          // default and upper bound of a request's deadline
+	FloorPercent       float64      `json:"floor_percent"`        // guaranteed share of the concurrency limit
+	QueueRequests      int          `json:"queue_requests"`       // bound of the waiting queue
+	HedgeBudgetPercent float64      `json:"hedge_budget_percent"` // hedges as a share of needed attempts
+	RetryBudgetPercent float64      `json:"retry_budget_percent"` // retries as a share of needed attempts
+	MinCoveragePercent float64      `json:"min_coverage_percent"` // below this an answer fails instead of being partial
+}
+
+// Preset is one named set of policies.
+type Preset struct {
+	Name                string     `json:"name"`
+	Description         string     `json:"description"`
+	Urgent              RankPolicy `json:"urgent"`
+	Ordinary            RankPolicy `json:"ordinary"`
+	Patient             RankPolicy `json:"patient"`
+	OrdersOnStoreOutage OutageRule `json:"orders_on_store_outage"`
+}
+
+// Policy returns the policy of r.
+func (p *Preset) Policy(r rank.Rank) RankPolicy {
+	switch r {
+	case rank.Urgent:
+		return p.Urgent
+	case rank.Ordinary:
+		return p.Ordinary
+	default:
+		return p.Patient
+	}
+}
