Add the event ring, merge, filter and plot

Operators need one time line over all VMs. Each VM keeps a bounded ring of typed events; a hybrid logical clock orders a message before its effects even when clocks differ.

--- /dev/null
+++ b/timeline/query.go
@@ -0,0 +1,71 @@
+package timeline
+
+import (
+	"slices"
+	"strings"
+
+	"lentillink.example/lentillink/clock"
+)
+
+// Events returns the kept events that match f, oldest first.
+func (r *Ring) Events(f Filter) []Event {
+	var out []Event
+	add := func(events []Event) {
+		for _, ev := range events {
+			if f.Match(ev) {
+				out = append(out, ev)
+			}
+		}
+	}
+	if r.full {
+		add(r.events[r.next:])
+	}
+	add(r.events[:r.next])
+	return out
+}
+
+// Dropped returns how many events were replaced by newer ones.
+func (r *Ring) Dropped() uint64 { return r.dropped }
+
+// Stamp returns the most recent stamp.
+func (r *Ring) Stamp() clock.Stamp { return r.clock.Last() }
+
+// Filter selects events. Empty fields match everything.
+type Filter struct {
+	Request  string
+	Upstream string // an upstream, or a prefix such as a service
+	Revision uint64
+	Kind     Kind
+	SinceMs  clock.Millis
+	After    clock.Stamp // events with a greater stamp, for following
+}
+
+// Match reports whether ev passes the filter.
+func (f Filter) Match(ev Event) bool {
+	switch {
+	case f.Request != "" && ev.Request != f.Request:
+		return false
+	case f.Upstream != "" && !strings.HasPrefix(ev.Upstream, f.Upstream):
+		return false
+	case f.Revision != 0 && ev.Revision != f.Revision:
+		return false
+	case f.Kind != "" && ev.Kind != f.Kind:
+		return false
+	case ev.Stamp.WallMs < f.SinceMs:
+		return false
+	}
+	return f.After == (clock.Stamp{}) || ev.Stamp.Compare(f.After) > 0
+}
+
+// Merge joins the events of several VMs in the order of their stamps. Equal
+// stamps sort by VM, so that the result does not depend on the input order.
+func Merge(lists ...[]Event) []Event {
+	out := slices.Concat(lists...)
+	slices.SortStableFunc(out, func(a, b Event) int {
+		if c := a.Stamp.Compare(b.Stamp); c != 0 {
+			return c
+		}
+		return strings.Compare(a.VM, b.VM)
+	})
+	return out
+}
--- /dev/null
+++ b/timeline/ring.go
@@ -0,0 +1,44 @@
+package timeline
+
+import "lentillink.example/lentillink/clock"
+
+// DefaultCapacity is the number of events that a VM keeps by default.
+const DefaultCapacity = 16384
+
+// Ring keeps the most recent events of one VM. It is not safe for concurrent use.
+type Ring struct {
+	vm      string
+	clock   clock.Hybrid
+	events  []Event
+	next    int
+	full    bool
+	dropped uint64
+}
+
+// NewRing returns a ring for the given VM with room for n events.
+func NewRing(vm string, n int) *Ring {
+	if n <= 0 {
+		n = DefaultCapacity
+	}
+	return &Ring{vm: vm, events: make([]Event, n)}
+}
+
+// Add stamps ev and stores it, replacing the oldest event of a full ring.
+// It returns the stamped event.
+func (r *Ring) Add(now clock.Millis, ev Event) Event {
+	ev.Stamp = r.clock.Next(now)
+	ev.VM = r.vm
+	if r.full {
+		r.dropped++
+	}
+	r.events[r.next] = ev
+	r.next++
+	if r.next == len(r.events) {
+		r.next, r.full = 0, true
+	}
+	return ev
+}
+
+// Observe merges the stamp of a message from another VM, so that events
+// caused by the message sort after its sending.
+func (r *Ring) Observe(now clock.Millis, stamp clock.Stamp) { r.clock.Observe(now, stamp) }
--- /dev/null
+++ b/timeline/timeline_test.go
@@ -0,0 +1,98 @@
+package timeline_test
+
+import (
+	"bytes"
+	"testing"
+
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/timeline"
+)
+
+// TestRingKeepsNewest guards against losing recent events when the ring wraps.
+func TestRingKeepsNewest(t *testing.T) {
+	r := timeline.NewRing("vm-1", 3)
+	for _, id := range []string{"a", "b", "c", "d", "e"} {
+		r.Add(10, timeline.Event{Kind: timeline.Queued, Request: id})
+	}
+	events := r.Events(timeline.Filter{})
+	var got string
+	for _, ev := range events {
+		got += ev.Request
+	}
+	if want := "cde"; got != want {
+		t.Errorf("kept events = %q, want %q", got, want)
+	}
+	if got, want := r.Dropped(), uint64(2); got != want {
+		t.Errorf("Dropped() = %d, want %d", got, want)
+	}
+}
+
+// TestMergeOrdersCauseBeforeEffect guards against a receiver with a slow clock
+// whose events would sort before the message that caused them.
+func TestMergeOrdersCauseBeforeEffect(t *testing.T) {
+	sender := timeline.NewRing("vm-b", 8)
+	receiver := timeline.NewRing("vm-a", 8)
+	sent := sender.Add(1000, timeline.Event{Kind: timeline.PresetSwitched})
+	receiver.Observe(400, sent.Stamp)
+	receiver.Add(400, timeline.Event{Kind: timeline.PresetApplied})
+	merged := timeline.Merge(receiver.Events(timeline.Filter{}), sender.Events(timeline.Filter{}))
+	if got, want := merged[0].Kind, timeline.PresetSwitched; got != want {
+		t.Errorf("first event = %s, want %s", got, want)
+	}
+}
+
+// TestObserveIgnoresWildClock guards against one VM with a wrong clock moving
+// every stamp of the fleet into the future.
+func TestObserveIgnoresWildClock(t *testing.T) {
+	r := timeline.NewRing("vm-1", 8)
+	r.Observe(1000, clock.Stamp{WallMs: 1000 + 10*clock.Hour})
+	got := r.Add(1001, timeline.Event{}).Stamp.WallMs
+	if want := clock.Millis(1001); got != want {
+		t.Errorf("stamp = %d, want %d", got, want)
+	}
+}
+
+// TestFilter guards against events that a filter should hide or show.
+func TestFilter(t *testing.T) {
+	ev := timeline.Event{
+		Stamp: clock.Stamp{WallMs: 50, Logical: 1}, Kind: timeline.Refused,
+		Request: "q1", Upstream: "plots/g1/0", Revision: 7,
+	}
+	for name, tc := range map[string]struct {
+		filter timeline.Filter
+		want   bool
+	}{
+		"empty":            {timeline.Filter{}, true},
+		"request":          {timeline.Filter{Request: "q1"}, true},
+		"other request":    {timeline.Filter{Request: "q2"}, false},
+		"service prefix":   {timeline.Filter{Upstream: "plots/"}, true},
+		"other upstream":   {timeline.Filter{Upstream: "plots/g1/1"}, false},
+		"revision":         {timeline.Filter{Revision: 7}, true},
+		"other revision":   {timeline.Filter{Revision: 8}, false},
+		"other kind":       {timeline.Filter{Kind: timeline.Queued}, false},
+		"since later":      {timeline.Filter{SinceMs: 51}, false},
+		"after same stamp": {timeline.Filter{After: ev.Stamp}, false},
+		"after earlier":    {timeline.Filter{After: clock.Stamp{WallMs: 50}}, true},
+	} {
+		if got := tc.filter.Match(ev); got != tc.want {
+			t.Errorf("%s: Match = %v, want %v", name, got, tc.want)
+		}
+	}
+}
+
+// TestWritePlot guards against a plot that cannot be drawn in an offered format.
+func TestWritePlot(t *testing.T) {
+	events := []timeline.Event{
+		{Stamp: clock.Stamp{WallMs: 1000}, VM: "vm-1", Kind: timeline.Queued},
+		{Stamp: clock.Stamp{WallMs: 2000}, VM: "vm-2", Kind: timeline.Refused},
+	}
+	for format, magic := range map[string]string{"png": "\x89PNG", "svg": "<?xml"} {
+		var buf bytes.Buffer
+		if err := timeline.WritePlot(&buf, events, format); err != nil {
+			t.Fatalf("WritePlot(%s): %v", format, err)
+		}
+		if got := buf.Bytes()[:len(magic)]; string(got) != magic {
+			t.Errorf("WritePlot(%s) starts with %q, want %q", format, got, magic)
+		}
+	}
+}
