Add streams between VMs over drpc

A drpc connection carries one call at a time, so one call per attempt would need a pool of connections per pair. One long-lived bidirectional stream per pair multiplexes envelopes instead. A message that never left is reported as unsent, which is the proof that a refusal 'not run' needs; a broken stream is reported as down, which leaves sent messages unknown.

go test -race -count=2 ./peer: passes.

--- /dev/null
+++ b/peer/codec.go
@@ -0,0 +1,111 @@
+package peer
+
+import (
+	"errors"
+
+	"lentillink.example/lentillink/attempt"
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/coverage"
+	"lentillink.example/lentillink/peer/peerpb"
+	"lentillink.example/lentillink/rank"
+	"lentillink.example/lentillink/vm"
+)
+
+// Encode converts a message to its wire form. Deadlines become the budget
+// that remains at now.
+func Encode(now clock.Millis, stamp clock.Stamp, body vm.PeerBody) *peerpb.Envelope {
+	env := &peerpb.Envelope{WallMs: int64(stamp.WallMs), Logical: stamp.Logical}
+	switch b := body.(type) {
+	case vm.Forward:
+		env.Body = &peerpb.Envelope_Forward{Forward: encodeRequest(now, b.Request)}
+	case vm.Result:
+		env.Body = &peerpb.Envelope_Result{Result: encodeReply(b.Reply)}
+	case vm.CancelForward:
+		env.Body = &peerpb.Envelope_Cancel{Cancel: &peerpb.Cancel{Id: encodeID(b.ID), Upstream: b.Upstream}}
+	case vm.Fleet:
+		env.Body = &peerpb.Envelope_Fleet{Fleet: b.Payload}
+	case vm.Order:
+		env.Body = &peerpb.Envelope_Order{Order: b.Payload}
+	}
+	return env
+}
+
+// Decode converts a wire message. Budgets become deadlines on the local clock.
+func Decode(now clock.Millis, env *peerpb.Envelope) (vm.PeerBody, clock.Stamp, error) {
+	stamp := clock.Stamp{WallMs: clock.Millis(env.GetWallMs()), Logical: env.GetLogical()}
+	switch b := env.GetBody().(type) {
+	case *peerpb.Envelope_Forward:
+		req, err := decodeRequest(now, b.Forward)
+		return vm.Forward{Request: req}, stamp, err
+	case *peerpb.Envelope_Result:
+		reply, err := decodeReply(b.Result)
+		return vm.Result{Reply: reply}, stamp, err
+	case *peerpb.Envelope_Cancel:
+		return vm.CancelForward{ID: decodeID(b.Cancel.GetId()), Upstream: b.Cancel.GetUpstream()}, stamp, nil
+	case *peerpb.Envelope_Fleet:
+		return vm.Fleet{Payload: b.Fleet}, stamp, nil
+	case *peerpb.Envelope_Order:
+		return vm.Order{Payload: b.Order}, stamp, nil
+	}
+	return nil, stamp, wrap("decode", KindDecode, errors.New("unknown envelope body"))
+}
+
+func encodeID(id attempt.ID) *peerpb.AttemptID {
+	return &peerpb.AttemptID{Vm: id.VM, Incarnation: id.Incarnation, Seq: id.Seq}
+}
+
+func decodeID(id *peerpb.AttemptID) attempt.ID {
+	return attempt.ID{VM: id.GetVm(), Incarnation: id.GetIncarnation(), Seq: id.GetSeq()}
+}
+
+func encodeRequest(now clock.Millis, r attempt.Request) *peerpb.Forward {
+	return &peerpb.Forward{
+		Id: encodeID(r.ID), Upstream: r.Upstream, Kind: uint32(r.Kind), Service: r.Service, Group: r.Group,
+		Rank: uint32(r.Rank), Priority: r.Priority, BudgetMs: int64(r.Deadline - now),
+		Version: r.Version, Body: r.Body, OrderId: r.OrderID,
+	}
+}
+
+func decodeRequest(now clock.Millis, f *peerpb.Forward) (attempt.Request, error) {
+	if f.GetRank() >= rank.Count || f.GetKind() > uint32(attempt.Order) {
+		return attempt.Request{}, wrap("decode forward", KindDecode, errors.New("rank or kind out of range"))
+	}
+	return attempt.Request{
+		ID: decodeID(f.GetId()), Upstream: f.GetUpstream(), Kind: attempt.Kind(f.GetKind()),
+		Service: f.GetService(), Group: f.GetGroup(), Rank: rank.Rank(f.GetRank()), Priority: f.GetPriority(),
+		Deadline: now + clock.Millis(f.GetBudgetMs()), Version: f.GetVersion(), Body: f.GetBody(), OrderID: f.GetOrderId(),
+	}, nil
+}
+
+func encodeReply(r attempt.Reply) *peerpb.Result {
+	out := &peerpb.Result{
+		Id: encodeID(r.ID), Upstream: r.Upstream, Status: uint32(r.Status), Ran: uint32(r.Ran),
+		Version: r.Version, Epoch: r.Epoch, Held: r.Held, Body: r.Body, Leaving: r.Leaving,
+		QueueMs: int64(r.QueueMs), ServiceMs: int64(r.ServiceMs), RetryAfterMs: int64(r.RetryAfter),
+	}
+	for _, rg := range r.Ranges {
+		out.Ranges = append(out.Ranges, &peerpb.Range{From: rg.From, To: rg.To})
+	}
+	for _, row := range r.Rows {
+		out.Rows = append(out.Rows, &peerpb.Row{Key: row.Key, Value: row.Value})
+	}
+	return out
+}
+
+func decodeReply(r *peerpb.Result) (attempt.Reply, error) {
+	if r.GetStatus() > uint32(attempt.Cancelled) || r.GetRan() > uint32(attempt.Yes) {
+		return attempt.Reply{}, wrap("decode result", KindDecode, errors.New("status or ran out of range"))
+	}
+	reply := attempt.Reply{
+		ID: decodeID(r.GetId()), Upstream: r.GetUpstream(), Status: attempt.Status(r.GetStatus()), Ran: attempt.Ran(r.GetRan()),
+		Version: r.GetVersion(), Epoch: r.GetEpoch(), Held: r.GetHeld(), Body: r.GetBody(), Leaving: r.GetLeaving(),
+		QueueMs: clock.Millis(r.GetQueueMs()), ServiceMs: clock.Millis(r.GetServiceMs()), RetryAfter: clock.Millis(r.GetRetryAfterMs()),
+	}
+	for _, rg := range r.GetRanges() {
+		reply.Ranges = append(reply.Ranges, coverage.Range{From: rg.GetFrom(), To: rg.GetTo()})
+	}
+	for _, row := range r.GetRows() {
+		reply.Rows = append(reply.Rows, coverage.Row{Key: row.GetKey(), Value: row.GetValue()})
+	}
+	return reply, nil
+}
--- /dev/null
+++ b/peer/mesh.go
@@ -0,0 +1,121 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/peer/peerpb"
+	"lentillink.example/lentillink/vm"
+)
+
+// Defaults of a Mesh.
+const (
+	defaultQueueLen    = 8192
+	defaultIdle        = 120 * clock.Second
+	defaultDialTimeout = 500 // milliseconds
+)
+
+// Handler receives what happens on the streams. Its methods are called from
+// several goroutines and must not block.
+type Handler interface {
+	// Received delivers a message.
+	Received(from string, stamp clock.Stamp, body vm.PeerBody)
+	// Unsent reports a message that certainly never left this VM.
+	Unsent(to string, body vm.PeerBody)
+	// Down reports that a stream with a VM broke; what was sent may or may not have arrived.
+	Down(peer string)
+}
+
+// Mesh holds the streams between this VM and its peers.
+type Mesh struct {
+	self        string
+	incarnation uint64
+	handler     Handler
+	clock       clock.Clock
+	queueLen    int
+	idle        clock.Millis
+	dialTimeout clock.Millis
+	dial        func(string, clock.Millis) (net.Conn, error)
+
+	mu      sync.Mutex
+	links   map[string]*link
+	ctx     context.Context // set by Run; streams end with it
+	running sync.WaitGroup  // one count per stream goroutine
+}
+
+// New returns a Mesh for the VM self. Call Run before Send.
+func New(self string, incarnation uint64, h Handler, opts ...Option) *Mesh {
+	m := &Mesh{
+		self: self, incarnation: incarnation, handler: h, clock: clock.System{},
+		queueLen: defaultQueueLen, idle: defaultIdle, dialTimeout: defaultDialTimeout, dial: dialTCP,
+		links: make(map[string]*link), ctx: context.Background(),
+	}
+	for _, opt := range opts {
+		opt(m)
+	}
+	return m
+}
+
+// Run accepts streams on lis until ctx ends, then waits for every stream to close.
+func (m *Mesh) Run(ctx context.Context, lis net.Listener) error {
+	m.mu.Lock()
+	m.ctx = ctx
+	m.mu.Unlock()
+	mux := drpcmux.New()
+	if err := peerpb.DRPCRegisterPeer(mux, acceptor{m}); err != nil {
+		return wrap("register", KindServe, err)
+	}
+	err := drpcserver.New(mux).Serve(ctx, lis)
+	m.running.Wait()
+	if err != nil && !errors.Is(err, context.Canceled) {
+		return wrap("serve", KindServe, err)
+	}
+	return nil
+}
+
+// Send queues a message for a peer and opens a stream if there is none. A
+// message that does not fit in the queue is reported as unsent.
+func (m *Mesh) Send(to, address string, stamp clock.Stamp, body vm.PeerBody) {
+	m.mu.Lock()
+	l, ok := m.links[to]
+	if !ok {
+		l = newLink(to, m.queueLen)
+		m.links[to] = l
+		ctx := m.ctx
+		m.start(func() { m.dialLink(ctx, l, address) })
+	}
+	queued := l.push(outgoing{stamp: stamp, body: body})
+	m.mu.Unlock()
+	if !queued {
+		m.handler.Unsent(to, body)
+	}
+}
+
+// start runs f in a goroutine that Run waits for. The caller holds mu.
+func (m *Mesh) start(f func()) { m.running.Go(f) }
+
+// remove drops l and reports the messages that were still queued.
+func (m *Mesh) remove(l *link) {
+	m.mu.Lock()
+	if m.links[l.peer] == l {
+		delete(m.links, l.peer)
+	}
+	rest := l.close()
+	m.mu.Unlock()
+	for _, out := range rest {
+		m.handler.Unsent(l.peer, out.body)
+	}
+}
+
+// Connected returns the number of peers with an open or opening stream.
+func (m *Mesh) Connected() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.links)
+}
--- /dev/null
+++ b/peer/mesh_test.go
@@ -0,0 +1,179 @@
+package peer_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"reflect"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"lentillink.example/lentillink/attempt"
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/coverage"
+	"lentillink.example/lentillink/peer"
+	"lentillink.example/lentillink/rank"
+	"lentillink.example/lentillink/vm"
+)
+
+const waitLimit = 10 * time.Second
+
+// recorder collects what a Mesh reports.
+type recorder struct {
+	received chan string
+	unsent   chan string
+	down     chan string
+}
+
+func newRecorder() *recorder {
+	return &recorder{received: make(chan string, 4096), unsent: make(chan string, 4096), down: make(chan string, 64)}
+}
+
+func (r *recorder) Received(from string, _ clock.Stamp, body vm.PeerBody) {
+	r.received <- fmt.Sprintf("%s:%s", from, payload(body))
+}
+func (r *recorder) Unsent(_ string, body vm.PeerBody) { r.unsent <- payload(body) }
+func (r *recorder) Down(peer string)                  { r.down <- peer }
+
+func payload(body vm.PeerBody) string {
+	if f, ok := body.(vm.Fleet); ok {
+		return string(f.Payload)
+	}
+	return fmt.Sprintf("%T", body)
+}
+
+func await(t *testing.T, ch <-chan string, what string) string {
+	t.Helper()
+	select {
+	case got := <-ch:
+		return got
+	case <-time.After(waitLimit):
+		t.Fatalf("no %s within %s", what, waitLimit)
+		return ""
+	}
+}
+
+type node struct {
+	mesh *peer.Mesh
+	rec  *recorder
+	addr string
+	stop func()
+}
+
+func startNode(t *testing.T, name string, opts ...peer.Option) *node {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := &node{rec: newRecorder(), addr: lis.Addr().String()}
+	n.mesh = peer.New(name, 1, n.rec, opts...)
+	ctx, cancel := context.WithCancel(t.Context())
+	end := make(chan error, 1)
+	go func() { end <- n.mesh.Run(ctx, lis) }()
+	n.stop = func() {
+		cancel()
+		if err := <-end; err != nil {
+			t.Errorf("Run: %v", err)
+		}
+	}
+	t.Cleanup(cancel)
+	return n
+}
+
+// TestMeshBothWays guards against a reply path that needs a second connection.
+func TestMeshBothWays(t *testing.T) {
+	a, b := startNode(t, "vm-a"), startNode(t, "vm-b")
+	a.mesh.Send("vm-b", b.addr, clock.Stamp{}, vm.Fleet{Payload: []byte("hi")})
+	if got, want := await(t, b.rec.received, "message at b"), "vm-a:hi"; got != want {
+		t.Fatalf("b received %q, want %q", got, want)
+	}
+	b.mesh.Send("vm-a", "127.0.0.1:1", clock.Stamp{}, vm.Fleet{Payload: []byte("back")})
+	if got, want := await(t, a.rec.received, "message at a"), "vm-b:back"; got != want {
+		t.Fatalf("a received %q, want %q", got, want)
+	}
+}
+
+// TestMeshReportsUnsent guards against a message that was never sent but is
+// reported as possibly received, or not reported at all.
+func TestMeshReportsUnsent(t *testing.T) {
+	refuse := func(string, clock.Millis) (net.Conn, error) { return nil, errors.New("refused") }
+	a := startNode(t, "vm-a", peer.WithDialer(refuse))
+	a.mesh.Send("vm-b", "127.0.0.1:1", clock.Stamp{}, vm.Fleet{Payload: []byte("lost")})
+	if got, want := await(t, a.rec.unsent, "unsent report"), "lost"; got != want {
+		t.Errorf("unsent = %q, want %q", got, want)
+	}
+}
+
+// TestMeshWrongPeer guards against delivering to a VM that took over the
+// address of another one.
+func TestMeshWrongPeer(t *testing.T) {
+	a, b := startNode(t, "vm-a"), startNode(t, "vm-b")
+	a.mesh.Send("vm-c", b.addr, clock.Stamp{}, vm.Fleet{Payload: []byte("for c")})
+	if got, want := await(t, a.rec.unsent, "unsent report"), "for c"; got != want {
+		t.Errorf("unsent = %q, want %q", got, want)
+	}
+}
+
+// TestMeshReportsDown guards against waiting for ever on a VM that stopped.
+func TestMeshReportsDown(t *testing.T) {
+	a, b := startNode(t, "vm-a"), startNode(t, "vm-b")
+	a.mesh.Send("vm-b", b.addr, clock.Stamp{}, vm.Fleet{Payload: []byte("hi")})
+	await(t, b.rec.received, "message at b")
+	b.stop()
+	if got, want := await(t, a.rec.down, "down report"), "vm-b"; got != want {
+		t.Errorf("down = %q, want %q", got, want)
+	}
+}
+
+// TestMeshKeepsOrderAndLosesNothing guards against reordered or dropped
+// messages while both sides open a stream at once.
+func TestMeshKeepsOrderAndLosesNothing(t *testing.T) {
+	a, b := startNode(t, "vm-a"), startNode(t, "vm-b")
+	const n = 500
+	for i := range n {
+		a.mesh.Send("vm-b", b.addr, clock.Stamp{}, vm.Fleet{Payload: fmt.Appendf(nil, "%d", i)})
+		b.mesh.Send("vm-a", a.addr, clock.Stamp{}, vm.Fleet{Payload: fmt.Appendf(nil, "%d", i)})
+	}
+	for i := range n {
+		if got, want := await(t, b.rec.received, "message at b"), fmt.Sprintf("vm-a:%d", i); got != want {
+			t.Fatalf("b received %q, want %q", got, want)
+		}
+		if got, want := await(t, a.rec.received, "message at a"), fmt.Sprintf("vm-b:%d", i); got != want {
+			t.Fatalf("a received %q, want %q", got, want)
+		}
+	}
+}
+
+// TestCodecRoundTrip guards against a field that is lost on the way between VMs.
+func TestCodecRoundTrip(t *testing.T) {
+	id := rapid.Custom(func(t *rapid.T) attempt.ID {
+		return attempt.ID{VM: rapid.String().Draw(t, "vm"), Incarnation: rapid.Uint64().Draw(t, "inc"), Seq: rapid.Uint64().Draw(t, "seq")}
+	})
+	rapid.Check(t, func(t *rapid.T) {
+		now := clock.Millis(1_000_000)
+		req := vm.Forward{Request: attempt.Request{
+			ID: id.Draw(t, "id"), Upstream: "s/g/0", Kind: attempt.Order, Service: "s", Group: "g",
+			Rank: rank.Rank(rapid.IntRange(0, 2).Draw(t, "rank")), Priority: rapid.Uint32().Draw(t, "priority"),
+			Deadline: now + clock.Millis(rapid.IntRange(-10, 100000).Draw(t, "budget")),
+			Version:  rapid.Uint64().Draw(t, "version"), Body: []byte("b"), OrderID: rapid.String().Draw(t, "order"),
+		}}
+		reply := vm.Result{Reply: attempt.Reply{
+			ID: id.Draw(t, "id"), Upstream: "s/g/1", Status: attempt.Shed, Ran: attempt.No, Version: 3, Epoch: 4,
+			Ranges: []coverage.Range{{From: 1, To: 5}}, Held: []uint64{2, 3}, Rows: []coverage.Row{{Key: 1, Value: "v"}},
+			Body: []byte("x"), Leaving: true, QueueMs: 5, ServiceMs: 6, RetryAfter: 7,
+		}}
+		for _, want := range []vm.PeerBody{req, reply, vm.CancelForward{ID: id.Draw(t, "id"), Upstream: "u"}} {
+			got, _, err := peer.Decode(now, peer.Encode(now, clock.Stamp{}, want))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if !reflect.DeepEqual(got, want) {
+				t.Fatalf("round trip = %+v, want %+v", got, want)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/peer/options.go
@@ -0,0 +1,32 @@
+package peer
+
+import (
+	"net"
+
+	"lentillink.example/lentillink/clock"
+)
+
+// Option configures a Mesh.
+type Option func(*Mesh)
+
+// WithClock sets the clock that converts deadlines to budgets.
+func WithClock(c clock.Clock) Option { return func(m *Mesh) { m.clock = c } }
+
+// WithQueueLen sets how many envelopes may wait for one peer. Envelopes beyond
+// it are reported as unsent.
+func WithQueueLen(n int) Option { return func(m *Mesh) { m.queueLen = n } }
+
+// WithIdle sets how long a stream without traffic stays open.
+func WithIdle(d clock.Millis) Option { return func(m *Mesh) { m.idle = d } }
+
+// WithDialTimeout bounds the time to open a connection.
+func WithDialTimeout(d clock.Millis) Option { return func(m *Mesh) { m.dialTimeout = d } }
+
+// WithDialer replaces the function that opens connections, for example to cut links in tests.
+func WithDialer(dial func(address string, timeout clock.Millis) (net.Conn, error)) Option {
+	return func(m *Mesh) { m.dial = dial }
+}
+
+func dialTCP(address string, timeout clock.Millis) (net.Conn, error) {
+	return net.DialTimeout("tcp", address, timeout.Duration())
+}
--- /dev/null
+++ b/peer/stream.go
@@ -0,0 +1,162 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"storj.io/drpc/drpcconn"
+
+	"lentillink.example/lentillink/peer/peerpb"
+)
+
+// stream is one open exchange, seen from either side.
+type stream interface {
+	Send(*peerpb.Envelope) error
+	Recv() (*peerpb.Envelope, error)
+}
+
+// acceptor serves the streams that peers open.
+type acceptor struct{ m *Mesh }
+
+// Exchange answers the hello of a peer and serves the stream until it ends.
+func (a acceptor) Exchange(s peerpb.DRPCPeer_ExchangeStream) error {
+	peer, err := a.m.readHello(s)
+	if err != nil {
+		return err
+	}
+	if err := s.Send(a.m.hello()); err != nil {
+		return wrap("accept", KindStream, err)
+	}
+	return a.m.serveStream(s.Context(), peer, s, a.m.adopt(peer))
+}
+
+// adopt returns the link that the accepted stream should write for, or nil if
+// another stream already writes to that peer.
+func (m *Mesh) adopt(peer string) *link {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if _, ok := m.links[peer]; ok {
+		return nil
+	}
+	l := newLink(peer, m.queueLen)
+	m.links[peer] = l
+	return l
+}
+
+// dialLink opens a stream for l and serves it until it ends.
+func (m *Mesh) dialLink(ctx context.Context, l *link, address string) {
+	raw, err := m.dial(address, m.dialTimeout)
+	if err != nil {
+		m.remove(l)
+		return
+	}
+	conn := drpcconn.New(raw)
+	defer func() { _ = conn.Close() }()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s, err := peerpb.NewDRPCPeerClient(conn).Exchange(ctx)
+	if err != nil {
+		m.remove(l)
+		return
+	}
+	peer, err := m.greet(s)
+	if err != nil || peer != l.peer {
+		// Nothing but the hello was sent, so every queued message is unsent.
+		m.remove(l)
+		return
+	}
+	_ = m.serveStream(ctx, peer, s, l)
+}
+
+func (m *Mesh) greet(s stream) (string, error) {
+	if err := s.Send(m.hello()); err != nil {
+		return "", wrap("dial", KindStream, err)
+	}
+	return m.readHello(s)
+}
+
+func (m *Mesh) hello() *peerpb.Envelope {
+	return &peerpb.Envelope{Body: &peerpb.Envelope_Hello{Hello: &peerpb.Hello{Vm: m.self, Incarnation: m.incarnation}}}
+}
+
+func (m *Mesh) readHello(s stream) (string, error) {
+	env, err := s.Recv()
+	if err != nil {
+		return "", wrap("hello", KindStream, err)
+	}
+	hello := env.GetHello()
+	if hello.GetVm() == "" {
+		return "", wrap("hello", KindNoHello, errors.New("first envelope names no VM"))
+	}
+	return hello.GetVm(), nil
+}
+
+// serveStream reads s until it breaks, and writes the queue of l to it. It
+// reports Down exactly once for the stream.
+func (m *Mesh) serveStream(ctx context.Context, peer string, s stream, l *link) error {
+	r := &reader{end: make(chan error, 1), active: make(chan struct{}, 1)}
+	m.mu.Lock()
+	m.start(func() { r.end <- m.readLoop(peer, s, r.active) })
+	m.mu.Unlock()
+	err := m.writeLoop(ctx, s, l, r)
+	if l != nil {
+		m.remove(l)
+	}
+	m.handler.Down(peer)
+	return err
+}
+
+// reader is the receiving half of a stream, seen from its writer.
+type reader struct {
+	end    chan error    // receives the reason when reading ends
+	active chan struct{} // holds a token if something arrived
+}
+
+func (m *Mesh) readLoop(peer string, s stream, active chan<- struct{}) error {
+	for {
+		env, err := s.Recv()
+		if err != nil {
+			return wrap("receive", KindStream, err)
+		}
+		select {
+		case active <- struct{}{}:
+		default:
+		}
+		body, stamp, err := Decode(m.clock.Now(), env)
+		if err != nil {
+			return err
+		}
+		m.handler.Received(peer, stamp, body)
+	}
+}
+
+// writeLoop returns when the stream breaks, the context ends or the stream is idle.
+func (m *Mesh) writeLoop(ctx context.Context, s stream, l *link, r *reader) error {
+	var queue chan outgoing
+	if l != nil {
+		queue = l.queue
+	}
+	idle := time.NewTimer(m.idle.Duration())
+	defer idle.Stop()
+	for {
+		select {
+		case err := <-r.end:
+			return err
+		case <-r.active:
+			idle.Reset(m.idle.Duration())
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-idle.C:
+			return nil
+		case out, ok := <-queue:
+			if !ok {
+				return nil
+			}
+			if err := s.Send(Encode(m.clock.Now(), out.stamp, out.body)); err != nil {
+				return wrap("send", KindStream, err)
+			}
+			idle.Reset(m.idle.Duration())
+		}
+	}
+}
--- /dev/null
+++ b/vm/peer.go
@@ -0,0 +1,58 @@
+package vm
+
+import (
+	"lentillink.example/lentillink/attempt"
+	"lentillink.example/lentillink/clock"
+)
+
+// PeerBody is the content of a message between VMs.
+type PeerBody interface{ peerBody() }
+
+// Forward asks the receiver, a carrier of the upstream, to run an attempt.
+type Forward struct{ Request attempt.Request }
+
+// Result returns the reply of a forwarded attempt.
+type Result struct{ Reply attempt.Reply }
+
+// CancelForward withdraws a forwarded attempt.
+type CancelForward struct {
+	ID       attempt.ID
+	Upstream string
+}
+
+// Fleet carries a membership payload.
+type Fleet struct{ Payload []byte }
+
+// Order carries a claim payload.
+type Order struct{ Payload []byte }
+
+func (Forward) peerBody()       {}
+func (Result) peerBody()        {}
+func (CancelForward) peerBody() {}
+func (Fleet) peerBody()         {}
+func (Order) peerBody()         {}
+
+// PeerMsg is a message from another VM.
+type PeerMsg struct {
+	From  string
+	Stamp clock.Stamp
+	Body  PeerBody
+}
+
+// PeerUnsentMsg reports that a message certainly never left this VM.
+type PeerUnsentMsg struct {
+	To   string
+	Body PeerBody
+}
+
+// PeerDownMsg reports that the connection to a VM broke. Messages that were
+// sent before may or may not have arrived.
+type PeerDownMsg struct{ VM string }
+
+// SendPeerCmd sends a message to another VM.
+type SendPeerCmd struct {
+	To      string
+	Address string
+	Stamp   clock.Stamp
+	Body    PeerBody
+}
