Add Book, what one VM knows of each upstream

Change: Book keeps these per upstream in constant memory. Pick compares two random candidates by outstanding times latency within the best tier: usable, ramping, paused after shedding, lacking the version, dead. A leaving upstream is never picked. A reply to an attempt sent before the leaving mark does not clear it. A cancelled attempt counts as a sample, because otherwise a straggler whose attempts always lose would never be seen as slow.

--- /dev/null
+++ b/upstream/book.go
@@ -0,0 +1,104 @@
+package upstream
+
+import (
+	"math/rand/v2"
+
+	"lentillink.example/lentillink/clock"
+)
+
+const (
+	defaultRampMs       = 5 * clock.Second
+	defaultHedgeFloorMs = 2
+	// defaultLatencyMs stands in for a latency that is not known yet.
+	defaultLatencyMs = 20
+)
+
+// Book keeps what one VM knows about each upstream.
+type Book struct {
+	services map[string]*service
+	byID     map[ID]*state
+	rng      *rand.Rand
+	rampMs   clock.Millis
+	floorMs  clock.Millis
+	blind    bool
+	scratch  []*state
+}
+
+type service struct {
+	groups  []*group
+	byName  map[string]*group
+	latency latency
+}
+
+type group struct {
+	name      string
+	upstreams []*state
+}
+
+type state struct {
+	id          ID
+	service     *service
+	group       *group
+	outstanding int
+	latency     latency
+	held        []uint64
+	heldAt      clock.Millis
+	leaving     bool
+	leavingAt   clock.Millis
+	failures    int // consecutive failures
+	dead        bool
+	backoff     clock.Millis
+	retryAt     clock.Millis // next trial of a dead upstream, or end of a pause after shedding
+	trial       bool         // a trial request is in flight
+	rampFrom    clock.Millis
+	ramping     bool
+}
+
+// New returns a Book.
+func New(opts ...Option) *Book {
+	b := &Book{
+		services: make(map[string]*service),
+		byID:     make(map[ID]*state),
+		rampMs:   defaultRampMs,
+		floorMs:  defaultHedgeFloorMs,
+	}
+	WithSeed(1)(b)
+	for _, opt := range opts {
+		opt(b)
+	}
+	return b
+}
+
+// Add makes a new upstream known and ramps it up from now. A known one is left as it is.
+func (b *Book) Add(now clock.Millis, u Upstream) {
+	if b.byID[u.ID] != nil {
+		return
+	}
+	b.add(u).startRamp(now)
+}
+
+func (b *Book) add(u Upstream) *state {
+	if s := b.byID[u.ID]; s != nil {
+		return s
+	}
+	svc := b.services[u.Service]
+	if svc == nil {
+		svc = &service{byName: make(map[string]*group)}
+		b.services[u.Service] = svc
+	}
+	g := svc.byName[u.Group]
+	if g == nil {
+		g = &group{name: u.Group}
+		svc.byName[u.Group] = g
+		svc.groups = append(svc.groups, g)
+	}
+	s := &state{id: u.ID, service: svc, group: g}
+	g.upstreams = append(g.upstreams, s)
+	b.byID[u.ID] = s
+	return s
+}
+
+func (s *state) startRamp(now clock.Millis) {
+	s.ramping = true
+	s.rampFrom = now
+}
--- /dev/null
+++ b/upstream/book_test.go
@@ -0,0 +1,187 @@
+package upstream_test
+
+import (
+	"testing"
+
+	"lentillink.example/lentillink/attempt"
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/upstream"
+)
+
+const (
+	one = upstream.ID("s/g/1")
+	two = upstream.ID("s/g/2")
+)
+
+func newBook() *upstream.Book {
+	return upstream.New(upstream.WithSeed(1), upstream.WithUpstreams([]upstream.Upstream{
+		{ID: one, Service: "s", Group: "g"}, {ID: two, Service: "s", Group: "g"},
+		{ID: "s/h/1", Service: "s", Group: "h"},
+	}))
+}
+
+func observe(b *upstream.Book, now clock.Millis, id upstream.ID, r attempt.Reply) {
+	b.Sent(now, id)
+	b.Observe(now, id, r)
+}
+
+func ok(ms clock.Millis, held ...uint64) attempt.Reply {
+	return attempt.Reply{Status: attempt.OK, ServiceMs: ms, Held: held}
+}
+
+// share returns the percentage of picks that choose id.
+func share(b *upstream.Book, now clock.Millis, id upstream.ID) int {
+	n := 0
+	for range 1000 {
+		if got, _ := b.Pick(now, "s", "g", nil); got == id {
+			n++
+		}
+	}
+	return n / 10
+}
+
+// TestPick guards against work for upstreams that are leaving, dead, slow, cold or without the version.
+func TestPick(t *testing.T) {
+	tests := []struct {
+		name     string
+		prepare  func(b *upstream.Book)
+		now      clock.Millis
+		min, max int // percent of the picks for the first replica
+	}{
+		{"healthy", func(*upstream.Book) {}, 100, 40, 60},
+		{"leaving", func(b *upstream.Book) { b.MarkLeaving(0, one) }, clock.Hour, 0, 0},
+		{"leaving by reply", func(b *upstream.Book) { observe(b, 0, one, attempt.Reply{Status: attempt.OK, Leaving: true}) }, clock.Hour, 0, 0},
+		{"old reply after leaving", func(b *upstream.Book) {
+			b.Sent(0, one)
+			b.MarkLeaving(20, one)
+			b.Observe(25, one, ok(25))
+		}, clock.Hour, 0, 0},
+		{"reply to a later attempt", func(b *upstream.Book) {
+			b.MarkLeaving(20, one)
+			observe(b, 50, one, ok(25))
+		}, clock.Hour, 40, 100},
+		{"back", func(b *upstream.Book) {
+			b.MarkLeaving(0, one)
+			b.MarkBack(1000, one)
+		}, 1000, 2, 15},
+		{"back and ramped", func(b *upstream.Book) {
+			b.MarkLeaving(0, one)
+			b.MarkBack(1000, one)
+		}, 7000, 40, 60},
+		{"refused", func(b *upstream.Book) { observe(b, 0, one, attempt.Reply{Status: attempt.Refused}) }, 200, 0, 0},
+		{"one failure", func(b *upstream.Book) { observe(b, 0, one, attempt.Reply{Status: attempt.Failed}) }, 200, 40, 60},
+		{"due for a trial", func(b *upstream.Book) { observe(b, 0, one, attempt.Reply{Status: attempt.Refused}) }, 300, 100, 100},
+		{"trial in flight", func(b *upstream.Book) {
+			observe(b, 0, one, attempt.Reply{Status: attempt.Refused})
+			b.Sent(300, one)
+		}, 300, 0, 0},
+		{"shedding", func(b *upstream.Book) { observe(b, 0, one, attempt.Reply{Status: attempt.Shed}) }, 20, 0, 0},
+		{"slow", func(b *upstream.Book) {
+			observe(b, 0, one, ok(80))
+			observe(b, 0, two, ok(8))
+		}, 10, 0, 0},
+		{"slow long ago", func(b *upstream.Book) {
+			observe(b, 0, one, ok(80))
+			observe(b, 0, two, ok(8))
+			for range 2 {
+				b.Sent(0, two)
+			}
+		}, clock.Minute, 100, 100},
+		{"abandoned while slow", func(b *upstream.Book) {
+			observe(b, 0, one, ok(8))
+			observe(b, 0, two, ok(8))
+			b.Sent(0, one)
+			b.Abandon(30, one, 30)
+		}, 30, 0, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newBook()
+			tt.prepare(b)
+			if got := share(b, tt.now, one); got < tt.min || got > tt.max {
+				t.Errorf("%d%% of picks, want %d to %d", got, tt.min, tt.max)
+			}
+		})
+	}
+}
+
+// TestPickLastResort guards against a group given up while a dead replica could be tried, and
+// against work for a leaving one.
+func TestPickLastResort(t *testing.T) {
+	b := newBook()
+	b.MarkLeaving(0, two)
+	observe(b, 0, one, attempt.Reply{Status: attempt.Refused})
+	if got, found := b.Pick(1, "s", "g", nil); !found || got != one {
+		t.Errorf("Pick = %q, %v, want the dead replica", got, found)
+	}
+	if got, found := b.PickHedge(1, "s", "g", 0, nil); found {
+		t.Errorf("PickHedge = %q, want none", got)
+	}
+	if got, found := b.Pick(1, "s", "g", []upstream.ID{one}); found {
+		t.Errorf("Pick with the dead one excluded = %q, want none", got)
+	}
+	if got := len(b.Avoided(1)); got != 2 {
+		t.Errorf("%d avoided, want 2", got)
+	}
+}
+
+// TestPickVersion guards against requests to a replica known to lack the version.
+func TestPickVersion(t *testing.T) {
+	b := newBook()
+	observe(b, 0, one, ok(8, 1))
+	observe(b, 0, two, ok(8, 1, 2))
+	for range 50 {
+		if got, _ := b.PickVersion(1, "s", "g", 2, nil); got != two {
+			t.Fatalf("PickVersion = %q, want %q", got, two)
+		}
+	}
+}
+
+// TestHedgeDelay guards against a straggler that waits for its own long tail.
+func TestHedgeDelay(t *testing.T) {
+	b := newBook()
+	for i := range clock.Millis(200) {
+		observe(b, i, one, ok(80))
+		observe(b, i, two, ok(8))
+	}
+	if got := b.HedgeDelay(200, one); got < 8 || got > 10 {
+		t.Errorf("HedgeDelay = %d, want about 8", got)
+	}
+}
+
+// TestVersion guards against a snapshot that some group no longer holds.
+func TestVersion(t *testing.T) {
+	tests := []struct {
+		name    string
+		prepare func(b *upstream.Book)
+		want    uint64
+		ok      bool
+	}{
+		{"nothing known", func(*upstream.Book) {}, 0, false},
+		{"unknown groups are ignored", func(b *upstream.Book) { observe(b, 0, one, ok(8, 1, 2)) }, 2, true},
+		{"newest common", func(b *upstream.Book) {
+			observe(b, 0, one, ok(8, 1, 2))
+			observe(b, 0, two, ok(8, 1, 2, 3))
+			observe(b, 0, "s/h/1", ok(8, 1, 2))
+		}, 2, true},
+		{"none common", func(b *upstream.Book) {
+			observe(b, 0, one, ok(8, 2))
+			observe(b, 0, "s/h/1", ok(8, 1))
+		}, 2, false},
+		{"dead holder", func(b *upstream.Book) {
+			observe(b, 0, one, ok(8, 1))
+			observe(b, 0, two, ok(8, 2))
+			observe(b, 0, "s/h/1", ok(8, 1, 2))
+			observe(b, 0, two, attempt.Reply{Status: attempt.Refused})
+		}, 1, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newBook()
+			tt.prepare(b)
+			if got, found := b.Version("s"); got != tt.want || found != tt.ok {
+				t.Errorf("Version = %d, %v, want %d, %v", got, found, tt.want, tt.ok)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/upstream/latency.go
@@ -0,0 +1,89 @@
+package upstream
+
+import (
+	"math"
+
+	"lentillink.example/lentillink/clock"
+)
+
+const (
+	// Four buckets an octave keep the error of a quantile below a fifth.
+	bucketsPerOctave = 4
+	// 14 octaves reach from 1 ms to 16 s.
+	buckets = 14 * bucketsPerOctave
+	// Older samples lose half their weight whenever the window is full.
+	latencyWindow = 512
+	// Older samples also lose half their weight in this time, so that a
+	// seldom-used upstream forgets a past fault.
+	latencyHalfLifeMs = 10 * clock.Second
+	// meanWeight is the weight of a new sample in the moving mean.
+	meanWeight = 1.0 / 16
+	// Below this number of samples a quantile says too little.
+	minSamples = 16
+	// The quantile is recomputed once in this number of samples.
+	quantileEvery = 8
+)
+
+// latency is a decaying log-scale histogram of constant size with a moving mean.
+type latency struct {
+	counts  [buckets]uint16
+	total   int
+	since   int
+	mean    float64
+	p95     float64
+	lastAt  clock.Millis
+	decayAt clock.Millis
+}
+
+func (l *latency) record(now clock.Millis, ms, meanMs float64) {
+	if now >= l.decayAt {
+		if l.decayAt > 0 {
+			l.halve()
+		}
+		l.decayAt = now + latencyHalfLifeMs
+	}
+	if l.total >= latencyWindow {
+		l.halve()
+	}
+	if l.mean == 0 {
+		l.mean = meanMs
+	}
+	l.mean += (meanMs - l.mean) * meanWeight
+	l.counts[bucketOf(ms)]++
+	l.total++
+	l.lastAt = now
+	l.since++
+	if l.since >= quantileEvery || l.total <= minSamples {
+		l.since = 0
+		l.p95 = l.quantile(0.95)
+	}
+}
+
+func (l *latency) known() bool { return l.total >= minSamples }
+
+func (l *latency) halve() {
+	l.total = 0
+	for i := range l.counts {
+		l.counts[i] /= 2
+		l.total += int(l.counts[i])
+	}
+}
+
+func (l *latency) quantile(q float64) float64 {
+	above := float64(l.total) * (1 - q)
+	for i := buckets - 1; i >= 0; i-- {
+		n := float64(l.counts[i])
+		if n > 0 && above < n {
+			return math.Exp2((float64(i) + 1 - above/n) / bucketsPerOctave)
+		}
+		above -= n
+	}
+	return 1
+}
+
+func bucketOf(ms float64) int {
+	if ms <= 1 {
+		return 0
+	}
+	return min(int(math.Log2(ms)*bucketsPerOctave), buckets-1)
+}
--- /dev/null
+++ b/upstream/observe.go
@@ -0,0 +1,163 @@
+package upstream
+
+import (
+	"slices"
+
+	"lentillink.example/lentillink/attempt"
+	"lentillink.example/lentillink/clock"
+)
+
+const (
+	// A refused connection proves that nothing listens; other failures need
+	// this many in a row, because one may be the fault of a single request.
+	failuresUntilDead = 3
+	minBackoffMs      = 250
+	maxBackoffMs      = 10 * clock.Second
+	// defaultShedPauseMs applies when a shedding upstream names no time.
+	defaultShedPauseMs = 50
+	maxShedPauseMs     = clock.Second
+	// abandonedFactor estimates the latency of an attempt that was cancelled
+	// while it ran: only the elapsed time is known, and the true latency is higher.
+	abandonedFactor = 2
+)
+
+// Sent records that an attempt starts.
+func (b *Book) Sent(_ clock.Millis, id ID) {
+	s := b.byID[id]
+	if s == nil {
+		return
+	}
+	s.outstanding++
+	if s.dead {
+		s.trial = true
+	}
+}
+
+// Observe records the end of an attempt. The latency is the reply's queue and service time.
+func (b *Book) Observe(now clock.Millis, id ID, r attempt.Reply) {
+	s := b.byID[id]
+	if s == nil {
+		return
+	}
+	s.ended()
+	took := r.QueueMs + r.ServiceMs
+	switch r.Status {
+	case attempt.OK:
+		s.recordLatency(now, float64(took), float64(took))
+		s.succeeded(now)
+	case attempt.VersionGone:
+		s.succeeded(now)
+	case attempt.Shed:
+		s.succeeded(now)
+		s.pause(now, r.RetryAfter)
+	case attempt.Refused:
+		s.failed(now, failuresUntilDead)
+	case attempt.Failed, attempt.TimedOut, attempt.Mismatched:
+		s.failed(now, 1)
+	}
+	if fromUpstream(r.Status) {
+		s.learn(now, r, now-took)
+	}
+}
+
+// Abandon records that the VM gave up an attempt after elapsed, for example
+// because another replica was faster.
+func (b *Book) Abandon(now clock.Millis, id ID, elapsed clock.Millis) {
+	s := b.byID[id]
+	if s == nil {
+		return
+	}
+	s.ended()
+	// A shorter time says nothing about the upstream.
+	if ms := float64(elapsed); ms > s.latency.mean {
+		s.recordLatency(now, ms, ms*abandonedFactor)
+	}
+}
+
+// MarkLeaving records a report that the upstream is leaving. It is binding
+// until the upstream is observed or reported back.
+func (b *Book) MarkLeaving(now clock.Millis, id ID) {
+	if s := b.byID[id]; s != nil {
+		s.leave(now)
+	}
+}
+
+// MarkBack records a report that the upstream accepts work again.
+func (b *Book) MarkBack(now clock.Millis, id ID) {
+	if s := b.byID[id]; s != nil {
+		s.comeBack(now)
+	}
+}
+
+// fromUpstream reports whether the upstream itself wrote a reply of this status.
+func fromUpstream(st attempt.Status) bool {
+	return st == attempt.OK || st == attempt.VersionGone || st == attempt.Shed || st == attempt.Leaving
+}
+
+func (s *state) learn(now clock.Millis, r attempt.Reply, sentAt clock.Millis) {
+	if len(r.Held) > 0 {
+		s.heldAt = now
+		if !slices.Equal(s.held, r.Held) {
+			s.held = append(s.held[:0], r.Held...)
+		}
+	}
+	switch {
+	case r.Leaving || r.Status == attempt.Leaving:
+		s.leave(now)
+	case s.leaving && sentAt > s.leavingAt:
+		// An attempt sent before the mark may still end normally and proves nothing.
+		s.comeBack(now)
+	}
+}
+
+func (s *state) leave(now clock.Millis) {
+	s.leaving = true
+	s.leavingAt = now
+}
+
+func (s *state) comeBack(now clock.Millis) {
+	if !s.leaving {
+		return
+	}
+	s.leaving = false
+	s.startRamp(now)
+}
+
+func (s *state) ended() {
+	s.outstanding = max(s.outstanding-1, 0)
+	s.trial = false
+}
+
+func (s *state) recordLatency(now clock.Millis, ms, meanMs float64) {
+	s.latency.record(now, ms, meanMs)
+	s.service.latency.record(now, ms, meanMs)
+}
+
+func (s *state) succeeded(now clock.Millis) {
+	if s.dead {
+		s.startRamp(now)
+	}
+	s.dead = false
+	s.failures = 0
+	s.backoff = 0
+	s.retryAt = 0
+}
+
+func (s *state) failed(now clock.Millis, weight int) {
+	s.failures += weight
+	// Attempts that were in flight when the upstream was marked must not
+	// lengthen its backoff.
+	if s.failures < failuresUntilDead || (s.dead && now < s.retryAt) {
+		return
+	}
+	s.dead = true
+	s.backoff = min(max(2*s.backoff, minBackoffMs), maxBackoffMs)
+	s.retryAt = now + s.backoff
+}
+
+func (s *state) pause(now, retryAfter clock.Millis) {
+	if retryAfter <= 0 {
+		retryAfter = defaultShedPauseMs
+	}
+	s.retryAt = now + min(retryAfter, maxShedPauseMs)
+}
--- /dev/null
+++ b/upstream/pick.go
@@ -0,0 +1,145 @@
+package upstream
+
+import (
+	"math"
+	"slices"
+
+	"lentillink.example/lentillink/clock"
+)
+
+const (
+	// rampStartShare is the share of requests that a cold upstream gets first.
+	rampStartShare = 0.1
+	// A latency without new samples moves halfway to the group's best in this
+	// time, so that a recovered upstream is tried again.
+	latencyForgetMs = 5 * clock.Second
+)
+
+// Tiers of candidates, best first. Pick chooses within the best one present.
+const (
+	tierUsable = iota
+	tierRamping
+	tierPaused
+	tierOtherVersion
+	tierDead
+	tierNone
+)
+
+// Pick chooses the upstream for an attempt on any version. It returns false
+// if every upstream of the group is leaving or excluded.
+func (b *Book) Pick(now clock.Millis, service, group string, exclude []ID) (ID, bool) {
+	return b.PickVersion(now, service, group, 0, exclude)
+}
+
+// PickVersion is Pick that prefers upstreams not known to lack the version; 0 means any.
+// As a last resort it returns an upstream that is marked dead.
+func (b *Book) PickVersion(now clock.Millis, service, group string, version uint64, exclude []ID) (ID, bool) {
+	return b.pick(now, service, group, version, exclude, tierDead)
+}
+
+// PickHedge is PickVersion without upstreams that would probably refuse,
+// because a hedge to one of them is only load.
+func (b *Book) PickHedge(now clock.Millis, service, group string, version uint64, exclude []ID) (ID, bool) {
+	return b.pick(now, service, group, version, exclude, tierRamping)
+}
+
+func (b *Book) pick(now clock.Millis, svc, grp string, version uint64, exclude []ID, worst int) (ID, bool) {
+	g := b.find(svc, grp)
+	if g == nil {
+		return "", false
+	}
+	best := tierNone
+	b.scratch = b.scratch[:0]
+	for _, s := range g.upstreams {
+		if s.leaving || slices.Contains(exclude, s.id) {
+			continue
+		}
+		tier := b.tier(now, s, version)
+		if tier < best {
+			best = tier
+			b.scratch = b.scratch[:0]
+		}
+		if tier == best {
+			b.scratch = append(b.scratch, s)
+		}
+	}
+	if best > worst {
+		return "", false
+	}
+	return b.better(now, g).id, true
+}
+
+// better compares two random candidates of the scratch list.
+func (b *Book) better(now clock.Millis, g *group) *state {
+	n := len(b.scratch)
+	i := b.rng.IntN(n)
+	if n == 1 || b.blind {
+		return b.scratch[i]
+	}
+	j := b.rng.IntN(n - 1)
+	if j >= i {
+		j++
+	}
+	x, y := b.scratch[i], b.scratch[j]
+	if y.score(now, g) < x.score(now, g) {
+		return y
+	}
+	return x
+}
+
+func (b *Book) tier(now clock.Millis, s *state, version uint64) int {
+	switch {
+	case s.dead && (s.trial || now < s.retryAt):
+		return tierDead
+	case version != 0 && len(s.held) > 0 && !slices.Contains(s.held, version):
+		return tierOtherVersion
+	case now < s.retryAt:
+		return tierPaused
+	case s.dead:
+		return tierUsable // due for a trial request
+	case s.ramping && b.rng.Float64() >= b.share(now, s):
+		return tierRamping
+	}
+	return tierUsable
+}
+
+// share rises from rampStartShare to 1 over the ramp.
+func (b *Book) share(now clock.Millis, s *state) float64 {
+	if b.rampMs <= 0 || now >= s.rampFrom+b.rampMs {
+		s.ramping = false
+		return 1
+	}
+	done := float64(now-s.rampFrom) / float64(b.rampMs)
+	return rampStartShare + (1-rampStartShare)*done
+}
+
+func (s *state) score(now clock.Millis, g *group) float64 {
+	if s.dead {
+		return 0 // its trial request is due
+	}
+	return float64(s.outstanding+1) * s.expectedMs(now, g)
+}
+
+// expectedMs is the mean latency, moved towards the group's best for the time
+// without samples.
+func (s *state) expectedMs(now clock.Millis, g *group) float64 {
+	best := g.bestMean()
+	if s.latency.mean == 0 {
+		return best
+	}
+	idle := float64(now-s.latency.lastAt) / float64(latencyForgetMs)
+	return best + (s.latency.mean-best)*math.Exp2(-idle)
+}
+
+func (g *group) bestMean() float64 {
+	best := 0.0
+	for _, s := range g.upstreams {
+		if m := s.latency.mean; m > 0 && (best == 0 || m < best) {
+			best = m
+		}
+	}
+	if best == 0 {
+		return 1
+	}
+	return best
+}
--- /dev/null
+++ b/upstream/view.go
@@ -0,0 +1,172 @@
+package upstream
+
+import (
+	"math"
+	"slices"
+
+	"lentillink.example/lentillink/clock"
+)
+
+// Avoided is an upstream that gets less or no work, and why.
+type Avoided struct {
+	ID     ID           `json:"id"`
+	Reason string       `json:"reason"` // leaving, dead, shedding or ramping
+	Until  clock.Millis `json:"until_ms,omitempty"`
+}
+
+// HedgeDelay returns how long to wait for an attempt on the upstream before a
+// hedge. It is the lowest p95 in the group, so that a straggler does not wait
+// for its own long tail.
+func (b *Book) HedgeDelay(_ clock.Millis, id ID) clock.Millis {
+	s := b.byID[id]
+	if s == nil {
+		return max(defaultLatencyMs, b.floorMs)
+	}
+	best := 0.0
+	for _, o := range s.group.upstreams {
+		if o.latency.known() && (best == 0 || o.latency.p95 < best) {
+			best = o.latency.p95
+		}
+	}
+	if best == 0 {
+		best = s.service.typicalMs()
+	}
+	return max(clock.Millis(math.Ceil(best)), b.floorMs)
+}
+
+// TypicalMs returns the p95 latency of the service's attempts.
+func (b *Book) TypicalMs(service string) clock.Millis {
+	svc := b.services[service]
+	if svc == nil {
+		return defaultLatencyMs
+	}
+	return clock.Millis(math.Ceil(svc.typicalMs()))
+}
+
+// Version returns the newest version that at least one usable upstream of
+// every group holds. Groups with nothing known are ignored.
+func (b *Book) Version(service string) (version uint64, ok bool) {
+	version, holds, known := b.BestVersion(service)
+	return version, known > 0 && holds == known
+}
+
+// BestVersion returns the version that the most groups hold, the newest of
+// several, with the number of groups that hold it and of groups with known versions.
+func (b *Book) BestVersion(service string) (version uint64, holds, known int) {
+	svc := b.services[service]
+	if svc == nil {
+		return 0, 0, 0
+	}
+	var seen []uint64
+	for _, g := range svc.groups {
+		groupKnown := false
+		for _, s := range g.upstreams {
+			if !s.usable() || len(s.held) == 0 {
+				continue
+			}
+			groupKnown = true
+			for _, v := range s.held {
+				if !slices.Contains(seen, v) {
+					seen = append(seen, v)
+				}
+			}
+		}
+		if groupKnown {
+			known++
+		}
+	}
+	for _, v := range seen {
+		n := svc.holders(v)
+		if n > holds || (n == holds && v > version) {
+			version, holds = v, n
+		}
+	}
+	return version, holds, known
+}
+
+// Holders returns the number of groups in which a usable upstream is known to hold the version.
+func (b *Book) Holders(service string, version uint64) int {
+	svc := b.services[service]
+	if svc == nil {
+		return 0
+	}
+	return svc.holders(version)
+}
+
+// MayHold reports whether some usable upstream of the group holds the version
+// or has not said what it holds.
+func (b *Book) MayHold(service, group string, version uint64) bool {
+	g := b.find(service, group)
+	return g != nil && slices.ContainsFunc(g.upstreams, func(s *state) bool {
+		return s.usable() && (len(s.held) == 0 || slices.Contains(s.held, version))
+	})
+}
+
+// Held returns the versions that the upstream last reported and when.
+func (b *Book) Held(id ID) ([]uint64, clock.Millis) {
+	s := b.byID[id]
+	if s == nil {
+		return nil, 0
+	}
+	return slices.Clone(s.held), s.heldAt
+}
+
+// Outstanding returns the number of this VM's open attempts on the upstream.
+func (b *Book) Outstanding(id ID) int {
+	if s := b.byID[id]; s != nil {
+		return s.outstanding
+	}
+	return 0
+}
+
+// Avoided lists the upstreams that get less or no work at now.
+func (b *Book) Avoided(now clock.Millis) []Avoided {
+	var list []Avoided
+	for _, s := range b.byID {
+		switch {
+		case s.leaving:
+			list = append(list, Avoided{ID: s.id, Reason: "leaving"})
+		case s.dead:
+			list = append(list, Avoided{ID: s.id, Reason: "dead", Until: s.retryAt})
+		case now < s.retryAt:
+			list = append(list, Avoided{ID: s.id, Reason: "shedding", Until: s.retryAt})
+		case s.ramping && now < s.rampFrom+b.rampMs:
+			list = append(list, Avoided{ID: s.id, Reason: "ramping", Until: s.rampFrom + b.rampMs})
+		}
+	}
+	slices.SortFunc(list, func(x, y Avoided) int {
+		if x.ID < y.ID {
+			return -1
+		}
+		return 1
+	})
+	return list
+}
+
+func (b *Book) find(svc, grp string) *group {
+	if s := b.services[svc]; s != nil {
+		return s.byName[grp]
+	}
+	return nil
+}
+
+func (s *service) typicalMs() float64 {
+	if !s.latency.known() {
+		return defaultLatencyMs
+	}
+	return s.latency.p95
+}
+
+func (s *service) holders(version uint64) int {
+	n := 0
+	for _, g := range s.groups {
+		if slices.ContainsFunc(g.upstreams, func(u *state) bool {
+			return u.usable() && slices.Contains(u.held, version)
+		}) {
+			n++
+		}
+	}
+	return n
+}
+
+func (s *state) usable() bool { return !s.leaving && !s.dead }
