Add the query model: fan-out, hedges, retries, restarts and merge

Cause: one machine must decide the life cycle of every query of a VM. Change: Model sends one attempt per group at a common version and merges the replies. It hedges after a delay of the book within a token budget per rank, retries on another replica within a second budget, learns versions from refusals, restarts a query at a common version while time allows, and asks groups on an older epoch again when a gap remains. Attempts live in slots that their sequence number names, and wakes in one heap of values. Conclusion: the decisions run without goroutines, sockets or clocks.

--- /dev/null
+++ b/query/reply.go
@@ -0,0 +1,129 @@
+package query
+
+import (
+	"lentillink.example/lentillink/attempt"
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/coverage"
+	"lentillink.example/lentillink/timeline"
+)
+
+func (m *Model) reply(now clock.Millis, r attempt.Reply) {
+	if r.ID.VM != m.vm || r.ID.Incarnation != m.incarnation || !m.slots.wasIssued(r.ID.Seq) {
+		m.drop(r, DropUnknown)
+		return
+	}
+	t := m.slots.get(r.ID.Seq)
+	if t == nil {
+		// The end of an attempt that the model cancelled is expected.
+		if r.Status != attempt.Cancelled {
+			m.drop(r, DropFinished)
+		}
+		return
+	}
+	if string(t.up) != r.Upstream {
+		m.drop(r, DropUpstream)
+		return
+	}
+	if r.Status == attempt.OK && (r.Version != t.version || t.version == 0) {
+		// The attempt is over, but nothing of the reply may be used.
+		m.drop(r, DropVersion)
+		r = attempt.Reply{ID: r.ID, Upstream: r.Upstream, Status: attempt.Mismatched, QueueMs: r.QueueMs}
+	}
+	m.settle(now, *t, r)
+}
+
+func (m *Model) drop(r attempt.Reply, d Drop) {
+	m.dropped[d]++
+	m.emit(EventCmd{timeline.Event{
+		Kind: timeline.ReplyDropped, Request: r.ID.String(), Upstream: r.Upstream, Detail: d.String(),
+	}})
+}
+
+// settle ends an attempt with its reply.
+func (m *Model) settle(now clock.Millis, t try, r attempt.Reply) {
+	q, p := t.q, &t.q.parts[t.group]
+	m.slots.remove(t.seq)
+	p.close(t.seq)
+	q.noteRan(r.Ran)
+	q.maxQueue = max(q.maxQueue, r.QueueMs)
+	// What the query waits for includes the way to the carrier.
+	r.ServiceMs = max(now-t.sentAt-r.QueueMs, 0)
+	m.book.Observe(now, t.up, r)
+	switch {
+	case r.Status == attempt.OK:
+		m.accept(now, t, r)
+	case p.nOpen > 0:
+		// Another attempt of the group is still running.
+		p.refused = r.Ran == attempt.No
+		m.wake(now, timerHedge, q, t.group, p.open[0])
+	case r.Status == attempt.VersionGone:
+		m.versionGone(now, q, t.group)
+	default:
+		p.refused = r.Ran == attempt.No
+		m.sendRetry(now, q, t.group)
+	}
+}
+
+func (q *openQuery) noteRan(r attempt.Ran) {
+	switch r {
+	case attempt.Yes:
+		q.ranYes = true
+	case attempt.Unknown:
+		q.ranMaybe = true
+	}
+}
+
+func (m *Model) accept(now clock.Millis, t try, r attempt.Reply) {
+	q, p := t.q, &t.q.parts[t.group]
+	q.merge.Add(coverage.Part{Group: t.group, Version: r.Version, Epoch: r.Epoch, Ranges: r.Ranges, Rows: r.Rows})
+	if t.kind == tryHedge {
+		m.totals.Ref(q.Rank).HedgeWins++
+	}
+	p.answered = true
+	q.ranYes = true
+	m.cancel(now, p)
+	m.settlePart(q, p)
+	m.checkSettled(now, q)
+}
+
+// cancel gives up the open attempts of a part.
+func (m *Model) cancel(now clock.Millis, p *part) {
+	for _, seq := range p.open[:p.nOpen] {
+		t := m.slots.get(seq)
+		t.q.ranMaybe = true
+		m.emit(CancelCmd{ID: m.id(seq), Upstream: string(t.up)})
+		m.book.Abandon(now, t.up, now-t.sentAt)
+		m.slots.remove(seq)
+	}
+	p.nOpen = 0
+}
+
+func (m *Model) settlePart(q *openQuery, p *part) {
+	if !p.settled {
+		p.settled = true
+		q.waiting--
+	}
+}
+
+// giveUp settles a group that gives no answer in this pass.
+func (m *Model) giveUp(q *openQuery, g int, reason string) {
+	p := &q.parts[g]
+	if p.settled {
+		return
+	}
+	if !p.answered {
+		m.event(q, timeline.GroupMissing, "", q.service.groups[g]+": "+reason)
+	}
+	m.settlePart(q, p)
+}
+
+// checkSettled goes on once every group answered or was given up.
+func (m *Model) checkSettled(now clock.Millis, q *openQuery) {
+	switch {
+	case q.done || q.waiting > 0:
+	case q.version == 0:
+		m.learned(now, q)
+	case q.merge.Complete() || !m.planReask(now, q):
+		m.finish(now, q, "")
+	}
+}
--- a/upstream/latency.go
+++ b/upstream/latency.go
@@ -20,6 +20,9 @@
 	meanWeight = 1.0 / 16
 	// Below this number of samples a quantile says too little.
 	minSamples = 16
+	// With more than one slow request in twenty the p95 is itself slow and no
+	// hedge would ever start, so a hedge waits at most this many medians.
+	maxMedians = 4
 	// The quantile is recomputed once in this number of samples.
 	quantileEvery = 8
 )
@@ -31,6 +34,7 @@
 	since   int
 	mean    float64
 	p95     float64
+	hedge   float64 // hedge delay
 	lastAt  clock.Millis
 	decayAt clock.Millis
 }
@@ -56,6 +60,7 @@
 	if l.since >= quantileEvery || l.total <= minSamples {
 		l.since = 0
 		l.p95 = l.quantile(0.95)
+		l.hedge = min(l.p95, maxMedians*l.quantile(0.5))
 	}
 }
 
--- a/upstream/view.go
+++ b/upstream/view.go
@@ -15,8 +15,8 @@
 }
 
 // HedgeDelay returns how long to wait for an attempt on the upstream before a
-// hedge. It is the lowest p95 in the group, so that a straggler does not wait
-// for its own long tail.
+// hedge: the lowest p95 in the group, so that a straggler does not wait for
+// its own long tail, and at most a few medians.
 func (b *Book) HedgeDelay(_ clock.Millis, id ID) clock.Millis {
 	s := b.byID[id]
 	if s == nil {
@@ -24,12 +24,12 @@
 	}
 	best := 0.0
 	for _, o := range s.group.upstreams {
-		if o.latency.known() && (best == 0 || o.latency.p95 < best) {
-			best = o.latency.p95
+		if o.latency.known() && (best == 0 || o.latency.hedge < best) {
+			best = o.latency.hedge
 		}
 	}
 	if best == 0 {
-		best = s.service.typicalMs()
+		best = s.service.hedgeMs()
 	}
 	return max(clock.Millis(math.Ceil(best)), b.floorMs)
 }
@@ -157,6 +157,13 @@
 	return s.latency.p95
 }
 
+func (s *service) hedgeMs() float64 {
+	if !s.latency.known() {
+		return defaultLatencyMs
+	}
+	return s.latency.hedge
+}
+
 func (s *service) holders(version uint64) int {
 	n := 0
 	for _, g := range s.groups {
