--- a/attempt/status.go
+++ b/attempt/status.go
@@ -15,10 +15,12 @@
 	TimedOut           // the deadline passed after the request was sent; unknown
 	Mismatched         // the reply was late, crossed, cut or doubled; unknown
 	Cancelled          // cancelled by its owner; unknown unless Ran says no
+	NotCarrier         // the VM no longer owns connections to the upstream; not run
 )
 
 var statusNames = [...]string{
 	"ok", "version_gone", "shed", "leaving", "not_sent", "refused", "failed", "timed_out", "mismatched", "cancelled",
+	"not_carrier",
 }
 
 // String returns the name of s.
--- /dev/null
+++ b/entry/request.go
@@ -0,0 +1,116 @@
+package entry
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"strings"
+
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/rank"
+)
+
+// Bounds of a request's fields.
+const (
+	maxIDBytes              = 128
+	maxDeadlineMs           = clock.Hour
+	defaultMaxBodyBytes int = 1 << 20
+)
+
+// QueryRequest is the body of POST /v1/query.
+type QueryRequest struct {
+	ID          string          `json:"id"`
+	Rank        string          `json:"rank"`
+	Service     string          `json:"service"`
+	Query       json.RawMessage `json:"query"`
+	DeadlineMs  *clock.Millis   `json:"deadline_ms,omitempty"`
+	MinCoverage *float64        `json:"min_coverage,omitempty"`
+}
+
+// OrderRequest is the body of POST /v1/order.
+type OrderRequest struct {
+	ID      string          `json:"id"`
+	Rank    string          `json:"rank"`
+	Service string          `json:"service"`
+	Group   string          `json:"group"`
+	Body    json.RawMessage `json:"body"`
+}
+
+// DecodeQuery reads and checks a query. Errors are of type *Error and name the field.
+func DecodeQuery(body []byte) (QueryRequest, rank.Rank, error) {
+	var q QueryRequest
+	if err := decodeStrict(body, &q); err != nil {
+		return q, 0, err
+	}
+	r, err := checkCommon(q.ID, q.Rank, q.Service)
+	if err != nil {
+		return q, 0, err
+	}
+	switch {
+	case len(q.Query) == 0:
+		return q, 0, invalid("query", "must be present")
+	case q.DeadlineMs != nil && (*q.DeadlineMs <= 0 || *q.DeadlineMs > maxDeadlineMs):
+		return q, 0, invalid("deadline_ms", "is %d, must be 1 to %d", *q.DeadlineMs, maxDeadlineMs)
+	case q.MinCoverage != nil && (*q.MinCoverage < 0 || *q.MinCoverage > 1):
+		return q, 0, invalid("min_coverage", "is %g, must be 0 to 1", *q.MinCoverage)
+	}
+	return q, r, nil
+}
+
+// DecodeOrder reads and checks an order. Errors are of type *Error and name the field.
+func DecodeOrder(body []byte) (OrderRequest, rank.Rank, error) {
+	var o OrderRequest
+	if err := decodeStrict(body, &o); err != nil {
+		return o, 0, err
+	}
+	r, err := checkCommon(o.ID, o.Rank, o.Service)
+	if err != nil {
+		return o, 0, err
+	}
+	switch {
+	case o.Group == "":
+		return o, 0, invalid("group", "must not be empty")
+	case len(o.Body) == 0:
+		return o, 0, invalid("body", "must be present")
+	}
+	return o, r, nil
+}
+
+func checkCommon(id, rankName, service string) (rank.Rank, error) {
+	if id == "" || len(id) > maxIDBytes {
+		return 0, invalid("id", "has %d bytes, must have 1 to %d", len(id), maxIDBytes)
+	}
+	r, err := rank.Parse(rankName)
+	if err != nil {
+		return 0, invalid("rank", "%q is not one of urgent, ordinary, patient", rankName)
+	}
+	if service == "" {
+		return 0, invalid("service", "must not be empty")
+	}
+	return r, nil
+}
+
+func decodeStrict(body []byte, into any) error {
+	dec := json.NewDecoder(bytes.NewReader(body))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(into); err != nil {
+		return decodeError(err)
+	}
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		return invalid("body", "has data after the JSON document")
+	}
+	return nil
+}
+
+// decodeError turns an error of encoding/json into one that names the field.
+func decodeError(err error) error {
+	var wrongType *json.UnmarshalTypeError
+	if errors.As(err, &wrongType) {
+		return invalid(wrongType.Field, "is a %s, must be a %s", wrongType.Value, wrongType.Type)
+	}
+	if name, ok := strings.CutPrefix(err.Error(), "json: unknown field "); ok {
+		return invalid(strings.Trim(name, `"`), "is not a known field")
+	}
+	return invalid("body", "is not valid JSON: %v", err)
+}
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -24,8 +24,12 @@
 		env.Body = &peerpb.Envelope_Cancel{Cancel: &peerpb.Cancel{Id: encodeID(b.ID), Upstream: b.Upstream}}
 	case vm.Fleet:
 		env.Body = &peerpb.Envelope_Fleet{Fleet: b.Payload}
-	case vm.Order:
-		env.Body = &peerpb.Envelope_Order{Order: b.Payload}
+	case vm.Claim:
+		env.Body = &peerpb.Envelope_Claim{Claim: encodeClaim(b.Msg)}
+	case vm.Claimed:
+		env.Body = &peerpb.Envelope_Claimed{Claimed: &peerpb.Claimed{
+			Token: encodeToken(b.Msg.Token), Result: uint32(b.Msg.Result),
+		}}
 	}
 	return env
 }
@@ -44,8 +48,12 @@
 		return vm.CancelForward{ID: decodeID(b.Cancel.GetId()), Upstream: b.Cancel.GetUpstream()}, stamp, nil
 	case *peerpb.Envelope_Fleet:
 		return vm.Fleet{Payload: b.Fleet}, stamp, nil
-	case *peerpb.Envelope_Order:
-		return vm.Order{Payload: b.Order}, stamp, nil
+	case *peerpb.Envelope_Claim:
+		msg, err := decodeClaim(b.Claim)
+		return vm.Claim{Msg: msg}, stamp, err
+	case *peerpb.Envelope_Claimed:
+		msg, err := decodeClaimed(b.Claimed)
+		return vm.Claimed{Msg: msg}, stamp, err
 	}
 	return nil, stamp, wrap("decode", KindDecode, errors.New("unknown envelope body"))
 }
@@ -93,7 +101,7 @@
 }
 
 func decodeReply(r *peerpb.Result) (attempt.Reply, error) {
-	if r.GetStatus() > uint32(attempt.Cancelled) || r.GetRan() > uint32(attempt.Yes) {
+	if r.GetStatus() > uint32(attempt.NotCarrier) || r.GetRan() > uint32(attempt.Yes) {
 		return attempt.Reply{}, wrap("decode result", KindDecode, errors.New("status or ran out of range"))
 	}
 	reply := attempt.Reply{
--- a/query/command.go
+++ b/query/command.go
@@ -43,20 +43,22 @@
 
 // Answer is the answer to one query.
 type Answer struct {
-	ID         string
-	Outcome    Outcome
-	Ran        attempt.Ran // No only if every attempt proved not run
-	Snapshot   uint64
-	Expected   uint32
-	Covered    uint32
-	Missing    []coverage.Range
-	Rows       []coverage.Row
-	Preset     string
-	Revision   uint64
-	Rank       rank.Rank
-	TookMs     clock.Millis
-	Reason     string
-	Attempts   int          // attempts sent
-	Needed     int          // attempts needed: one per group
-	MaxQueueMs clock.Millis // longest carrier queue wait in the replies
+	ID          string
+	Outcome     Outcome
+	Ran         attempt.Ran // No only if every attempt proved not run
+	Snapshot    uint64
+	Expected    uint32
+	Covered     uint32
+	Missing     []coverage.Range
+	Rows        []coverage.Row
+	Preset      string
+	Revision    uint64
+	Rank        rank.Rank
+	TookMs      clock.Millis
+	Reason      string
+	Attempts    int          // attempts sent
+	Needed      int          // attempts needed: one per group
+	MaxQueueMs  clock.Millis // longest carrier queue wait in the replies
+	MeanQueueMs clock.Millis // mean carrier queue wait in the replies
+	Overloaded  bool         // an attempt was shed or dropped under load
 }
--- a/query/finish.go
+++ b/query/finish.go
@@ -31,7 +31,7 @@
 	a := Answer{
 		ID: q.ID, Outcome: Failed, Ran: q.ran(), Snapshot: q.version, Preset: q.Preset, Revision: q.Revision,
 		Rank: q.Rank, TookMs: now - q.startAt, Reason: reason, Attempts: q.attempts, Needed: len(q.parts),
-		MaxQueueMs: q.maxQueue,
+		MaxQueueMs: q.maxQueue, MeanQueueMs: q.sumQueue / clock.Millis(max(q.replies, 1)), Overloaded: q.overloaded,
 	}
 	if q.merge == nil {
 		return a
--- a/query/model.go
+++ b/query/model.go
@@ -42,22 +42,25 @@
 // openQuery is one query that has not been answered.
 type openQuery struct {
 	StartMsg
-	service  *service
-	startAt  clock.Millis
-	answerAt clock.Millis // the deadline less a margin
-	merge    *coverage.Merge
-	version  uint64       // 0 while the held versions are being learned
-	learnBy  clock.Millis // end of the time for learning them
-	parts    []part
-	waiting  int   // parts that are not settled
-	pass     int32 // rises with each restart
-	reasks   int
-	attempts int
-	maxQueue clock.Millis
-	ranYes   bool
-	ranMaybe bool
-	noTokens bool // the event about an exhausted budget was sent
-	done     bool
+	service    *service
+	startAt    clock.Millis
+	answerAt   clock.Millis // the deadline less a margin
+	merge      *coverage.Merge
+	version    uint64       // 0 while the held versions are being learned
+	learnBy    clock.Millis // end of the time for learning them
+	parts      []part
+	waiting    int   // parts that are not settled
+	pass       int32 // rises with each restart
+	reasks     int
+	attempts   int
+	maxQueue   clock.Millis
+	sumQueue   clock.Millis
+	replies    int
+	overloaded bool // a carrier or an upstream dropped an attempt under load
+	ranYes     bool
+	ranMaybe   bool
+	noTokens   bool // the event about an exhausted budget was sent
+	done       bool
 }
 
 // part is the state of one group of a query.
--- a/query/reply.go
+++ b/query/reply.go
@@ -45,7 +45,7 @@
 	m.slots.remove(t.seq)
 	p.close(t.seq)
 	q.noteRan(r.Ran)
-	q.maxQueue = max(q.maxQueue, r.QueueMs)
+	q.noteQueue(r)
 	// What the query waits for includes the way to the carrier.
 	r.ServiceMs = max(now-t.sentAt-r.QueueMs, 0)
 	m.book.Observe(now, t.up, r)
@@ -64,6 +64,14 @@
 	}
 }
 
+// noteQueue keeps what admission needs to judge the load of the carriers.
+func (q *openQuery) noteQueue(r attempt.Reply) {
+	q.maxQueue = max(q.maxQueue, r.QueueMs)
+	q.sumQueue += r.QueueMs
+	q.replies++
+	q.overloaded = q.overloaded || r.Status == attempt.Shed || r.Status == attempt.NotSent
+}
+
 func (q *openQuery) noteRan(r attempt.Ran) {
 	switch r {
 	case attempt.Yes:
--- a/timeline/ring.go
+++ b/timeline/ring.go
@@ -42,3 +42,6 @@
 // Observe merges the stamp of a message from another VM, so that events
 // caused by the message sort after its sending.
 func (r *Ring) Observe(now clock.Millis, stamp clock.Stamp) { r.clock.Observe(now, stamp) }
+
+// Next returns a stamp for a message that is sent now.
+func (r *Ring) Next(now clock.Millis) clock.Stamp { return r.clock.Next(now) }
--- /dev/null
+++ b/vm/call.go
@@ -0,0 +1,207 @@
+package vm
+
+import (
+	"strconv"
+
+	"lentillink.example/lentillink/admission"
+	"lentillink.example/lentillink/attempt"
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/order"
+	"lentillink.example/lentillink/query"
+	"lentillink.example/lentillink/timeline"
+)
+
+// Reasons of refusals that the core decides itself. Admission names the others.
+const (
+	ReasonNotReady       = "not_ready"
+	ReasonUnknownService = "unknown_service"
+	ReasonOpenOrder      = "order_in_progress"
+)
+
+const notReadyRetryMs clock.Millis = 1000
+
+func (c *Core) arriveQuery(now clock.Millis, m QueryMsg) {
+	cl := &call{query: m, rank: m.Rank, service: m.Service, arrived: now}
+	if reason := c.unready(m.Service); reason != "" {
+		c.answerQuery(now, m.Call, cl, QueryAnswer{Outcome: Refused, Ran: attempt.No, Reason: reason, RetryAfterMs: notReadyRetryMs})
+		return
+	}
+	c.admit(now, m.Call, cl, m.BudgetMs, c.services[m.Service].groups)
+}
+
+func (c *Core) arriveOrder(now clock.Millis, m OrderMsg) {
+	cl := &call{order: m, isOrder: true, rank: m.Rank, service: m.Service, arrived: now}
+	if reason := c.unready(m.Service); reason != "" {
+		c.answerOrder(now, m.Call, cl, OrderAnswer{Outcome: order.Refused, Ran: attempt.No, Reason: reason, RetryAfterMs: notReadyRetryMs})
+		return
+	}
+	if _, open := c.openID[m.ID]; open {
+		c.answerOrder(now, m.Call, cl, OrderAnswer{Outcome: order.AlreadySubmitted, Reason: ReasonOpenOrder})
+		return
+	}
+	c.openID[m.ID] = m.Call
+	c.admit(now, m.Call, cl, 0, 1)
+}
+
+func (c *Core) unready(service string) string {
+	switch {
+	case c.services[service] == nil:
+		return ReasonUnknownService
+	case !c.stopping && !c.fleet.Ready():
+		return ReasonNotReady
+	}
+	return ""
+}
+
+// admit asks the gate for the one decision about this request.
+func (c *Core) admit(now clock.Millis, n uint64, cl *call, budget clock.Millis, cost int) {
+	most := c.preset.Policy(cl.rank).DeadlineMs
+	cl.budget = most
+	if budget > 0 {
+		cl.budget = min(budget, most)
+	}
+	cl.preset, cl.rev = c.preset.Name, c.revision
+	c.calls[n] = cl
+	c.push(admission.ArriveMsg{ID: key(n), Rank: cl.rank, Service: cl.service, Cost: cost, Deadline: now + cl.budget})
+}
+
+func (c *Core) fromGate(now clock.Millis, cmds []admission.Cmd) {
+	for _, cmd := range cmds {
+		switch m := cmd.(type) {
+		case admission.AdmitCmd:
+			c.admitted(m)
+		case admission.RefuseCmd:
+			c.refused(now, m)
+		case admission.EventCmd:
+			c.event(now, m.Event)
+		}
+	}
+	c.noticeOverload()
+}
+
+// noticeOverload switches hedging off for services whose work has to queue.
+func (c *Core) noticeOverload() {
+	for name, s := range c.services {
+		if on := c.gate.Waiting(name) > 0; on != s.overloaded {
+			s.overloaded = on
+			c.push(query.OverloadMsg{Service: name, Overloaded: on})
+		}
+	}
+}
+
+func (c *Core) admitted(m admission.AdmitCmd) {
+	n, cl := c.lookup(m.ID)
+	if cl == nil {
+		return
+	}
+	cl.running = true
+	// Work that waited runs under the preset that is in force now.
+	cl.preset, cl.rev = c.preset.Name, c.revision
+	if cl.isOrder {
+		c.push(order.SubmitMsg{
+			Call: n, ID: cl.order.ID, Rank: cl.rank, Service: cl.service, Group: cl.order.Group,
+			Body: cl.order.Body, Deadline: m.Deadline, Outage: c.preset.OrdersOnStoreOutage,
+		})
+		return
+	}
+	policy := c.preset.Policy(cl.rank)
+	coverage := cl.query.MinCoverage
+	if coverage < 0 {
+		coverage = policy.MinCoveragePercent
+	}
+	c.push(query.StartMsg{
+		ID: m.ID, Rank: cl.rank, Service: cl.service, Body: cl.query.Body, Deadline: m.Deadline,
+		MinCoverage: coverage, Priority: c.rng.Uint32(), Policy: policy, Preset: c.preset.Name, Revision: c.revision,
+	})
+}
+
+func (c *Core) refused(now clock.Millis, m admission.RefuseCmd) {
+	n, cl := c.lookup(m.ID)
+	switch {
+	case cl == nil:
+	case cl.isOrder:
+		c.answerOrder(now, n, cl, OrderAnswer{
+			Outcome: order.Refused, Ran: attempt.No, Reason: m.Reason.String(), RetryAfterMs: m.RetryAfterMs,
+		})
+	default:
+		c.answerQuery(now, n, cl, QueryAnswer{
+			Outcome: Refused, Ran: attempt.No, Reason: m.Reason.String(), RetryAfterMs: m.RetryAfterMs,
+		})
+	}
+}
+
+func (c *Core) lookup(id string) (uint64, *call) {
+	n, err := strconv.ParseUint(id, 10, 64)
+	if err != nil {
+		return 0, nil
+	}
+	return n, c.calls[n]
+}
+
+// callerGone stops a query that nobody waits for. An order goes on, because
+// its claim must reach a known end.
+func (c *Core) callerGone(n uint64) {
+	cl := c.calls[n]
+	if cl == nil || cl.isOrder || cl.gone {
+		return
+	}
+	cl.gone = true
+	if !cl.running {
+		c.push(admission.GoneMsg{ID: key(n)})
+		delete(c.calls, n)
+		return
+	}
+	c.push(query.CallerGoneMsg{ID: key(n)})
+	c.push(admission.DoneMsg{ID: key(n)})
+	delete(c.calls, n)
+}
+
+func (c *Core) queryAnswered(now clock.Millis, a query.Answer) {
+	n, cl := c.lookup(a.ID)
+	if cl == nil {
+		return
+	}
+	c.push(admission.DoneMsg{ID: a.ID, QueueMs: a.MeanQueueMs, TookMs: a.TookMs, Overloaded: a.Overloaded})
+	c.answerQuery(now, n, cl, QueryAnswer{
+		Outcome: Outcome(a.Outcome), Ran: a.Ran, Snapshot: a.Snapshot, Expected: a.Expected, Covered: a.Covered,
+		Missing: a.Missing, Rows: a.Rows, Reason: a.Reason, Attempts: a.Attempts, Needed: a.Needed,
+	})
+}
+
+func (c *Core) answerQuery(now clock.Millis, n uint64, cl *call, a QueryAnswer) {
+	a.ID, a.Rank, a.Service, a.TookMs = cl.query.ID, cl.rank, cl.service, now-cl.arrived
+	a.Preset, a.Revision = cl.preset, cl.rev
+	delete(c.calls, n)
+	if a.Outcome == Partial || a.Outcome == Failed {
+		c.event(now, timeline.Event{
+			Kind: timeline.Answered, Request: a.ID, Rank: a.Rank.String(), Revision: a.Revision,
+			Detail: string(a.Outcome) + " " + a.Reason,
+		})
+	}
+	c.emit(AnswerQueryCmd{Call: n, Answer: a})
+}
+
+func (c *Core) orderAnswered(now clock.Millis, a order.Answer) {
+	cl := c.calls[a.Call]
+	if cl == nil {
+		return
+	}
+	c.push(admission.DoneMsg{ID: key(a.Call), TookMs: now - cl.arrived})
+	c.answerOrder(now, a.Call, cl, OrderAnswer{
+		Outcome: a.Outcome, Ran: a.Ran, Reason: string(a.Reason), RetryAfterMs: a.RetryAfter, Body: a.Body,
+	})
+}
+
+func (c *Core) answerOrder(now clock.Millis, n uint64, cl *call, a OrderAnswer) {
+	a.ID, a.Rank, a.Service, a.TookMs = cl.order.ID, cl.rank, cl.service, now-cl.arrived
+	a.Preset, a.Revision = cl.preset, cl.rev
+	delete(c.calls, n)
+	if c.openID[a.ID] == n {
+		delete(c.openID, a.ID)
+	}
+	c.event(now, timeline.Event{
+		Kind: timeline.Answered, Request: a.ID, Rank: a.Rank.String(), Revision: a.Revision,
+		Detail: "order " + string(a.Outcome) + " " + a.Reason,
+	})
+	c.emit(AnswerOrderCmd{Call: n, Answer: a})
+}
--- /dev/null
+++ b/vm/carrier_query.go
@@ -0,0 +1,29 @@
+package vm
+
+// Carrier returns the i-th carrier of an upstream, or "" if there is none.
+func (t *CarrierTable) Carrier(upstream string, i int) string {
+	n, ok := t.index[upstream]
+	if !ok || i >= len(t.carriers[n]) {
+		return ""
+	}
+	return t.carriers[n][i].vm
+}
+
+// Carries reports whether member is a carrier of the upstream.
+func (t *CarrierTable) Carries(upstream, member string) bool {
+	for i := range carriersPerUpstream {
+		if t.Carrier(upstream, i) == member {
+			return member != ""
+		}
+	}
+	return false
+}
+
+// Limit returns how many connections to an upstream with the given limit the
+// member may open.
+func (t *CarrierTable) Limit(upstream, member string, connections int) int {
+	if !t.Carries(upstream, member) {
+		return 0
+	}
+	return max(1, connections*connectionSharePercent/100)
+}
--- /dev/null
+++ b/vm/command.go
@@ -0,0 +1,112 @@
+package vm
+
+import (
+	"lentillink.example/lentillink/attempt"
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/coverage"
+	"lentillink.example/lentillink/order"
+	"lentillink.example/lentillink/rank"
+	"lentillink.example/lentillink/store"
+	"lentillink.example/lentillink/timeline"
+	"lentillink.example/lentillink/upstream"
+)
+
+// Cmd is an output of a Core.
+type Cmd interface{ vmCmd() }
+
+// Outcome says how a query ended.
+type Outcome string
+
+// The outcomes of a query.
+const (
+	Complete Outcome = "complete"
+	Partial  Outcome = "partial"
+	Refused  Outcome = "refused"
+	Failed   Outcome = "failed"
+)
+
+// QueryAnswer is the answer to a QueryMsg.
+type QueryAnswer struct {
+	ID           string
+	Outcome      Outcome
+	Ran          attempt.Ran
+	Snapshot     uint64
+	Expected     uint32
+	Covered      uint32
+	Missing      []coverage.Range
+	Rows         []coverage.Row
+	Rank         rank.Rank
+	Service      string
+	Preset       string
+	Revision     uint64
+	TookMs       clock.Millis
+	Reason       string
+	RetryAfterMs clock.Millis
+	Attempts     int
+	Needed       int
+}
+
+// OrderAnswer is the answer to an OrderMsg.
+type OrderAnswer struct {
+	ID           string
+	Outcome      order.Outcome
+	Ran          attempt.Ran
+	Rank         rank.Rank
+	Service      string
+	Preset       string
+	Revision     uint64
+	TookMs       clock.Millis
+	Reason       string
+	RetryAfterMs clock.Millis
+	Body         []byte
+}
+
+// AnswerQueryCmd answers a caller.
+type AnswerQueryCmd struct {
+	Call   uint64
+	Answer QueryAnswer
+}
+
+// AnswerOrderCmd answers a caller.
+type AnswerOrderCmd struct {
+	Call   uint64
+	Answer OrderAnswer
+}
+
+// DispatchCmd sends an attempt to its upstream. Open says that no idle
+// connection is left.
+type DispatchCmd struct {
+	Request attempt.Request
+	Open    bool
+}
+
+// AbortCmd cancels a dispatched attempt at its upstream.
+type AbortCmd struct {
+	ID       attempt.ID
+	Upstream string
+}
+
+// ConnectionsCmd sets how many connections this VM may open to an upstream.
+type ConnectionsCmd struct {
+	Upstream    upstream.ID
+	Connections int
+}
+
+// PollLoadCmd asks an upstream for its load.
+type PollLoadCmd struct{ Upstream upstream.ID }
+
+// StoreCmd asks for one call of the configuration store.
+type StoreCmd struct{ Request store.Request }
+
+// EventCmd logs an event that was added to the time line.
+type EventCmd struct{ Event timeline.Event }
+
+func (AnswerQueryCmd) vmCmd() {}
+func (AnswerOrderCmd) vmCmd() {}
+func (DispatchCmd) vmCmd()    {}
+func (AbortCmd) vmCmd()       {}
+func (ConnectionsCmd) vmCmd() {}
+func (PollLoadCmd) vmCmd()    {}
+func (StoreCmd) vmCmd()       {}
+func (EventCmd) vmCmd()       {}
+func (SendPeerCmd) vmCmd()    {}
--- /dev/null
+++ b/vm/core.go
@@ -0,0 +1,207 @@
+package vm
+
+import (
+	"math/rand/v2"
+	"strconv"
+
+	"lentillink.example/lentillink/admission"
+	"lentillink.example/lentillink/attempt"
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/fleet"
+	"lentillink.example/lentillink/order"
+	"lentillink.example/lentillink/pool"
+	"lentillink.example/lentillink/preset"
+	"lentillink.example/lentillink/query"
+	"lentillink.example/lentillink/rank"
+	"lentillink.example/lentillink/timeline"
+	"lentillink.example/lentillink/upstream"
+)
+
+// orderSeqBit keeps the attempt identifiers of orders apart from those of queries.
+const orderSeqBit uint64 = 1 << 63
+
+// Core is the whole decision state of one VM.
+type Core struct {
+	self     fleet.VM
+	routing  Routing
+	services map[string]*service
+	ups      map[string]upstream.Upstream
+
+	gate     *admission.Gate
+	queries  *query.Model
+	pool     *pool.Model
+	orders   *order.Model
+	fleet    *fleet.Model
+	book     *upstream.Book
+	ring     *timeline.Ring
+	carriers *CarrierTable
+
+	preset   preset.Preset
+	revision uint64
+	calls    map[uint64]*call
+	openID   map[string]uint64 // open order id to its call
+	forwards *forwards
+	rng      *rand.Rand
+	stopping bool
+	live     int
+	orderSeq uint64
+	nextPoll clock.Millis
+	polled   map[upstream.ID]bool // polls without an answer
+
+	inner []any // messages between the machines, in order
+	cmds  []Cmd
+}
+
+// service is what the core needs to know about a configured service.
+type service struct {
+	name       string
+	groups     int
+	ups        []string
+	overloaded bool
+}
+
+// call is one open request of a caller.
+type call struct {
+	query   QueryMsg
+	order   OrderMsg
+	isOrder bool
+	rank    rank.Rank
+	service string
+	arrived clock.Millis
+	budget  clock.Millis
+	running bool // admitted
+	gone    bool // its caller does not wait any more
+	preset  string
+	rev     uint64
+}
+
+// New returns a Core.
+func New(opts ...Option) *Core {
+	cfg := newConfig(opts)
+	c := &Core{
+		self: cfg.self, routing: cfg.routing,
+		services: make(map[string]*service), ups: make(map[string]upstream.Upstream),
+		ring:  timeline.NewRing(cfg.self.ID, cfg.ringEvents),
+		calls: make(map[uint64]*call), openID: make(map[string]uint64), forwards: newForwards(),
+		rng: rand.New(rand.NewPCG(cfg.seed, cfg.self.Incarnation)), polled: make(map[upstream.ID]bool),
+	}
+	all := c.addServices(cfg.services)
+	c.book = upstream.New(upstream.WithUpstreams(all), upstream.WithSeed(cfg.seed))
+	c.queries = query.New(c.book, query.WithServices(cfg.services...), query.WithVM(cfg.self.ID, cfg.self.Incarnation))
+	c.gate = admission.New(gateOptions(cfg)...)
+	c.pool = pool.New(poolOptions(all)...)
+	c.orders = order.New(
+		order.WithSelf(cfg.self.ID, cfg.self.Incarnation),
+		order.WithPicker(c.book.Pick), order.WithAttemptID(c.orderAttemptID),
+	)
+	c.fleet = fleet.New(fleet.WithSelf(cfg.self), fleet.WithSeed(cfg.seed),
+		fleet.WithSeeds(cfg.seeds...), fleet.WithInitialRecord(cfg.initial))
+	ids := make([]string, len(all))
+	for i, u := range all {
+		ids[i] = string(u.ID)
+	}
+	c.carriers = NewCarrierTable(ids)
+	return c
+}
+
+func (c *Core) addServices(list []upstream.Service) []upstream.Upstream {
+	var all []upstream.Upstream
+	for _, svc := range list {
+		s := &service{name: svc.Name, groups: len(svc.Groups)}
+		for _, g := range svc.Groups {
+			for _, u := range g.Replicas {
+				s.ups = append(s.ups, string(u.ID))
+				c.ups[string(u.ID)] = u
+				all = append(all, u)
+			}
+		}
+		c.services[svc.Name] = s
+	}
+	return all
+}
+
+// gateOptions starts the limit of each service at this VM's share of the
+// connections. It may grow to the whole, because load on the VMs is uneven.
+func gateOptions(cfg config) []admission.Option {
+	var opts []admission.Option
+	for _, svc := range cfg.services {
+		connections := 0
+		for _, g := range svc.Groups {
+			for _, u := range g.Replicas {
+				connections += u.Connections
+			}
+		}
+		share := max(connections/max(cfg.fleetSize, 1), 2*len(svc.Groups))
+		opts = append(opts, admission.WithService(svc.Name, share, max(connections, share)))
+	}
+	return opts
+}
+
+func poolOptions(all []upstream.Upstream) []pool.Option {
+	opts := make([]pool.Option, 0, len(all))
+	for _, u := range all {
+		opts = append(opts, pool.WithUpstream(string(u.ID), 0))
+	}
+	return opts
+}
+
+func (c *Core) orderAttemptID() attempt.ID {
+	c.orderSeq++
+	return attempt.ID{VM: c.self.ID, Incarnation: c.self.Incarnation, Seq: c.orderSeq | orderSeqBit}
+}
+
+// Update handles one message and returns the commands to perform. The slice
+// is valid until the next call.
+func (c *Core) Update(now clock.Millis, msg Msg) []Cmd {
+	c.cmds = c.cmds[:0]
+	c.handle(now, msg)
+	c.drain(now)
+	return c.cmds
+}
+
+// drain passes messages between the machines until none is left.
+func (c *Core) drain(now clock.Millis) {
+	for i := 0; i < len(c.inner); i++ {
+		switch m := c.inner[i].(type) {
+		case query.Msg:
+			c.fromQueries(now, c.queries.Update(now, m))
+		case pool.Msg:
+			c.fromPool(now, c.pool.Update(now, m))
+		case admission.Msg:
+			c.fromGate(now, c.gate.Update(now, m))
+		case order.Msg:
+			c.fromOrders(now, c.orders.Update(now, m))
+		case fleet.Msg:
+			c.fromFleet(now, c.fleet.Update(now, m))
+		}
+		c.inner[i] = nil
+	}
+	c.inner = c.inner[:0]
+}
+
+func (c *Core) push(msg any) { c.inner = append(c.inner, msg) }
+
+func (c *Core) emit(cmd Cmd) { c.cmds = append(c.cmds, cmd) }
+
+// event adds an event to the time line. Machines know a request by its call
+// number; callers and operators know it by the id of the caller.
+func (c *Core) event(now clock.Millis, ev timeline.Event) {
+	if n, err := strconv.ParseUint(ev.Request, 10, 64); err == nil {
+		if call := c.calls[n]; call != nil {
+			ev.Request = call.id()
+		}
+	}
+	if ev.Revision == 0 {
+		ev.Revision = c.revision
+	}
+	c.emit(EventCmd{Event: c.ring.Add(now, ev)})
+}
+
+func (cl *call) id() string {
+	if cl.isOrder {
+		return cl.order.ID
+	}
+	return cl.query.ID
+}
+
+func key(n uint64) string { return strconv.FormatUint(n, 10) }
--- /dev/null
+++ b/vm/forward.go
@@ -0,0 +1,116 @@
+package vm
+
+import (
+	"slices"
+
+	"lentillink.example/lentillink/attempt"
+	"lentillink.example/lentillink/clock"
+)
+
+const (
+	// forwardGrace is how long after its deadline a forwarded attempt may still
+	// be answered.
+	forwardGrace = clock.Second
+	// avoidMs is how long a VM whose connection broke is not chosen while the
+	// other carrier is available. Membership decides within this time.
+	avoidMs = 2 * clock.Second
+)
+
+// forward is an attempt that another VM runs for this one.
+type forward struct {
+	req      attempt.Request
+	to       string
+	rerouted bool
+}
+
+// forwards tracks the attempts at other VMs.
+type forwards struct {
+	open   map[attempt.ID]*forward
+	broken map[string]clock.Millis // until when a VM is avoided
+}
+
+func newForwards() *forwards {
+	return &forwards{open: make(map[attempt.ID]*forward), broken: make(map[string]clock.Millis)}
+}
+
+func (fs *forwards) add(req attempt.Request, to string, _ clock.Millis) *forward {
+	f := &forward{req: req, to: to}
+	fs.open[req.ID] = f
+	return f
+}
+
+func (fs *forwards) remove(id attempt.ID) *forward {
+	f := fs.open[id]
+	delete(fs.open, id)
+	return f
+}
+
+func (fs *forwards) avoid(now clock.Millis, to string) bool { return now < fs.broken[to] }
+
+// takeWhere removes the forwards that match, ordered by attempt so that one
+// seed gives one history.
+func (fs *forwards) takeWhere(match func(*forward) bool) []*forward {
+	var out []*forward
+	for id, f := range fs.open {
+		if match(f) {
+			out = append(out, f)
+			delete(fs.open, id)
+		}
+	}
+	slices.SortFunc(out, func(a, b *forward) int {
+		if a.req.ID.Seq < b.req.ID.Seq {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// peerDown ends the attempts at a VM whose connection broke. They may have run.
+func (c *Core) peerDown(now clock.Millis, peer string) {
+	lost := c.forwards.takeWhere(func(f *forward) bool { return f.to == peer })
+	if len(lost) > 0 {
+		c.forwards.broken[peer] = now + avoidMs
+	}
+	for _, f := range lost {
+		c.deliver(now, attempt.Reply{ID: f.req.ID, Upstream: f.req.Upstream, Status: attempt.Failed})
+	}
+}
+
+// peerUnsent handles a message that never left. A forward is proven not run.
+func (c *Core) peerUnsent(now clock.Millis, m PeerUnsentMsg) {
+	fwd, ok := m.Body.(Forward)
+	if !ok {
+		return
+	}
+	c.forwards.broken[m.To] = now + avoidMs
+	f := c.forwards.remove(fwd.Request.ID)
+	if f == nil || c.reroute(now, f) {
+		return
+	}
+	c.deliver(now, attempt.Reply{ID: f.req.ID, Upstream: f.req.Upstream, Status: attempt.NotCarrier, Ran: attempt.No})
+}
+
+// resultReceived accepts a result only from the VM that was asked.
+func (c *Core) resultReceived(now clock.Millis, from string, r attempt.Reply) {
+	f := c.forwards.open[r.ID]
+	if f == nil || f.to != from {
+		if r.Status != attempt.Cancelled {
+			c.deliver(now, r) // the machine that sent it counts and drops a late reply
+		}
+		return
+	}
+	delete(c.forwards.open, r.ID)
+	c.noticeLeaving(r)
+	if r.Status == attempt.NotCarrier && r.Ran == attempt.No && c.reroute(now, f) {
+		return
+	}
+	c.deliver(now, r)
+}
+
+func (c *Core) expireForwards(now clock.Millis) {
+	late := c.forwards.takeWhere(func(f *forward) bool { return now > f.req.Deadline+forwardGrace })
+	for _, f := range late {
+		c.deliver(now, attempt.Reply{ID: f.req.ID, Upstream: f.req.Upstream, Status: attempt.TimedOut})
+	}
+}
--- /dev/null
+++ b/vm/handle.go
@@ -0,0 +1,129 @@
+package vm
+
+import (
+	"lentillink.example/lentillink/admission"
+	"lentillink.example/lentillink/attempt"
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/fleet"
+	"lentillink.example/lentillink/order"
+	"lentillink.example/lentillink/pool"
+	"lentillink.example/lentillink/query"
+	"lentillink.example/lentillink/timeline"
+	"lentillink.example/lentillink/upstream"
+)
+
+// pollInterval is how often a carrier asks its upstreams for their load. A
+// leaving upstream without traffic must be noticed and spread within 3 s.
+const pollInterval = clock.Second
+
+func (c *Core) handle(now clock.Millis, msg Msg) {
+	switch m := msg.(type) {
+	case QueryMsg:
+		c.arriveQuery(now, m)
+	case OrderMsg:
+		c.arriveOrder(now, m)
+	case CallerGoneMsg:
+		c.callerGone(m.Call)
+	case ReplyMsg:
+		c.noticeLeaving(m.Reply)
+		c.push(pool.ReplyMsg{Reply: m.Reply})
+	case AbortedMsg:
+		c.push(pool.AbortedMsg{ID: m.ID})
+	case LoadMsg:
+		c.loadReported(now, m)
+	case StoreMsg:
+		c.storeReplied(m)
+	case RosterMsg:
+		c.push(fleet.RosterMsg{VMs: m.VMs})
+	case RecordMsg:
+		c.push(fleet.RecordMsg{Record: m.Record})
+	case PeerMsg:
+		c.ring.Observe(now, m.Stamp)
+		c.fromPeer(now, m)
+	case PeerUnsentMsg:
+		c.peerUnsent(now, m)
+	case PeerDownMsg:
+		c.peerDown(now, m.VM)
+	case StopMsg:
+		c.stop(now)
+	case TickMsg:
+		c.tick(now)
+	}
+}
+
+func (c *Core) tick(now clock.Millis) {
+	due := func(m interface{ NextWake() (clock.Millis, bool) }) bool {
+		at, ok := m.NextWake()
+		return ok && at <= now
+	}
+	if due(c.gate) {
+		c.push(admission.TickMsg{})
+	}
+	if due(c.queries) {
+		c.push(query.TickMsg{})
+	}
+	if due(c.pool) {
+		c.push(pool.TickMsg{})
+	}
+	if due(c.orders) {
+		c.push(order.TickMsg{})
+	}
+	if due(c.fleet) {
+		c.push(fleet.TickMsg{})
+	}
+	if now >= c.nextPoll {
+		c.nextPoll = now + pollInterval
+		c.pollUpstreams()
+		c.expireForwards(now)
+	}
+}
+
+// pollUpstreams asks every upstream that this VM carries for its load. An
+// upstream that has not answered the last poll is not asked again.
+func (c *Core) pollUpstreams() {
+	for _, id := range c.carriers.upstreams {
+		up := upstream.ID(id)
+		if c.carriers.Carries(id, c.self.ID) && !c.polled[up] {
+			c.polled[up] = true
+			c.emit(PollLoadCmd{Upstream: up})
+		}
+	}
+}
+
+// loadReported uses only what is binding: that the upstream leaves or takes
+// work again, and which snapshots it holds. Health and load figures lag.
+func (c *Core) loadReported(now clock.Millis, m LoadMsg) {
+	delete(c.polled, m.Upstream)
+	if !m.OK {
+		return
+	}
+	c.book.LearnHeld(now, m.Upstream, m.Load.Held)
+	if m.Load.Leaving != c.fleet.Leaving(m.Upstream) {
+		c.push(fleet.LeavingMsg{Upstream: m.Upstream, Leaving: m.Load.Leaving})
+	}
+}
+
+func (c *Core) noticeLeaving(r attempt.Reply) {
+	if (r.Leaving || r.Status == attempt.Leaving) && !c.fleet.Leaving(upstream.ID(r.Upstream)) {
+		c.push(fleet.LeavingMsg{Upstream: upstream.ID(r.Upstream), Leaving: true})
+	}
+}
+
+func (c *Core) storeReplied(m StoreMsg) {
+	if m.Reply.Owner == orderOwner {
+		c.push(order.StoreMsg{Reply: m.Reply})
+		return
+	}
+	c.push(fleet.StoreMsg{Reply: m.Reply})
+}
+
+func (c *Core) stop(now clock.Millis) {
+	if c.stopping {
+		return
+	}
+	c.stopping = true
+	c.event(now, timeline.Event{Kind: timeline.DrainStarted})
+	c.push(admission.DrainMsg{})
+	c.push(order.StopMsg{})
+	c.push(fleet.StopMsg{})
+}
--- /dev/null
+++ b/vm/member.go
@@ -0,0 +1,125 @@
+package vm
+
+import (
+	"lentillink.example/lentillink/admission"
+	"lentillink.example/lentillink/attempt"
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/fleet"
+	"lentillink.example/lentillink/order"
+	"lentillink.example/lentillink/pool"
+	"lentillink.example/lentillink/preset"
+	"lentillink.example/lentillink/upstream"
+)
+
+// orderOwner routes answers of the store to the order machine.
+const orderOwner = "order"
+
+func (c *Core) fromFleet(now clock.Millis, cmds []fleet.Cmd) {
+	for _, cmd := range cmds {
+		switch m := cmd.(type) {
+		case fleet.SendCmd:
+			c.emit(SendPeerCmd{To: m.To, Address: m.Address, Stamp: c.ring.Stamp(), Body: Fleet{Payload: m.Payload}})
+		case fleet.LiveCmd:
+			c.liveChanged(m.VMs)
+		case fleet.RecordCmd:
+			c.recordInForce(m.Record)
+		case fleet.UpstreamCmd:
+			c.upstreamReported(now, m)
+		case fleet.StoreCmd:
+			c.emit(StoreCmd{Request: m.Request})
+		case fleet.EventCmd:
+			c.event(now, m.Event)
+		}
+	}
+}
+
+func (c *Core) liveChanged(vms []fleet.VM) {
+	ids := make([]string, len(vms))
+	for i, v := range vms {
+		ids[i] = v.ID
+	}
+	c.live = len(ids)
+	changed := c.carriers.SetMembers(ids)
+	if c.routing == RouteDirect {
+		changed = c.carriers.upstreams
+	}
+	for _, id := range changed {
+		c.setConnections(id)
+	}
+	c.push(order.OwnersMsg{Live: ids})
+}
+
+func (c *Core) setConnections(id string) {
+	limit := c.carriers.Limit(id, c.self.ID, c.ups[id].Connections)
+	if c.routing == RouteDirect {
+		limit = max(1, c.ups[id].Connections/max(c.live, 1))
+	}
+	if limit == c.pool.Limit(id) {
+		return
+	}
+	c.push(pool.LimitMsg{Upstream: id, Connections: limit})
+	c.emit(ConnectionsCmd{Upstream: upstream.ID(id), Connections: limit})
+}
+
+func (c *Core) recordInForce(rec preset.Record) {
+	p, ok := rec.Find(rec.InForce)
+	if !ok {
+		return // Validate guarantees that the preset in force exists
+	}
+	c.preset, c.revision = p, rec.Revision
+	c.push(admission.PolicyMsg{Preset: p})
+	c.push(pool.PolicyMsg{Preset: p})
+}
+
+func (c *Core) upstreamReported(now clock.Millis, m fleet.UpstreamCmd) {
+	if m.Leaving {
+		c.book.MarkLeaving(now, m.Upstream)
+		c.push(pool.LeavingMsg{Upstream: string(m.Upstream)})
+		return
+	}
+	c.book.MarkBack(now, m.Upstream)
+	c.push(pool.BackMsg{Upstream: string(m.Upstream)})
+}
+
+func (c *Core) fromPeer(now clock.Millis, m PeerMsg) {
+	switch b := m.Body.(type) {
+	case Forward:
+		c.forwardReceived(now, m.From, b.Request)
+	case Result:
+		c.resultReceived(now, m.From, b.Reply)
+	case CancelForward:
+		c.push(pool.CancelMsg{ID: b.ID})
+	case Fleet:
+		c.push(fleet.PeerMsg{From: m.From, Payload: b.Payload})
+	case Claim:
+		c.push(b.Msg)
+	case Claimed:
+		c.push(b.Msg)
+	}
+}
+
+// forwardReceived runs an attempt for another VM if this VM carries the upstream.
+func (c *Core) forwardReceived(now clock.Millis, from string, req attempt.Request) {
+	if !c.carriers.Carries(req.Upstream, c.self.ID) {
+		c.sendPeer(now, from, Result{Reply: attempt.Reply{
+			ID: req.ID, Upstream: req.Upstream, Status: attempt.NotCarrier, Ran: attempt.No,
+		}})
+		return
+	}
+	c.push(pool.EnqueueMsg{Request: req, From: from})
+}
+
+func (c *Core) sendClaim(now clock.Millis, m order.PeerCmd) {
+	switch msg := m.Msg.(type) {
+	case order.ClaimMsg:
+		c.sendPeer(now, m.To, Claim{Msg: msg})
+	case order.ClaimedMsg:
+		c.sendPeer(now, m.To, Claimed{Msg: msg})
+	}
+}
+
+// sendPeer sends to a member by identifier. A message to a VM that is not a
+// member is reported as unsent by the runtime, because it has no address.
+func (c *Core) sendPeer(now clock.Millis, to string, body PeerBody) {
+	c.emit(SendPeerCmd{To: to, Address: c.fleet.Address(to), Stamp: c.ring.Next(now), Body: body})
+}
--- /dev/null
+++ b/vm/message.go
@@ -0,0 +1,82 @@
+package vm
+
+import (
+	"lentillink.example/lentillink/attempt"
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/fleet"
+	"lentillink.example/lentillink/preset"
+	"lentillink.example/lentillink/rank"
+	"lentillink.example/lentillink/store"
+	"lentillink.example/lentillink/upstream"
+)
+
+// Msg is an input of a Core.
+type Msg interface{ vmMsg() }
+
+// QueryMsg is an idempotent request from a caller. Call is unique per process
+// and routes the answer back, because callers choose ID freely.
+type QueryMsg struct {
+	Call        uint64
+	ID          string
+	Rank        rank.Rank
+	Service     string
+	Body        []byte
+	BudgetMs    clock.Millis // 0 means the default of the preset
+	MinCoverage float64      // percent; negative means the default of the preset
+}
+
+// OrderMsg is a non-idempotent request from a caller.
+type OrderMsg struct {
+	Call    uint64
+	ID      string
+	Rank    rank.Rank
+	Service string
+	Group   string
+	Body    []byte
+}
+
+// CallerGoneMsg says that nobody waits for the answer any more.
+type CallerGoneMsg struct{ Call uint64 }
+
+// ReplyMsg is the reply to a DispatchCmd.
+type ReplyMsg struct{ Reply attempt.Reply }
+
+// AbortedMsg says that the connection of an aborted attempt is closed.
+type AbortedMsg struct{ ID attempt.ID }
+
+// LoadMsg is the answer to a PollLoadCmd. OK is false if there was none.
+type LoadMsg struct {
+	Upstream upstream.ID
+	Load     upstream.Load
+	OK       bool
+}
+
+// StoreMsg is the result of a StoreCmd.
+type StoreMsg struct{ Reply store.Reply }
+
+// RosterMsg is the VM list as last read.
+type RosterMsg struct{ VMs []fleet.VM }
+
+// RecordMsg is a record that this VM has just committed to the store.
+type RecordMsg struct{ Record preset.Record }
+
+// StopMsg begins a planned stop.
+type StopMsg struct{}
+
+// TickMsg reports that the time of NextWake has come.
+type TickMsg struct{}
+
+func (QueryMsg) vmMsg()      {}
+func (OrderMsg) vmMsg()      {}
+func (CallerGoneMsg) vmMsg() {}
+func (ReplyMsg) vmMsg()      {}
+func (AbortedMsg) vmMsg()    {}
+func (LoadMsg) vmMsg()       {}
+func (StoreMsg) vmMsg()      {}
+func (RosterMsg) vmMsg()     {}
+func (RecordMsg) vmMsg()     {}
+func (StopMsg) vmMsg()       {}
+func (TickMsg) vmMsg()       {}
+func (PeerMsg) vmMsg()       {}
+func (PeerUnsentMsg) vmMsg() {}
+func (PeerDownMsg) vmMsg()   {}
--- /dev/null
+++ b/vm/options.go
@@ -0,0 +1,66 @@
+package vm
+
+import (
+	"lentillink.example/lentillink/fleet"
+	"lentillink.example/lentillink/preset"
+	"lentillink.example/lentillink/upstream"
+)
+
+type config struct {
+	self       fleet.VM
+	seed       uint64
+	seeds      []fleet.VM
+	services   []upstream.Service
+	initial    preset.Record
+	ringEvents int
+	routing    Routing
+	fleetSize  int
+}
+
+// Routing says how attempts reach upstreams.
+type Routing uint8
+
+// RouteCarriers sends attempts through the two carriers of the upstream.
+// RouteDirect gives every VM an equal static share of the connections.
+const (
+	RouteCarriers Routing = iota
+	RouteDirect
+)
+
+// Option configures a Core.
+type Option func(*config)
+
+// WithSelf sets the identity of this VM. Its incarnation must be new at each start.
+func WithSelf(v fleet.VM) Option { return func(c *config) { c.self = v } }
+
+// WithSeed seeds the random choices.
+func WithSeed(seed uint64) Option { return func(c *config) { c.seed = seed } }
+
+// WithSeeds sets VMs to contact before the VM list is known.
+func WithSeeds(vms ...fleet.VM) Option { return func(c *config) { c.seeds = append(c.seeds, vms...) } }
+
+// WithServices sets the services and their upstreams.
+func WithServices(list ...upstream.Service) Option {
+	return func(c *config) { c.services = append(c.services, list...) }
+}
+
+// WithInitialRecord sets the record that is written when the store has none.
+func WithInitialRecord(r preset.Record) Option { return func(c *config) { c.initial = r } }
+
+// WithRingEvents sets how many events the VM keeps.
+func WithRingEvents(n int) Option { return func(c *config) { c.ringEvents = n } }
+
+// WithRouting sets how attempts reach upstreams.
+func WithRouting(r Routing) Option { return func(c *config) { c.routing = r } }
+
+// WithFleetSize sets the expected number of VMs, from which the admission
+// limits start. They adapt afterwards.
+func WithFleetSize(n int) Option { return func(c *config) { c.fleetSize = n } }
+
+func newConfig(opts []Option) config {
+	c := config{seed: 1, initial: preset.Default(), fleetSize: 9}
+	for _, opt := range opts {
+		opt(&c)
+	}
+	return c
+}
--- a/vm/peer.go
+++ b/vm/peer.go
@@ -3,6 +3,7 @@
 import (
 	"lentillink.example/lentillink/attempt"
 	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/order"
 )
 
 // PeerBody is the content of a message between VMs.
@@ -23,14 +24,18 @@
 // Fleet carries a membership payload.
 type Fleet struct{ Payload []byte }
 
-// Order carries a claim payload.
-type Order struct{ Payload []byte }
+// Claim asks the owner of a partition for a change of one claim.
+type Claim struct{ Msg order.ClaimMsg }
+
+// Claimed answers a Claim.
+type Claimed struct{ Msg order.ClaimedMsg }
 
 func (Forward) peerBody()       {}
 func (Result) peerBody()        {}
 func (CancelForward) peerBody() {}
 func (Fleet) peerBody()         {}
-func (Order) peerBody()         {}
+func (Claim) peerBody()         {}
+func (Claimed) peerBody()       {}
 
 // PeerMsg is a message from another VM.
 type PeerMsg struct {
--- /dev/null
+++ b/vm/route.go
@@ -0,0 +1,138 @@
+package vm
+
+import (
+	"lentillink.example/lentillink/attempt"
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/order"
+	"lentillink.example/lentillink/pool"
+	"lentillink.example/lentillink/query"
+	"lentillink.example/lentillink/upstream"
+)
+
+func (c *Core) fromQueries(now clock.Millis, cmds []query.Cmd) {
+	for _, cmd := range cmds {
+		switch m := cmd.(type) {
+		case query.SendCmd:
+			c.route(now, m.Request)
+		case query.CancelCmd:
+			c.cancel(now, m.ID, m.Upstream)
+		case query.AnswerCmd:
+			c.queryAnswered(now, m.Answer)
+		case query.EventCmd:
+			c.event(now, m.Event)
+		}
+	}
+}
+
+func (c *Core) fromOrders(now clock.Millis, cmds []order.Cmd) {
+	for _, cmd := range cmds {
+		switch m := cmd.(type) {
+		case order.SendCmd:
+			c.book.Sent(now, upstream.ID(m.Request.Upstream))
+			c.route(now, m.Request)
+		case order.StoreCmd:
+			m.Request.Owner = orderOwner
+			c.emit(StoreCmd{Request: m.Request})
+		case order.PeerCmd:
+			c.sendClaim(now, m)
+		case order.AnswerCmd:
+			c.orderAnswered(now, m.Answer)
+		case order.EventCmd:
+			c.event(now, m.Event)
+		}
+	}
+}
+
+// route sends an attempt through a carrier of its upstream. With two live
+// carriers, attempts alternate between them.
+func (c *Core) route(now clock.Millis, req attempt.Request) {
+	to := c.chooseCarrier(now, req)
+	switch to {
+	case "":
+		c.deliver(now, attempt.Reply{ID: req.ID, Upstream: req.Upstream, Status: attempt.NotCarrier, Ran: attempt.No})
+	case c.self.ID:
+		c.push(pool.EnqueueMsg{Request: req, From: c.self.ID})
+	default:
+		c.forwards.add(req, to, now)
+		c.sendPeer(now, to, Forward{Request: req})
+	}
+}
+
+func (c *Core) chooseCarrier(now clock.Millis, req attempt.Request) string {
+	if c.routing == RouteDirect {
+		return c.self.ID
+	}
+	first := int(req.ID.Seq & 1)
+	to := c.carriers.Carrier(req.Upstream, first)
+	if to == "" || c.forwards.avoid(now, to) {
+		if other := c.carriers.Carrier(req.Upstream, 1-first); other != "" && !c.forwards.avoid(now, other) {
+			return other
+		}
+	}
+	return to
+}
+
+// reroute tries the other carrier after a carrier gave up the upstream's
+// connections. Nothing was sent, so no retry budget is spent.
+func (c *Core) reroute(now clock.Millis, f *forward) bool {
+	if f.rerouted || f.req.Deadline <= now {
+		return false
+	}
+	for i := range carriersPerUpstream {
+		to := c.carriers.Carrier(f.req.Upstream, i)
+		if to == "" || to == f.to || c.forwards.avoid(now, to) {
+			continue
+		}
+		if to == c.self.ID {
+			c.push(pool.EnqueueMsg{Request: f.req, From: c.self.ID})
+			return true
+		}
+		c.forwards.add(f.req, to, now).rerouted = true
+		c.sendPeer(now, to, Forward{Request: f.req})
+		return true
+	}
+	return false
+}
+
+// deliver passes the reply of one of this VM's own attempts to the machine that sent it.
+func (c *Core) deliver(now clock.Millis, r attempt.Reply) {
+	if r.ID.Seq&orderSeqBit == 0 {
+		c.push(query.ReplyMsg{Reply: r})
+		return
+	}
+	c.book.Observe(now, upstream.ID(r.Upstream), r)
+	c.push(order.ReplyMsg{Reply: r})
+}
+
+func (c *Core) cancel(now clock.Millis, id attempt.ID, up string) {
+	if f := c.forwards.remove(id); f != nil {
+		c.sendPeer(now, f.to, CancelForward{ID: id, Upstream: up})
+		return
+	}
+	c.push(pool.CancelMsg{ID: id})
+}
+
+func (c *Core) fromPool(now clock.Millis, cmds []pool.Cmd) {
+	for _, cmd := range cmds {
+		switch m := cmd.(type) {
+		case pool.DispatchCmd:
+			c.emit(DispatchCmd{Request: m.Request, Open: m.Open})
+		case pool.AbortCmd:
+			c.emit(AbortCmd{ID: m.ID, Upstream: m.Upstream})
+		case pool.ReturnCmd:
+			c.giveBack(now, m.To, m.Reply)
+		}
+	}
+}
+
+// giveBack returns a reply to the VM that asked for the attempt.
+func (c *Core) giveBack(now clock.Millis, to string, r attempt.Reply) {
+	if r.Status == attempt.NotSent && c.pool.Limit(r.Upstream) == 0 {
+		r.Status = attempt.NotCarrier
+	}
+	if to != c.self.ID {
+		c.sendPeer(now, to, Result{Reply: r})
+		return
+	}
+	c.deliver(now, r)
+}
--- /dev/null
+++ b/vm/status.go
@@ -0,0 +1,108 @@
+package vm
+
+import (
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/fleet"
+	"lentillink.example/lentillink/order"
+	"lentillink.example/lentillink/preset"
+	"lentillink.example/lentillink/query"
+	"lentillink.example/lentillink/rank"
+	"lentillink.example/lentillink/timeline"
+	"lentillink.example/lentillink/upstream"
+)
+
+// NextWake returns when the core wants a TickMsg.
+func (c *Core) NextWake() (clock.Millis, bool) {
+	wake := c.nextPoll
+	for _, m := range []interface{ NextWake() (clock.Millis, bool) }{c.gate, c.queries, c.pool, c.orders, c.fleet} {
+		if at, ok := m.NextWake(); ok {
+			wake = min(wake, at)
+		}
+	}
+	return wake, true
+}
+
+// Ready reports whether the balancer may send requests, and why not.
+func (c *Core) Ready() (bool, string) {
+	switch {
+	case c.stopping:
+		return false, "stopping"
+	case !c.fleet.Ready():
+		return false, "no preset record yet"
+	}
+	return true, ""
+}
+
+// Drained reports whether a stopping VM has nothing left to do.
+func (c *Core) Drained(now clock.Millis) bool {
+	return c.stopping && len(c.calls) == 0 && c.gate.Idle() && c.pool.Idle() && c.orders.Drained() && c.fleet.Announced(now)
+}
+
+// Preset returns the preset in force and its revision.
+func (c *Core) Preset() (preset.Preset, uint64) { return c.preset, c.revision }
+
+// Record returns the record in force.
+func (c *Core) Record() preset.Record { return c.fleet.Record() }
+
+// Events returns the kept events that match f.
+func (c *Core) Events(f timeline.Filter) []timeline.Event { return c.ring.Events(f) }
+
+// Members returns all known members.
+func (c *Core) Members() []fleet.VM { return c.fleet.Members() }
+
+// QueryTotals returns the totals of a rank.
+func (c *Core) QueryTotals(r rank.Rank) query.Totals { return c.queries.Totals(r) }
+
+// DroppedReplies returns how many replies were dropped for a reason.
+func (c *Core) DroppedReplies(d query.Drop) int { return c.queries.Dropped(d) }
+
+// OrderStats returns the totals of the order machine.
+func (c *Core) OrderStats() order.Stats { return c.orders.Stats() }
+
+// Forwards returns the number of attempts at other VMs.
+func (c *Core) Forwards() int { return len(c.forwards.open) }
+
+// RankLoad is the load of one rank of one service.
+type RankLoad struct {
+	Service string    `json:"service"`
+	Rank    rank.Rank `json:"rank"`
+	Running int       `json:"running"`
+	Queued  int       `json:"queued"`
+}
+
+// Status is what a VM reports to operators.
+type Status struct {
+	VM         string             `json:"vm"`
+	DataCentre string             `json:"data_centre"`
+	Ready      bool               `json:"ready"`
+	Reason     string             `json:"reason,omitempty"`
+	Stale      bool               `json:"stale"`
+	Preset     string             `json:"preset"`
+	Revision   uint64             `json:"revision"`
+	Members    []fleet.VM         `json:"members"`
+	Watchers   []string           `json:"watchers"`
+	Load       []RankLoad         `json:"load"`
+	Limits     map[string]int     `json:"limits"`
+	Avoided    []upstream.Avoided `json:"avoided"`
+	OpenOrders int                `json:"open_orders"`
+}
+
+// Status describes the VM at now.
+func (c *Core) Status(now clock.Millis) Status {
+	ready, reason := c.Ready()
+	s := Status{
+		VM: c.self.ID, DataCentre: c.self.DataCentre, Ready: ready, Reason: reason, Stale: c.fleet.Stale(now),
+		Preset: c.preset.Name, Revision: c.revision, Members: c.fleet.Members(), Watchers: c.fleet.Watchers(),
+		Limits: make(map[string]int), Avoided: c.book.Avoided(now), OpenOrders: c.orders.OpenOrders(),
+	}
+	for name := range c.services {
+		s.Limits[name] = c.gate.Limit(name)
+		for _, r := range rank.All() {
+			load := RankLoad{Service: name, Rank: r, Running: c.gate.Running(name, r), Queued: c.gate.Queued(name, r)}
+			if load.Running+load.Queued > 0 {
+				s.Load = append(s.Load, load)
+			}
+		}
+	}
+	return s
+}
