Add the connection pool of a carrier

Cause: the connections of an upstream need one owner that decides which attempt uses which connection, and that returns every attempt exactly once.

Change: package pool with Model. Per upstream it keeps a limit, the running attempts and one bounded queue per rank, ordered by priority and deadline. More urgent ranks go first, but each rank earns credit for a share of the dispatches. Work that cannot meet its deadline is returned as not run. A refused connection shrinks the limit; successive ones start a backoff. Package quantile estimates quantiles of recent samples.

--- /dev/null
+++ b/pool/connections.go
@@ -0,0 +1,44 @@
+package pool
+
+import "lentillink.example/lentillink/clock"
+
+// connections models the connections to one upstream. Idle ones are used last
+// in, first out, so that a low load keeps few of them warm and the others expire.
+type connections struct {
+	busy   int
+	idle   []clock.Millis // when each became idle, oldest first
+	opened int
+}
+
+// take makes a connection busy and reports whether it had to be opened.
+func (c *connections) take() bool {
+	c.busy++
+	if n := len(c.idle); n > 0 {
+		c.idle = c.idle[:n-1]
+		return false
+	}
+	c.opened++
+	return true
+}
+
+func (c *connections) release(now clock.Millis, usable bool) {
+	c.busy--
+	if usable {
+		c.idle = append(c.idle, now)
+	}
+}
+
+// trim closes idle connections that have expired or exceed limit, and reports
+// whether it closed any.
+func (c *connections) trim(now, idleMs clock.Millis, limit int) bool {
+	n := 0
+	for n < len(c.idle) && (now-c.idle[n] >= idleMs || c.open()-n > limit) {
+		n++
+	}
+	if n > 0 {
+		c.idle = append(c.idle[:0], c.idle[n:]...)
+	}
+	return n > 0
+}
+
+func (c *connections) open() int { return c.busy + len(c.idle) }
--- /dev/null
+++ b/pool/lane.go
@@ -0,0 +1,112 @@
+package pool
+
+import (
+	"lentillink.example/lentillink/attempt"
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/quantile"
+)
+
+const (
+	// serviceQuantile is low, so that only work which almost surely misses its
+	// deadline is dropped.
+	serviceQuantile = 0.1
+
+	// recoverMs is the time after which a shrunken limit grows by one connection.
+	recoverMs = clock.Second
+
+	// backoffAfter is the number of successive refused connections that start a
+	// backoff. A single one usually means that the upstream is at its limit.
+	backoffAfter               = 2
+	minBackoffMs  clock.Millis = 50
+	maxBackoffMs  clock.Millis = 2 * clock.Second
+	maxBackoffExp              = 6
+)
+
+// lane is the state of one upstream.
+type lane struct {
+	id         string
+	limit      int // as set by LimitMsg
+	effective  int // at most limit; shrunk by refused connections
+	recoverAt  clock.Millis
+	leaving    bool
+	failures   int // successive refused connections
+	backoffs   int // successive backoffs
+	closedTill clock.Millis
+	queue      queue
+	running    itemHeap
+	conns      connections
+	service    quantile.Window
+}
+
+func newLane(id string) *lane {
+	return &lane{
+		id: id, queue: newQueue(),
+		running: itemHeap{slot: slotOrder, less: endsBefore},
+		service: quantile.NewWindow(serviceQuantile),
+	}
+}
+
+// setLimit changes the configured limit. A shrunken effective limit does not
+// jump back up, because the upstream refused connections above it.
+func (l *lane) setLimit(n int) {
+	n = max(n, 0)
+	if l.effective < l.limit {
+		l.effective = min(l.effective, n)
+	} else {
+		l.effective = n
+	}
+	l.limit = n
+}
+
+// refused shrinks the limit to what the upstream has just accepted.
+func (l *lane) refused(now clock.Millis) {
+	l.effective = min(l.effective, max(l.conns.busy, 1))
+	l.recoverAt = now + recoverMs
+	l.failures++
+	if l.failures < backoffAfter || l.conns.busy > 0 {
+		return
+	}
+	l.closedTill = now + min(minBackoffMs<<l.backoffs, maxBackoffMs)
+	l.backoffs = min(l.backoffs+1, maxBackoffExp)
+}
+
+func (l *lane) recover(now clock.Millis) {
+	for l.effective < l.limit && now >= l.recoverAt {
+		l.effective++
+		l.recoverAt += recoverMs
+	}
+}
+
+// room reports whether an attempt may be dispatched. After a backoff a single
+// attempt probes the upstream.
+func (l *lane) room(now clock.Millis) bool {
+	if l.closed(now) {
+		return false
+	}
+	most := l.effective
+	if l.failures >= backoffAfter {
+		most = min(most, 1)
+	}
+	return l.conns.busy < most
+}
+
+func (l *lane) closed(now clock.Millis) bool { return now < l.closedTill }
+
+// hopeless reports whether the attempt can no longer finish by its deadline.
+func (l *lane) hopeless(now clock.Millis, it *item) bool {
+	left := it.req.Deadline - now
+	return left <= 0 || left < l.service.At(now)
+}
+
+// refusal returns the status of work that the upstream cannot take now.
+func (l *lane) refusal(now clock.Millis) (attempt.Status, bool) {
+	switch {
+	case l.leaving:
+		return attempt.Leaving, true
+	case l.limit == 0:
+		return attempt.NotSent, true
+	case l.closed(now):
+		return attempt.Refused, true
+	}
+	return attempt.OK, false
+}
--- /dev/null
+++ b/pool/model_test.go
@@ -0,0 +1,199 @@
+package pool_test
+
+import (
+	"testing"
+
+	"lentillink.example/lentillink/attempt"
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/pool"
+	"lentillink.example/lentillink/rank"
+)
+
+const up = "search/g1/a"
+
+func request(seq uint64, r rank.Rank, priority uint32, deadline clock.Millis) pool.EnqueueMsg {
+	id := attempt.ID{VM: "vm1", Incarnation: 1, Seq: seq}
+	return pool.EnqueueMsg{From: "vm2", Request: attempt.Request{
+		ID: id, Upstream: up, Rank: r, Priority: priority, Deadline: deadline,
+	}}
+}
+
+func reply(seq uint64, s attempt.Status) pool.ReplyMsg {
+	return pool.ReplyMsg{Reply: attempt.Reply{ID: request(seq, 0, 0, 0).ID, Upstream: up, Status: s, Ran: attempt.Yes}}
+}
+
+func returned(cmds []pool.Cmd) map[uint64]attempt.Reply {
+	got := make(map[uint64]attempt.Reply)
+	for _, c := range cmds {
+		if r, ok := c.(pool.ReturnCmd); ok {
+			got[r.ID.Seq] = r.Reply
+		}
+	}
+	return got
+}
+
+func dispatched(cmds []pool.Cmd) []uint64 {
+	var got []uint64
+	for _, c := range cmds {
+		if d, ok := c.(pool.DispatchCmd); ok {
+			got = append(got, d.ID.Seq)
+		}
+	}
+	return got
+}
+
+// step is one message at a time.
+type step struct {
+	at  clock.Millis
+	msg pool.Msg
+}
+
+// TestReturns guards against a wrong or missing proof of what happened to an attempt.
+func TestReturns(t *testing.T) {
+	long := clock.Millis(1000)
+	busy := step{0, request(1, rank.Urgent, 9, long)}
+	waits := step{0, request(2, rank.Urgent, 5, long)}
+	id := func(seq uint64) attempt.ID { return request(seq, 0, 0, 0).ID }
+	tests := []struct {
+		name    string
+		steps   []step
+		seq     uint64
+		status  attempt.Status
+		ran     attempt.Ran
+		queueMs clock.Millis
+		running int
+	}{
+		{"reply", []step{busy, {7, reply(1, attempt.OK)}}, 1, attempt.OK, attempt.Yes, 0, 0},
+		{"queued, then reply", []step{busy, waits, {7, reply(1, attempt.OK)}, {9, reply(2, attempt.OK)}}, 2, attempt.OK, attempt.Yes, 7, 0},
+		{"cancelled while queued", []step{busy, waits, {3, pool.CancelMsg{ID: id(2)}}}, 2, attempt.Cancelled, attempt.No, 3, 1},
+		{"cancelled while running", []step{busy, {3, pool.CancelMsg{ID: id(1)}}, {4, pool.AbortedMsg{ID: id(1)}}}, 1, attempt.Cancelled, attempt.Unknown, 0, 0},
+		{"limit falls to 0", []step{busy, waits, {3, pool.LimitMsg{Upstream: up}}}, 2, attempt.NotSent, attempt.No, 3, 1},
+		{"upstream leaves", []step{busy, waits, {3, pool.LeavingMsg{Upstream: up}}}, 2, attempt.Leaving, attempt.No, 3, 1},
+		{"upstream says that it leaves", []step{busy, waits, {3, reply(1, attempt.Leaving)}}, 2, attempt.Leaving, attempt.No, 3, 0},
+		{"deadline passes in the queue", []step{busy, {0, request(2, rank.Urgent, 5, 50)}, {50, pool.TickMsg{}}}, 2, attempt.NotSent, attempt.No, 50, 1},
+		{"no reply", []step{busy, {1020, pool.TickMsg{}}}, 1, attempt.TimedOut, attempt.Unknown, 0, 1},
+		{"no reply and no abort", []step{busy, {1020, pool.TickMsg{}}, {6020, pool.TickMsg{}}}, 1, attempt.TimedOut, attempt.Unknown, 0, 0},
+		{"late reply frees the slot", []step{busy, {1020, pool.TickMsg{}}, {1500, reply(1, attempt.OK)}}, 1, attempt.TimedOut, attempt.Unknown, 0, 0},
+		{"forwarded twice", []step{busy, busy, {7, reply(1, attempt.OK)}}, 1, attempt.OK, attempt.Yes, 0, 0},
+		{"less time than service takes", []step{busy, {40, reply(1, attempt.OK)}, {40, request(2, rank.Urgent, 5, 70)}}, 2, attempt.NotSent, attempt.No, 0, 0},
+		{"queue full, lowest priority leaves", []step{busy, waits, {0, request(3, rank.Urgent, 1, long)}, {0, request(4, rank.Urgent, 7, long)}}, 3, attempt.Shed, attempt.No, 0, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			m := pool.New(pool.WithUpstream(up, 1), pool.WithQueue(rank.NewTable(2, 2, 2)))
+			got := make(map[uint64]attempt.Reply)
+			for _, s := range tt.steps {
+				for seq, r := range returned(m.Update(s.at, s.msg)) {
+					if _, twice := got[seq]; twice {
+						t.Errorf("attempt %d returned twice", seq)
+					}
+					got[seq] = r
+				}
+			}
+			r, ok := got[tt.seq]
+			if !ok || r.Status != tt.status || r.Ran != tt.ran || r.QueueMs != tt.queueMs {
+				t.Errorf("got %v %s ran %s queue %d, want %s ran %s queue %d",
+					ok, r.Status, r.Ran, r.QueueMs, tt.status, tt.ran, tt.queueMs)
+			}
+			if got := m.Running(up); got != tt.running {
+				t.Errorf("got %d running, want %d", got, tt.running)
+			}
+		})
+	}
+}
+
+// TestOrder guards against work of low rank or priority overtaking other work.
+func TestOrder(t *testing.T) {
+	m := pool.New(pool.WithUpstream(up, 1), pool.WithShares(rank.NewTable(0.0, 0, 0)))
+	m.Update(0, request(1, rank.Patient, 0, 1000))
+	m.Update(0, request(2, rank.Patient, 9, 1000))
+	m.Update(0, request(3, rank.Urgent, 1, 1000))
+	m.Update(0, request(4, rank.Urgent, 2, 1000))
+	m.Update(0, request(5, rank.Urgent, 1, 900))
+	m.Update(0, request(6, rank.Ordinary, 0, 1000))
+	want := []uint64{4, 5, 3, 6, 2}
+	last := uint64(1)
+	for i, w := range want {
+		got := dispatched(m.Update(clock.Millis(i+1), reply(last, attempt.OK)))
+		if len(got) != 1 || got[0] != w {
+			t.Fatalf("dispatch %d: got %v, want %d", i, got, w)
+		}
+		last = w
+	}
+}
+
+// TestShares guards against a flood of one rank starving the others at a carrier.
+func TestShares(t *testing.T) {
+	m := pool.New(pool.WithUpstream(up, 1), pool.WithShares(rank.NewTable(0.5, 0.25, 0.1)))
+	var last uint64
+	ranks := make(map[uint64]rank.Rank)
+	var seq uint64
+	for _, r := range rank.All() {
+		for range 500 {
+			seq++
+			ranks[seq] = r
+			if d := dispatched(m.Update(0, request(seq, r, 0, 1_000_000))); len(d) == 1 {
+				last = d[0]
+			}
+		}
+	}
+	served := rank.Table[int]{}
+	for i := range 400 {
+		last = dispatched(m.Update(clock.Millis(i), reply(last, attempt.OK)))[0]
+		*served.Ref(ranks[last])++
+	}
+	if got := served.At(rank.Ordinary); got < 99 || got > 101 {
+		t.Errorf("got %d ordinary of 400, want 100", got)
+	}
+	if got := served.At(rank.Patient); got < 39 || got > 41 {
+		t.Errorf("got %d patient of 400, want 40", got)
+	}
+}
+
+// TestRefusedConnections guards against storming an upstream that refuses connections.
+func TestRefusedConnections(t *testing.T) {
+	m := pool.New(pool.WithUpstream(up, 4))
+	for seq := range uint64(4) {
+		m.Update(0, request(seq, rank.Urgent, 0, 100_000))
+	}
+	m.Update(1, reply(0, attempt.Refused))
+	if got := m.Limit(up); got != 3 {
+		t.Errorf("got limit %d after a refusal, want 3", got)
+	}
+	m.Update(1001, pool.TickMsg{})
+	if got := m.Limit(up); got != 4 {
+		t.Errorf("got limit %d after a second, want 4", got)
+	}
+	for seq := uint64(1); seq < 4; seq++ {
+		m.Update(1002, reply(seq, attempt.Refused))
+	}
+	cmds := m.Update(1003, request(10, rank.Urgent, 0, 100_000))
+	if r := returned(cmds)[10]; r.Status != attempt.Refused || r.Ran != attempt.No || r.RetryAfter <= 0 {
+		t.Errorf("got %s ran %s retry %d during backoff, want refused, no, positive", r.Status, r.Ran, r.RetryAfter)
+	}
+	m.Update(1200, request(11, rank.Urgent, 0, 100_000))
+	m.Update(1200, request(12, rank.Urgent, 0, 100_000))
+	if got := m.Running(up); got != 1 {
+		t.Errorf("got %d running after the backoff, want 1 probe", got)
+	}
+}
+
+// TestConnectionsAreReused guards against opening connections while idle ones exist.
+func TestConnectionsAreReused(t *testing.T) {
+	m := pool.New(pool.WithUpstream(up, 4))
+	for i := range uint64(10) {
+		m.Update(clock.Millis(i), request(i, rank.Urgent, 0, 100_000))
+		m.Update(clock.Millis(i)+1, reply(i, attempt.OK))
+	}
+	if got := m.Opened(up); got != 1 {
+		t.Errorf("got %d opened, want 1", got)
+	}
+	at, ok := m.NextWake()
+	if !ok || at != 30_010 {
+		t.Fatalf("got wake %d %v, want 30010", at, ok)
+	}
+	cmds := m.Update(at, pool.TickMsg{})
+	if got := m.Open(up); got != 0 || len(cmds) != 1 {
+		t.Errorf("got %d open and %d commands after the idle timeout, want 0 and 1", got, len(cmds))
+	}
+}
--- /dev/null
+++ b/pool/property_test.go
@@ -0,0 +1,129 @@
+package pool_test
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"lentillink.example/lentillink/attempt"
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/pool"
+	"lentillink.example/lentillink/rank"
+)
+
+// history drives a model with random messages and keeps what it must conserve.
+type history struct {
+	t        *rapid.T
+	m        *pool.Model
+	now      clock.Millis
+	seq      uint64
+	limit    int
+	running  map[uint64]bool
+	aborted  map[uint64]bool
+	returned map[uint64]int
+	sent     map[uint64]bool
+}
+
+// TestExactlyOnce guards against lost or doubled results, against exceeding
+// the limit of connections, and against wrong claims that nothing was sent.
+func TestExactlyOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := &history{
+			t: t, limit: 3, running: map[uint64]bool{}, aborted: map[uint64]bool{},
+			returned: map[uint64]int{}, sent: map[uint64]bool{},
+			m: pool.New(pool.WithUpstream(up, 3), pool.WithQueue(rank.NewTable(3, 3, 3))),
+		}
+		for range rapid.IntRange(1, 120).Draw(t, "steps") {
+			h.now += clock.Millis(rapid.IntRange(0, 30).Draw(t, "dt"))
+			h.perform(h.m.Update(h.now, pool.TickMsg{}))
+			h.step()
+			h.check()
+		}
+		h.finish()
+	})
+}
+
+func (h *history) step() {
+	known := rapid.Uint64Range(0, h.seq).Draw(h.t, "known")
+	switch rapid.IntRange(0, 9).Draw(h.t, "kind") {
+	case 0, 1, 2, 3:
+		h.seq++
+		r := rank.Rank(rapid.IntRange(0, 2).Draw(h.t, "rank"))
+		h.update(request(h.seq, r, rapid.Uint32Range(0, 3).Draw(h.t, "priority"),
+			h.now+clock.Millis(rapid.IntRange(-5, 200).Draw(h.t, "budget"))))
+	case 4, 5, 6:
+		delete(h.running, known)
+		h.update(reply(known, attempt.Status(rapid.IntRange(0, 9).Draw(h.t, "status"))))
+	case 7:
+		h.update(pool.CancelMsg{ID: request(known, 0, 0, 0).ID})
+	case 8:
+		if h.aborted[known] {
+			delete(h.running, known)
+			h.update(pool.AbortedMsg{ID: request(known, 0, 0, 0).ID})
+		}
+	case 9:
+		h.limit = rapid.IntRange(0, 4).Draw(h.t, "limit")
+		h.update(pool.LimitMsg{Upstream: up, Connections: h.limit})
+		h.update(pool.BackMsg{Upstream: up})
+	}
+}
+
+func (h *history) update(msg pool.Msg) {
+	h.perform(h.m.Update(h.now, msg))
+}
+
+func (h *history) perform(cmds []pool.Cmd) {
+	for _, c := range cmds {
+		switch c := c.(type) {
+		case pool.DispatchCmd:
+			if h.sent[c.ID.Seq] || h.returned[c.ID.Seq] > 0 {
+				h.t.Fatalf("attempt %d dispatched after it was sent or returned", c.ID.Seq)
+			}
+			h.sent[c.ID.Seq], h.running[c.ID.Seq] = true, true
+			if got := h.m.Running(up); got > h.limit {
+				h.t.Fatalf("got %d running after a dispatch, want at most %d", got, h.limit)
+			}
+		case pool.AbortCmd:
+			h.aborted[c.ID.Seq] = true
+		case pool.ReturnCmd:
+			h.returned[c.ID.Seq]++
+			if !h.sent[c.ID.Seq] && c.Ran != attempt.No {
+				h.t.Fatalf("attempt %d was not sent, got ran %s", c.ID.Seq, c.Ran)
+			}
+			if h.sent[c.ID.Seq] && c.Status == attempt.TimedOut && c.Ran == attempt.No {
+				h.t.Fatalf("attempt %d was sent, got ran no", c.ID.Seq)
+			}
+		}
+	}
+}
+
+func (h *history) check() {
+	for seq, n := range h.returned {
+		if n > 1 {
+			h.t.Fatalf("attempt %d returned %d times", seq, n)
+		}
+	}
+	if at, ok := h.m.NextWake(); ok && at < h.now {
+		h.t.Fatalf("got wake %d in the past of %d", at, h.now)
+	}
+}
+
+// finish lets all deadlines and bounds pass by following NextWake alone.
+func (h *history) finish() {
+	for range 1000 {
+		at, ok := h.m.NextWake()
+		if !ok {
+			break
+		}
+		h.now = max(h.now, at)
+		h.perform(h.m.Update(h.now, pool.TickMsg{}))
+	}
+	for seq := uint64(1); seq <= h.seq; seq++ {
+		if h.returned[seq] != 1 {
+			h.t.Fatalf("attempt %d returned %d times, want once", seq, h.returned[seq])
+		}
+	}
+	if got := h.m.Running(up); got != 0 || !h.m.Idle() {
+		h.t.Fatalf("got %d running at the end, want 0", got)
+	}
+}
--- /dev/null
+++ b/quantile/doc.go
@@ -0,0 +1,2 @@
+// Package quantile estimates quantiles of recent samples in constant memory.
+package quantile
--- /dev/null
+++ b/quantile/query.go
@@ -0,0 +1,11 @@
+package quantile
+
+import "lentillink.example/lentillink/clock"
+
+// At returns the estimate at now; it is 0 if there was no sample for a second.
+func (w *Window) At(now clock.Millis) clock.Millis {
+	if w.n == 0 || now-w.last > staleMs {
+		return 0
+	}
+	return w.estimate
+}
