Add the admission gate

Cause: shedding has to be decided once per query, before any fan-out.

Change: package admission with Gate. Per service it keeps one adaptive limit in sub-requests, floors per rank with lending, and one bounded queue per rank. The limit falls by a tenth when the median carrier wait of some rank stays above 4 ms for an interval, and rises by one query per interval while it holds queries back. Urgent and ordinary queues turn to newest-first once the oldest query has waited for half its time.

--- /dev/null
+++ b/admission/bench_test.go
@@ -0,0 +1,23 @@
+package admission_test
+
+import (
+	"testing"
+
+	"lentillink.example/lentillink/admission"
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/rank"
+)
+
+// BenchmarkQuery measures one query that waits in the queue and then runs.
+func BenchmarkQuery(b *testing.B) {
+	g := admission.New(admission.WithService(svc, 1, 1), admission.WithPolicy(policy(50, 25, 10)))
+	ids := [2]string{"a", "b"}
+	g.Update(1, arrive("b", rank.Urgent))
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		now := clock.Millis(i/100 + 1)
+		g.Update(now, arrive(ids[i%2], rank.Urgent))
+		g.Update(now, done(ids[(i+1)%2]))
+		g.NextWake()
+	}
+}
--- /dev/null
+++ b/admission/gate.go
@@ -0,0 +1,207 @@
+package admission
+
+import (
+	"strconv"
+
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/preset"
+	"lentillink.example/lentillink/rank"
+	"lentillink.example/lentillink/timeline"
+)
+
+// Gate admits, queues or refuses queries. It is a pure state machine.
+type Gate struct {
+	cfg      config
+	policy   preset.Preset
+	draining bool
+	now      clock.Millis // of the last Update
+	services map[string]*service
+	ordered  []*service // fixed order, so that runs repeat
+	queries  map[string]*query
+	free     []*query
+	refused  [reasonCount]int
+}
+
+// New returns a gate.
+func New(opts ...Option) *Gate {
+	cfg := newConfig(opts)
+	g := &Gate{cfg: cfg, policy: cfg.policy, services: make(map[string]*service), queries: make(map[string]*query)}
+	for _, sc := range cfg.services {
+		s := newService(sc, cfg)
+		g.services[sc.name] = s
+		g.ordered = append(g.ordered, s)
+	}
+	return g
+}
+
+// Update applies msg at now and returns the commands that follow from it.
+func (g *Gate) Update(now clock.Millis, msg Msg) []Cmd {
+	g.now = now
+	var cmds []Cmd
+	switch m := msg.(type) {
+	case ArriveMsg:
+		cmds = g.arrive(now, m)
+	case DoneMsg:
+		cmds = g.done(now, m)
+	case GoneMsg:
+		g.gone(now, m)
+	case PolicyMsg:
+		g.setPolicy(now, m.Preset)
+	case DrainMsg:
+		g.draining = true
+	case TickMsg:
+	}
+	for _, s := range g.ordered {
+		cmds = g.pump(now, s, cmds)
+	}
+	return cmds
+}
+
+func (g *Gate) arrive(now clock.Millis, m ArriveMsg) []Cmd {
+	s := g.services[m.Service]
+	switch {
+	case s == nil:
+		return g.refuse(now, nil, m.ID, m.Rank, UnknownService, nil)
+	case g.draining:
+		return g.refuse(now, s, m.ID, m.Rank, Draining, nil)
+	case g.queries[m.ID] != nil:
+		return g.refuse(now, s, m.ID, m.Rank, DuplicateID, nil)
+	}
+	policy := g.policy.Policy(m.Rank)
+	q := g.newQuery()
+	*q = query{id: m.ID, rank: m.Rank, service: s, cost: max(m.Cost, 1), deadline: m.Deadline, arrived: now}
+	if !s.canFinish(now, q, policy) {
+		g.free = append(g.free, q)
+		return g.refuse(now, s, m.ID, m.Rank, TooLate, nil)
+	}
+	s.integrate(now, g.policy)
+	if s.next(g.policy) < 0 && s.fits(q) {
+		g.queries[q.id] = q
+		return []Cmd{g.start(now, s, q)}
+	}
+	return g.enqueue(now, s, q, policy)
+}
+
+func (g *Gate) enqueue(now clock.Millis, s *service, q *query, policy preset.RankPolicy) []Cmd {
+	var cmds []Cmd
+	queue := s.queues.Ref(q.rank)
+	if queue.len() >= max(policy.QueueRequests, 1) {
+		oldest := queue.oldest
+		// Patient work keeps its place, because its deadline is long. In the other
+		// ranks the oldest query is the one least likely to finish.
+		if q.rank == rank.Patient || q.cost > oldest.cost {
+			g.free = append(g.free, q)
+			return g.refuse(now, s, q.id, q.rank, QueueFull, cmds)
+		}
+		cmds = g.drop(now, oldest, Displaced, cmds)
+	}
+	q.due = effectiveDeadline(q, policy)
+	queue.add(q)
+	g.queries[q.id] = q
+	return append(cmds, EventCmd{Event: timeline.Event{Kind: timeline.Queued, Request: q.id, Rank: q.rank.String()}})
+}
+
+// drop refuses a queued query.
+func (g *Gate) drop(now clock.Millis, q *query, reason Reason, cmds []Cmd) []Cmd {
+	s, id, r := q.service, q.id, q.rank
+	s.queues.Ref(r).remove(q)
+	g.release(q)
+	return g.refuse(now, s, id, r, reason, cmds)
+}
+
+func (g *Gate) refuse(now clock.Millis, s *service, id string, r rank.Rank, reason Reason, cmds []Cmd) []Cmd {
+	retry := defaultRetryMs
+	if s != nil {
+		retry = s.retryAfter(now, r)
+		s.refused.Ref(r)[reason]++
+	}
+	g.refused[reason]++
+	event := timeline.Event{Kind: timeline.Refused, Request: id, Rank: r.String(), Detail: reason.String()}
+	return append(cmds, RefuseCmd{ID: id, Reason: reason, RetryAfterMs: retry}, EventCmd{Event: event})
+}
+
+func (g *Gate) start(now clock.Millis, s *service, q *query) Cmd {
+	q.running = true
+	q.started = now
+	s.start(q)
+	return AdmitCmd{ID: q.id, Deadline: effectiveDeadline(q, g.policy.Policy(q.rank)), WaitedMs: now - q.arrived}
+}
+
+func (g *Gate) done(now clock.Millis, m DoneMsg) []Cmd {
+	q := g.queries[m.ID]
+	if q == nil || !q.running {
+		return nil
+	}
+	s := q.service
+	s.integrate(now, g.policy)
+	s.finish(now, q, m.TookMs)
+	changed := s.limit.observe(now, q, m.QueueMs, m.Overloaded)
+	g.release(q)
+	if !changed {
+		return nil
+	}
+	detail := s.name + " " + strconv.Itoa(s.limit.value())
+	return []Cmd{EventCmd{Event: timeline.Event{Kind: timeline.LimitChanged, Detail: detail}}}
+}
+
+func (g *Gate) gone(now clock.Millis, m GoneMsg) {
+	q := g.queries[m.ID]
+	if q == nil || q.running {
+		return
+	}
+	q.service.integrate(now, g.policy)
+	q.service.queues.Ref(q.rank).remove(q)
+	g.release(q)
+}
+
+func (g *Gate) setPolicy(now clock.Millis, p preset.Preset) {
+	for _, s := range g.ordered {
+		s.integrate(now, g.policy)
+	}
+	g.policy = p
+}
+
+// pump refuses queued queries that can no longer finish, then starts as many as fit.
+func (g *Gate) pump(now clock.Millis, s *service, cmds []Cmd) []Cmd {
+	for _, r := range rank.All() {
+		queue := s.queues.Ref(r)
+		for queue.len() > 0 && s.late(now, queue.earliest()) {
+			cmds = g.drop(now, queue.earliest(), TooLate, cmds)
+		}
+	}
+	for {
+		s.integrate(now, g.policy)
+		r := s.next(g.policy)
+		if r < 0 {
+			return cmds
+		}
+		queue := s.queues.Ref(rank.Rank(r))
+		q := queue.peek(now)
+		if !s.fits(q) {
+			s.limit.markFull()
+			return cmds
+		}
+		// The preset may have changed while the query was queued.
+		if !s.canFinish(now, q, g.policy.Policy(q.rank)) {
+			cmds = g.drop(now, q, TooLate, cmds)
+			continue
+		}
+		queue.remove(q)
+		cmds = append(cmds, g.start(now, s, q))
+	}
+}
+
+func (g *Gate) newQuery() *query {
+	if n := len(g.free); n > 0 {
+		q := g.free[n-1]
+		g.free = g.free[:n-1]
+		return q
+	}
+	return &query{}
+}
+
+func (g *Gate) release(q *query) {
+	delete(g.queries, q.id)
+	*q = query{}
+	g.free = append(g.free, q)
+}
--- /dev/null
+++ b/admission/gate_test.go
@@ -0,0 +1,127 @@
+package admission_test
+
+import (
+	"testing"
+
+	"lentillink.example/lentillink/admission"
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/preset"
+	"lentillink.example/lentillink/rank"
+)
+
+const svc = "search"
+
+func policy(urgent, ordinary, patient float64) preset.Preset {
+	return preset.Preset{
+		Urgent:   preset.RankPolicy{DeadlineMs: 500, FloorPercent: urgent, QueueRequests: 3},
+		Ordinary: preset.RankPolicy{DeadlineMs: 1000, FloorPercent: ordinary, QueueRequests: 3},
+		Patient:  preset.RankPolicy{DeadlineMs: 30_000, FloorPercent: patient, QueueRequests: 3},
+	}
+}
+
+func arrive(id string, r rank.Rank) admission.ArriveMsg {
+	return admission.ArriveMsg{ID: id, Rank: r, Service: svc, Cost: 1}
+}
+
+func done(id string) admission.DoneMsg { return admission.DoneMsg{ID: id, TookMs: 10} }
+
+type step struct {
+	at  clock.Millis
+	msg admission.Msg
+}
+
+// TestDecisions guards against a query that is admitted, held or refused wrongly.
+func TestDecisions(t *testing.T) {
+	full := []step{{1, arrive("a", rank.Patient)}, {1, arrive("b", rank.Patient)}}
+	bigger := policy(50, 25, 10)
+	bigger.Urgent.DeadlineMs = 20
+	tests := []struct {
+		name  string
+		steps []step
+		want  string // the decisions in order
+	}{
+		{"room", nil, "+a +b"},
+		{"urgent before patient", []step{{2, arrive("c", rank.Patient)}, {2, arrive("d", rank.Urgent)}, {9, done("a")}, {9, done("b")}}, "+a +b +d +c"},
+		{"duplicate", []step{{2, arrive("a", rank.Urgent)}}, "+a +b -a:duplicate_id"},
+		{"unknown service", []step{{2, admission.ArriveMsg{ID: "x", Service: "none"}}}, "+a +b -x:unknown_service"},
+		{"draining", []step{{2, arrive("c", rank.Urgent)}, {2, admission.DrainMsg{}}, {3, arrive("d", rank.Urgent)}, {9, done("a")}}, "+a +b -d:draining +c"},
+		{"draining past the deadline", []step{{2, arrive("c", rank.Urgent)}, {2, admission.DrainMsg{}}, {502, admission.TickMsg{}}}, "+a +b -c:too_late"},
+		{"gone", []step{{2, arrive("c", rank.Urgent)}, {3, admission.GoneMsg{ID: "c"}}, {9, done("a")}, {600, admission.TickMsg{}}}, "+a +b"},
+		{"deadline passed at arrival", []step{{9, admission.ArriveMsg{ID: "c", Service: svc, Deadline: 9}}}, "+a +b -c:too_late"},
+		{"less time than queries take", []step{{9, done("a")}, {9, admission.ArriveMsg{ID: "c", Rank: rank.Patient, Service: svc, Deadline: 18}}}, "+a +b -c:too_late"},
+		{"shorter deadline under a new preset", []step{{2, arrive("c", rank.Urgent)}, {3, admission.PolicyMsg{Preset: bigger}}, {30, done("a")}}, "+a +b -c:too_late"},
+		{"full queue, newest patient", []step{
+			{2, arrive("c", rank.Patient)}, {2, arrive("d", rank.Patient)}, {2, arrive("e", rank.Patient)}, {2, arrive("f", rank.Patient)},
+		}, "+a +b -f:queue_full"},
+		{"full queue, oldest urgent", []step{
+			{2, arrive("c", rank.Urgent)}, {2, arrive("d", rank.Urgent)}, {2, arrive("e", rank.Urgent)}, {2, arrive("f", rank.Urgent)},
+		}, "+a +b -c:displaced"},
+		{"overloaded, newest urgent first", []step{{2, arrive("c", rank.Urgent)}, {290, arrive("d", rank.Urgent)}, {300, done("a")}, {301, done("b")}}, "+a +b +d +c"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			g := admission.New(admission.WithService(svc, 2, 2), admission.WithPolicy(policy(50, 25, 10)))
+			got := ""
+			for _, s := range append(append([]step{}, full...), tt.steps...) {
+				for _, c := range g.Update(s.at, s.msg) {
+					got += decision(t, c)
+				}
+			}
+			if got != " "+tt.want {
+				t.Errorf("got %q, want %q", got, " "+tt.want)
+			}
+		})
+	}
+}
+
+func decision(t *testing.T, c admission.Cmd) string {
+	switch c := c.(type) {
+	case admission.AdmitCmd:
+		return " +" + c.ID
+	case admission.RefuseCmd:
+		if c.RetryAfterMs <= 0 {
+			t.Errorf("got retry after %d for %s, want positive", c.RetryAfterMs, c.ID)
+		}
+		return " -" + c.ID + ":" + c.Reason.String()
+	default:
+		return ""
+	}
+}
+
+// TestLending guards against unused capacity and against a floor that does
+// not come back to its rank.
+func TestLending(t *testing.T) {
+	p := policy(50, 30, 20)
+	p.Patient.QueueRequests, p.Ordinary.QueueRequests, p.Urgent.QueueRequests = 100, 100, 100
+	g := admission.New(admission.WithService(svc, 20, 20), admission.WithPolicy(p))
+	ids := map[rank.Rank][]string{}
+	perform := func(now clock.Millis, m admission.Msg) {
+		for _, c := range g.Update(now, m) {
+			if a, ok := c.(admission.AdmitCmd); ok {
+				r := rank.Rank(a.ID[0] - '0')
+				ids[r] = append(ids[r], a.ID)
+			}
+		}
+	}
+	flood := func(r rank.Rank) {
+		for i := range 50 {
+			perform(1, arrive(string(rune('0'+r))+string(rune('A'+i)), r))
+		}
+	}
+	flood(rank.Patient)
+	if got := g.Running(svc, rank.Patient); got != 20 {
+		t.Fatalf("got %d patient alone, want the whole limit of 20", got)
+	}
+	flood(rank.Ordinary)
+	flood(rank.Urgent)
+	for i := range 20 {
+		id := ids[rank.Patient][i]
+		perform(clock.Millis(2+i), done(id))
+	}
+	want := rank.NewTable(10, 6, 4)
+	for _, r := range rank.All() {
+		if got := g.Running(svc, r); got != want.At(r) {
+			t.Errorf("got %d %s running, want %d", got, r, want.At(r))
+		}
+	}
+}
--- /dev/null
+++ b/admission/limit.go
@@ -0,0 +1,109 @@
+package admission
+
+import (
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/rank"
+)
+
+const (
+	decreaseFactor = 0.9
+
+	// overloadedShare is the share of completed queries with refused
+	// sub-requests above which the limit falls. A single shed sub-request of a
+	// restarting upstream is no sign of overload.
+	overloadedShare = 0.1
+
+	// minSamples keeps a verdict from resting on one or two queries.
+	minSamples = 4
+
+	costWeight = 0.05
+)
+
+// limit adapts the number of concurrent sub-requests of one service.
+//
+// A verdict covers an interval. The limit falls if the median wait of some
+// rank was above the target: carriers serve ranks in order, so the wait shows
+// first in the least urgent rank that runs. Only queries admitted after the
+// last fall count, because older ones waited behind the load that the fall removed.
+type limit struct {
+	current     float64
+	most        float64
+	typicalCost float64
+	targetMs    clock.Millis
+	intervalMs  clock.Millis
+
+	begin      clock.Millis // of the interval
+	lastFall   clock.Millis
+	full       bool // a query had to wait during the interval
+	peak       int  // highest running cost during the interval
+	samples    rank.Table[int]
+	above      rank.Table[int]
+	total      int
+	overloaded int
+}
+
+func newLimit(sc serviceConfig, cfg config) limit {
+	return limit{
+		current: float64(max(sc.initial, 1)), most: float64(max(sc.max, sc.initial, 1)), typicalCost: 1,
+		targetMs: cfg.targetMs, intervalMs: cfg.intervalMs, lastFall: -1,
+	}
+}
+
+func (l *limit) value() int { return int(l.current) }
+
+func (l *limit) markFull() { l.full = true }
+
+func (l *limit) started(running, cost int) {
+	l.peak = max(l.peak, running)
+	l.typicalCost += costWeight * (float64(cost) - l.typicalCost)
+}
+
+// observe records the end of q and reports whether the limit changed.
+func (l *limit) observe(now clock.Millis, q *query, queueMs clock.Millis, overloaded bool) bool {
+	if q.started > l.lastFall {
+		l.record(q.rank, queueMs, overloaded)
+	}
+	if now-l.begin < l.intervalMs || l.total < minSamples {
+		return false
+	}
+	before := l.value()
+	if l.tooHigh() {
+		l.current = max(min(l.current, float64(l.peak))*decreaseFactor, 1)
+		l.lastFall = now
+	} else if l.full {
+		l.current = min(l.current+max(l.typicalCost, 1), l.most)
+	}
+	l.reset(now)
+	return l.value() != before
+}
+
+func (l *limit) record(r rank.Rank, queueMs clock.Millis, overloaded bool) {
+	l.total++
+	*l.samples.Ref(r)++
+	if queueMs > l.targetMs {
+		*l.above.Ref(r)++
+	}
+	if overloaded {
+		l.overloaded++
+	}
+}
+
+func (l *limit) tooHigh() bool {
+	if float64(l.overloaded) > overloadedShare*float64(l.total) {
+		return true
+	}
+	for _, r := range rank.All() {
+		if l.samples.At(r) >= minSamples && 2*l.above.At(r) > l.samples.At(r) {
+			return true
+		}
+	}
+	return false
+}
+
+func (l *limit) reset(now clock.Millis) {
+	l.begin = now
+	l.full = false
+	l.peak = 0
+	l.samples, l.above = rank.Table[int]{}, rank.Table[int]{}
+	l.total, l.overloaded = 0, 0
+}
--- /dev/null
+++ b/admission/options.go
@@ -0,0 +1,62 @@
+package admission
+
+import (
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/preset"
+)
+
+const (
+	// defaultTargetMs is about half the usual service time of a sub-request.
+	defaultTargetMs   clock.Millis = 4
+	defaultIntervalMs clock.Millis = 100
+)
+
+type config struct {
+	services   []serviceConfig
+	policy     preset.Preset
+	targetMs   clock.Millis
+	intervalMs clock.Millis
+}
+
+type serviceConfig struct {
+	name    string
+	initial int
+	max     int
+}
+
+// Option configures a Gate.
+type Option func(*config)
+
+// WithService adds a service whose limit starts at initial sub-requests and
+// never exceeds most.
+func WithService(name string, initial, most int) Option {
+	return func(c *config) {
+		c.services = append(c.services, serviceConfig{name: name, initial: initial, max: most})
+	}
+}
+
+// WithPolicy sets the preset that is in force at the start.
+func WithPolicy(p preset.Preset) Option { return func(c *config) { c.policy = p } }
+
+// WithTarget sets the carrier queue wait above which the limit falls.
+func WithTarget(ms clock.Millis) Option { return func(c *config) { c.targetMs = ms } }
+
+// WithInterval sets the time over which waits are judged.
+func WithInterval(ms clock.Millis) Option { return func(c *config) { c.intervalMs = ms } }
+
+func newConfig(opts []Option) config {
+	c := config{policy: defaultPolicy(), targetMs: defaultTargetMs, intervalMs: defaultIntervalMs}
+	for _, opt := range opts {
+		opt(&c)
+	}
+	return c
+}
+
+func defaultPolicy() preset.Preset {
+	return preset.Preset{
+		Name:     "default",
+		Urgent:   preset.RankPolicy{DeadlineMs: clock.Second, FloorPercent: 50, QueueRequests: 256},
+		Ordinary: preset.RankPolicy{DeadlineMs: 3 * clock.Second, FloorPercent: 25, QueueRequests: 256},
+		Patient:  preset.RankPolicy{DeadlineMs: 30 * clock.Second, FloorPercent: 10, QueueRequests: 1024},
+	}
+}
--- /dev/null
+++ b/admission/property_test.go
@@ -0,0 +1,89 @@
+package admission_test
+
+import (
+	"strconv"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"lentillink.example/lentillink/admission"
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/rank"
+)
+
+// TestExactlyOneDecision guards against queries without a decision, with two,
+// and against more running cost than the limit at the time of admission.
+func TestExactlyOneDecision(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := admission.New(admission.WithService(svc, 6, 12), admission.WithPolicy(policy(50, 25, 10)))
+		now := clock.Millis(1)
+		var running []string
+		decided, gone, arrived := map[string]int{}, map[string]bool{}, 0
+		perform := func(m admission.Msg) {
+			admitted := false
+			for _, c := range g.Update(now, m) {
+				switch c := c.(type) {
+				case admission.AdmitCmd:
+					decided[c.ID]++
+					running = append(running, c.ID)
+					admitted = true
+				case admission.RefuseCmd:
+					decided[c.ID]++
+				}
+			}
+			cost := 0
+			for _, r := range rank.All() {
+				cost += g.RunningCost(svc, r)
+			}
+			if admitted && cost > g.Limit(svc) && len(running) > 1 {
+				t.Fatalf("got cost %d of %d queries, want at most %d", cost, len(running), g.Limit(svc))
+			}
+			if at, ok := g.NextWake(); ok && at <= now {
+				t.Fatalf("got wake %d at %d, want a later one", at, now)
+			}
+		}
+		for range rapid.IntRange(1, 150).Draw(t, "steps") {
+			now += clock.Millis(rapid.IntRange(0, 40).Draw(t, "dt"))
+			switch rapid.IntRange(0, 7).Draw(t, "kind") {
+			case 0, 1, 2, 3:
+				arrived++
+				perform(admission.ArriveMsg{
+					ID: strconv.Itoa(arrived), Service: svc,
+					Rank:     rank.Rank(rapid.IntRange(0, 2).Draw(t, "rank")),
+					Cost:     rapid.IntRange(1, 4).Draw(t, "cost"),
+					Deadline: now + clock.Millis(rapid.IntRange(0, 400).Draw(t, "budget")),
+				})
+			case 4, 5:
+				if len(running) > 0 {
+					i := rapid.IntRange(0, len(running)-1).Draw(t, "which")
+					id := running[i]
+					running = append(running[:i], running[i+1:]...)
+					wait := clock.Millis(rapid.IntRange(0, 20).Draw(t, "wait"))
+					perform(admission.DoneMsg{ID: id, QueueMs: wait, TookMs: 10 + wait})
+				}
+			case 6:
+				id := strconv.Itoa(rapid.IntRange(0, arrived).Draw(t, "gone"))
+				if decided[id] == 0 {
+					gone[id] = true
+				}
+				perform(admission.GoneMsg{ID: id})
+			case 7:
+				floor := float64(rapid.IntRange(0, 40).Draw(t, "floor"))
+				perform(admission.PolicyMsg{Preset: policy(floor, 30, 10)})
+			}
+		}
+		now += clock.Minute
+		perform(admission.TickMsg{})
+		for i := 1; i <= arrived; i++ {
+			id := strconv.Itoa(i)
+			if got := decided[id]; got != 1 && (got != 0 || !gone[id]) {
+				t.Fatalf("query %s was decided %d times, gone %v", id, got, gone[id])
+			}
+		}
+		for _, r := range rank.All() {
+			if got := g.Queued(svc, r); got != 0 {
+				t.Fatalf("got %d %s queued after all deadlines, want 0", got, r)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/admission/queue.go
@@ -0,0 +1,92 @@
+package admission
+
+import (
+	"container/heap"
+
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/rank"
+)
+
+// query is one queued or running query.
+type query struct {
+	id       string
+	rank     rank.Rank
+	service  *service
+	cost     int
+	deadline clock.Millis // as asked for; 0 means the default of the policy
+	due      clock.Millis // effective deadline when it was queued
+	arrived  clock.Millis
+	started  clock.Millis
+	running  bool
+
+	older, newer *query
+	index        int // in the deadline heap
+}
+
+// queue holds the waiting queries of one rank, linked by age and indexed by deadline.
+type queue struct {
+	oldest, newest *query
+	byDue          dueHeap
+}
+
+func (q *queue) len() int { return len(q.byDue) }
+
+func (q *queue) earliest() *query { return q.byDue[0] }
+
+// peek returns the query to start next: the oldest, but the newest once the
+// oldest has waited for half its time. Under overload the oldest queries would
+// finish too late, and serving them first would make all others late as well.
+func (q *queue) peek(now clock.Millis) *query {
+	o := q.oldest
+	if o.rank != rank.Patient && 2*(now-o.arrived) > o.due-o.arrived {
+		return q.newest
+	}
+	return o
+}
+
+func (q *queue) add(x *query) {
+	x.older = q.newest
+	if q.newest != nil {
+		q.newest.newer = x
+	} else {
+		q.oldest = x
+	}
+	q.newest = x
+	heap.Push(&q.byDue, x)
+}
+
+func (q *queue) remove(x *query) {
+	if x.older != nil {
+		x.older.newer = x.newer
+	} else {
+		q.oldest = x.newer
+	}
+	if x.newer != nil {
+		x.newer.older = x.older
+	} else {
+		q.newest = x.older
+	}
+	x.older, x.newer = nil, nil
+	heap.Remove(&q.byDue, x.index)
+}
+
+type dueHeap []*query
+
+func (h dueHeap) Len() int           { return len(h) }
+func (h dueHeap) Less(i, j int) bool { return h[i].due < h[j].due }
+func (h dueHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+func (h *dueHeap) Push(x any) {
+	q := x.(*query)
+	q.index = len(*h)
+	*h = append(*h, q)
+}
+func (h *dueHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	return last
+}
