Add the preset record, its changes and the operator's change machine

Operators need one record that says what each rank gets, and a truthful answer about whether a change is in force when the store is slow, down, or loses its answer after the write.

The record decodes strictly, validates with paths, explains itself in sentences and changes through pure functions. The Changer compares and swaps on the store entry's revision and repeats the identical swap after a lost answer, so at most one takes effect and the change identifier settles the outcome. The record's own revision rises by one along the chain of accepted swaps and exceeds the newest committed revision that the VM holds.

Checked with: go test ./preset/... (12 fault scripts for the Changer).

--- /dev/null
+++ b/preset/change.go
@@ -0,0 +1,98 @@
+package preset
+
+import (
+	"slices"
+
+	"lentillink.example/lentillink/clock"
+)
+
+// Change is an operator's change to the record. Exactly one of SwitchTo and Preset is set.
+type Change struct {
+	ID       string       `json:"change_id"`
+	Author   string       `json:"author"`
+	Reason   string       `json:"reason"`
+	At       clock.Millis `json:"at_ms"`
+	Base     uint64       `json:"base_revision"` // revision that the operator looked at; 0 accepts any
+	SwitchTo string       `json:"switch_to,omitempty"`
+	Preset   *Preset      `json:"preset,omitempty"` // replaces or adds the preset of that name
+}
+
+// Apply performs c on rec. It is a pure function.
+func Apply(rec Record, c Change) (Record, error) {
+	if c.Preset != nil && c.SwitchTo != "" {
+		return rec, fail("apply", KindInvalid, "change %s: switch_to and preset exclude each other", c.ID)
+	}
+	if c.Preset != nil {
+		return Edit(rec, c)
+	}
+	return Switch(rec, c)
+}
+
+// Switch puts another preset in force.
+func Switch(rec Record, c Change) (Record, error) {
+	if err := c.check("switch", &rec); err != nil {
+		return rec, err
+	}
+	if _, ok := rec.Find(c.SwitchTo); !ok {
+		return rec, fail("switch", KindNotFound, "switch_to: %q is not one of %v", c.SwitchTo, names(rec.Presets))
+	}
+	next := advance(rec, c)
+	next.InForce = c.SwitchTo
+	return next, nil
+}
+
+// Edit replaces the preset with the name of c.Preset, or adds it.
+func Edit(rec Record, c Change) (Record, error) {
+	if err := c.check("edit", &rec); err != nil {
+		return rec, err
+	}
+	if c.Preset == nil {
+		return rec, fail("edit", KindInvalid, "preset: must be set")
+	}
+	next := advance(rec, c)
+	i := slices.IndexFunc(next.Presets, func(p Preset) bool { return p.Name == c.Preset.Name })
+	if i < 0 {
+		next.Presets = append(next.Presets, *c.Preset)
+	} else {
+		next.Presets[i] = *c.Preset
+	}
+	if err := next.Validate(); err != nil {
+		return rec, err
+	}
+	return next, nil
+}
+
+func (c *Change) check(op string, rec *Record) error {
+	switch {
+	case c.ID == "" || len(c.ID) > maxTextBytes:
+		return fail(op, KindInvalid, "change_id: must have 1 to %d bytes", maxTextBytes)
+	case c.Author == "" || len(c.Author) > maxTextBytes:
+		return fail(op, KindInvalid, "author: must have 1 to %d bytes", maxTextBytes)
+	case c.Reason == "" || len(c.Reason) > maxTextBytes:
+		return fail(op, KindInvalid, "reason: must have 1 to %d bytes", maxTextBytes)
+	case c.Base != 0 && c.Base != rec.Revision:
+		last := rec.Latest()
+		return fail(op, KindConflict, "revision is %d, not %d: %s", rec.Revision, c.Base, last)
+	}
+	if past, ok := rec.Includes(c.ID); ok {
+		return fail(op, KindConflict, "change_id %q was used: %s", c.ID, past)
+	}
+	return nil
+}
+
+func advance(rec Record, c Change) Record {
+	next := rec
+	next.Presets = slices.Clone(rec.Presets)
+	next.History = append([]Past{rec.Latest()}, rec.History[:min(len(rec.History), MaxHistory-1)]...)
+	next.Revision++
+	next.Author, next.Reason, next.ChangeID, next.At = c.Author, c.Reason, c.ID, c.At
+	return next
+}
+
+func names(presets []Preset) []string {
+	list := make([]string, len(presets))
+	for i, p := range presets {
+		list[i] = p.Name
+	}
+	return list
+}
--- /dev/null
+++ b/preset/changer.go
@@ -0,0 +1,159 @@
+package preset
+
+import (
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/store"
+)
+
+// Msg is an input of a Changer.
+type Msg interface{ changerMsg() }
+
+// StartMsg begins the change.
+type StartMsg struct{}
+
+// StoreMsg carries the answer to a StoreCmd.
+type StoreMsg struct{ Reply store.Reply }
+
+// TickMsg reports that the time of NextWake has come.
+type TickMsg struct{}
+
+func (StartMsg) changerMsg() {}
+func (StoreMsg) changerMsg() {}
+func (TickMsg) changerMsg()  {}
+
+// Cmd is an output of a Changer.
+type Cmd interface{ changerCmd() }
+
+// StoreCmd asks for one store call.
+type StoreCmd struct{ Request store.Request }
+
+// ResultCmd ends the change. It is returned exactly once.
+type ResultCmd struct{ Result Result }
+
+func (StoreCmd) changerCmd()  {}
+func (ResultCmd) changerCmd() {}
+
+// Truth says whether a change was accepted by the store.
+type Truth string
+
+// The values of Truth.
+const (
+	Accepted    Truth = "yes"
+	NotAccepted Truth = "no"
+	Undecided   Truth = "unknown" // read the record again and look for the change identifier
+)
+
+// Result tells the operator what became of the change.
+type Result struct {
+	Accepted Truth
+	Record   Record // newest committed record that was read; revision 0 if none was
+	Err      error  // nil if Accepted is yes
+	// Superseded is set when the change was accepted and a later one has replaced it.
+	Superseded bool
+}
+
+// Changer carries out one operator's change against the store.
+//
+// It reads the record, applies the change and compares and swaps. After a
+// lost answer it sends the same swap again: because both swaps expect the same
+// store revision, at most one takes effect, and a conflict proves that the
+// outcome can be read back by the change identifier.
+type Changer struct {
+	change   Change
+	known    Record
+	deadline clock.Millis
+	tag      uint64
+
+	step    step
+	sent    clock.Millis
+	retryAt clock.Millis // 0 if a call is outstanding
+	base    store.Entry
+	next    Record
+	value   []byte
+	doubt   int  // swaps that may have taken effect without an answer
+	refused bool // a swap was answered with a conflict
+	last    Record
+}
+
+type step uint8
+
+const (
+	stepIdle step = iota
+	stepRead
+	stepSwap
+	stepReadBack
+	stepDone
+)
+
+const (
+	callTimeout  clock.Millis = 1000 // a call without an answer counts as lost
+	retryPauseMs clock.Millis = 200
+)
+
+// NewChanger returns a Changer that gives up at deadline. known is the newest
+// committed record of this VM: the new revision exceeds it even if the store
+// was restored from an old copy or emptied.
+func NewChanger(change Change, known Record, deadline clock.Millis) *Changer {
+	return &Changer{change: change, known: known, deadline: deadline}
+}
+
+// Update handles one message.
+func (c *Changer) Update(now clock.Millis, msg Msg) []Cmd {
+	if c.step == stepDone {
+		return nil
+	}
+	switch msg := msg.(type) {
+	case StartMsg:
+		if c.step == stepIdle {
+			return c.call(now, stepRead)
+		}
+	case StoreMsg:
+		if msg.Reply.Tag == c.tag && c.retryAt == 0 {
+			return c.answered(now, msg.Reply)
+		}
+	}
+	return c.tick(now)
+}
+
+func (c *Changer) tick(now clock.Millis) []Cmd {
+	switch {
+	case c.step == stepIdle:
+		return nil
+	case now >= c.deadline:
+		return c.giveUp()
+	case c.retryAt != 0 && now >= c.retryAt:
+		return c.call(now, c.step)
+	case c.retryAt == 0 && now >= c.sent+callTimeout:
+		return c.failed(now, store.KindUnknown)
+	}
+	return nil
+}
+
+func (c *Changer) call(now clock.Millis, s step) []Cmd {
+	c.step, c.sent, c.retryAt = s, now, 0
+	c.tag++
+	req := store.Request{Owner: "preset", Tag: c.tag, Op: store.OpGet, Key: StoreKey}
+	if s == stepSwap {
+		req.Op, req.Value, req.Expect = store.OpSwap, c.value, c.base.Revision
+		c.doubt++
+	}
+	return []Cmd{StoreCmd{req}}
+}
+
+func (c *Changer) answered(now clock.Millis, r store.Reply) []Cmd {
+	if r.Kind != store.KindOK && r.Kind != store.KindConflict {
+		return c.failed(now, r.Kind)
+	}
+	switch c.step {
+	case stepRead:
+		return c.prepare(now, r.Entry)
+	case stepSwap:
+		if r.Kind == store.KindOK {
+			return c.finish(Result{Accepted: Accepted, Record: c.next})
+		}
+		c.refused = true
+		return c.call(now, stepReadBack)
+	default:
+		return c.readBack(r.Entry)
+	}
+}
--- /dev/null
+++ b/preset/changer_test.go
@@ -0,0 +1,150 @@
+package preset_test
+
+import (
+	"errors"
+	"testing"
+
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/preset"
+	"lentillink.example/lentillink/store"
+)
+
+// fakeStore keeps one entry and applies a scripted fault to each call.
+type fakeStore struct {
+	entry  store.Entry
+	faults []string
+}
+
+func (s *fakeStore) call(r store.Request) (store.Reply, bool) {
+	reply := store.Reply{Tag: r.Tag, Op: r.Op}
+	fault := ""
+	if len(s.faults) > 0 {
+		fault, s.faults = s.faults[0], s.faults[1:]
+	}
+	if fault == "down" {
+		reply.Kind = store.KindUnavailable
+		return reply, true
+	}
+	if fault == "lost before" {
+		reply.Kind = store.KindUnknown
+		return reply, true
+	}
+	if fault == "rival" {
+		s.change(preset.Change{ID: "rival", Author: "eve", Reason: "first", SwitchTo: "maintenance"})
+	}
+	if r.Op == store.OpSwap && r.Expect != s.entry.Revision {
+		reply.Kind = store.KindConflict
+		return reply, true
+	}
+	if r.Op == store.OpSwap {
+		s.entry = store.Entry{Key: r.Key, Value: r.Value, Revision: s.entry.Revision + 7}
+	}
+	reply.Entry = s.entry
+	if fault == "lost after" {
+		reply.Kind = store.KindUnknown
+	}
+	return reply, fault != "silent"
+}
+
+func (s *fakeStore) change(c preset.Change) {
+	rec, _ := preset.Decode(s.entry.Value)
+	next, _ := preset.Apply(rec, c)
+	s.entry.Value, _ = preset.Encode(next)
+	s.entry.Revision += 3
+}
+
+func run(t *testing.T, c *preset.Changer, s *fakeStore) preset.Result {
+	t.Helper()
+	now := clock.Millis(0)
+	cmds := c.Update(now, preset.StartMsg{})
+	for range 1000 {
+		if len(cmds) == 0 {
+			wake, ok := c.NextWake()
+			if !ok {
+				t.Fatal("the changer ended without a result")
+			}
+			now = max(now, wake)
+			cmds = c.Update(now, preset.TickMsg{})
+			continue
+		}
+		cmd := cmds[0]
+		cmds = cmds[1:]
+		switch cmd := cmd.(type) {
+		case preset.ResultCmd:
+			return cmd.Result
+		case preset.StoreCmd:
+			if reply, answered := s.call(cmd.Request); answered {
+				cmds = append(cmds, c.Update(now, preset.StoreMsg{Reply: reply})...)
+			}
+		}
+	}
+	t.Fatal("no result")
+	return preset.Result{}
+}
+
+// TestChangerTellsTheTruth guards against a report to the operator that the store contradicts.
+func TestChangerTellsTheTruth(t *testing.T) {
+	forever := make([]string, 200)
+	for i := range forever {
+		forever[i] = "down"
+	}
+	silent := make([]string, 200)
+	for i := range silent {
+		silent[i] = "silent"
+	}
+	tests := []struct {
+		name   string
+		faults []string
+		base   uint64
+		want   preset.Truth
+		kind   preset.Kind
+		later  bool
+	}{
+		{name: "no fault", want: preset.Accepted},
+		{name: "answer lost after the write", faults: []string{"", "lost after"}, want: preset.Accepted},
+		{name: "silent after the write", faults: []string{"", "silent"}, want: preset.Accepted},
+		{name: "request lost before the write", faults: []string{"", "lost before"}, want: preset.Accepted},
+		{name: "short outage", faults: []string{"down", "down", "", "down"}, want: preset.Accepted},
+		{name: "rival between read and write", faults: []string{"", "rival"}, want: preset.NotAccepted, kind: preset.KindConflict},
+		{name: "lost after the write, then rival", faults: []string{"", "lost after", "rival"}, want: preset.Accepted, later: true},
+		{name: "lost before the write, then rival", faults: []string{"", "lost before", "rival"}, want: preset.NotAccepted, kind: preset.KindConflict},
+		{name: "outage", faults: forever, want: preset.NotAccepted, kind: preset.KindUnavailable},
+		{name: "outage right after the write", faults: append([]string{"", "lost after"}, forever...), want: preset.Undecided, kind: preset.KindUnknown},
+		{name: "silence from the first write on", faults: append([]string{""}, silent...), want: preset.Undecided, kind: preset.KindUnknown},
+		{name: "old base", base: 9, want: preset.NotAccepted, kind: preset.KindConflict},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			value, _ := preset.Encode(preset.Default())
+			s := &fakeStore{entry: store.Entry{Value: value, Revision: 4}, faults: tt.faults}
+			change := preset.Change{ID: "mine", Author: "ann", Reason: "fair", SwitchTo: "peak", Base: tt.base}
+			got := run(t, preset.NewChanger(change, preset.Record{}, 10_000), s)
+			if got.Accepted != tt.want || got.Superseded != tt.later {
+				t.Fatalf("accepted %s superseded %v (%v), want %s %v", got.Accepted, got.Superseded, got.Err, tt.want, tt.later)
+			}
+			rec, _ := preset.Decode(s.entry.Value)
+			_, there := rec.Includes("mine")
+			if tt.want != preset.Undecided && there != (tt.want == preset.Accepted) {
+				t.Errorf("store holds the change: %v, reported %s", there, got.Accepted)
+			}
+			var e *preset.Error
+			if tt.kind != 0 && (!errors.As(got.Err, &e) || e.Kind() != tt.kind) {
+				t.Errorf("got error %v, want kind %s", got.Err, tt.kind)
+			}
+		})
+	}
+}
+
+// TestRevisionExceedsKnown guards against a revision that VMs would refuse after the store lost its data.
+func TestRevisionExceedsKnown(t *testing.T) {
+	known := preset.Default()
+	known.Revision = 57
+	old, _ := preset.Encode(preset.Default())
+	for _, entry := range []store.Entry{{}, {Value: old, Revision: 2}} {
+		change := preset.Change{ID: "c", Author: "a", Reason: "r", SwitchTo: "peak"}
+		got := run(t, preset.NewChanger(change, known, 10_000), &fakeStore{entry: entry})
+		if got.Record.Revision != 58 {
+			t.Errorf("got revision %d, want 58 (store entry %d)", got.Record.Revision, entry.Revision)
+		}
+	}
+}
--- /dev/null
+++ b/preset/validate.go
@@ -0,0 +1,100 @@
+package preset
+
+import (
+	"errors"
+	"fmt"
+	"regexp"
+
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/rank"
+)
+
+const (
+	maxPresets   = 64
+	maxTextBytes = 512
+	maxDeadline  = 24 * clock.Hour
+	maxQueue     = 1_000_000
+)
+
+var nameForm = regexp.MustCompile(`^[a-z][a-z0-9-]{0,62}$`)
+
+// Validate checks every field. The error names each wrong field by its path
+// and says which values are accepted.
+func (r *Record) Validate() error {
+	v := &checker{}
+	v.require(r.Revision > 0, "revision", "must be at least 1")
+	v.require(len(r.Presets) > 0 && len(r.Presets) <= maxPresets, "presets", "must have 1 to 64 entries")
+	v.require(len(r.History) <= MaxHistory, "history", "must have at most 32 entries")
+	v.text("author", r.Author)
+	v.text("reason", r.Reason)
+	v.text("change_id", r.ChangeID)
+	seen := make(map[string]bool, len(r.Presets))
+	for i := range r.Presets {
+		path := fmt.Sprintf("presets[%d]", i)
+		v.preset(path, &r.Presets[i])
+		v.require(!seen[r.Presets[i].Name], path+".name", "must be unique")
+		seen[r.Presets[i].Name] = true
+	}
+	v.require(seen[r.InForce], "in_force", fmt.Sprintf("must be one of %v", names(r.Presets)))
+	for i, p := range r.History {
+		path := fmt.Sprintf("history[%d]", i)
+		v.require(p.Revision > 0 && p.Revision < r.Revision, path+".revision", "must be from 1 to below revision")
+		v.text(path+".change_id", p.ChangeID)
+	}
+	return v.result("validate record")
+}
+
+// Validate checks every field of one preset.
+func (p *Preset) Validate() error {
+	v := &checker{}
+	v.preset("preset", p)
+	return v.result("validate preset")
+}
+
+type checker struct {
+	faults []error
+}
+
+func (v *checker) require(ok bool, path, rule string) {
+	if !ok {
+		v.faults = append(v.faults, fmt.Errorf("%s: %s", path, rule))
+	}
+}
+
+func (v *checker) text(path, s string) {
+	v.require(s != "" && len(s) <= maxTextBytes, path, "must have 1 to 512 bytes")
+}
+
+func (v *checker) percent(path string, f float64) {
+	v.require(f >= 0 && f <= 100, path, "must be from 0 to 100")
+}
+
+func (v *checker) preset(path string, p *Preset) {
+	v.require(nameForm.MatchString(p.Name), path+".name", "must be lower-case letters, digits and hyphens, 1 to 63 bytes")
+	v.text(path+".description", p.Description)
+	floors := 0.0
+	for _, r := range rank.All() {
+		policy := p.Policy(r)
+		v.policy(path+"."+r.String(), policy)
+		floors += policy.FloorPercent
+	}
+	v.require(floors <= 100, path, "the floor_percent of urgent, ordinary and patient must add up to at most 100")
+	ok := p.OrdersOnStoreOutage == OutageRefuse || p.OrdersOnStoreOutage == OutageWait
+	v.require(ok, path+".orders_on_store_outage", "must be one of refuse, wait")
+}
+
+func (v *checker) policy(path string, p RankPolicy) {
+	v.require(p.DeadlineMs >= 1 && p.DeadlineMs <= maxDeadline, path+".deadline_ms", "must be from 1 to 86400000")
+	v.require(p.QueueRequests >= 0 && p.QueueRequests <= maxQueue, path+".queue_requests", "must be from 0 to 1000000")
+	v.percent(path+".floor_percent", p.FloorPercent)
+	v.percent(path+".hedge_budget_percent", p.HedgeBudgetPercent)
+	v.percent(path+".retry_budget_percent", p.RetryBudgetPercent)
+	v.percent(path+".min_coverage_percent", p.MinCoveragePercent)
+}
+
+func (v *checker) result(op string) error {
+	if len(v.faults) == 0 {
+		return nil
+	}
+	return &Error{op: op, kind: KindInvalid, err: errors.Join(v.faults...)}
+}
