Add the fleet model: membership, placement and spreading of the record

VMs must agree on who is live, choose carriers and owners alike, and hold the newest committed preset record and upstream reports without another service.

--- /dev/null
+++ b/fleet/options.go
@@ -0,0 +1,32 @@
+package fleet
+
+import (
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/preset"
+)
+
+// Option configures a Model.
+type Option func(*config)
+
+type config struct {
+	self    VM
+	seed    uint64
+	seeds   []VM
+	initial preset.Record
+	read    clock.Millis
+}
+
+// WithSelf sets the identity of this VM. Incarnation must exceed that of an earlier process with the same identifier.
+func WithSelf(v VM) Option { return func(c *config) { c.self = v } }
+
+// WithSeed seeds the random choices.
+func WithSeed(seed uint64) Option { return func(c *config) { c.seed = seed } }
+
+// WithSeeds sets VMs to contact before the VM list is known.
+func WithSeeds(vms ...VM) Option { return func(c *config) { c.seeds = append(c.seeds, vms...) } }
+
+// WithInitialRecord sets the record that is written when neither the store nor a peer has one.
+func WithInitialRecord(r preset.Record) Option { return func(c *config) { c.initial = r } }
+
+// WithReadInterval sets the mean time between reads of the record from the store.
+func WithReadInterval(d clock.Millis) Option { return func(c *config) { c.read = d } }
--- /dev/null
+++ b/fleet/place.go
@@ -0,0 +1,72 @@
+package fleet
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"lentillink.example/lentillink/preset"
+)
+
+// Only alive members are chosen. A suspect has not answered on four paths, so
+// work sent to it would probably time out; if the suspicion is wrong it
+// refutes within seconds and is chosen again. Correctness of orders does not
+// depend on the choice, because their claims compare and swap.
+
+type candidate struct {
+	mem   *member
+	score uint64
+}
+
+// top returns the n eligible members with the highest scores for key, best first.
+func (m *Model) top(key string, n int) []candidate {
+	h := xxhash.Sum64String(key)
+	best := make([]candidate, 0, n+1)
+	for i, mh := range m.hashes {
+		score := mix(h ^ mh)
+		if len(best) == n && score <= best[n-1].score {
+			continue
+		}
+		best = append(best, candidate{m.eligible[i], score})
+		for j := len(best) - 1; j > 0 && best[j].score > best[j-1].score; j-- {
+			best[j], best[j-1] = best[j-1], best[j]
+		}
+		best = best[:min(len(best), n)]
+	}
+	return best
+}
+
+// pickWatchers prefers VMs of different data centres.
+func (m *Model) pickWatchers() []string {
+	bestOf := make(map[string]candidate)
+	for _, c := range m.scored(preset.StoreKey) {
+		if old, ok := bestOf[c.mem.DataCentre]; !ok || c.score > old.score {
+			bestOf[c.mem.DataCentre] = c
+		}
+	}
+	picked := make([]candidate, 0, len(bestOf))
+	for _, c := range bestOf {
+		picked = append(picked, c)
+	}
+	slices.SortFunc(picked, func(a, b candidate) int { return cmp.Compare(b.score, a.score) })
+	for _, c := range m.top(preset.StoreKey, 2*watcherCount) {
+		if !slices.ContainsFunc(picked, func(p candidate) bool { return p.mem == c.mem }) {
+			picked = append(picked, c)
+		}
+	}
+	ids := make([]string, 0, watcherCount)
+	for _, c := range picked[:min(len(picked), watcherCount)] {
+		ids = append(ids, c.mem.ID)
+	}
+	return ids
+}
+
+func (m *Model) scored(key string) []candidate {
+	h := xxhash.Sum64String(key)
+	list := make([]candidate, len(m.eligible))
+	for i, mh := range m.hashes {
+		list[i] = candidate{m.eligible[i], mix(h ^ mh)}
+	}
+	return list
+}
--- /dev/null
+++ b/fleet/query.go
@@ -0,0 +1,142 @@
+package fleet
+
+import (
+	"cmp"
+	"slices"
+
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/preset"
+	"lentillink.example/lentillink/upstream"
+)
+
+const (
+	storeLostMs    clock.Millis = 150 * clock.Second // two read intervals and some
+	peersLostMs    clock.Millis = 5 * clock.Second   // a VM hears from peers about twice a second
+	announceTo                  = 6
+	announceWithin clock.Millis = 2 * clock.Second
+)
+
+// Self returns what this VM says of itself.
+func (m *Model) Self() VM { return m.self.VM }
+
+// Live returns the members that are alive, including this VM unless it is stopping, ordered by identifier.
+func (m *Model) Live() []VM {
+	list := make([]VM, len(m.eligible))
+	for i, mem := range m.eligible {
+		list[i] = mem.VM
+	}
+	return sortVMs(list)
+}
+
+// Members returns all known members, including dead ones, ordered by identifier.
+func (m *Model) Members() []VM {
+	list := make([]VM, 0, len(m.byID))
+	for _, mem := range m.byID {
+		list = append(list, mem.VM)
+	}
+	return sortVMs(list)
+}
+
+func sortVMs(list []VM) []VM {
+	slices.SortFunc(list, func(a, b VM) int { return cmp.Compare(a.ID, b.ID) })
+	return list
+}
+
+// Generation changes whenever the result of Live, Carriers or Owner may change.
+func (m *Model) Generation() uint64 { return m.generation }
+
+// Carriers returns the n members that own the connections to an upstream,
+// best first. It scans all members; cache the result by Generation.
+func (m *Model) Carriers(upstream string, n int) []string {
+	best := m.top(upstream, n)
+	ids := make([]string, len(best))
+	for i, c := range best {
+		ids[i] = c.mem.ID
+	}
+	return ids
+}
+
+// Owner returns the member that owns key, or "" if no member is alive.
+func (m *Model) Owner(key string) string {
+	best := m.top(key, 1)
+	if len(best) == 0 {
+		return ""
+	}
+	return best[0].mem.ID
+}
+
+// Watchers returns the members that watch the record in the store.
+func (m *Model) Watchers() []string { return slices.Clone(m.watchers) }
+
+// Ready reports whether this VM has a record and is not stopping.
+func (m *Model) Ready() bool { return m.record.Revision > 0 && !m.stopping }
+
+// Record returns the record in force; its revision is 0 if there is none yet.
+func (m *Model) Record() preset.Record { return m.record }
+
+// Stale reports whether this VM has lost the store and all peers, so that its record may be old.
+func (m *Model) Stale(now clock.Millis) bool {
+	storeLost := m.store.failed || now > m.store.lastOK+storeLostMs
+	return storeLost && now > m.lastPeer+peersLostMs
+}
+
+// Announced reports whether enough members know of the planned stop.
+func (m *Model) Announced(now clock.Millis) bool {
+	if !m.stopping {
+		return false
+	}
+	return len(m.probes.announced) >= min(announceTo, len(m.eligible)) || now >= m.self.since+announceWithin
+}
+
+// Leaving reports whether the newest report says that an upstream leaves.
+func (m *Model) Leaving(id upstream.ID) bool { return m.reports.table[id].Leaving }
+
+// Reports returns the newest report of each upstream, ordered by upstream.
+func (m *Model) Reports() []Report { return m.sortedReports() }
+
+func (m *Model) sortedReports() []Report {
+	list := make([]Report, 0, len(m.reports.table))
+	for _, r := range m.reports.table {
+		list = append(list, r)
+	}
+	slices.SortFunc(list, func(a, b Report) int { return cmp.Compare(a.Upstream, b.Upstream) })
+	return list
+}
+
+// NextWake returns when the Model wants a TickMsg. It always does once it has started.
+func (m *Model) NextWake() (clock.Millis, bool) {
+	if !m.started {
+		return 0, true
+	}
+	wake := min(m.probes.next, m.sync.next, m.sync.contact, m.store.wakeGet(), m.nextTidy)
+	if c := m.probes.current; c.target != nil && !c.acked && !c.indirect {
+		wake = min(wake, c.at+probeTimeout)
+	}
+	if m.gossip.bursts > 0 {
+		wake = min(wake, m.gossip.next)
+	}
+	if m.pull.revision > 0 {
+		wake = min(wake, m.pull.at+pullTimeout)
+	}
+	if m.flushed != m.generation {
+		wake = min(wake, m.nextLive)
+	}
+	if m.store.watching {
+		wake = min(wake, m.store.wakeWatch())
+	}
+	return wake, true
+}
+
+func (s *storing) wakeGet() clock.Millis {
+	if s.get.tag != 0 {
+		return s.get.at + callTimeout
+	}
+	return s.get.next
+}
+
+func (s *storing) wakeWatch() clock.Millis {
+	if s.watch.tag != 0 {
+		return s.watch.at + watchTimeout
+	}
+	return s.watch.next
+}
