Add strict JSON settings with errors that name the field

A daemon needs its addresses, services and limits before it starts, and its operators read no runbooks, so a wrong file must say what to change. encoding/json stops at the first error and drops repeated fields. The file is therefore parsed into a tree that keeps repeats, bound to the document by its json tags, and checked for values that cannot work together. All problems are reported in one error, each with its path and the accepted values. A gap in a key space is refused as well as an overlap, because no answer could be complete.

--- /dev/null
+++ b/settings/bind.go
@@ -0,0 +1,151 @@
+package settings
+
+import (
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"strconv"
+	"strings"
+)
+
+// binder copies a parsed value into a document and collects problems.
+type binder struct {
+	problems []Problem
+	refused  map[string]bool
+}
+
+func (b *binder) refuse(path, format string, args ...any) {
+	if path == "" {
+		path = "(document)"
+	}
+	if b.refused[path] {
+		return
+	}
+	b.refused[path] = true
+	b.problems = append(b.problems, Problem{Path: path, Reason: fmt.Sprintf(format, args...)})
+}
+
+func (b *binder) bind(path string, v any, dst reflect.Value) {
+	switch dst.Kind() {
+	case reflect.Struct:
+		b.bindStruct(path, v, dst)
+	case reflect.Slice:
+		b.bindSlice(path, v, dst)
+	case reflect.String:
+		b.bindString(path, v, dst)
+	default:
+		b.bindNumber(path, v, dst)
+	}
+}
+
+func (b *binder) bindStruct(path string, v any, dst reflect.Value) {
+	obj, ok := v.(object)
+	if !ok {
+		b.refuse(path, "is %s, want an object", typeName(v))
+		return
+	}
+	seen := make(map[string]bool, len(obj))
+	for _, m := range obj {
+		at := join(path, m.name)
+		field, ok := fieldByName(dst, m.name)
+		switch {
+		case !ok:
+			b.refuse(at, "%s", unknownField(dst.Type(), m.name))
+		case seen[m.name]:
+			b.refuse(at, "is given more than once, want one value")
+		default:
+			b.bind(at, m.value, field)
+		}
+		seen[m.name] = true
+	}
+}
+
+func (b *binder) bindSlice(path string, v any, dst reflect.Value) {
+	list, ok := v.([]any)
+	if !ok {
+		b.refuse(path, "is %s, want an array", typeName(v))
+		return
+	}
+	out := reflect.MakeSlice(dst.Type(), len(list), len(list))
+	for i, item := range list {
+		b.bind(fmt.Sprintf("%s[%d]", path, i), item, out.Index(i))
+	}
+	dst.Set(out)
+}
+
+func (b *binder) bindString(path string, v any, dst reflect.Value) {
+	s, ok := v.(string)
+	if !ok {
+		b.refuse(path, "is %s, want a string", typeName(v))
+		return
+	}
+	dst.SetString(s)
+}
+
+func (b *binder) bindNumber(path string, v any, dst reflect.Value) {
+	num, ok := v.(json.Number)
+	if !ok {
+		b.refuse(path, "is %s, want a whole number", typeName(v))
+		return
+	}
+	if dst.CanUint() {
+		n, err := strconv.ParseUint(num.String(), 10, dst.Type().Bits())
+		if err != nil {
+			b.refuse(path, "is %s, want a whole number from 0 to %d", num, uint64(1)<<dst.Type().Bits()-1)
+			return
+		}
+		dst.SetUint(n)
+		return
+	}
+	n, err := strconv.ParseInt(num.String(), 10, dst.Type().Bits())
+	if err != nil {
+		b.refuse(path, "is %s, want a whole number", num)
+		return
+	}
+	dst.SetInt(n)
+}
+
+func fieldByName(dst reflect.Value, name string) (reflect.Value, bool) {
+	for i := range dst.NumField() {
+		if dst.Type().Field(i).Tag.Get("json") == name {
+			return dst.Field(i), true
+		}
+	}
+	return reflect.Value{}, false
+}
+
+// unknownField names the accepted fields, and the unit when only that is missing.
+func unknownField(t reflect.Type, name string) string {
+	names := make([]string, t.NumField())
+	for i := range names {
+		names[i] = t.Field(i).Tag.Get("json")
+		if names[i] == name+"_ms" || names[i] == name+"_bytes" {
+			return fmt.Sprintf("lacks its unit, want %s", names[i])
+		}
+	}
+	return "is not a known field, want one of " + strings.Join(names, ", ")
+}
+
+func typeName(v any) string {
+	switch v.(type) {
+	case nil:
+		return "null"
+	case bool:
+		return "a boolean"
+	case string:
+		return "a string"
+	case json.Number:
+		return "a number"
+	case object:
+		return "an object"
+	default:
+		return "an array"
+	}
+}
+
+func join(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
--- /dev/null
+++ b/settings/doc.go
@@ -0,0 +1,7 @@
+// Package settings reads the JSON settings of one daemon.
+//
+// Decoding is strict. Unknown fields, repeated fields, values of the wrong
+// type, duplicate addresses or names, and key ranges that overlap, leave gaps
+// or leave the key space are refused. All problems of a file are reported
+// together, each with the path of its field and the values that it accepts.
+package settings
--- /dev/null
+++ b/settings/example.go
@@ -0,0 +1,122 @@
+package settings
+
+import (
+	"fmt"
+	"strings"
+
+	"lentillink.example/lentillink/clock"
+)
+
+// Layout of an example's ports above its port base.
+const (
+	defaultPortBase = 21000
+	storePort       = 0
+	vmListPort      = 1
+	vmPorts         = 10 // three ports for each VM
+	upstreamPorts   = 100
+	exampleVMs      = 9
+	exampleSeeds    = 3
+)
+
+// groupKeys is the number of keys of each group in an example.
+const groupKeys = 1000
+
+// shape describes one service of an example.
+type shape struct {
+	service     string
+	groups      []string
+	replicas    int
+	keyed       bool
+	connections int
+	connectMs   clock.Millis
+}
+
+// deployments follow the sizes in section 1.6 of the design page.
+var deployments = map[string][]shape{
+	"hautakukka": {
+		{"search", append(numbered("planner", 10), numbered("app", 10)...), 2, true, 25, 6},
+		{"orders", numbered("desk", 30), 2, false, 25, 6},
+		{"archive", numbered("archive", 15), 1, true, 110, 1},
+		{"roster", numbered("roster", 7), 1, true, 110, 1},
+	},
+	"pondslip": {
+		{"search", numbered("slots", 20), 2, true, 25, 6},
+		{"orders", numbered("membership", 30), 2, false, 25, 6},
+		{"renewal", numbered("renewal", 8), 1, true, 35, 1},
+		{"results", numbered("results", 4), 1, true, 35, 1},
+	},
+}
+
+// Deployments returns the names that Example accepts.
+func Deployments() []string { return []string{"hautakukka", "pondslip"} }
+
+type example struct {
+	portBase int
+	vm       int
+	next     int // next free upstream port
+}
+
+// Example returns settings of a deployment at its full size, on loopback.
+func Example(deployment string, opts ...Option) (*Settings, error) {
+	shapes, ok := deployments[deployment]
+	if !ok {
+		err := fmt.Errorf("deployment %q is not one of %s", deployment, strings.Join(Deployments(), ", "))
+		return nil, &Error{op: "example", kind: KindUnknownDeployment, err: err}
+	}
+	e := &example{portBase: defaultPortBase, vm: 1}
+	for _, opt := range opts {
+		opt(e)
+	}
+	if e.vm < 1 || e.vm > exampleVMs {
+		return nil, &Error{op: "example", kind: KindInvalid, err: fmt.Errorf("VM is %d, want 1 to %d", e.vm, exampleVMs)}
+	}
+	return New(e.document(shapes))
+}
+
+func (e *example) document(shapes []shape) Document {
+	doc := defaults()
+	doc.VM = fmt.Sprintf("vm-%d", e.vm)
+	doc.DataCentre = fmt.Sprintf("dc-%d", (e.vm-1)%3+1)
+	doc.Addresses = Addresses{Callers: e.vmAddress(e.vm, 0), Peers: e.vmAddress(e.vm, 1), Admin: e.vmAddress(e.vm, 2)}
+	doc.Store = e.address(storePort)
+	doc.VMList = e.address(vmListPort)
+	for n := 1; n <= exampleSeeds; n++ {
+		doc.Seeds = append(doc.Seeds, e.vmAddress(n, 1))
+	}
+	e.next = upstreamPorts
+	for _, s := range shapes {
+		doc.Services = append(doc.Services, e.service(s))
+	}
+	return doc
+}
+
+func (e *example) service(s shape) Service {
+	svc := Service{Name: s.service}
+	for _, name := range s.groups {
+		g := Group{Name: name}
+		if s.keyed {
+			g.From, g.To = svc.Keys, svc.Keys+groupKeys
+			svc.Keys = g.To
+		}
+		for n := range s.replicas {
+			g.Replicas = append(g.Replicas, Replica{
+				Name: string(rune('a' + n)), Address: e.address(e.next), Connections: s.connections, ConnectMs: s.connectMs,
+			})
+			e.next++
+		}
+		svc.Groups = append(svc.Groups, g)
+	}
+	return svc
+}
+
+func (e *example) vmAddress(vm, n int) string { return e.address(vmPorts + 3*(vm-1) + n) }
+
+func (e *example) address(offset int) string { return fmt.Sprintf("127.0.0.1:%d", e.portBase+offset) }
+
+func numbered(name string, n int) []string {
+	out := make([]string, n)
+	for i := range out {
+		out[i] = fmt.Sprintf("%s-%02d", name, i+1)
+	}
+	return out
+}
