Add the HTTP client for upstreams

Attempts need a client that never claims more than it knows. httpcall makes one call over a fasthttp HostClient. Its connections record whether a byte of the current request was written and how many bytes were read, so a failure is 'not sent' or 'unknown' by observation. The reply is streamed, so that its connection is still held while it is checked and closes if it is cut, oversized, doubled or belongs to another attempt. A kept connection is looked at before reuse; one that is closed or holds bytes is replaced before anything is written, which is the only case in which a call takes a second connection.

--- /dev/null
+++ b/httpcall/host.go
@@ -0,0 +1,139 @@
+package httpcall
+
+import (
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Defaults of the options.
+const (
+	defaultConnections    = 8
+	defaultConnectTimeout = 500 * time.Millisecond
+	defaultIdleTimeout    = time.Minute
+	defaultReplyBytes     = 8 << 20
+)
+
+// staleAttempts bounds how many kept connections one call may find stale.
+const staleAttempts = 64
+
+var errClosed = errors.New("client is closed")
+
+// Host holds the connections to one host. It is safe for concurrent use.
+type Host struct {
+	address        string
+	connections    int
+	connectTimeout time.Duration
+	idleTimeout    time.Duration
+	waitTimeout    time.Duration
+	replyBytes     int
+
+	client *fasthttp.HostClient
+	opened atomic.Int64
+	stale  atomic.Int64
+
+	mu     sync.Mutex
+	open   map[*conn]struct{}
+	closed bool
+}
+
+// New returns a Host for a host:port address. It opens no connection.
+func New(address string, opts ...Option) *Host {
+	h := &Host{
+		address:        address,
+		connections:    defaultConnections,
+		connectTimeout: defaultConnectTimeout,
+		idleTimeout:    defaultIdleTimeout,
+		replyBytes:     defaultReplyBytes,
+		open:           make(map[*conn]struct{}),
+	}
+	for _, opt := range opts {
+		opt(h)
+	}
+	h.client = &fasthttp.HostClient{
+		Addr:                      address,
+		Name:                      "lentillink",
+		DialTimeout:               h.dial,
+		MaxConns:                  h.connections,
+		MaxIdleConnDuration:       h.idleTimeout,
+		MaxConnWaitTimeout:        h.waitTimeout,
+		MaxIdemponentCallAttempts: staleAttempts,
+		RetryIfErr:                retryStale,
+		StreamResponseBody:        true, // keeps the connection until its reply is checked
+		DisablePathNormalizing:    true,
+		// The most recently used connection is the least likely to be closed by the host.
+		ConnPoolStrategy: fasthttp.LIFO,
+	}
+	return h
+}
+
+// retryStale lets fasthttp take another connection only if nothing was written.
+func retryStale(_ *fasthttp.Request, _ int, err error) (resetTimeout, retry bool) {
+	return false, errors.Is(err, errStale)
+}
+
+// dialError marks a failure to open a connection.
+type dialError struct{ error }
+
+func (e dialError) Unwrap() error { return e.error }
+
+func (h *Host) dial(address string, timeout time.Duration) (net.Conn, error) {
+	if timeout <= 0 || timeout > h.connectTimeout {
+		timeout = h.connectTimeout
+	}
+	nc, err := net.DialTimeout("tcp", address, timeout)
+	if err != nil {
+		return nil, dialError{err}
+	}
+	c := &conn{Conn: nc, host: h, kept: true}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.closed {
+		_ = nc.Close()
+		return nil, dialError{errClosed}
+	}
+	h.open[c] = struct{}{}
+	h.opened.Add(1)
+	return c, nil
+}
+
+func (h *Host) forget(c *conn) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.open, c)
+}
+
+// SetConnections changes the bound of open connections. Idle connections are
+// closed when the bound shrinks; busy ones finish their exchange. With 0 no
+// call is sent.
+func (h *Host) SetConnections(n int) {
+	h.mu.Lock()
+	shrinks := n < h.connections
+	h.connections = n
+	h.mu.Unlock()
+	if n > 0 {
+		h.client.SetMaxConns(n)
+	}
+	if shrinks {
+		h.client.CloseIdleConnections()
+	}
+}
+
+// Close closes all connections; running calls fail and later ones are refused.
+func (h *Host) Close() {
+	h.mu.Lock()
+	h.closed = true
+	conns := make([]*conn, 0, len(h.open))
+	for c := range h.open {
+		conns = append(conns, c)
+	}
+	h.mu.Unlock()
+	for _, c := range conns {
+		_ = c.Close()
+	}
+	h.client.CloseIdleConnections()
+}
--- /dev/null
+++ b/httpcall/quiet_other.go
@@ -0,0 +1,8 @@
+//go:build !unix
+
+package httpcall
+
+import "net"
+
+// quiet cannot look at a socket here; a late reply is found by its identifier.
+func quiet(net.Conn) bool { return true }
--- /dev/null
+++ b/httpcall/quiet_unix.go
@@ -0,0 +1,28 @@
+//go:build unix
+
+package httpcall
+
+import (
+	"net"
+	"syscall"
+)
+
+// quiet reports whether a connection is open and has nothing to read. It
+// looks at the socket without waiting and without taking bytes.
+func quiet(c net.Conn) bool {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	idle := false
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		idle = err == syscall.EAGAIN || err == syscall.EWOULDBLOCK
+	})
+	return err == nil && idle
+}
--- /dev/null
+++ b/upstream/httpup/options.go
@@ -0,0 +1,35 @@
+package httpup
+
+import (
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/upstream"
+)
+
+// Option configures a Client.
+type Option func(*Client)
+
+// WithServices adds the upstreams of services.
+func WithServices(services ...upstream.Service) Option {
+	return func(c *Client) {
+		for _, s := range services {
+			for _, g := range s.Groups {
+				c.upstreams = append(c.upstreams, g.Replicas...)
+			}
+		}
+	}
+}
+
+// WithClock sets the clock that request deadlines refer to.
+func WithClock(clk clock.Clock) Option { return func(c *Client) { c.clock = clk } }
+
+// WithConnectTimeout bounds the opening of a connection.
+func WithConnectTimeout(ms clock.Millis) Option { return func(c *Client) { c.connectMs = ms } }
+
+// WithIdleTimeout closes connections that were not used for ms.
+func WithIdleTimeout(ms clock.Millis) Option { return func(c *Client) { c.idleMs = ms } }
+
+// WithControlTimeout bounds a call of Cancel or Load.
+func WithControlTimeout(ms clock.Millis) Option { return func(c *Client) { c.controlMs = ms } }
+
+// WithReplyBytes bounds the body of a reply.
+func WithReplyBytes(n int) Option { return func(c *Client) { c.replyBytes = n } }
--- /dev/null
+++ b/upstream/httpup/wire.go
@@ -0,0 +1,126 @@
+package httpup
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"lentillink.example/lentillink/attempt"
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/coverage"
+	"lentillink.example/lentillink/rank"
+)
+
+// RequestDoc is the body of POST /query and POST /order.
+type RequestDoc struct {
+	Attempt    attempt.ID   `json:"attempt"`
+	Service    string       `json:"service"`
+	Group      string       `json:"group"`
+	Version    uint64       `json:"version"`
+	DeadlineMs clock.Millis `json:"deadline_ms"`
+	Rank       rank.Rank    `json:"rank"`
+	Priority   uint32       `json:"priority"`
+	OrderID    string       `json:"order_id,omitempty"`
+	Body       []byte       `json:"body,omitempty"`
+}
+
+// ReplyDoc is the reply to POST /query and POST /order.
+type ReplyDoc struct {
+	Attempt      attempt.ID       `json:"attempt"`
+	Status       string           `json:"status"`
+	Ran          attempt.Ran      `json:"ran"`
+	Version      uint64           `json:"version"`
+	Epoch        uint64           `json:"epoch"`
+	Ranges       []coverage.Range `json:"ranges,omitempty"`
+	Held         []uint64         `json:"held,omitempty"`
+	Rows         []coverage.Row   `json:"rows,omitempty"`
+	Body         []byte           `json:"body,omitempty"`
+	Leaving      bool             `json:"leaving"`
+	RetryAfterMs clock.Millis     `json:"retry_after_ms,omitempty"`
+}
+
+// CancelDoc is the body of POST /cancel.
+type CancelDoc struct {
+	Attempt attempt.ID `json:"attempt"`
+}
+
+// CancelledDoc is the reply to POST /cancel.
+type CancelledDoc struct {
+	Attempt attempt.ID `json:"attempt"`
+	Found   bool       `json:"found"`
+}
+
+// The statuses of ReplyDoc.
+const (
+	StatusOK          = "ok"
+	StatusVersionGone = "version_gone"
+	StatusShed        = "shed"
+	StatusLeaving     = "leaving"
+	StatusExpired     = "expired"
+	StatusCancelled   = "cancelled"
+	StatusFailed      = "failed"
+)
+
+// outcome is what a wire status means. A settled outcome fixes whether the work ran.
+type outcome struct {
+	status  attempt.Status
+	ran     attempt.Ran
+	settled bool
+}
+
+var outcomes = map[string]outcome{
+	StatusOK:          {attempt.OK, attempt.Yes, true},
+	StatusVersionGone: {attempt.VersionGone, attempt.No, true},
+	StatusShed:        {attempt.Shed, attempt.No, true},
+	StatusLeaving:     {attempt.Leaving, attempt.No, true},
+	StatusExpired:     {status: attempt.TimedOut},
+	StatusCancelled:   {status: attempt.Cancelled},
+	StatusFailed:      {status: attempt.Failed},
+}
+
+var (
+	errOtherAttempt = errors.New("reply to another attempt")
+	errContradicts  = errors.New("status and ran contradict")
+	errBadRange     = errors.New("range is empty or reversed")
+)
+
+// DecodeReply decodes the reply to an attempt. It refuses a reply that belongs
+// to another attempt, is not whole, or contradicts itself.
+func DecodeReply(id attempt.ID, body []byte) (attempt.Reply, error) {
+	var doc ReplyDoc
+	if err := json.Unmarshal(body, &doc); err != nil {
+		return attempt.Reply{}, err
+	}
+	if doc.Attempt != id {
+		return attempt.Reply{}, fmt.Errorf("%w: got %s, want %s", errOtherAttempt, doc.Attempt, id)
+	}
+	o, ok := outcomes[doc.Status]
+	if !ok {
+		return attempt.Reply{}, fmt.Errorf("status %q is unknown", doc.Status)
+	}
+	if o.settled && doc.Ran != o.ran {
+		return attempt.Reply{}, fmt.Errorf("%w: %s and %s", errContradicts, doc.Status, doc.Ran)
+	}
+	for _, r := range doc.Ranges {
+		if r.Len() == 0 {
+			return attempt.Reply{}, fmt.Errorf("%w: [%d, %d)", errBadRange, r.From, r.To)
+		}
+	}
+	return doc.reply(o.status), nil
+}
+
+func (d *ReplyDoc) reply(status attempt.Status) attempt.Reply {
+	return attempt.Reply{
+		ID:         d.Attempt,
+		Status:     status,
+		Ran:        d.Ran,
+		Version:    d.Version,
+		Epoch:      d.Epoch,
+		Ranges:     d.Ranges,
+		Held:       d.Held,
+		Rows:       d.Rows,
+		Body:       d.Body,
+		Leaving:    d.Leaving,
+		RetryAfter: max(d.RetryAfterMs, 0),
+	}
+}
