--- /dev/null
+++ b/roster/doc.go
@@ -0,0 +1,2 @@
+// Package roster defines the interface to the platform's list of VMs. The list lags.
+package roster
--- /dev/null
+++ b/roster/roster.go
@@ -0,0 +1,16 @@
+package roster
+
+import "context"
+
+// VM is one entry of the list.
+type VM struct {
+	ID         string `json:"id"`
+	Address    string `json:"address"` // host:port for peers
+	DataCentre string `json:"data_centre"`
+	Leaving    bool   `json:"leaving"`
+}
+
+// List is the platform's list of live and leaving VMs. Errors are of type *Error.
+type List interface {
+	VMs(ctx context.Context) ([]VM, error)
+}
--- /dev/null
+++ b/store/httpstore/do.go
@@ -0,0 +1,73 @@
+package httpstore
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/gravitational/trace"
+	"github.com/valyala/fasthttp"
+
+	"lentillink.example/lentillink/httpcall"
+	"lentillink.example/lentillink/store"
+)
+
+// operation names a call and tells whether it may have an effect.
+type operation struct {
+	name   string
+	writes bool
+}
+
+func read(name string) operation  { return operation{name: name} }
+func write(name string) operation { return operation{name: name, writes: true} }
+
+// statusError is an answer with an HTTP status other than 200.
+type statusError int
+
+func (e statusError) Error() string { return fmt.Sprintf("status %d", int(e)) }
+
+func do(ctx context.Context, host *httpcall.Host, op operation, call httpcall.Call, decode func([]byte) error) error {
+	var status int
+	_, err := host.Do(ctx, call, func(r httpcall.Reply) error {
+		if r.Status == fasthttp.StatusOK {
+			return decode(r.Body)
+		}
+		status = r.Status
+		return nil // the answer is whole, so the connection is kept
+	})
+	if err == nil && status == 0 {
+		return nil
+	}
+	if err == nil {
+		err = statusError(status)
+	}
+	return store.NewError(op.name, op.kind(err), trace.Wrap(err, "store at %s", host.Address()))
+}
+
+func (op operation) kind(err error) store.Kind {
+	if !op.writes {
+		return store.KindUnavailable
+	}
+	var status statusError
+	if errors.As(err, &status) {
+		return kindOfStatus(int(status))
+	}
+	var cerr *httpcall.Error
+	if errors.As(err, &cerr) && !cerr.Kind().Sent() {
+		return store.KindUnavailable
+	}
+	return store.KindUnknown
+}
+
+func kindOfStatus(status int) store.Kind {
+	switch status {
+	case fasthttp.StatusConflict:
+		return store.KindConflict
+	case fasthttp.StatusRequestEntityTooLarge:
+		return store.KindTooLarge
+	case fasthttp.StatusBadRequest, fasthttp.StatusTooManyRequests, fasthttp.StatusServiceUnavailable:
+		return store.KindUnavailable
+	default:
+		return store.KindUnknown
+	}
+}
--- /dev/null
+++ b/store/httpstore/httpstore_test.go
@@ -0,0 +1,156 @@
+package httpstore_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"lentillink.example/lentillink/store"
+	"lentillink.example/lentillink/store/httpstore"
+)
+
+func answer(status int, body string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.WriteHeader(status)
+		_, _ = io.WriteString(w, body)
+	}
+}
+
+func breakOff(text string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		c, _, err := w.(http.Hijacker).Hijack()
+		if err == nil {
+			_, _ = io.WriteString(c, text)
+			_ = c.Close()
+		}
+	}
+}
+
+func hang(_ http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	<-r.Context().Done()
+}
+
+// TestKinds guards against a write that may have taken effect and is reported
+// as unavailable or conflict, and against a proof that gets lost.
+func TestKinds(t *testing.T) {
+	closed := httptest.NewServer(http.NotFoundHandler())
+	closed.Close()
+	tests := []struct {
+		name        string
+		handler     http.HandlerFunc // nil for a refused connection
+		write, read store.Kind
+	}{
+		{"ok", answer(200, `{"key":"k","revision":3,"id":1}`), store.KindOK, store.KindOK},
+		{"conflict", answer(409, `{}`), store.KindConflict, store.KindUnavailable},
+		{"too large", answer(413, `{}`), store.KindTooLarge, store.KindUnavailable},
+		{"rate limit", answer(429, `{}`), store.KindUnavailable, store.KindUnavailable},
+		{"down", answer(503, `{}`), store.KindUnavailable, store.KindUnavailable},
+		{"server error", answer(500, `{}`), store.KindUnknown, store.KindUnavailable},
+		{"refused", nil, store.KindUnavailable, store.KindUnavailable},
+		{"timeout", hang, store.KindUnknown, store.KindUnavailable},
+		{"broken", breakOff(""), store.KindUnknown, store.KindUnavailable},
+		{"cut", breakOff("HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n{"), store.KindUnknown, store.KindUnavailable},
+		{"not JSON", answer(200, `{`), store.KindUnknown, store.KindUnavailable},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			address := strings.TrimPrefix(closed.URL, "http://")
+			if tt.handler != nil {
+				srv := httptest.NewServer(tt.handler)
+				t.Cleanup(srv.Close)
+				address = strings.TrimPrefix(srv.URL, "http://")
+			}
+			c := httpstore.New(address, httpstore.WithTimeout(200), httpstore.WithWatchWait(10))
+			t.Cleanup(c.Close)
+			ctx := t.Context()
+			calls := []struct {
+				name string
+				err  error
+				want store.Kind
+			}{
+				{"get", second(c.Get(ctx, "k")), tt.read},
+				{"watch", second(c.Watch(ctx, "k", 2)), tt.read},
+				{"swap", second(c.Swap(ctx, "k", []byte("v"), 2)), tt.write},
+				{"delete", c.Delete(ctx, "k", 2), tt.write},
+				{"grant", second(c.Grant(ctx, 1000)), tt.write},
+				{"keep_alive", c.KeepAlive(ctx, 1), tt.write},
+				{"revoke", c.Revoke(ctx, 1), tt.write},
+			}
+			for _, call := range calls {
+				if got := kind(t, call.name, call.err); got != call.want {
+					t.Errorf("%s = %v, want kind %v", call.name, call.err, call.want)
+				}
+			}
+		})
+	}
+}
+
+func second[T any](_ T, err error) error { return err }
+
+func kind(t *testing.T, op string, err error) store.Kind {
+	t.Helper()
+	if err == nil {
+		return store.KindOK
+	}
+	var serr *store.Error
+	if !errors.As(err, &serr) || serr.Op() != op {
+		t.Fatalf("%s returned %v, want a *store.Error with that operation", op, err)
+	}
+	return serr.Kind()
+}
+
+// TestOtherKey guards against an entry that belongs to another call.
+func TestOtherKey(t *testing.T) {
+	srv := httptest.NewServer(answer(200, `{"key":"other","revision":3}`))
+	defer srv.Close()
+	c := httpstore.New(strings.TrimPrefix(srv.URL, "http://"))
+	defer c.Close()
+	if e, err := c.Get(t.Context(), "k"); kind(t, "get", err) != store.KindUnavailable {
+		t.Errorf("Get = %v, %v, want kind unavailable", e, err)
+	}
+	if e, err := c.Swap(t.Context(), "k", nil, 0); kind(t, "swap", err) != store.KindUnknown {
+		t.Errorf("Swap = %v, %v, want kind unknown", e, err)
+	}
+}
+
+// TestWatchEnds guards against a watch that outlives its context or its client.
+func TestWatchEnds(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0") // accepts and never answers
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ln.Close() }()
+	for _, name := range []string{"context", "client"} {
+		t.Run(name, func(t *testing.T) {
+			c := httpstore.New(ln.Addr().String(), httpstore.WithWatchWait(600_000))
+			ctx, cancel := context.WithCancel(t.Context())
+			ended := make(chan error, 1)
+			go func() { ended <- second(c.Watch(ctx, "k", 0)) }()
+			conn, err := ln.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = conn.Close() }()
+			if name == "context" {
+				cancel()
+			}
+			if name == "client" {
+				c.Close()
+			}
+			if err := <-ended; kind(t, "watch", err) != store.KindUnavailable {
+				t.Errorf("Watch = %v, want kind unavailable", err)
+			}
+			cancel()
+			c.Close()
+		})
+	}
+}
