--- a/admission/accessors.go
+++ b/admission/accessors.go
@@ -37,6 +37,15 @@
 	return 0
 }
 
+// Waiting returns the number of waiting queries of all ranks.
+func (g *Gate) Waiting(service string) int {
+	n := 0
+	for _, r := range rank.All() {
+		n += g.Queued(service, r)
+	}
+	return n
+}
+
 // Refused returns how many queries of a rank were refused for a reason.
 func (g *Gate) Refused(service string, r rank.Rank, reason Reason) int {
 	if s := g.services[service]; s != nil {
--- /dev/null
+++ b/caller/client.go
@@ -0,0 +1,140 @@
+package caller
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/url"
+
+	"github.com/valyala/fasthttp"
+
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/entry"
+	"lentillink.example/lentillink/preset"
+	"lentillink.example/lentillink/vm"
+)
+
+const (
+	defaultTimeout     = 30 * clock.Second
+	defaultConnections = 512
+)
+
+// Client calls one entry VM, or the balancer in front of several. It is safe
+// for concurrent use.
+type Client struct {
+	address string
+	timeout clock.Millis
+	http    *fasthttp.Client
+}
+
+// Option configures a Client.
+type Option func(*Client)
+
+// WithTimeout bounds each call.
+func WithTimeout(d clock.Millis) Option { return func(c *Client) { c.timeout = d } }
+
+// New returns a client of the VM at address, as host:port.
+func New(address string, opts ...Option) *Client {
+	c := &Client{address: address, timeout: defaultTimeout}
+	for _, opt := range opts {
+		opt(c)
+	}
+	c.http = &fasthttp.Client{
+		MaxConnsPerHost: defaultConnections, ReadTimeout: c.timeout.Duration(), WriteTimeout: c.timeout.Duration(),
+		// A repeated order would be harmless, but the caller decides about repeats.
+		MaxIdemponentCallAttempts: 1, RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+	}
+	return c
+}
+
+// Query asks a question. The answer says whether it is complete.
+func (c *Client) Query(q entry.QueryRequest) (entry.QueryDocument, error) {
+	return call[entry.QueryDocument](c, "query", fasthttp.MethodPost, "/v1/query", q)
+}
+
+// Order submits non-idempotent work. Repeating it with the same id is safe.
+func (c *Client) Order(o entry.OrderRequest) (entry.OrderDocument, error) {
+	return call[entry.OrderDocument](c, "order", fasthttp.MethodPost, "/v1/order", o)
+}
+
+// Status returns the status of the VM.
+func (c *Client) Status() (vm.Status, error) {
+	return call[vm.Status](c, "status", fasthttp.MethodGet, "/v1/status", nil)
+}
+
+// FleetStatus returns the status of all VMs, asked through this one.
+func (c *Client) FleetStatus() (entry.FleetStatus, error) {
+	return call[entry.FleetStatus](c, "status", fasthttp.MethodGet, "/v1/status?fleet=1", nil)
+}
+
+// Events returns the merged events of all VMs. args are those of GET /v1/events.
+func (c *Client) Events(args url.Values) (entry.EventsDocument, error) {
+	args.Set("fleet", "1")
+	return call[entry.EventsDocument](c, "events", fasthttp.MethodGet, "/v1/events?"+args.Encode(), nil)
+}
+
+// Presets returns the record in force on the VM.
+func (c *Client) Presets() (preset.Record, error) {
+	return call[preset.Record](c, "presets", fasthttp.MethodGet, "/v1/presets", nil)
+}
+
+// Change applies an operator's change. The document says whether it was accepted.
+func (c *Client) Change(change preset.Change) (entry.ChangeDocument, error) {
+	return call[entry.ChangeDocument](c, "change", fasthttp.MethodPost, "/v1/presets", change)
+}
+
+// Ready reports whether the VM is ready for the balancer.
+func (c *Client) Ready() bool {
+	status, _, err := c.do(fasthttp.MethodGet, "/readyz", nil)
+	return err == nil && status == fasthttp.StatusOK
+}
+
+// call sends in as JSON and decodes the answer. An answer that names no
+// outcome but an error becomes an Error.
+func call[T any](c *Client, op, method, path string, in any) (T, error) {
+	var out T
+	var body []byte
+	if in != nil {
+		var err error
+		if body, err = json.Marshal(in); err != nil {
+			return out, wrap(op, KindInvalid, err)
+		}
+	}
+	status, data, err := c.do(method, path, body)
+	if err != nil {
+		return out, wrap(op, KindUnavailable, err)
+	}
+	var failed struct {
+		Error   string `json:"error"`
+		Outcome string `json:"outcome"`
+		Truth   string `json:"accepted"`
+	}
+	if err := json.Unmarshal(data, &failed); err != nil {
+		return out, wrap(op, KindDecode, err)
+	}
+	if failed.Error != "" && failed.Outcome == "" && failed.Truth == "" {
+		kind := KindUnavailable
+		if status < fasthttp.StatusInternalServerError {
+			kind = KindInvalid
+		}
+		return out, wrap(op, kind, fmt.Errorf("%s (HTTP %d)", failed.Error, status))
+	}
+	if err := json.Unmarshal(data, &out); err != nil {
+		return out, wrap(op, KindDecode, err)
+	}
+	return out, nil
+}
+
+func (c *Client) do(method, path string, body []byte) (int, []byte, error) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(method)
+	req.SetRequestURI("http://" + c.address + path)
+	req.SetBody(body)
+	// Do returns only when the exchange is over, so the buffers may be
+	// released; DoTimeout would return while they are in use.
+	if err := c.http.Do(req, resp); err != nil {
+		return 0, nil, err
+	}
+	return resp.StatusCode(), append([]byte(nil), resp.Body()...), nil
+}
--- /dev/null
+++ b/cmd/lentillink/main.go
@@ -0,0 +1,73 @@
+// Command lentillink is the operators' command line. It also holds the demo,
+// the stand-ins and the experiments.
+//
+// Exit codes: 0 success, 1 the command failed or a check did not hold, 2 the
+// arguments cannot be accepted, 3 a change was refused or its outcome is not
+// known, 4 an answer is partial or refused.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+)
+
+// Exit codes.
+const (
+	exitOK      = 0
+	exitFailed  = 1
+	exitUsage   = 2
+	exitChange  = 3
+	exitPartial = 4
+)
+
+// exitError ends the program with a code. Its message may be empty when the
+// command has already printed what there is to say.
+type exitError struct {
+	code int
+	err  error
+}
+
+// Error returns the message.
+func (e *exitError) Error() string {
+	if e.err == nil {
+		return ""
+	}
+	return e.err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *exitError) Unwrap() error { return e.err }
+
+func main() { os.Exit(run(os.Args[1:])) }
+
+func run(args []string) int {
+	parser := newParser()
+	_, err := parser.ParseArgs(args)
+	var usage *flags.Error
+	var exit *exitError
+	switch {
+	case err == nil:
+		return exitOK
+	case errors.As(err, &usage):
+		return reportUsage(usage)
+	case errors.As(err, &exit):
+		if text := exit.Error(); text != "" {
+			fmt.Fprintln(os.Stderr, "lentillink:", text)
+		}
+		return exit.code
+	}
+	fmt.Fprintln(os.Stderr, "lentillink:", err)
+	return exitFailed
+}
+
+func reportUsage(err *flags.Error) int {
+	if err.Type == flags.ErrHelp {
+		fmt.Println(err.Message)
+		return exitOK
+	}
+	fmt.Fprintln(os.Stderr, "lentillink:", err.Message)
+	return exitUsage
+}
--- /dev/null
+++ b/demo/demo.go
@@ -0,0 +1,210 @@
+package demo
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/url"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/entry"
+	"lentillink.example/lentillink/preset"
+	"lentillink.example/lentillink/rank"
+	"lentillink.example/lentillink/upstream"
+)
+
+// Options of a demo.
+type Options struct {
+	Deployment string
+	VMs        int
+	Duration   time.Duration
+	Out        io.Writer
+	Logger     log.Logger
+}
+
+// ErrViolated means that something that must always hold did not hold.
+var ErrViolated = errors.New("an invariant was violated")
+
+// stragglerFactor is how much slower one upstream becomes in the second third.
+const stragglerFactor = 10
+
+// switchLimit is how long a change of preset may take on all VMs.
+const switchLimit = 4 * clock.Second
+
+// run is one demo in progress.
+type run struct {
+	opts    Options
+	fleet   *Fleet
+	checker *checker
+	load    *load
+}
+
+// Run plays the demo and prints its tables. It returns ErrViolated if an
+// invariant broke.
+func Run(ctx context.Context, opts Options) error {
+	printf(opts.Out, "starting %s with %d entry VMs\n", opts.Deployment, opts.VMs)
+	f, err := StartFleet(ctx, opts.Deployment, opts.VMs, opts.Logger)
+	if err != nil {
+		return err
+	}
+	r := &run{opts: opts, fleet: f, checker: newChecker()}
+	r.load = &load{fleet: f, checker: r.checker}
+	r.play(ctx)
+	if err := r.report(); err != nil {
+		return errors.Join(err, f.Close())
+	}
+	if err := f.Close(); err != nil {
+		return err
+	}
+	return r.verdict()
+}
+
+// play sends load and, while it runs, slows one upstream and switches the preset.
+func (r *run) play(ctx context.Context) {
+	streams := r.streams()
+	loadCtx, stop := context.WithTimeout(ctx, r.opts.Duration)
+	defer stop()
+	end := make(chan struct{})
+	go func() {
+		defer close(end)
+		r.load.run(loadCtx, streams)
+	}()
+	pause(loadCtx, r.opts.Duration/3)
+	r.slowOne(streams[0].service)
+	pause(loadCtx, r.opts.Duration/6)
+	r.switchPreset()
+	<-end
+}
+
+// streams sends all three ranks to the service with the most keys, and orders
+// to the service that has none.
+func (r *run) streams() []stream {
+	var search, desk string
+	var keys uint32
+	var groups []string
+	for _, s := range r.fleet.Standins.Settings().Document().Services {
+		if s.Keys > keys {
+			search, keys = s.Name, s.Keys
+		}
+		if s.Keys == 0 && groups == nil {
+			desk = s.Name
+			for _, g := range s.Groups {
+				groups = append(groups, g.Name)
+			}
+		}
+	}
+	return []stream{
+		{rank: rank.Urgent, service: search, interval: 25 * time.Millisecond},
+		{rank: rank.Ordinary, service: search, interval: 20 * time.Millisecond},
+		{rank: rank.Patient, service: search, interval: 40 * time.Millisecond},
+		{rank: rank.Ordinary, service: desk, groups: groups, interval: 25 * time.Millisecond},
+	}
+}
+
+func (r *run) slowOne(service string) {
+	for _, id := range r.fleet.Standins.Upstreams() {
+		if serviceOf(id) == service {
+			_, err := r.fleet.Standins.Inject(string(id), "slow_factor", float64(stragglerFactor))
+			if err != nil {
+				r.checker.failed("inject straggler", err)
+			}
+			printf(r.opts.Out, "upstream %s now takes %d times as long\n", id, stragglerFactor)
+			return
+		}
+	}
+}
+
+func (r *run) switchPreset() {
+	change := preset.Change{
+		ID: "demo-switch", Author: "demo", Reason: "peak begins", SwitchTo: "peak",
+	}
+	start := time.Now()
+	doc, err := r.fleet.Caller(0).Change(change)
+	if err != nil || doc.Accepted != preset.Accepted {
+		r.checker.violate("the switch of preset was not accepted: %v %s", err, doc.Error)
+		return
+	}
+	status, err := AwaitRevision(r.fleet, doc.Revision, switchLimit)
+	if err != nil {
+		r.checker.violate("revision %d: %v", doc.Revision, err)
+		return
+	}
+	printf(r.opts.Out, "preset %s, revision %d, in force on %d of %d VMs after %.0f ms\n",
+		doc.InForce, doc.Revision, len(status.VMs), r.fleet.Size(), milliseconds(time.Since(start)))
+}
+
+// AwaitRevision waits until every VM has at least the revision in force.
+func AwaitRevision(f *Fleet, revision uint64, limit clock.Millis) (entry.FleetStatus, error) {
+	deadline := time.Now().Add(limit.Duration())
+	for {
+		status, err := f.Caller(0).FleetStatus()
+		if err == nil && inForce(status, revision) == f.Size() {
+			return status, nil
+		}
+		if time.Now().After(deadline) {
+			return status, fmt.Errorf("in force on %d of %d VMs after %d ms", inForce(status, revision), f.Size(), limit)
+		}
+		time.Sleep(pollInterval)
+	}
+}
+
+func inForce(s entry.FleetStatus, revision uint64) int {
+	n := 0
+	for _, v := range s.VMs {
+		if v.Revision >= revision {
+			n++
+		}
+	}
+	return n
+}
+
+func (r *run) report() error {
+	status, err := r.fleet.Caller(0).FleetStatus()
+	if err != nil {
+		return err
+	}
+	events, err := r.fleet.Caller(0).Events(url.Values{})
+	if err != nil {
+		return err
+	}
+	r.checker.ledger(runsOf(r.fleet.Standins))
+	writeTable(r.opts.Out, r.load.samples, status)
+	writeEvents(r.opts.Out, events.Events)
+	return nil
+}
+
+func (r *run) verdict() error {
+	for _, e := range r.checker.errors {
+		printf(r.opts.Out, "error: %s\n", e)
+	}
+	for _, v := range r.checker.violations {
+		printf(r.opts.Out, "VIOLATION: %s\n", v)
+	}
+	if len(r.checker.violations) > 0 || len(r.checker.errors) > 0 {
+		return ErrViolated
+	}
+	printf(r.opts.Out, "every invariant held over %d requests\n", len(r.load.samples))
+	return nil
+}
+
+func serviceOf(id upstream.ID) string {
+	for i := range id {
+		if id[i] == '/' {
+			return string(id[:i])
+		}
+	}
+	return string(id)
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+func printf(w io.Writer, format string, args ...any) { _, _ = fmt.Fprintf(w, format, args...) }
--- /dev/null
+++ b/demo/doc.go
@@ -0,0 +1,3 @@
+// Package demo runs a whole deployment in one process: the stand-ins, several
+// entry VMs and callers, and checks what must always hold.
+package demo
--- /dev/null
+++ b/demo/fleet.go
@@ -0,0 +1,152 @@
+package demo
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"lentillink.example/lentillink/caller"
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/entry"
+	"lentillink.example/lentillink/roster"
+	"lentillink.example/lentillink/roster/httproster"
+	"lentillink.example/lentillink/settings"
+	"lentillink.example/lentillink/standin"
+	"lentillink.example/lentillink/store/httpstore"
+	"lentillink.example/lentillink/upstream/httpup"
+)
+
+const (
+	dataCentres = 3
+	readyLimit  = 15 * clock.Second
+	pollInterval      = 20 * time.Millisecond
+)
+
+// Fleet is a running deployment: its stand-ins and its entry VMs.
+type Fleet struct {
+	Standins *standin.Deployment
+	vms      []*member
+	logger   log.Logger
+}
+
+// member is one running VM. End receives the result of its Run.
+type member struct {
+	id     string
+	caller *caller.Client
+	stop   context.CancelFunc
+	end    chan error
+	closer func()
+}
+
+// StartFleet starts the stand-ins of a deployment and n entry VMs, and waits
+// until every VM is ready.
+func StartFleet(ctx context.Context, deployment string, n int, logger log.Logger, opts ...standin.DeploymentOption) (*Fleet, error) {
+	cfg, err := settings.Example(deployment)
+	if err != nil {
+		return nil, err
+	}
+	standins, err := standin.StartDeployment(ctx, cfg, append([]standin.DeploymentOption{standin.WithFreePorts()}, opts...)...)
+	if err != nil {
+		return nil, err
+	}
+	f := &Fleet{Standins: standins, logger: logger}
+	for i := range n {
+		if err := f.Start(ctx, fmt.Sprintf("vm-%d", i+1)); err != nil {
+			return nil, errors.Join(err, f.Close())
+		}
+	}
+	if err := f.awaitReady(ctx); err != nil {
+		return nil, errors.Join(err, f.Close())
+	}
+	return f, nil
+}
+
+// Start adds one entry VM and registers it on the VM list.
+func (f *Fleet) Start(ctx context.Context, id string) error {
+	peers, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	callers, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	cfg, err := f.settingsFor(id, peers.Addr().String(), callers.Addr().String())
+	if err != nil {
+		return err
+	}
+	doc := cfg.Document()
+	st, list := httpstore.New(doc.Store), httproster.New(doc.VMList)
+	ups := httpup.New(httpup.WithServices(cfg.Services()...))
+	v, err := entry.New(cfg, entry.WithStore(st), entry.WithRoster(list), entry.WithUpstreams(ups),
+		entry.WithLogger(f.logger), entry.WithListeners(peers, callers), entry.WithBalancerWait(200))
+	if err != nil {
+		return err
+	}
+	run, stop := context.WithCancel(ctx)
+	m := &member{
+		id: id, caller: caller.New(callers.Addr().String()), stop: stop, end: make(chan error, 1),
+		closer: func() { ups.Close(); list.Close(); st.Close() },
+	}
+	go func() { m.end <- v.Run(run) }()
+	f.vms = append(f.vms, m)
+	return f.Standins.VMList().Register(roster.VM{ID: id, Address: peers.Addr().String(), DataCentre: doc.DataCentre})
+}
+
+// settingsFor adapts the settings of the stand-ins to one VM.
+func (f *Fleet) settingsFor(id, peers, callers string) (*settings.Settings, error) {
+	doc := f.Standins.Settings().Document()
+	doc.VM = id
+	doc.DataCentre = fmt.Sprintf("dc-%d", len(f.vms)%dataCentres+1)
+	doc.Seeds = nil
+	doc.Addresses = settings.Addresses{Callers: callers, Admin: callers, Peers: peers}
+	return settings.New(doc)
+}
+
+func (f *Fleet) awaitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyLimit.Duration())
+	defer cancel()
+	for _, m := range f.vms {
+		for !m.caller.Ready() {
+			select {
+			case <-ctx.Done():
+				return fmt.Errorf("%s was not ready within %d ms", m.id, readyLimit)
+			case <-time.After(pollInterval):
+			}
+		}
+	}
+	return nil
+}
+
+// Caller returns a client of the i-th VM, counted round.
+func (f *Fleet) Caller(i int) *caller.Client { return f.vms[i%len(f.vms)].caller }
+
+// Size returns the number of VMs that were started.
+func (f *Fleet) Size() int { return len(f.vms) }
+
+// Stop asks the i-th VM for a planned stop and waits for its end.
+func (f *Fleet) Stop(i int) error {
+	m := f.vms[i]
+	m.stop()
+	err := <-m.end
+	m.end <- err // Close reads it again
+	return err
+}
+
+// Close stops all VMs, then the stand-ins.
+func (f *Fleet) Close() error {
+	var errs []error
+	for _, m := range f.vms {
+		m.stop()
+	}
+	for _, m := range f.vms {
+		errs = append(errs, <-m.end)
+		m.closer()
+	}
+	errs = append(errs, f.Standins.Close())
+	return errors.Join(errs...)
+}
--- /dev/null
+++ b/entry/answer.go
@@ -0,0 +1,130 @@
+package entry
+
+import (
+	"encoding/json"
+
+	"github.com/valyala/fasthttp"
+
+	"lentillink.example/lentillink/attempt"
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/coverage"
+	"lentillink.example/lentillink/order"
+	"lentillink.example/lentillink/vm"
+)
+
+// CoverageDocument says how much of the key space an answer covers.
+type CoverageDocument struct {
+	Expected uint32           `json:"expected"`
+	Covered  uint32           `json:"covered"`
+	Missing  []coverage.Range `json:"missing"`
+}
+
+// QueryDocument is the answer to POST /v1/query.
+type QueryDocument struct {
+	ID           string           `json:"id"`
+	Outcome      string           `json:"outcome"`
+	Ran          attempt.Ran      `json:"ran"`
+	Snapshot     uint64           `json:"snapshot"`
+	Coverage     CoverageDocument `json:"coverage"`
+	Rows         []coverage.Row   `json:"rows"`
+	Preset       string           `json:"preset"`
+	Revision     uint64           `json:"revision"`
+	VM           string           `json:"vm"`
+	TookMs       clock.Millis     `json:"took_ms"`
+	Reason       string           `json:"reason,omitempty"`
+	RetryAfterMs clock.Millis     `json:"retry_after_ms,omitempty"`
+}
+
+// OrderDocument is the answer to POST /v1/order.
+type OrderDocument struct {
+	ID           string          `json:"id"`
+	Outcome      string          `json:"outcome"`
+	Ran          attempt.Ran     `json:"ran"`
+	Body         json.RawMessage `json:"body,omitempty"`
+	Preset       string          `json:"preset"`
+	Revision     uint64          `json:"revision"`
+	VM           string          `json:"vm"`
+	TookMs       clock.Millis    `json:"took_ms"`
+	Reason       string          `json:"reason,omitempty"`
+	RetryAfterMs clock.Millis    `json:"retry_after_ms,omitempty"`
+}
+
+// ErrorDocument is the answer to a request that cannot be accepted.
+type ErrorDocument struct {
+	Error string      `json:"error"`
+	Field string      `json:"field,omitempty"`
+	Ran   attempt.Ran `json:"ran"`
+}
+
+func (v *VM) queryDocument(a vm.QueryAnswer) QueryDocument {
+	doc := QueryDocument{
+		ID: a.ID, Outcome: string(a.Outcome), Ran: a.Ran, Snapshot: a.Snapshot,
+		Coverage: CoverageDocument{Expected: a.Expected, Covered: a.Covered, Missing: a.Missing},
+		Rows:     a.Rows, Preset: a.Preset, Revision: a.Revision, VM: v.self.ID, TookMs: a.TookMs,
+		Reason: a.Reason, RetryAfterMs: a.RetryAfterMs,
+	}
+	// Callers read lists without checking for null.
+	if doc.Rows == nil {
+		doc.Rows = []coverage.Row{}
+	}
+	if doc.Coverage.Missing == nil {
+		doc.Coverage.Missing = []coverage.Range{}
+	}
+	return doc
+}
+
+func (v *VM) orderDocument(a vm.OrderAnswer) OrderDocument {
+	doc := OrderDocument{
+		ID: a.ID, Outcome: string(a.Outcome), Ran: a.Ran, Preset: a.Preset, Revision: a.Revision,
+		VM: v.self.ID, TookMs: a.TookMs, Reason: a.Reason, RetryAfterMs: a.RetryAfterMs,
+	}
+	switch {
+	case len(a.Body) == 0:
+	case json.Valid(a.Body):
+		doc.Body = a.Body
+	default:
+		doc.Body, _ = json.Marshal(string(a.Body))
+	}
+	return doc
+}
+
+// overloadReasons are refusals that a caller meets with fewer requests; the
+// others are answered with 503.
+var overloadReasons = map[string]bool{"queue_full": true, "displaced": true, "too_late": true, "busy": true}
+
+func queryStatus(a vm.QueryAnswer) int {
+	switch a.Outcome {
+	case vm.Complete:
+		return fasthttp.StatusOK
+	case vm.Partial:
+		return fasthttp.StatusPartialContent
+	case vm.Refused:
+		return refusalStatus(a.Reason)
+	}
+	if a.Ran == attempt.No {
+		return fasthttp.StatusServiceUnavailable
+	}
+	return fasthttp.StatusBadGateway
+}
+
+func orderStatus(a vm.OrderAnswer) int {
+	switch a.Outcome {
+	case order.Done:
+		return fasthttp.StatusOK
+	case order.AlreadySubmitted:
+		return fasthttp.StatusConflict
+	case order.Refused:
+		return refusalStatus(a.Reason)
+	}
+	return fasthttp.StatusBadGateway
+}
+
+func refusalStatus(reason string) int {
+	switch {
+	case overloadReasons[reason]:
+		return fasthttp.StatusTooManyRequests
+	case reason == vm.ReasonUnknownService || reason == string(order.ReasonBadID):
+		return fasthttp.StatusBadRequest
+	}
+	return fasthttp.StatusServiceUnavailable
+}
--- /dev/null
+++ b/entry/change.go
@@ -0,0 +1,106 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"lentillink.example/lentillink/attempt"
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/preset"
+	"lentillink.example/lentillink/vm"
+)
+
+// changeLimit bounds an operator's change. Afterwards the answer says whether
+// the change is in force, or that this is not known.
+const changeLimit = 5 * clock.Second
+
+// ChangeDocument is the answer to POST /v1/presets.
+type ChangeDocument struct {
+	Accepted   preset.Truth `json:"accepted"`
+	Revision   uint64       `json:"revision"`
+	InForce    string       `json:"in_force"`
+	Superseded bool         `json:"superseded,omitempty"`
+	Error      string       `json:"error,omitempty"`
+}
+
+// serveChange applies an operator's change to the record in the store.
+func (v *VM) serveChange(r *fasthttp.RequestCtx) {
+	var change preset.Change
+	if err := decodeStrict(r.PostBody(), &change); err != nil {
+		writeInvalid(r, err)
+		return
+	}
+	var known preset.Record
+	if err := v.view(func(core *vm.Core, _ clock.Millis) { known = core.Record() }); err != nil {
+		writeJSON(r, fasthttp.StatusServiceUnavailable, ErrorDocument{Error: err.Error(), Ran: attempt.No})
+		return
+	}
+	change.At = v.clock.Now()
+	result := v.change(r, change, known)
+	if result.Record.Revision > 0 {
+		v.post(vm.RecordMsg{Record: result.Record})
+	}
+	doc := ChangeDocument{
+		Accepted: result.Accepted, Revision: result.Record.Revision, InForce: result.Record.InForce,
+		Superseded: result.Superseded,
+	}
+	if result.Err != nil {
+		doc.Error = result.Err.Error()
+	}
+	writeJSON(r, changeStatus(result), doc)
+}
+
+// change drives a preset.Changer with the store until it has a result.
+func (v *VM) change(ctx context.Context, change preset.Change, known preset.Record) preset.Result {
+	ctx, cancel := context.WithTimeout(ctx, changeLimit.Duration()+time.Second)
+	defer cancel()
+	changer := preset.NewChanger(change, known, v.clock.Now()+changeLimit)
+	cmds := changer.Update(v.clock.Now(), preset.StartMsg{})
+	for {
+		for len(cmds) > 0 {
+			cmd := cmds[0]
+			cmds = cmds[1:]
+			switch c := cmd.(type) {
+			case preset.ResultCmd:
+				return c.Result
+			case preset.StoreCmd:
+				reply := callStore(ctx, v.store, c.Request)
+				cmds = append(cmds, changer.Update(v.clock.Now(), preset.StoreMsg{Reply: reply})...)
+			}
+		}
+		if at, ok := changer.NextWake(); ok {
+			sleep(ctx, at-v.clock.Now())
+		}
+		cmds = changer.Update(v.clock.Now(), preset.TickMsg{})
+	}
+}
+
+func sleep(ctx context.Context, d clock.Millis) {
+	timer := time.NewTimer(max(d, 1).Duration())
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+func changeStatus(res preset.Result) int {
+	if res.Err == nil {
+		return fasthttp.StatusOK
+	}
+	var failed *preset.Error
+	if errors.As(res.Err, &failed) {
+		switch failed.Kind() {
+		case preset.KindInvalid:
+			return fasthttp.StatusBadRequest
+		case preset.KindNotFound:
+			return fasthttp.StatusNotFound
+		case preset.KindConflict:
+			return fasthttp.StatusConflict
+		}
+	}
+	return fasthttp.StatusServiceUnavailable
+}
--- /dev/null
+++ b/entry/http.go
@@ -0,0 +1,227 @@
+package entry
+
+import (
+	"encoding/json"
+	"errors"
+	"math"
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttpadaptor"
+
+	"lentillink.example/lentillink/attempt"
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/vm"
+)
+
+const (
+	readLimit = 30 * clock.Second // a caller that sends its request more slowly is cut
+	idleLimit = 60 * clock.Second
+)
+
+func (v *VM) newServer() *fasthttp.Server {
+	scrape := fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(v.registry, promhttp.HandlerOpts{}))
+	routes := map[string]fasthttp.RequestHandler{
+		"POST /v1/query":   v.serveQuery,
+		"POST /v1/order":   v.serveOrder,
+		"GET /healthz":     v.serveHealth,
+		"GET /readyz":      v.serveReady,
+		"GET /metrics":     func(r *fasthttp.RequestCtx) { v.serveMetrics(r, scrape) },
+		"GET /v1/status":   v.serveStatus,
+		"GET /v1/events":   v.serveEvents,
+		"GET /v1/presets":  v.servePresets,
+		"POST /v1/presets": v.serveChange,
+	}
+	return &fasthttp.Server{
+		Handler: func(r *fasthttp.RequestCtx) {
+			h, ok := routes[string(r.Method())+" "+string(r.Path())]
+			if !ok {
+				writeJSON(r, fasthttp.StatusNotFound, ErrorDocument{Error: "no such method and path", Ran: attempt.No})
+				return
+			}
+			h(r)
+		},
+		ErrorHandler:       badRequest,
+		MaxRequestBodySize: v.settings.Limits().RequestBodyBytes,
+		ReadTimeout:        readLimit.Duration(),
+		IdleTimeout:        idleLimit.Duration(),
+		CloseOnShutdown:    true,
+		Name:               "lentillink",
+		Logger:             quietLogger{},
+	}
+}
+
+// quietLogger drops what fasthttp prints about broken connections; metrics
+// and events cover what matters.
+type quietLogger struct{}
+
+// Printf does nothing.
+func (quietLogger) Printf(string, ...any) {}
+
+// badRequest answers a request that could not be read whole. It never reached
+// the core, so it did not run.
+func badRequest(r *fasthttp.RequestCtx, err error) {
+	text := "request could not be read whole: " + err.Error()
+	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
+		text = "body: larger than limits.request_body_bytes"
+	}
+	writeJSON(r, fasthttp.StatusBadRequest, ErrorDocument{Error: text, Field: "body", Ran: attempt.No})
+}
+
+func (v *VM) serveQuery(r *fasthttp.RequestCtx) {
+	q, rk, err := DecodeQuery(r.PostBody())
+	if err != nil {
+		writeInvalid(r, err)
+		return
+	}
+	msg := vm.QueryMsg{
+		Call: v.calls.Add(1), ID: q.ID, Rank: rk, Service: q.Service, Body: q.Query, MinCoverage: -1,
+	}
+	if q.DeadlineMs != nil {
+		msg.BudgetMs = *q.DeadlineMs
+	}
+	if q.MinCoverage != nil {
+		msg.MinCoverage = *q.MinCoverage * 100
+	}
+	a, ok := v.call(msg.Call, msg).(vm.AnswerQueryCmd)
+	if !ok {
+		writeJSON(r, fasthttp.StatusServiceUnavailable, ErrorDocument{Error: "the VM has stopped", Ran: attempt.Unknown})
+		return
+	}
+	setRetryAfter(r, a.Answer.RetryAfterMs)
+	writeJSON(r, queryStatus(a.Answer), v.queryDocument(a.Answer))
+}
+
+func (v *VM) serveOrder(r *fasthttp.RequestCtx) {
+	o, rk, err := DecodeOrder(r.PostBody())
+	if err != nil {
+		writeInvalid(r, err)
+		return
+	}
+	if !v.hasGroup(o.Service, o.Group) {
+		writeInvalid(r, invalid("group", "%q is not a group of service %q", o.Group, o.Service))
+		return
+	}
+	msg := vm.OrderMsg{Call: v.calls.Add(1), ID: o.ID, Rank: rk, Service: o.Service, Group: o.Group, Body: o.Body}
+	a, ok := v.call(msg.Call, msg).(vm.AnswerOrderCmd)
+	if !ok {
+		writeJSON(r, fasthttp.StatusBadGateway, ErrorDocument{Error: "the VM has stopped", Ran: attempt.Unknown})
+		return
+	}
+	setRetryAfter(r, a.Answer.RetryAfterMs)
+	writeJSON(r, orderStatus(a.Answer), v.orderDocument(a.Answer))
+}
+
+func (v *VM) hasGroup(service, group string) bool {
+	for _, s := range v.settings.Document().Services {
+		for _, g := range s.Groups {
+			if s.Name == service && g.Name == group {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// call hands a request to the core and waits for its answer. It returns nil if
+// the VM stops first.
+func (v *VM) call(n uint64, msg vm.Msg) vm.Cmd {
+	answer := make(chan vm.Cmd, 1)
+	select {
+	case v.inbox <- item{msg: msg, call: n, answer: answer}:
+	case <-v.stopped:
+		return nil
+	}
+	select {
+	case a := <-answer:
+		return a
+	case <-v.stopped:
+	}
+	select { // the answer may have come together with the stop
+	case a := <-answer:
+		return a
+	default:
+		return nil
+	}
+}
+
+func (v *VM) serveHealth(r *fasthttp.RequestCtx) {
+	if err := v.view(func(*vm.Core, clock.Millis) {}); err != nil {
+		writeJSON(r, fasthttp.StatusServiceUnavailable, ErrorDocument{Error: err.Error()})
+		return
+	}
+	r.SetBodyString("ok\n")
+}
+
+func (v *VM) serveReady(r *fasthttp.RequestCtx) {
+	ready, reason := false, "stopped"
+	_ = v.view(func(core *vm.Core, _ clock.Millis) { ready, reason = core.Ready() })
+	if !ready {
+		writeJSON(r, fasthttp.StatusServiceUnavailable, ErrorDocument{Error: reason, Ran: attempt.No})
+		return
+	}
+	r.SetBodyString("ready\n")
+}
+
+func (v *VM) serveMetrics(r *fasthttp.RequestCtx, scrape fasthttp.RequestHandler) {
+	_ = v.view(func(core *vm.Core, _ clock.Millis) { v.metrics.state(core) })
+	scrape(r)
+}
+
+func setRetryAfter(r *fasthttp.RequestCtx, ms clock.Millis) {
+	if ms > 0 {
+		seconds := math.Ceil(ms.Duration().Seconds())
+		r.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(seconds, 'f', 0, 64))
+	}
+}
+
+func writeInvalid(r *fasthttp.RequestCtx, err error) {
+	doc := ErrorDocument{Error: err.Error(), Ran: attempt.No}
+	var failed *Error
+	if errors.As(err, &failed) {
+		doc.Field = failed.Field()
+	}
+	writeJSON(r, fasthttp.StatusBadRequest, doc)
+}
+
+func writeJSON(r *fasthttp.RequestCtx, status int, doc any) {
+	data, err := json.Marshal(doc)
+	if err != nil {
+		r.Error("answer cannot be encoded", fasthttp.StatusInternalServerError)
+		return
+	}
+	r.SetStatusCode(status)
+	r.SetContentType("application/json")
+	r.SetBody(append(data, '\n'))
+}
+
+// stringArg returns a query argument.
+func stringArg(r *fasthttp.RequestCtx, name string) string { return string(r.QueryArgs().Peek(name)) }
+
+// uintArg returns a numeric query argument, 0 if it is absent.
+func uintArg(r *fasthttp.RequestCtx, name string) (uint64, error) {
+	s := stringArg(r, name)
+	if s == "" {
+		return 0, nil
+	}
+	n, err := strconv.ParseUint(s, 10, 64)
+	if err != nil {
+		return 0, invalid(name, "%q is not a number", s)
+	}
+	return n, nil
+}
+
+// durationArg returns a duration argument such as 90s, 0 if it is absent.
+func durationArg(r *fasthttp.RequestCtx, name string) (time.Duration, error) {
+	s := stringArg(r, name)
+	if s == "" {
+		return 0, nil
+	}
+	d, err := time.ParseDuration(s)
+	if err != nil {
+		return 0, invalid(name, "%q is not a duration such as 90s", s)
+	}
+	return d, nil
+}
--- /dev/null
+++ b/entry/log.go
@@ -0,0 +1,20 @@
+package entry
+
+import (
+	"lentillink.example/lentillink/timeline"
+)
+
+// logEvent writes one line of key=value pairs. Empty fields are left out.
+func (v *VM) logEvent(ev timeline.Event) {
+	kv := []any{"event", string(ev.Kind), "wall_ms", int64(ev.Stamp.WallMs), "logical", ev.Stamp.Logical, "vm", ev.VM, "revision", ev.Revision}
+	add := func(key, value string) {
+		if value != "" {
+			kv = append(kv, key, value)
+		}
+	}
+	add("request", ev.Request)
+	add("rank", ev.Rank)
+	add("upstream", ev.Upstream)
+	add("detail", ev.Detail)
+	_ = v.logger.Log(kv...)
+}
--- /dev/null
+++ b/entry/metrics.go
@@ -0,0 +1,81 @@
+package entry
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"lentillink.example/lentillink/timeline"
+	"lentillink.example/lentillink/vm"
+)
+
+// metrics holds the collectors. Every label has a small closed set of values.
+type metrics struct {
+	queries  *prometheus.CounterVec
+	orders   *prometheus.CounterVec
+	refusals *prometheus.CounterVec
+	attempts *prometheus.CounterVec
+	needed   *prometheus.CounterVec
+	seconds  *prometheus.HistogramVec
+	events   *prometheus.CounterVec
+	revision prometheus.Gauge
+	ready    prometheus.Gauge
+}
+
+// latencyBuckets are in seconds, around the 180 ms target.
+var latencyBuckets = []float64{0.005, 0.01, 0.02, 0.04, 0.08, 0.12, 0.18, 0.25, 0.5, 1, 2, 5, 15, 60}
+
+func newMetrics(reg *prometheus.Registry) *metrics {
+	counter := func(name, help string, labels ...string) *prometheus.CounterVec {
+		c := prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "lentillink", Name: name, Help: help}, labels)
+		reg.MustRegister(c)
+		return c
+	}
+	gauge := func(name, help string) prometheus.Gauge {
+		g := prometheus.NewGauge(prometheus.GaugeOpts{Namespace: "lentillink", Name: name, Help: help})
+		reg.MustRegister(g)
+		return g
+	}
+	m := &metrics{
+		queries:  counter("queries_total", "Queries answered, by rank and outcome.", "rank", "outcome"),
+		orders:   counter("orders_total", "Orders answered, by outcome and whether they ran.", "outcome", "ran"),
+		refusals: counter("refusals_total", "Requests refused, by rank and reason.", "rank", "reason"),
+		attempts: counter("attempts_total", "Attempts sent for answered queries.", "rank"),
+		needed:   counter("attempts_needed_total", "Attempts that answered queries needed: one per group.", "rank"),
+		events:   counter("events_total", "Events of the time line, by kind.", "kind"),
+		revision: gauge("preset_revision", "Revision of the preset record in force."),
+		ready:    gauge("ready", "1 if the VM is ready for the balancer."),
+		seconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: "lentillink", Name: "query_duration_seconds", Help: "Time from arrival to answer.", Buckets: latencyBuckets,
+		}, []string{"rank"}),
+	}
+	reg.MustRegister(m.seconds)
+	return m
+}
+
+func (m *metrics) query(a vm.QueryAnswer) {
+	r := a.Rank.String()
+	m.queries.WithLabelValues(r, string(a.Outcome)).Inc()
+	if a.Outcome == vm.Refused {
+		m.refusals.WithLabelValues(r, a.Reason).Inc()
+		return
+	}
+	m.attempts.WithLabelValues(r).Add(float64(a.Attempts))
+	m.needed.WithLabelValues(r).Add(float64(a.Needed))
+	m.seconds.WithLabelValues(r).Observe(a.TookMs.Duration().Seconds())
+}
+
+func (m *metrics) order(a vm.OrderAnswer) {
+	m.orders.WithLabelValues(string(a.Outcome), a.Ran.String()).Inc()
+}
+
+func (m *metrics) event(kind timeline.Kind) { m.events.WithLabelValues(string(kind)).Inc() }
+
+// state is read from the core when the metrics are scraped.
+func (m *metrics) state(core *vm.Core) {
+	_, revision := core.Preset()
+	m.revision.Set(float64(revision))
+	ready, _ := core.Ready()
+	m.ready.Set(0)
+	if ready {
+		m.ready.Set(1)
+	}
+}
--- /dev/null
+++ b/entry/operator.go
@@ -0,0 +1,114 @@
+package entry
+
+import (
+	"encoding/json"
+	"slices"
+	"strings"
+
+	"github.com/valyala/fasthttp"
+
+	"lentillink.example/lentillink/attempt"
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/timeline"
+	"lentillink.example/lentillink/vm"
+)
+
+// FleetStatus is the answer to GET /v1/status?fleet=1.
+type FleetStatus struct {
+	VMs    []vm.Status `json:"vms"`
+	Silent []string    `json:"silent"` // members that did not answer in time
+}
+
+// EventsDocument is the answer to GET /v1/events.
+type EventsDocument struct {
+	Events []timeline.Event `json:"events"`
+	Silent []string         `json:"silent"`
+}
+
+// serveStatus reports this VM, or with fleet=1 all VMs.
+func (v *VM) serveStatus(r *fasthttp.RequestCtx) {
+	var own vm.Status
+	if err := v.view(func(core *vm.Core, now clock.Millis) { own = core.Status(now) }); err != nil {
+		writeJSON(r, fasthttp.StatusServiceUnavailable, ErrorDocument{Error: err.Error()})
+		return
+	}
+	if stringArg(r, "fleet") != "1" {
+		writeJSON(r, fasthttp.StatusOK, own)
+		return
+	}
+	others, silent := askMembers[vm.Status](r, v, own.Members, vm.AskStatus, nil)
+	doc := FleetStatus{VMs: append(others, own), Silent: append([]string{}, silent...)}
+	slices.SortFunc(doc.VMs, func(a, b vm.Status) int { return strings.Compare(a.VM, b.VM) })
+	slices.Sort(doc.Silent)
+	writeJSON(r, fasthttp.StatusOK, doc)
+}
+
+// serveEvents returns events of this VM, or with fleet=1 of all VMs, merged.
+func (v *VM) serveEvents(r *fasthttp.RequestCtx) {
+	f, err := v.eventFilter(r)
+	if err != nil {
+		writeInvalid(r, err)
+		return
+	}
+	var own []timeline.Event
+	var status vm.Status
+	err = v.view(func(core *vm.Core, now clock.Millis) { own, status = core.Events(f), core.Status(now) })
+	if err != nil {
+		writeJSON(r, fasthttp.StatusServiceUnavailable, ErrorDocument{Error: err.Error()})
+		return
+	}
+	doc := EventsDocument{Events: own, Silent: []string{}}
+	if stringArg(r, "fleet") == "1" {
+		payload, err := json.Marshal(f)
+		if err != nil {
+			writeInvalid(r, err)
+			return
+		}
+		others, silent := askMembers[[]timeline.Event](r, v, status.Members, vm.AskEvents, payload)
+		doc.Events = timeline.Merge(append(others, own)...)
+		doc.Silent = append(doc.Silent, silent...)
+	}
+	if doc.Events == nil {
+		doc.Events = []timeline.Event{}
+	}
+	writeJSON(r, fasthttp.StatusOK, doc)
+}
+
+func (v *VM) eventFilter(r *fasthttp.RequestCtx) (timeline.Filter, error) {
+	f := timeline.Filter{
+		Request: stringArg(r, "request"), Upstream: stringArg(r, "upstream"), Kind: timeline.Kind(stringArg(r, "kind")),
+	}
+	var err error
+	if f.Revision, err = uintArg(r, "revision"); err != nil {
+		return f, err
+	}
+	since, err := durationArg(r, "since")
+	if err != nil {
+		return f, err
+	}
+	if since > 0 {
+		f.SinceMs = v.clock.Now() - clock.Millis(since.Milliseconds())
+	}
+	wall, err := uintArg(r, "after_ms")
+	if err != nil {
+		return f, err
+	}
+	logical, err := uintArg(r, "after_logical")
+	f.After = clock.Stamp{WallMs: clock.Millis(wall), Logical: uint32(logical)}
+	return f, err
+}
+
+// servePresets returns the record in force.
+func (v *VM) servePresets(r *fasthttp.RequestCtx) {
+	var doc any
+	err := v.view(func(core *vm.Core, _ clock.Millis) {
+		if rec := core.Record(); rec.Revision > 0 {
+			doc = rec
+		}
+	})
+	if err != nil || doc == nil {
+		writeJSON(r, fasthttp.StatusServiceUnavailable, ErrorDocument{Error: "no preset record yet", Ran: attempt.No})
+		return
+	}
+	writeJSON(r, fasthttp.StatusOK, doc)
+}
--- /dev/null
+++ b/entry/vm.go
@@ -0,0 +1,186 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync/atomic"
+
+	"github.com/go-kit/log"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/valyala/fasthttp"
+
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/fleet"
+	"lentillink.example/lentillink/peer"
+	"lentillink.example/lentillink/preset"
+	"lentillink.example/lentillink/roster"
+	"lentillink.example/lentillink/settings"
+	"lentillink.example/lentillink/store"
+	"lentillink.example/lentillink/upstream"
+	"lentillink.example/lentillink/vm"
+)
+
+// inboxLen bounds the messages that wait for the event loop.
+const inboxLen = 1 << 14
+
+// VM runs one entry VM.
+type VM struct {
+	settings     *settings.Settings
+	store        store.Store
+	roster       roster.List
+	upstreams    upstream.Client
+	clock        clock.Clock
+	logger       log.Logger
+	registry     *prometheus.Registry
+	drainLimit   clock.Millis
+	balancerWait clock.Millis
+	initial      preset.Record
+	meshOptions  []peer.Option
+	seed         uint64
+	listeners    *listeners // nil to listen on the addresses in the settings
+
+	core    *vm.Core
+	self    fleet.VM
+	mesh    *peer.Mesh
+	metrics *metrics
+	inbox   chan item
+	asks    chan ask
+	stopped chan struct{} // closed when the event loop has ended
+	calls   atomic.Uint64
+	told    *questions
+
+	waiters  map[uint64]chan<- vm.Cmd // owned by the event loop
+	requeued []vm.Msg                 // owned by the event loop
+}
+
+// item is a message for the event loop. A request of a caller also brings the
+// channel that receives its answer.
+type item struct {
+	msg    vm.Msg
+	call   uint64
+	answer chan<- vm.Cmd
+}
+
+// ask is a read of the core. Done is closed after it ran.
+type ask struct {
+	read func(core *vm.Core, now clock.Millis)
+	done chan struct{}
+}
+
+// New returns a VM. The store, the VM list and the upstreams must be set.
+func New(s *settings.Settings, opts ...Option) (*VM, error) {
+	v := &VM{
+		settings: s, clock: clock.System{}, logger: log.NewNopLogger(), registry: prometheus.NewRegistry(),
+		drainLimit: defaultDrainLimit, balancerWait: defaultBalancerWait, initial: preset.Default(),
+		inbox: make(chan item, inboxLen), asks: make(chan ask), stopped: make(chan struct{}),
+		told: newQuestions(), waiters: make(map[uint64]chan<- vm.Cmd),
+	}
+	for _, opt := range opts {
+		opt(v)
+	}
+	if v.store == nil || v.roster == nil || v.upstreams == nil {
+		return nil, wrap("new", KindInvalid, errors.New("the store, the VM list and the upstreams must be set"))
+	}
+	now := v.clock.Now()
+	if v.seed == 0 {
+		v.seed = uint64(now)
+	}
+	v.self = fleet.VM{
+		ID: s.VM(), Address: s.Addresses().Peers, DataCentre: s.DataCentre(), Incarnation: uint64(now),
+	}
+	v.core = vm.New(
+		vm.WithSelf(v.self), vm.WithSeed(v.seed), vm.WithServices(s.Services()...),
+		vm.WithInitialRecord(v.initial), vm.WithRingEvents(s.Limits().RingEvents),
+	)
+	v.metrics = newMetrics(v.registry)
+	mesh := append([]peer.Option{peer.WithClock(v.clock), peer.WithDialTimeout(s.Timeouts().PeerMs)}, v.meshOptions...)
+	v.mesh = peer.New(v.self.ID, v.self.Incarnation, meshHandler{v}, mesh...)
+	return v, nil
+}
+
+// Run serves until ctx ends, then drains: requests in flight are finished,
+// new ones are refused as not run. It returns nil after a complete drain.
+func (v *VM) Run(ctx context.Context) error {
+	listeners, err := v.listen()
+	if err != nil {
+		return err
+	}
+	// Input and output outlive ctx, because a planned stop finishes what is in flight.
+	io, stopIO := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopIO()
+	ends := make(chan error, 3+len(listeners.http))
+	go func() { ends <- v.mesh.Run(io, listeners.peers) }()
+	go func() { ends <- v.pollRoster(io) }()
+	server := v.newServer()
+	for _, lis := range listeners.http {
+		go func() { ends <- serve(server, lis) }()
+	}
+	loopEnd := make(chan error, 1)
+	go func() { loopEnd <- v.loop(ctx, io) }()
+	_ = v.logger.Log("event", "started", "vm", v.self.ID, "data_centre", v.self.DataCentre, "callers", v.settings.Addresses().Callers)
+
+	running := 2 + len(listeners.http)
+	var first error
+	select {
+	case first = <-loopEnd:
+	case first = <-ends: // a server that ends before the loop has failed
+		running--
+		stopIO()
+	}
+	shutdown, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownLimit.Duration())
+	defer cancel()
+	if err := server.ShutdownWithContext(shutdown); err != nil && first == nil {
+		first = wrap("shutdown", KindServe, err)
+	}
+	stopIO()
+	for range running {
+		if err := <-ends; err != nil && first == nil {
+			first = err
+		}
+	}
+	_ = v.logger.Log("event", "stopped", "vm", v.self.ID, "err", first)
+	return first
+}
+
+// shutdownLimit bounds the wait for callers' connections to become idle.
+const shutdownLimit = 2 * clock.Second
+
+type listeners struct {
+	peers net.Listener
+	http  []net.Listener
+}
+
+func (v *VM) listen() (*listeners, error) {
+	if v.listeners != nil {
+		return v.listeners, nil
+	}
+	addr := v.settings.Addresses()
+	peers, err := net.Listen("tcp", addr.Peers)
+	if err != nil {
+		return nil, wrap("listen", KindListen, err)
+	}
+	l := &listeners{peers: peers}
+	for _, a := range httpAddresses(addr) {
+		lis, err := net.Listen("tcp", a)
+		if err != nil {
+			return nil, wrap("listen", KindListen, err)
+		}
+		l.http = append(l.http, lis)
+	}
+	return l, nil
+}
+
+func httpAddresses(a settings.Addresses) []string {
+	if a.Admin == a.Callers {
+		return []string{a.Callers}
+	}
+	return []string{a.Callers, a.Admin}
+}
+
+func serve(s *fasthttp.Server, lis net.Listener) error {
+	if err := s.Serve(lis); err != nil {
+		return wrap("serve", KindServe, err)
+	}
+	return nil
+}
--- a/fleet/model.go
+++ b/fleet/model.go
@@ -189,10 +189,11 @@
 // send encodes and sends a message; the record's revision is on every one.
 func (m *Model) send(to string, msg *message) {
 	msg.revision = m.record.Revision
-	m.emit(SendCmd{To: to, Address: m.address(to), Payload: msg.encode()})
+	m.emit(SendCmd{To: to, Address: m.Address(to), Payload: msg.encode()})
 }
 
-func (m *Model) address(id string) string {
+// Address returns the address of a member or of a VM on the VM list, or "".
+func (m *Model) Address(id string) string {
 	if mem := m.byID[id]; mem != nil {
 		return mem.Address
 	}
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -30,6 +30,10 @@
 		env.Body = &peerpb.Envelope_Claimed{Claimed: &peerpb.Claimed{
 			Token: encodeToken(b.Msg.Token), Result: uint32(b.Msg.Result),
 		}}
+	case vm.Ask:
+		env.Body = &peerpb.Envelope_Ask{Ask: &peerpb.Ask{Id: b.ID, Kind: uint32(b.Kind), Payload: b.Payload}}
+	case vm.Told:
+		env.Body = &peerpb.Envelope_Told{Told: &peerpb.Told{Id: b.ID, Payload: b.Payload}}
 	}
 	return env
 }
@@ -54,6 +58,10 @@
 	case *peerpb.Envelope_Claimed:
 		msg, err := decodeClaimed(b.Claimed)
 		return vm.Claimed{Msg: msg}, stamp, err
+	case *peerpb.Envelope_Ask:
+		return vm.Ask{ID: b.Ask.GetId(), Kind: vm.AskKind(b.Ask.GetKind()), Payload: b.Ask.GetPayload()}, stamp, nil
+	case *peerpb.Envelope_Told:
+		return vm.Told{ID: b.Told.GetId(), Payload: b.Told.GetPayload()}, stamp, nil
 	}
 	return nil, stamp, wrap("decode", KindDecode, errors.New("unknown envelope body"))
 }
--- a/upstream/observe.go
+++ b/upstream/observe.go
@@ -74,6 +74,15 @@
 	}
 }
 
+// LearnHeld records which snapshot versions an upstream reports outside of a
+// reply. A VM that has just started learns the versions this way.
+func (b *Book) LearnHeld(now clock.Millis, id ID, held []uint64) {
+	if s := b.byID[id]; s != nil && len(held) > 0 {
+		s.heldAt = now
+		s.held = append(s.held[:0], held...)
+	}
+}
+
 // MarkLeaving records a report that the upstream is leaving. It is binding
 // until the upstream is observed or reported back.
 func (b *Book) MarkLeaving(now clock.Millis, id ID) {
--- a/vm/peer.go
+++ b/vm/peer.go
@@ -61,3 +61,29 @@
 	Stamp   clock.Stamp
 	Body    PeerBody
 }
+
+// AskKind says what an Ask wants to know.
+type AskKind uint8
+
+// AskStatus asks for the Status, AskEvents for events of the time line.
+const (
+	AskStatus AskKind = iota
+	AskEvents
+)
+
+// Ask is an operator's question that one VM passes to another. Runtimes answer
+// it from the accessors of their Core; the Core itself ignores it.
+type Ask struct {
+	ID      uint64
+	Kind    AskKind
+	Payload []byte // JSON of a timeline.Filter for AskEvents
+}
+
+// Told answers an Ask with a JSON document.
+type Told struct {
+	ID      uint64
+	Payload []byte
+}
+
+func (Ask) peerBody()  {}
+func (Told) peerBody() {}
--- a/vm/status.go
+++ b/vm/status.go
@@ -70,6 +70,16 @@
 	Queued  int       `json:"queued"`
 }
 
+// RankTotals counts the work of one rank since the VM started.
+type RankTotals struct {
+	Rank    rank.Rank `json:"rank"`
+	Queries int       `json:"queries"`
+	Needed  int       `json:"attempts_needed"`
+	Sent    int       `json:"attempts_sent"`
+	Hedges  int       `json:"hedges"`
+	Retries int       `json:"retries"`
+}
+
 // Status is what a VM reports to operators.
 type Status struct {
 	VM         string             `json:"vm"`
@@ -85,6 +95,7 @@
 	Limits     map[string]int     `json:"limits"`
 	Avoided    []upstream.Avoided `json:"avoided"`
 	OpenOrders int                `json:"open_orders"`
+	Totals     []RankTotals       `json:"totals"`
 }
 
 // Status describes the VM at now.
@@ -95,6 +106,12 @@
 		Preset: c.preset.Name, Revision: c.revision, Members: c.fleet.Members(), Watchers: c.fleet.Watchers(),
 		Limits: make(map[string]int), Avoided: c.book.Avoided(now), OpenOrders: c.orders.OpenOrders(),
 	}
+	for _, r := range rank.All() {
+		t := c.queries.Totals(r)
+		s.Totals = append(s.Totals, RankTotals{
+			Rank: r, Queries: t.Queries, Needed: t.Needed, Sent: t.Sent, Hedges: t.Hedges, Retries: t.Retries,
+		})
+	}
 	for name := range c.services {
 		s.Limits[name] = c.gate.Limit(name)
 		for _, r := range rank.All() {
@@ -106,3 +123,6 @@
 	}
 	return s
 }
+
+// Address returns the address of a member, or "".
+func (c *Core) Address(id string) string { return c.fleet.Address(id) }
