Add the operators' command line

Cause: presets, status and the time line could only be reached by hand over HTTP.

A switch waits until every VM has confirmed and names those that have not.

--- /dev/null
+++ b/cmd/lentillink/connect.go
@@ -0,0 +1,39 @@
+package main
+
+import (
+	"encoding/json"
+	"io"
+	"os"
+	"text/tabwriter"
+
+	"lentillink.example/lentillink/caller"
+	"lentillink.example/lentillink/clock"
+)
+
+// vmFlags say which entry VM to ask. Any VM answers for the whole fleet.
+type vmFlags struct {
+	VM        string       `long:"vm" env:"LENTILLINK_VM" default:"127.0.0.1:9001" value-name:"HOST:PORT" description:"address of any entry VM"`
+	TimeoutMs clock.Millis `long:"timeout-ms" default:"30000" description:"longest wait for an answer, in milliseconds"`
+}
+
+func (f *vmFlags) client() *caller.Client {
+	return caller.New(f.VM, caller.WithTimeout(f.TimeoutMs))
+}
+
+// jsonFlag selects machine-readable output.
+type jsonFlag struct {
+	JSON bool `long:"json" description:"print JSON"`
+}
+
+func printJSON(doc any) error {
+	enc := json.NewEncoder(os.Stdout)
+	enc.SetIndent("", "  ")
+	return enc.Encode(doc)
+}
+
+// table prints aligned columns.
+func table(w io.Writer, write func(tw *tabwriter.Writer)) error {
+	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	write(tw)
+	return tw.Flush()
+}
--- /dev/null
+++ b/cmd/lentillink/preset.go
@@ -0,0 +1,257 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"os/user"
+	"text/tabwriter"
+	"time"
+
+	"lentillink.example/lentillink/caller"
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/preset"
+)
+
+// confirmInterval is how often the VMs are asked whether a change is in force.
+const confirmInterval = 50 * time.Millisecond
+
+type presetListCommand struct {
+	vmFlags
+	jsonFlag
+}
+
+// Execute lists the presets and marks the one in force.
+func (c *presetListCommand) Execute([]string) error {
+	rec, err := c.client().Presets()
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return printJSON(rec)
+	}
+	return table(os.Stdout, func(tw *tabwriter.Writer) {
+		for _, p := range rec.Presets {
+			mark := ""
+			if p.Name == rec.InForce {
+				mark = fmt.Sprintf("in force, revision %d", rec.Revision)
+			}
+			_, _ = fmt.Fprintf(tw, "%s\t%s\t%s\n", p.Name, p.Description, mark)
+		}
+	})
+}
+
+type presetNameArgs struct {
+	Name string `positional-arg-name:"NAME" description:"preset; the one in force if absent"`
+}
+
+// find returns the named preset, or the one in force.
+func find(c *caller.Client, name string) (preset.Preset, preset.Record, error) {
+	rec, err := c.Presets()
+	if err != nil {
+		return preset.Preset{}, rec, err
+	}
+	if name == "" {
+		name = rec.InForce
+	}
+	p, ok := rec.Find(name)
+	if !ok {
+		return p, rec, &exitError{code: exitUsage, err: fmt.Errorf("NAME: no preset is called %q; see lentillink preset list", name)}
+	}
+	return p, rec, nil
+}
+
+type presetShowCommand struct {
+	vmFlags
+	Args presetNameArgs `positional-args:"true"`
+}
+
+// Execute prints the JSON document of a preset.
+func (c *presetShowCommand) Execute([]string) error {
+	p, _, err := find(c.client(), c.Args.Name)
+	if err != nil {
+		return err
+	}
+	return printJSON(p)
+}
+
+type presetExplainCommand struct {
+	vmFlags
+	Args presetNameArgs `positional-args:"true"`
+}
+
+// Execute says in sentences what each rank gets under a preset.
+func (c *presetExplainCommand) Execute([]string) error {
+	p, _, err := find(c.client(), c.Args.Name)
+	if err != nil {
+		return err
+	}
+	for _, sentence := range preset.Explain(p) {
+		fmt.Println(sentence)
+	}
+	return nil
+}
+
+type presetDiffCommand struct {
+	vmFlags
+	jsonFlag
+	Args struct {
+		From string `positional-arg-name:"FROM"`
+		To   string `positional-arg-name:"TO"`
+	} `positional-args:"true" required:"true"`
+}
+
+// Execute lists the fields in which two presets differ.
+func (c *presetDiffCommand) Execute([]string) error {
+	client := c.client()
+	from, _, err := find(client, c.Args.From)
+	if err != nil {
+		return err
+	}
+	to, _, err := find(client, c.Args.To)
+	if err != nil {
+		return err
+	}
+	list := preset.DiffPresets(from, to)
+	if c.JSON {
+		return printJSON(list)
+	}
+	return table(os.Stdout, func(tw *tabwriter.Writer) {
+		for _, d := range list {
+			_, _ = fmt.Fprintf(tw, "%s\t%s\t-> %s\n", d.Path, d.Before, d.After)
+		}
+	})
+}
+
+type presetHistoryCommand struct {
+	vmFlags
+	jsonFlag
+}
+
+// Execute prints who changed what, when and why, newest first.
+func (c *presetHistoryCommand) Execute([]string) error {
+	rec, err := c.client().Presets()
+	if err != nil {
+		return err
+	}
+	all := append([]preset.Past{rec.Latest()}, rec.History...)
+	if c.JSON {
+		return printJSON(all)
+	}
+	return table(os.Stdout, func(tw *tabwriter.Writer) {
+		_, _ = fmt.Fprintln(tw, "REVISION\tWHEN (UTC)\tIN FORCE\tBY\tWHY")
+		for _, p := range all {
+			at := time.UnixMilli(int64(p.At)).UTC().Format(time.DateTime)
+			_, _ = fmt.Fprintf(tw, "%d\t%s\t%s\t%s\t%s\n", p.Revision, at, p.InForce, p.Author, p.Reason)
+		}
+	})
+}
+
+// changeFlags are common to the commands that change the record.
+type changeFlags struct {
+	vmFlags
+	Reason string       `long:"reason" required:"true" description:"why; other operators read it in the history"`
+	Author string       `long:"author" env:"LENTILLINK_AUTHOR" description:"who; the user name if absent"`
+	WaitMs clock.Millis `long:"wait-ms" default:"4000" description:"how long to wait until every VM has confirmed"`
+}
+
+type presetSwitchCommand struct {
+	changeFlags
+	Args struct {
+		Name string `positional-arg-name:"NAME" description:"preset to put in force"`
+	} `positional-args:"true" required:"true"`
+}
+
+// Execute puts another preset in force and reports which VMs confirmed.
+func (c *presetSwitchCommand) Execute([]string) error {
+	return c.apply(preset.Change{SwitchTo: c.Args.Name})
+}
+
+type presetEditCommand struct {
+	changeFlags
+	Args struct {
+		File string `positional-arg-name:"FILE" description:"JSON document of the preset, as printed by preset show"`
+	} `positional-args:"true" required:"true"`
+}
+
+// Execute replaces or adds a preset. A bad document changes nothing.
+func (c *presetEditCommand) Execute([]string) error {
+	data, err := os.ReadFile(c.Args.File)
+	if err != nil {
+		return &exitError{code: exitUsage, err: err}
+	}
+	p, err := preset.DecodePreset(data)
+	if err != nil {
+		return &exitError{code: exitUsage, err: err}
+	}
+	return c.apply(preset.Change{Preset: &p})
+}
+
+// apply sends a change that is based on the record as it is now, so that a
+// change by another operator in the meantime is not overwritten unseen.
+func (f *changeFlags) apply(change preset.Change) error {
+	client := f.client()
+	rec, err := client.Presets()
+	if err != nil {
+		return err
+	}
+	change.ID, change.Author, change.Reason, change.Base = newID(), f.author(), f.Reason, rec.Revision
+	start := time.Now()
+	doc, err := client.Change(change)
+	if err != nil {
+		return &exitError{code: exitChange, err: err}
+	}
+	switch doc.Accepted {
+	case preset.Accepted:
+		fmt.Printf("accepted: revision %d, preset %s in force\n", doc.Revision, doc.InForce)
+		if doc.Superseded {
+			fmt.Println("a later change has already replaced it; see lentillink preset history")
+		}
+		return f.confirm(client, doc.Revision, start)
+	case preset.NotAccepted:
+		return &exitError{code: exitChange, err: fmt.Errorf("not accepted: %s", doc.Error)}
+	}
+	return &exitError{code: exitChange, err: fmt.Errorf(
+		"not known whether it was accepted: %s; look for change %s in lentillink preset history", doc.Error, change.ID)}
+}
+
+func (f *changeFlags) author() string {
+	if f.Author != "" {
+		return f.Author
+	}
+	if u, err := user.Current(); err == nil {
+		return u.Username
+	}
+	return "unknown"
+}
+
+// confirm waits until the revision is in force on every VM that answers.
+func (f *changeFlags) confirm(client *caller.Client, revision uint64, start time.Time) error {
+	for {
+		doc, err := client.FleetStatus()
+		if err != nil {
+			return &exitError{code: exitChange, err: err}
+		}
+		confirmed, missing := 0, append([]string{}, doc.Silent...)
+		for _, v := range doc.VMs {
+			if v.Revision >= revision {
+				confirmed++
+				continue
+			}
+			missing = append(missing, v.VM)
+		}
+		waited := time.Since(start)
+		if len(missing) == 0 || waited >= f.WaitMs.Duration() {
+			fmt.Printf("in force on %d VMs after %d ms\n", confirmed, waited.Milliseconds())
+			for _, id := range missing {
+				fmt.Println("not confirmed:", id)
+			}
+			if len(missing) > 0 {
+				return &exitError{code: exitChange, err: errors.New("some VMs have not confirmed; they take the change when they can be reached")}
+			}
+			return nil
+		}
+		fmt.Fprintf(os.Stderr, "\rin force on %d VMs, waiting for %d", confirmed, len(missing))
+		time.Sleep(confirmInterval)
+	}
+}
--- /dev/null
+++ b/cmd/lentillink/timeline.go
@@ -0,0 +1,144 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/url"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"lentillink.example/lentillink/caller"
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/timeline"
+)
+
+type timelineCommand struct {
+	vmFlags
+	jsonFlag
+	Request  string        `long:"request" description:"only events of this request"`
+	Upstream string        `long:"upstream" description:"only events of this upstream, or of those whose name starts so"`
+	Revision uint64        `long:"revision" description:"only events under this preset revision"`
+	Kind     string        `long:"kind" description:"only events of this kind"`
+	Since    time.Duration `long:"since" description:"only events of the last time, such as 5m"`
+	Follow   bool          `long:"follow" description:"keep printing new events"`
+	Plot     string        `long:"plot" value-name:"FILE" description:"also draw the events to a .png or .svg file"`
+}
+
+// followInterval is how often new events are fetched with --follow.
+const followInterval = 500 * time.Millisecond
+
+// Execute prints the merged events of all VMs.
+func (c *timelineCommand) Execute([]string) error {
+	if c.Follow && c.Plot != "" {
+		return &exitError{code: exitUsage, err: errors.New("--follow and --plot exclude each other")}
+	}
+	client := c.client()
+	events, last, err := c.fetch(client, clock.Stamp{})
+	if err != nil {
+		return err
+	}
+	if err := c.print(events); err != nil {
+		return err
+	}
+	if c.Plot != "" {
+		return plot(c.Plot, events)
+	}
+	for c.Follow {
+		time.Sleep(followInterval)
+		if events, last, err = c.fetch(client, last); err != nil {
+			return err
+		}
+		if err := c.print(events); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// fetch returns the events after a stamp and the newest stamp seen.
+func (c *timelineCommand) fetch(client *caller.Client, after clock.Stamp) ([]timeline.Event, clock.Stamp, error) {
+	args := url.Values{}
+	set := func(name, value string) {
+		if value != "" {
+			args.Set(name, value)
+		}
+	}
+	set("request", c.Request)
+	set("upstream", c.Upstream)
+	set("kind", c.Kind)
+	if c.Revision > 0 {
+		set("revision", strconv.FormatUint(c.Revision, 10))
+	}
+	if c.Since > 0 {
+		set("since", c.Since.String())
+	}
+	if after != (clock.Stamp{}) {
+		set("after_ms", strconv.FormatInt(int64(after.WallMs), 10))
+		set("after_logical", strconv.FormatUint(uint64(after.Logical), 10))
+	}
+	doc, err := client.Events(args)
+	if err != nil {
+		return nil, after, err
+	}
+	for _, id := range doc.Silent {
+		fmt.Fprintln(os.Stderr, "lentillink: no events from", id+": it did not answer")
+	}
+	if n := len(doc.Events); n > 0 {
+		after = doc.Events[n-1].Stamp
+	}
+	return doc.Events, after, nil
+}
+
+func (c *timelineCommand) print(events []timeline.Event) error {
+	if c.JSON {
+		if events == nil {
+			return nil
+		}
+		return printJSON(events)
+	}
+	for _, ev := range events {
+		if _, err := io.WriteString(os.Stdout, line(ev)+"\n"); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// line formats an event as time, VM, kind and key=value pairs.
+func line(ev timeline.Event) string {
+	at := time.UnixMilli(int64(ev.Stamp.WallMs)).UTC().Format("15:04:05.000")
+	parts := []string{fmt.Sprintf("%s.%d", at, ev.Stamp.Logical), ev.VM, string(ev.Kind)}
+	add := func(name, value string) {
+		if value != "" {
+			parts = append(parts, name+"="+strconv.Quote(value))
+		}
+	}
+	add("request", ev.Request)
+	add("rank", ev.Rank)
+	add("upstream", ev.Upstream)
+	if ev.Revision > 0 {
+		parts = append(parts, fmt.Sprintf("revision=%d", ev.Revision))
+	}
+	add("detail", ev.Detail)
+	return strings.Join(parts, " ")
+}
+
+func plot(path string, events []timeline.Event) (err error) {
+	format := strings.TrimPrefix(filepath.Ext(path), ".")
+	if format != "png" && format != "svg" {
+		return &exitError{code: exitUsage, err: fmt.Errorf("--plot: %q must end in .png or .svg", path)}
+	}
+	if len(events) == 0 {
+		return errors.New("no events to draw")
+	}
+	f, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	defer func() { err = errors.Join(err, f.Close()) }()
+	return timeline.WritePlot(f, events, format)
+}
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -21,9 +21,9 @@
 )
 
 const (
-	dataCentres = 3
-	readyLimit  = 15 * clock.Second
-	pollInterval      = 20 * time.Millisecond
+	dataCentres  = 3
+	readyLimit   = 15 * clock.Second
+	pollInterval = 20 * time.Millisecond
 )
 
 // Fleet is a running deployment: its stand-ins and its entry VMs.
