Add the order machine

Non-idempotent requests need at-most-once run while VMs, links and the store fail at any step. The Model claims an id in the store before one attempt is sent; owners batch claims per partition into one compare-and-swap and seal the head into create-only segments.

--- /dev/null
+++ b/order/accessors.go
@@ -0,0 +1,69 @@
+package order
+
+import "lentillink.example/lentillink/clock"
+
+// Stats counts what a Model has done since its start.
+type Stats struct {
+	Writes        int // head and segment writes that were issued
+	ClaimsWritten int // claims confirmed by a write
+	Conflicts     int
+	Releases      int
+	StoreFailures int
+}
+
+// NextWake returns when the Model next wants a TickMsg.
+func (m *Model) NextWake() (clock.Millis, bool) {
+	if len(m.timers) == 0 {
+		return 0, false
+	}
+	return m.timers[0].at, true
+}
+
+// OpenOrders returns the number of submissions that are not settled.
+func (m *Model) OpenOrders() int { return len(m.open) }
+
+// PendingClaims returns the operations that wait for a write as owner.
+func (m *Model) PendingClaims() int {
+	n := 0
+	for i := range m.parts {
+		n += len(m.parts[i].queued)
+	}
+	return n
+}
+
+// PendingReleases returns the releases of this VM that no owner has written yet.
+func (m *Model) PendingReleases() int {
+	n := 0
+	for _, r := range m.releases {
+		if r.pending {
+			n++
+		}
+	}
+	return n
+}
+
+// Stats returns the counters.
+func (m *Model) Stats() Stats { return m.stats }
+
+// ClaimsPerWrite returns the mean number of claims in one write.
+func (m *Model) ClaimsPerWrite() float64 {
+	if m.stats.Writes == 0 {
+		return 0
+	}
+	return float64(m.stats.ClaimsWritten) / float64(m.stats.Writes)
+}
+
+// Drained reports whether the Model was stopped and nothing is left to finish.
+// Orders that were answered as unknown do not hold the drain up. Releases wait
+// for the store, so a runtime bounds the time that it waits for Drained.
+func (m *Model) Drained() bool {
+	if !m.stopping || m.PendingClaims() > 0 || m.PendingReleases() > 0 {
+		return false
+	}
+	for _, o := range m.open {
+		if o.state != answered {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/order/answer.go
@@ -0,0 +1,46 @@
+package order
+
+import (
+	"lentillink.example/lentillink/attempt"
+	"lentillink.example/lentillink/clock"
+)
+
+// Outcome is the result of a submission as the caller sees it.
+type Outcome string
+
+// The outcomes of a submission.
+const (
+	Done             Outcome = "done"
+	Refused          Outcome = "refused"
+	AlreadySubmitted Outcome = "already_submitted"
+	Unknown          Outcome = "unknown"
+)
+
+// Reason explains an answer.
+type Reason string
+
+// The reasons of an answer.
+const (
+	ReasonBadID       Reason = "bad_id"
+	ReasonTooOld      Reason = "too_old"
+	ReasonTooNew      Reason = "too_new"
+	ReasonDraining    Reason = "draining"
+	ReasonBusy        Reason = "busy"
+	ReasonDeadline    Reason = "deadline"
+	ReasonStore       Reason = "store_unavailable"
+	ReasonNoUpstream  Reason = "no_upstream"
+	ReasonNotRun      Reason = "upstream_refused"
+	ReasonUncertain   Reason = "uncertain"
+	ReasonClaimExists Reason = "claim_exists"
+)
+
+// Answer ends a submission.
+type Answer struct {
+	Call       uint64
+	ID         string
+	Outcome    Outcome
+	Ran        attempt.Ran
+	Reason     Reason
+	RetryAfter clock.Millis
+	Body       []byte
+}
--- /dev/null
+++ b/order/batch.go
@@ -0,0 +1,178 @@
+package order
+
+import (
+	"slices"
+
+	"lentillink.example/lentillink/clock"
+)
+
+// batch is one write of the head: the operations in it and the head that it writes.
+type batch struct {
+	ops     []*operation
+	results []Result // parallel to ops, reported once the write is known
+	changes map[Hash]Claim
+	order   []Hash // keys of changes in order of arrival
+	touch   bool   // write even without a change
+	sealed  *freshSegment
+	expired []SegmentRef
+	newest  clock.Millis
+	head    Head
+	encoded []byte
+}
+
+func newBatch() *batch { return &batch{changes: make(map[Hash]Claim)} }
+
+func (b *batch) find(p *partition, id Hash) (Claim, bool) {
+	if c, ok := b.changes[id]; ok {
+		return c, c.State != StateReleased
+	}
+	return p.find(id)
+}
+
+func (b *batch) set(c Claim, issued clock.Millis) {
+	if _, ok := b.changes[c.ID]; !ok {
+		b.order = append(b.order, c.ID)
+	}
+	b.changes[c.ID] = c
+	b.newest = max(b.newest, issued)
+}
+
+func (b *batch) add(op *operation, r Result) {
+	b.ops = append(b.ops, op)
+	b.results = append(b.results, r)
+}
+
+// release removes the claim if it was made under the same token. It always asks
+// for a write: the new revision makes every older write in flight conflict, so
+// a delayed claim under the token cannot take effect afterwards.
+func (b *batch) release(p *partition, op *operation) {
+	b.touch = true
+	b.add(op, ReleaseWritten)
+	c, ok := b.find(p, op.msg.ID)
+	if ok && c.Token == op.token && c.State == StateClaimed {
+		c.State = StateReleased
+		b.set(c, op.msg.Issued)
+	}
+}
+
+func (b *batch) done(p *partition, op *operation) {
+	b.add(op, Claimed)
+	c, ok := b.find(p, op.msg.ID)
+	if ok && c.Token == op.token && c.State == StateClaimed {
+		c.State = StateDone
+		b.set(c, op.msg.Issued)
+	}
+}
+
+// claim evaluates one claim. A claim under the same token is confirmed again.
+func (b *batch) claim(p *partition, op *operation) {
+	c, ok := b.find(p, op.msg.ID)
+	switch {
+	case !ok:
+		b.set(Claim{ID: op.msg.ID, Token: op.token, State: StateClaimed}, op.msg.Issued)
+		b.add(op, Claimed)
+	case c.Token == op.token:
+		b.add(op, Claimed)
+	case c.State == StateDone:
+		b.add(op, ExistsDone)
+	default:
+		b.add(op, Exists)
+	}
+}
+
+// fill evaluates the operations against the cached head, releases first.
+func (b *batch) fill(now clock.Millis, p *partition, ops []*operation) {
+	released := make(map[Token]bool)
+	for _, op := range ops {
+		if op.msg.Op == OpRelease {
+			b.release(p, op)
+			released[op.msg.Token] = true
+		}
+	}
+	for _, op := range ops {
+		switch {
+		case op.msg.Op == OpDone:
+			b.done(p, op)
+		case op.msg.Op != OpClaim:
+		case op.msg.Issued < now-Window:
+			b.add(op, Expired)
+		case released[op.msg.Token]:
+			b.add(op, Unavailable)
+		default:
+			b.claim(p, op)
+		}
+	}
+}
+
+// build computes the head to write. A claim whose release would uncover an
+// older sealed one is kept as released.
+func (b *batch) build(now clock.Millis, p *partition) {
+	b.head = Head{Next: p.head.Next, Newest: max(b.newest, p.head.Newest)}
+	for _, s := range p.head.Segments {
+		if s.Newest < now-Window-DropMargin {
+			b.expired = append(b.expired, s)
+			continue
+		}
+		b.head.Segments = append(b.head.Segments, s)
+	}
+	if p.freshValid() {
+		b.sealed = p.fresh
+		b.head.Next = p.fresh.ref.Number + 1
+		b.head.Newest = b.newest
+		b.head.Segments = append(b.head.Segments, p.fresh.ref)
+	} else {
+		b.keepUnchanged(p)
+	}
+	for _, id := range b.order {
+		c := b.changes[id]
+		if c.State != StateReleased || b.covers(p, id) {
+			b.head.Claims = append(b.head.Claims, c)
+		}
+	}
+	b.encoded = b.head.Encode()
+}
+
+func (b *batch) keepUnchanged(p *partition) {
+	b.head.Claims = make([]Claim, 0, len(p.head.Claims)+len(b.order))
+	for _, c := range p.head.Claims {
+		if _, changed := b.changes[c.ID]; !changed {
+			b.head.Claims = append(b.head.Claims, c)
+		}
+	}
+}
+
+// covers reports whether a segment that the new head lists has a claim of id.
+func (b *batch) covers(p *partition, id Hash) bool {
+	_, sealed := p.sealed[id]
+	_, inHead := p.inHead[id]
+	return sealed || inHead && b.sealed != nil
+}
+
+// durable reports whether the result of an operation rests on the cache alone.
+func (b *batch) durable(p *partition, op *operation, r Result) bool {
+	switch r {
+	case Exists, ExistsDone:
+		c, ok := p.find(op.msg.ID)
+		_, changed := b.changes[op.msg.ID]
+		return ok && !changed && c.Token != op.token
+	case Expired, Unavailable:
+		return true
+	default:
+		return false
+	}
+}
+
+// split removes the operations whose result is durable already and returns them.
+func (b *batch) split(p *partition) (early []*operation, results []Result) {
+	keep := 0
+	for i, op := range b.ops {
+		if b.durable(p, op, b.results[i]) {
+			early, results = append(early, op), append(results, b.results[i])
+			continue
+		}
+		b.ops[keep], b.results[keep] = op, b.results[i]
+		keep++
+	}
+	b.ops, b.results = slices.Clip(b.ops[:keep]), b.results[:keep]
+	return early, results
+}
--- /dev/null
+++ b/order/head.go
@@ -0,0 +1,140 @@
+package order
+
+import (
+	"google.golang.org/protobuf/encoding/protowire"
+
+	"lentillink.example/lentillink/clock"
+)
+
+// State is the state of a claim.
+type State uint8
+
+// The states of a claim. A released claim is kept only to override a claim in
+// an older sealed segment.
+const (
+	StateClaimed State = iota + 1
+	StateDone
+	StateReleased
+)
+
+// Claim records that the holder of Token may run the order with the given ID.
+type Claim struct {
+	ID    Hash
+	Token Hash
+	State State
+}
+
+// SegmentRef names a sealed segment and the newest issue time in it.
+type SegmentRef struct {
+	Number uint64
+	Newest clock.Millis
+}
+
+// Head is the record of one partition. A sealed segment is a Head without Segments.
+type Head struct {
+	Claims   []Claim
+	Newest   clock.Millis // newest issue time among Claims
+	Next     uint64       // lowest number that a new segment may take
+	Segments []SegmentRef // oldest first
+}
+
+const (
+	fieldClaim protowire.Number = iota + 1
+	fieldNewest
+	fieldNext
+	fieldSegmentNumber
+	fieldSegmentNewest
+)
+
+const (
+	claimBytes        = 2*HashBytes + 1
+	encodedClaimBytes = claimBytes + 2 // with tag and length
+)
+
+// Encode returns the head in protobuf wire format.
+func (h Head) Encode() []byte {
+	b := make([]byte, 0, len(h.Claims)*encodedClaimBytes+len(h.Segments)*16+24)
+	for _, c := range h.Claims {
+		b = protowire.AppendTag(b, fieldClaim, protowire.BytesType)
+		b = protowire.AppendVarint(b, claimBytes)
+		b = append(b, c.ID[:]...)
+		b = append(b, c.Token[:]...)
+		b = append(b, byte(c.State))
+	}
+	b = appendUint(b, fieldNewest, uint64(h.Newest))
+	b = appendUint(b, fieldNext, h.Next)
+	for _, s := range h.Segments {
+		b = appendUint(b, fieldSegmentNumber, s.Number)
+		b = appendUint(b, fieldSegmentNewest, uint64(s.Newest))
+	}
+	return b
+}
+
+func appendUint(b []byte, n protowire.Number, v uint64) []byte {
+	return protowire.AppendVarint(protowire.AppendTag(b, n, protowire.VarintType), v)
+}
+
+// DecodeHead reads a head. A record that it does not fully understand is an
+// error, so that a damaged head is never overwritten with fewer claims.
+func DecodeHead(b []byte) (Head, error) {
+	var h Head
+	for len(b) > 0 {
+		num, typ, n := protowire.ConsumeTag(b)
+		if n < 0 {
+			return Head{}, corrupt(n)
+		}
+		b = b[n:]
+		var err error
+		switch {
+		case num == fieldClaim && typ == protowire.BytesType:
+			b, err = h.decodeClaim(b)
+		case num > fieldClaim && num <= fieldSegmentNewest && typ == protowire.VarintType:
+			b, err = h.decodeUint(num, b)
+		default:
+			err = newError("decode head", KindCorrupt, nil)
+		}
+		if err != nil {
+			return Head{}, err
+		}
+	}
+	return h, nil
+}
+
+func (h *Head) decodeClaim(b []byte) ([]byte, error) {
+	v, n := protowire.ConsumeBytes(b)
+	if n < 0 {
+		return nil, corrupt(n)
+	}
+	if len(v) != claimBytes {
+		return nil, newError("decode claim", KindCorrupt, nil)
+	}
+	c := Claim{ID: Hash(v[:HashBytes]), Token: Hash(v[HashBytes : 2*HashBytes]), State: State(v[2*HashBytes])}
+	if c.State < StateClaimed || c.State > StateReleased {
+		return nil, newError("decode claim", KindCorrupt, nil)
+	}
+	h.Claims = append(h.Claims, c)
+	return b[n:], nil
+}
+
+func (h *Head) decodeUint(num protowire.Number, b []byte) ([]byte, error) {
+	v, n := protowire.ConsumeVarint(b)
+	if n < 0 {
+		return nil, corrupt(n)
+	}
+	switch num {
+	case fieldNewest:
+		h.Newest = clock.Millis(v)
+	case fieldNext:
+		h.Next = v
+	case fieldSegmentNumber:
+		h.Segments = append(h.Segments, SegmentRef{Number: v})
+	case fieldSegmentNewest:
+		if len(h.Segments) == 0 {
+			return nil, newError("decode segment", KindCorrupt, nil)
+		}
+		h.Segments[len(h.Segments)-1].Newest = clock.Millis(v)
+	}
+	return b[n:], nil
+}
+
+func corrupt(n int) error { return newError("decode head", KindCorrupt, protowire.ParseError(n)) }
--- /dev/null
+++ b/order/options.go
@@ -0,0 +1,91 @@
+package order
+
+import (
+	"lentillink.example/lentillink/attempt"
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/upstream"
+)
+
+// Window is the age up to which an id is accepted.
+const Window = 24 * clock.Hour
+
+// FutureLimit is how far an id's issue time may be ahead of this VM's clock.
+const FutureLimit = 5 * clock.Minute
+
+// DropMargin is added to Window before a sealed segment is dropped. It must
+// exceed the difference between the clocks of two VMs.
+const DropMargin = 10 * clock.Minute
+
+// Picker chooses the upstream of an attempt.
+type Picker func(now clock.Millis, service, group string, exclude []upstream.ID) (upstream.ID, bool)
+
+type config struct {
+	self          string
+	incarnation   uint64
+	picker        Picker
+	attemptID     func() attempt.ID
+	writeInterval clock.Millis
+	batchLimit    int
+	headBytes     int
+	doneDelay     clock.Millis
+	doneMarks     bool
+	askInterval   clock.Millis
+	openLimit     int
+	releaseLimit  int
+	queueLimit    int
+}
+
+// Option configures a Model.
+type Option func(*config)
+
+func defaults() config {
+	return config{
+		picker: func(clock.Millis, string, string, []upstream.ID) (upstream.ID, bool) { return "", false },
+		// 16 partitions at one write each 100 ms are 160 writes/s, within the store's several hundred.
+		writeInterval: 100,
+		headBytes:     64 << 10,
+		// An idle partition writes a done mark alone at most every 5 s: 3.2 writes/s in total.
+		doneDelay: 5 * clock.Second,
+		doneMarks: true,
+		// Three times the wait for a batch and its write, so that a healthy owner is rarely asked twice.
+		askInterval:  300,
+		openLimit:    16384,
+		releaseLimit: 16384,
+		queueLimit:   4096,
+	}
+}
+
+// WithSelf names the VM and its incarnation, which must be new at each start.
+func WithSelf(vm string, incarnation uint64) Option {
+	return func(c *config) { c.self, c.incarnation = vm, incarnation }
+}
+
+// WithPicker sets the choice of upstreams.
+func WithPicker(p Picker) Option { return func(c *config) { c.picker = p } }
+
+// WithAttemptID sets the source of attempt identifiers.
+func WithAttemptID(f func() attempt.ID) Option { return func(c *config) { c.attemptID = f } }
+
+// WithWriteInterval sets the shortest time between two writes of one partition.
+func WithWriteInterval(d clock.Millis) Option { return func(c *config) { c.writeInterval = d } }
+
+// WithBatchLimit bounds the operations in one write; 0 means no bound.
+func WithBatchLimit(n int) Option { return func(c *config) { c.batchLimit = n } }
+
+// WithHeadBytes sets the size at which the head is sealed into a segment.
+func WithHeadBytes(n int) Option { return func(c *config) { c.headBytes = n } }
+
+// WithDoneMarks says whether claims of finished orders are marked done.
+func WithDoneMarks(on bool) Option { return func(c *config) { c.doneMarks = on } }
+
+// WithDoneDelay sets how long a done mark waits for a claim to share a write with.
+func WithDoneDelay(d clock.Millis) Option { return func(c *config) { c.doneDelay = d } }
+
+// WithAskInterval sets the time after which a claim is asked for again.
+func WithAskInterval(d clock.Millis) Option { return func(c *config) { c.askInterval = d } }
+
+// WithOpenLimit bounds the open orders.
+func WithOpenLimit(n int) Option { return func(c *config) { c.openLimit = n } }
+
+// WithReleaseLimit bounds the remembered releases; above it the oldest is dropped and its claim stays.
+func WithReleaseLimit(n int) Option { return func(c *config) { c.releaseLimit = n } }
--- /dev/null
+++ b/order/owner.go
@@ -0,0 +1,143 @@
+package order
+
+import (
+	"slices"
+
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/store"
+)
+
+// enqueue queues an operation for the next batch of its partition.
+func (m *Model) enqueue(now clock.Millis, msg ClaimMsg) {
+	p := &m.parts[msg.ID.Partition()]
+	key := opKey{msg.Op, msg.Token}
+	if p.queued[key] != nil || msg.Op == OpClaim && p.queued[opKey{OpRelease, msg.Token}] != nil {
+		return
+	}
+	if msg.Op == OpClaim && !msg.Wait && now < p.retryAt || len(p.queued) >= m.cfg.queueLimit {
+		m.result(now, msg, Unavailable)
+		return
+	}
+	op := &operation{msg: msg, token: msg.Token.Hash(), due: now, expires: now + markKeepMs}
+	switch msg.Op {
+	case OpClaim:
+		op.expires = now + msg.Budget
+	case OpDone:
+		op.due = now + m.cfg.doneDelay
+	case OpRelease:
+		p.drop(opKey{OpClaim, msg.Token})
+	}
+	p.queued[key] = op
+	p.queue = append(p.queue, op)
+	m.advance(now, p)
+}
+
+// drop removes a queued operation. An operation of the batch in flight stays.
+func (p *partition) drop(key opKey) {
+	op := p.queued[key]
+	if i := slices.Index(p.queue, op); op != nil && i >= 0 {
+		p.queue = slices.Delete(p.queue, i, i+1)
+		delete(p.queued, key)
+	}
+}
+
+// result reports on an operation, except for done marks, which nobody waits for.
+func (m *Model) result(now clock.Millis, msg ClaimMsg, r Result) {
+	if msg.Op == OpDone {
+		return
+	}
+	answer := ClaimedMsg{Token: msg.Token, Result: r}
+	if msg.From == m.cfg.self {
+		m.claimed(now, answer)
+		return
+	}
+	m.emit(PeerCmd{To: msg.From, Msg: answer})
+}
+
+func (m *Model) complete(now clock.Millis, p *partition, op *operation, r Result) {
+	delete(p.queued, opKey{op.msg.Op, op.msg.Token})
+	m.result(now, op.msg, r)
+}
+
+// advance starts the next store call of an idle partition, or waits for its time.
+func (m *Model) advance(now clock.Millis, p *partition) {
+	if p.phase != phaseIdle {
+		m.checkCall(now, p)
+		return
+	}
+	p.expire(now)
+	due, ok := p.due()
+	if !ok {
+		return
+	}
+	if at := max(due, p.nextWrite, p.retryAt); now < at {
+		m.wakePartition(p, at)
+		return
+	}
+	switch {
+	case !p.loaded:
+		m.readHead(now, p)
+	case len(p.head.Claims)*encodedClaimBytes >= m.cfg.headBytes && !p.freshValid():
+		m.seal(now, p)
+	default:
+		m.writeBatch(now, p)
+	}
+}
+
+// checkCall treats a store call that was never reported as unknown.
+func (m *Model) checkCall(now clock.Millis, p *partition) {
+	if now < p.callAt+storeCallMs {
+		m.wakePartition(p, p.callAt+storeCallMs)
+		return
+	}
+	for tag, c := range m.calls {
+		if c.partition == p.n {
+			delete(m.calls, tag)
+		}
+	}
+	m.finishCall(now, p, store.Reply{Kind: store.KindUnknown})
+}
+
+// expire drops operations that nobody waits for any more.
+func (p *partition) expire(now clock.Millis) {
+	p.queue = slices.DeleteFunc(p.queue, func(op *operation) bool {
+		gone := now >= op.expires
+		if gone {
+			delete(p.queued, opKey{op.msg.Op, op.msg.Token})
+		}
+		return gone
+	})
+}
+
+// due returns when the queue needs a store call.
+func (p *partition) due() (clock.Millis, bool) {
+	if len(p.queue) == 0 {
+		return 0, false
+	}
+	at := p.queue[0].due
+	for _, op := range p.queue {
+		at = min(at, op.due)
+	}
+	return at, true
+}
+
+// fail backs off after a failed store call. Claims that may not wait are given
+// up, unless an earlier write may have written them.
+func (m *Model) fail(now clock.Millis, p *partition) {
+	p.backoff = min(max(2*p.backoff, backoffMs), backoffMaxMs)
+	p.retryAt = now + p.backoff
+	queue := p.queue
+	p.queue = nil
+	var given []*operation
+	for _, op := range queue {
+		if op.msg.Op == OpClaim && !op.msg.Wait && !op.unsure {
+			given = append(given, op)
+			continue
+		}
+		p.queue = append(p.queue, op)
+	}
+	for _, op := range given {
+		m.complete(now, p, op, Unavailable)
+	}
+	m.advance(now, p)
+}
--- /dev/null
+++ b/order/timer.go
@@ -0,0 +1,55 @@
+package order
+
+import (
+	"container/heap"
+
+	"lentillink.example/lentillink/clock"
+)
+
+type timerKind uint8
+
+const (
+	timerOrder timerKind = iota
+	timerRelease
+	timerPartition
+)
+
+// timer is a hint to look at one item; the item itself says what is due.
+type timer struct {
+	at   clock.Millis
+	kind timerKind
+	key  uint64
+}
+
+type timerHeap []timer
+
+func (h timerHeap) Len() int           { return len(h) }
+func (h timerHeap) Less(i, j int) bool { return h[i].at < h[j].at }
+func (h timerHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *timerHeap) Push(x any)        { *h = append(*h, x.(timer)) }
+func (h *timerHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return last
+}
+
+func (m *Model) wakeAt(at clock.Millis, kind timerKind, key uint64) {
+	heap.Push(&m.timers, timer{at: at, kind: kind, key: key})
+}
+
+func (m *Model) runTimers(now clock.Millis) {
+	for len(m.timers) > 0 && m.timers[0].at <= now {
+		t := heap.Pop(&m.timers).(timer)
+		switch t.kind {
+		case timerOrder:
+			m.orderDue(now, t.key)
+		case timerRelease:
+			m.releaseDue(now, t.key)
+		case timerPartition:
+			p := &m.parts[t.key]
+			p.wake = 0
+			m.advance(now, p)
+		}
+	}
+}
