Add stand-ins for the store, the VM list and the upstreams

The demo and the tests of daemons need the platform's outside, with its faults. standin serves all three over fasthttp in one process, through the protocols of the adapters. A store has compare-and-swap, leases, long-poll watches, rates and call counts, and can lose the answer to a write that took effect. A VM list lags. An upstream has a connection limit that it enforces by resetting connections, set-up cost, service times, stragglers, cold starts, a bounded queue that sheds, cancellation, held versions, moving ranges, a load endpoint that lags or lies, broken replies, and a ledger of order runs. Every fault has a name, accepted values and one strict check, used from Go by Inject and over HTTP by POST /fault on the control address of a Deployment.

An order that has started runs to its end even if it is cancelled, so that the ledger is an exact count.

--- a/httpcall/host.go
+++ b/httpcall/host.go
@@ -124,6 +124,8 @@
 }
 
 // Close closes all connections; running calls fail and later ones are refused.
+// A goroutine of fasthttp that cleans up idle connections ends by itself
+// within one idle timeout.
 func (h *Host) Close() {
 	h.mu.Lock()
 	h.closed = true
--- /dev/null
+++ b/standin/bucket.go
@@ -0,0 +1,46 @@
+package standin
+
+import (
+	"sync"
+	"time"
+)
+
+// bucketBurst is how much of a second's rate may be used at once. A tenth
+// lets bursts of a few milliseconds pass and refuses a sustained excess.
+const bucketBurst = 0.1
+
+// bucket is a token bucket. A rate of 0 means no limit.
+type bucket struct {
+	mu     sync.Mutex
+	rate   float64 // tokens a second
+	tokens float64
+	last   time.Time
+}
+
+func (b *bucket) setRate(rate float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.rate = rate
+	b.tokens = min(b.tokens, b.size())
+}
+
+func (b *bucket) size() float64 { return max(1, b.rate*bucketBurst) }
+
+func (b *bucket) take(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.rate == 0 {
+		return true
+	}
+	if b.last.IsZero() {
+		b.tokens = b.size()
+	} else {
+		b.tokens = min(b.size(), b.tokens+now.Sub(b.last).Seconds()*b.rate)
+	}
+	b.last = now
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
--- /dev/null
+++ b/standin/control.go
@@ -0,0 +1,146 @@
+package standin
+
+import (
+	"encoding/json"
+	"slices"
+
+	"github.com/valyala/fasthttp"
+
+	"lentillink.example/lentillink/settings"
+	"lentillink.example/lentillink/upstream"
+)
+
+// Store returns the store.
+func (d *Deployment) Store() *Store { return d.store }
+
+// VMList returns the VM list.
+func (d *Deployment) VMList() *VMList { return d.vmList }
+
+// Upstream returns one upstream, or nil.
+func (d *Deployment) Upstream(id upstream.ID) *Upstream { return d.upstreams[id] }
+
+// Upstreams returns the identifiers of all upstreams in the order of the settings.
+func (d *Deployment) Upstreams() []upstream.ID { return slices.Clone(d.order) }
+
+// Settings returns the settings with the addresses in use.
+func (d *Deployment) Settings() *settings.Settings { return d.settings }
+
+// ControlAddress returns the address for faults.
+func (d *Deployment) ControlAddress() string { return d.control.Address() }
+
+// Ledger sums up the order ledgers of all upstreams.
+type Ledger struct {
+	Orders   int      `json:"orders"`
+	Runs     int      `json:"runs"`
+	Repeated []string `json:"repeated"` // ids that were run more than once, sorted
+}
+
+// Ledger returns the sum of the order ledgers.
+func (d *Deployment) Ledger() Ledger {
+	total := make(map[string]int)
+	for _, u := range d.upstreams {
+		u.eachOrder(func(id string, runs int) { total[id] += runs })
+	}
+	sum := Ledger{Orders: len(total), Repeated: []string{}}
+	for id, runs := range total {
+		sum.Runs += runs
+		if runs > 1 {
+			sum.Repeated = append(sum.Repeated, id)
+		}
+	}
+	slices.Sort(sum.Repeated)
+	return sum
+}
+
+// Inject switches a fault of a target and returns how many stand-ins it reached.
+func (d *Deployment) Inject(target, name string, value any) (int, error) {
+	raw, err := json.Marshal(value)
+	if err != nil {
+		return 0, &Error{op: "inject", kind: KindInvalid, err: err}
+	}
+	return d.inject(target, name, raw)
+}
+
+func (d *Deployment) inject(target, name string, raw json.RawMessage) (int, error) {
+	switch target {
+	case "store":
+		return 1, d.store.inject(name, raw)
+	case "vm_list":
+		return 1, d.vmList.inject(name, raw)
+	}
+	if s := d.serviceFaults(target); slices.Contains(s.names(), name) {
+		return 1, s.inject(name, raw)
+	}
+	members, err := d.members(target)
+	if err != nil {
+		return 0, err
+	}
+	for i, u := range members {
+		if err := u.inject(name, raw); err != nil {
+			return i, err
+		}
+	}
+	return len(members), nil
+}
+
+// serviceFaults are the faults that change all upstreams of a service together.
+func (d *Deployment) serviceFaults(service string) switches {
+	return switches{
+		countFault("rollover", 1, maxVersion, func(n uint64) error { return d.RollOver(service, n) }),
+		countFault("repartition", 0, 1<<32-1, func(n uint64) error { return d.Repartition(service, uint32(n)) }),
+	}
+}
+
+type faultDoc struct {
+	Target string          `json:"target"`
+	Fault  string          `json:"fault"`
+	Value  json.RawMessage `json:"value"`
+}
+
+type appliedDoc struct {
+	Applied int `json:"applied"`
+}
+
+func (d *Deployment) route(ctx *fasthttp.RequestCtx) {
+	method, path := string(ctx.Method()), string(ctx.Path())
+	switch method + " " + path {
+	case "POST /fault":
+		d.serveFault(ctx)
+	case "GET /faults":
+		answer(ctx, fasthttp.StatusOK, d.described())
+	case "GET /ledger":
+		answer(ctx, fasthttp.StatusOK, d.Ledger())
+	default:
+		answerError(ctx, fasthttp.StatusNotFound, "no %s %s, want POST /fault, GET /faults or GET /ledger", method, path)
+	}
+}
+
+func (d *Deployment) serveFault(ctx *fasthttp.RequestCtx) {
+	var doc faultDoc
+	if err := decodeStrict(ctx.PostBody(), &doc); err != nil {
+		answerError(ctx, fasthttp.StatusBadRequest, "body is refused, want target, fault and value: %v", err)
+		return
+	}
+	if len(doc.Value) == 0 {
+		answerError(ctx, fasthttp.StatusBadRequest, "value is missing")
+		return
+	}
+	n, err := d.inject(doc.Target, doc.Fault, doc.Value)
+	if err != nil {
+		answerError(ctx, fasthttp.StatusBadRequest, "%v", err)
+		return
+	}
+	answer(ctx, fasthttp.StatusOK, appliedDoc{Applied: n})
+}
+
+func (d *Deployment) described() map[string]map[string]string {
+	out := map[string]map[string]string{
+		"store":   d.store.described(),
+		"vm_list": d.vmList.described(),
+		"service": d.serviceFaults("").described(),
+	}
+	if len(d.order) > 0 {
+		out["upstream"] = d.upstreams[d.order[0]].described()
+	}
+	return out
+}
--- /dev/null
+++ b/standin/options.go
@@ -0,0 +1,98 @@
+package standin
+
+import (
+	"time"
+
+	"lentillink.example/lentillink/coverage"
+)
+
+// StoreOption configures a Store.
+type StoreOption func(*Store)
+
+// WithStoreAddress sets the address; the default is a free port on loopback.
+func WithStoreAddress(address string) StoreOption { return func(s *Store) { s.address = address } }
+
+// WithRates sets the accepted writes and reads a second; 0 means no limit.
+func WithRates(writes, reads int) StoreOption {
+	return func(s *Store) { s.writes.rate, s.reads.rate = float64(writes), float64(reads) }
+}
+
+// VMListOption configures a VMList.
+type VMListOption func(*VMList)
+
+// WithVMListAddress sets the address; the default is a free port on loopback.
+func WithVMListAddress(address string) VMListOption { return func(l *VMList) { l.address = address } }
+
+// WithLag delays every change of the list by ms.
+func WithLag(ms float64) VMListOption { return func(l *VMList) { l.lag = millis(ms) } }
+
+// UpstreamOption configures an Upstream.
+type UpstreamOption func(*Upstream)
+
+// WithServiceTime sets the median and the spread of the log-normal service time.
+func WithServiceTime(medianMs, sigma float64) UpstreamOption {
+	return func(u *Upstream) { u.b.medianMs, u.b.sigma = medianMs, sigma }
+}
+
+// WithSlowShare makes a share of requests take factor times as long.
+func WithSlowShare(share, factor float64) UpstreamOption {
+	return func(u *Upstream) { u.b.slowShare, u.b.slowShareFactor = share, factor }
+}
+
+// WithStraggler multiplies every service time.
+func WithStraggler(factor float64) UpstreamOption {
+	return func(u *Upstream) { u.b.slowFactor = factor }
+}
+
+// WithColdStart multiplies service times by factor for the first ms.
+func WithColdStart(ms, factor float64) UpstreamOption {
+	return func(u *Upstream) { u.b.coldUntil, u.b.coldFactor = time.Now().Add(millis(ms)), factor }
+}
+
+// WithWorkers sets how many requests run at once and how many may wait before
+// the upstream sheds. 0 workers means no bound; shedAbove 0 means that it never sheds.
+func WithWorkers(workers, shedAbove int) UpstreamOption {
+	return func(u *Upstream) { u.b.workers, u.b.shedAbove = workers, shedAbove }
+}
+
+// WithHeld sets the snapshot versions that the upstream holds.
+func WithHeld(versions ...uint64) UpstreamOption {
+	return func(u *Upstream) { u.b.held = append([]uint64(nil), versions...) }
+}
+
+// WithRanges sets the shard map epoch and the ranges that the upstream answers for.
+func WithRanges(epoch uint64, ranges ...coverage.Range) UpstreamOption {
+	return func(u *Upstream) { u.b.epoch, u.b.ranges = epoch, append([]coverage.Range(nil), ranges...) }
+}
+
+// WithRows sets how many rows a reply carries for each range.
+func WithRows(n int) UpstreamOption { return func(u *Upstream) { u.rows = uint32(max(n, 0)) } }
+
+// WithSeed seeds service times and reply faults.
+func WithSeed(seed uint64) UpstreamOption { return func(u *Upstream) { u.seed = seed } }
+
+// DeploymentOption configures a Deployment.
+type DeploymentOption func(*Deployment)
+
+// WithControlAddress sets the address for faults; the default is a free port on loopback.
+func WithControlAddress(address string) DeploymentOption {
+	return func(d *Deployment) { d.controlAddress = address }
+}
+
+// WithFreePorts serves everything on free ports; Settings then tells the real addresses.
+func WithFreePorts() DeploymentOption { return func(d *Deployment) { d.freePorts = true } }
+
+// WithUpstreamOptions applies opts to every upstream.
+func WithUpstreamOptions(opts ...UpstreamOption) DeploymentOption {
+	return func(d *Deployment) { d.upstreamOptions = append(d.upstreamOptions, opts...) }
+}
+
+// WithStoreOptions applies opts to the store.
+func WithStoreOptions(opts ...StoreOption) DeploymentOption {
+	return func(d *Deployment) { d.storeOptions = append(d.storeOptions, opts...) }
+}
+
+// WithVMListOptions applies opts to the VM list.
+func WithVMListOptions(opts ...VMListOption) DeploymentOption {
+	return func(d *Deployment) { d.vmListOptions = append(d.vmListOptions, opts...) }
+}
--- /dev/null
+++ b/standin/server.go
@@ -0,0 +1,206 @@
+package standin
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// relistenTime bounds how long a stand-in that comes back waits for its port.
+const relistenTime = 2 * time.Second
+
+// maxRequestBytes leaves room for a value of MaxValueBytes in base64.
+const maxRequestBytes = 8 << 20
+
+// idleWorkerTime bounds how long fasthttp's idle workers outlive Close.
+const idleWorkerTime = time.Second
+
+// server is the part that all stand-ins share: one address, its connections,
+// and the faults of the connection itself.
+type server struct {
+	parent  context.Context
+	ctx     context.Context // ends with parent or Close
+	cancel  context.CancelFunc
+	detach  func() bool // stops following parent
+	handler fasthttp.RequestHandler
+	address string
+	work    sync.WaitGroup // running handlers
+
+	switching sync.Mutex // held while the server goes down, comes back or closes
+	ended     chan error // result of the serving goroutine; nil while down
+	listener  net.Listener
+
+	mu      sync.Mutex
+	limit   int // open connections, 0 for no limit
+	connect time.Duration
+	slow    time.Duration // added to every call
+	down    bool
+	closed  bool
+	conns   map[*conn]struct{}
+	opened  int
+	peak    int
+	refused int
+}
+
+type quietLogger struct{}
+
+func (quietLogger) Printf(string, ...any) {}
+
+func newServer(ctx context.Context, address string) *server {
+	s := &server{parent: ctx, address: address, conns: make(map[*conn]struct{}), detach: func() bool { return true }}
+	s.ctx, s.cancel = context.WithCancel(ctx)
+	return s
+}
+
+// start listens and serves handler in a goroutine that reports its end.
+func (s *server) start(handler fasthttp.RequestHandler) error {
+	s.handler = handler
+	ln, err := net.Listen("tcp", s.address)
+	if err != nil {
+		s.cancel()
+		return &Error{op: "start", kind: KindListen, err: err}
+	}
+	s.address = ln.Addr().String()
+	s.serve(ln)
+	s.detach = context.AfterFunc(s.parent, func() { _ = s.Close() })
+	return nil
+}
+
+func (s *server) serve(ln net.Listener) {
+	s.listener, s.ended = ln, make(chan error, 1)
+	srv := &fasthttp.Server{
+		Handler:               s.handle,
+		Logger:                quietLogger{},
+		NoDefaultServerHeader: true,
+		MaxRequestBodySize:    maxRequestBytes,
+		MaxIdleWorkerDuration: idleWorkerTime,
+	}
+	go func(ended chan<- error) { ended <- srv.Serve(&gate{Listener: ln, srv: s}) }(s.ended)
+}
+
+func (s *server) handle(ctx *fasthttp.RequestCtx) {
+	if !s.begin() {
+		ctx.SetConnectionClose()
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		return
+	}
+	defer s.work.Done()
+	s.mu.Lock()
+	slow := s.slow
+	s.mu.Unlock()
+	if slow > 0 {
+		s.sleep(slow, nil)
+	}
+	s.handler(ctx)
+}
+
+// begin counts a handler in, unless the server is closing.
+func (s *server) begin() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
+	s.work.Add(1)
+	return true
+}
+
+// sleep waits for d and reports false if stop or the server ended first.
+func (s *server) sleep(d time.Duration, stop <-chan struct{}) bool {
+	if d <= 0 {
+		return true
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-stop:
+		return false
+	case <-s.ctx.Done():
+		return false
+	}
+}
+
+// setDown stops listening and breaks all connections, or listens again on the same address.
+func (s *server) setDown(down bool) error {
+	s.switching.Lock()
+	defer s.switching.Unlock()
+	s.mu.Lock()
+	same := s.closed || s.down == down
+	s.mu.Unlock()
+	if same {
+		return nil
+	}
+	if down {
+		s.mark(&s.down, true)
+		return s.stop()
+	}
+	ln, err := s.relisten()
+	if err != nil {
+		return &Error{op: "come back", kind: KindListen, err: err}
+	}
+	s.mark(&s.down, false)
+	s.serve(ln)
+	return nil
+}
+
+func (s *server) mark(flag *bool, v bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	*flag = v
+}
+
+func (s *server) relisten() (net.Listener, error) {
+	deadline := time.Now().Add(relistenTime)
+	for {
+		ln, err := net.Listen("tcp", s.address)
+		if err == nil || time.Now().After(deadline) || !s.sleep(10*time.Millisecond, nil) {
+			return ln, err
+		}
+	}
+}
+
+// stop closes the listener and all connections and waits for the serving goroutine.
+func (s *server) stop() error {
+	if s.ended == nil {
+		return nil
+	}
+	_ = s.listener.Close()
+	s.breakConnections()
+	err := <-s.ended
+	s.ended = nil
+	s.breakConnections() // those accepted before the listener closed
+	if errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
+}
+
+func (s *server) breakConnections() {
+	s.mu.Lock()
+	conns := make([]*conn, 0, len(s.conns))
+	for c := range s.conns {
+		conns = append(conns, c)
+	}
+	s.mu.Unlock()
+	for _, c := range conns {
+		_ = c.Close()
+	}
+}
+
+// Close stops the stand-in and waits until its goroutines and handlers end.
+func (s *server) Close() error {
+	s.detach()
+	s.cancel()
+	s.switching.Lock()
+	defer s.switching.Unlock()
+	s.mark(&s.closed, true)
+	err := s.stop()
+	s.work.Wait()
+	return err
+}
--- /dev/null
+++ b/standin/vmlist.go
@@ -0,0 +1,133 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"lentillink.example/lentillink/roster"
+	"lentillink.example/lentillink/roster/httproster"
+)
+
+// VMList stands in for the platform's list of VMs.
+type VMList struct {
+	*server
+	switches
+
+	data    sync.Mutex
+	lag     time.Duration
+	history []listing // ascending in time; the last one is the truth
+}
+
+type listing struct {
+	at  time.Time
+	vms []roster.VM
+}
+
+// StartVMList serves an empty list until ctx ends or Close.
+func StartVMList(ctx context.Context, opts ...VMListOption) (*VMList, error) {
+	l := &VMList{server: newServer(ctx, "127.0.0.1:0"), history: []listing{{}}}
+	for _, opt := range opts {
+		opt(l)
+	}
+	l.switches = switches{
+		boolFault("down", l.setDown),
+		l.delayFault("slow_ms", &l.slow),
+		numberFault("lag_ms", 0, maxDelayMs, func(ms float64) {
+			l.data.Lock()
+			defer l.data.Unlock()
+			l.lag = millis(ms)
+		}),
+	}
+	return l, l.start(l.route)
+}
+
+// Register adds a VM, or replaces the one with the same ID.
+func (l *VMList) Register(vm roster.VM) error {
+	if vm.ID == "" {
+		return &Error{op: "register", kind: KindInvalid, err: fmt.Errorf("id is empty, want a name")}
+	}
+	if _, err := netip.ParseAddrPort(vm.Address); err != nil {
+		err = fmt.Errorf("address is %q, want an IP address and a port", vm.Address)
+		return &Error{op: "register", kind: KindInvalid, err: err}
+	}
+	l.change(vm.ID, &vm)
+	return nil
+}
+
+// Remove takes a VM off the list.
+func (l *VMList) Remove(id string) { l.change(id, nil) }
+
+func (l *VMList) change(id string, vm *roster.VM) {
+	l.data.Lock()
+	defer l.data.Unlock()
+	vms := slices.DeleteFunc(slices.Clone(l.last()), func(v roster.VM) bool { return v.ID == id })
+	if vm != nil {
+		vms = append(vms, *vm)
+	}
+	now := time.Now()
+	l.history = append(l.history, listing{at: now, vms: vms})
+	l.forget(now)
+}
+
+// forget drops listings that no lag can show again. The caller holds l.data.
+func (l *VMList) forget(now time.Time) {
+	oldest := now.Add(-maxDelayMs * time.Millisecond)
+	for len(l.history) > 1 && l.history[1].at.Before(oldest) {
+		l.history = l.history[1:]
+	}
+}
+
+func (l *VMList) last() []roster.VM { return l.history[len(l.history)-1].vms }
+
+// VMs returns the list as it is now, without lag.
+func (l *VMList) VMs() []roster.VM {
+	l.data.Lock()
+	defer l.data.Unlock()
+	return slices.Clone(l.last())
+}
+
+// shown returns the list as it was before the lag.
+func (l *VMList) shown(now time.Time) []roster.VM {
+	l.data.Lock()
+	defer l.data.Unlock()
+	for _, h := range slices.Backward(l.history) {
+		if !h.at.After(now.Add(-l.lag)) {
+			return h.vms
+		}
+	}
+	return nil
+}
+
+func (l *VMList) route(ctx *fasthttp.RequestCtx) {
+	method, path := string(ctx.Method()), string(ctx.Path())
+	switch method + " " + path {
+	case "GET /vms":
+		answer(ctx, fasthttp.StatusOK, httproster.VMsDoc{VMs: append([]roster.VM{}, l.shown(time.Now())...)})
+	case "POST /vms":
+		l.serveRegister(ctx)
+	case "DELETE /vms":
+		l.Remove(string(ctx.QueryArgs().Peek("id")))
+		answer(ctx, fasthttp.StatusOK, struct{}{})
+	default:
+		answerError(ctx, fasthttp.StatusNotFound, "no %s %s", method, path)
+	}
+}
+
+func (l *VMList) serveRegister(ctx *fasthttp.RequestCtx) {
+	var vm roster.VM
+	err := decodeStrict(ctx.PostBody(), &vm)
+	if err == nil {
+		err = l.Register(vm)
+	}
+	if err != nil {
+		answerError(ctx, fasthttp.StatusBadRequest, "%v", err)
+		return
+	}
+	answer(ctx, fasthttp.StatusOK, vm)
+}
