--- a/standin/deployment_test.go
+++ b/standin/deployment_test.go
@@ -37,7 +37,8 @@
 	for _, name := range settings.Deployments() {
 		before := runtime.NumGoroutine()
 		d := deploy(t, name)
-		c := httpup.New(httpup.WithServices(d.Settings().Services()...))
+		// The idle timeout bounds how long fasthttp's cleaner of each client lives on.
+		c := httpup.New(httpup.WithIdleTimeout(200), httpup.WithServices(d.Settings().Services()...))
 		for i, id := range d.Upstreams() {
 			req := query(uint64(i), longMs)
 			req.Upstream = string(id)
--- a/standin/server.go
+++ b/standin/server.go
@@ -13,6 +13,12 @@
 // relistenTime bounds how long a stand-in that comes back waits for its port.
 const relistenTime = 2 * time.Second
 
+// maxRequestBytes leaves room for a value of MaxValueBytes in base64.
+const maxRequestBytes = 8 << 20
+
+// idleWorkerTime bounds how long fasthttp's idle workers outlive Close.
+const idleWorkerTime = time.Second
+
 // server is the part that all stand-ins share: one address, its connections,
 // and the faults of the connection itself.
 type server struct {
@@ -70,7 +76,8 @@
 		Handler:               s.handle,
 		Logger:                quietLogger{},
 		NoDefaultServerHeader: true,
-		MaxRequestBodySize:    8 << 20,
+		MaxRequestBodySize:    maxRequestBytes,
+		MaxIdleWorkerDuration: idleWorkerTime,
 	}
 	go func(ended chan<- error) { ended <- srv.Serve(&gate{Listener: ln, srv: s}) }(s.ended)
 }
