Add a virtual-time fleet of whole cores and the flood experiments

Cause: admission, pools and queries have only been measured apart. The floods need them together, with peers, carriers and fake upstreams.

Change: experiment.Tier drives 9 vm.Core in virtual time.

--- /dev/null
+++ b/experiment/flood.go
@@ -0,0 +1,157 @@
+package experiment
+
+import (
+	"math"
+
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/rank"
+)
+
+// Shape of the flood experiments.
+const (
+	floodFactor = 5.0
+	floodMs     = 10 * clock.Second
+	floodSettle = 3 * clock.Second // adaptation before the window that counts
+	floodDrain  = 60 * clock.Second
+	// otherShare is what each rank that does not flood asks for, as a share of
+	// capacity. It lies above every floor, so that floors are really needed.
+	otherShare = 0.4
+	// lightShare is the load of a rank without any contention.
+	lightShare = 0.1
+)
+
+// Capacity returns the queries per second that the connections of the tier can
+// carry: each query takes one connection of each group for its service time.
+func (t *Tier) Capacity() float64 {
+	up := t.Upstreams[t.ids[0]]
+	meanMs := up.MedianMs*math.Exp(up.Sigma*up.Sigma/2) + 2*float64(tierHopMs)
+	usable := float64(2*(t.Config.Connections*45/100)) * float64(t.Config.Replicas)
+	return usable / meanMs * float64(clock.Second)
+}
+
+// flood is one run: the shares of capacity that each rank asks for.
+type flood struct {
+	tier     *Tier
+	load     *TierLoad
+	capacity float64
+}
+
+// runFlood sends each rank at its share of capacity and counts the requests of
+// a window of floodMs after floodSettle.
+func runFlood(cfg TierConfig, shares rank.Table[float64]) *flood {
+	t := NewTier(cfg)
+	f := &flood{tier: t, load: NewTierLoad(t, cfg.Seed), capacity: t.Capacity()}
+	end := t.Loop.Now() + floodSettle + floodMs
+	for _, r := range rank.All() {
+		f.load.Send(r, shares.At(r)*f.capacity, end)
+	}
+	t.Loop.RunUntil(t.Loop.Now() + floodSettle)
+	f.load.Reset()
+	t.Loop.RunUntil(end)
+	return f
+}
+
+// perSecond returns how many queries of a rank are answered whole per second
+// of the window.
+func (f *flood) perSecond(r rank.Rank) float64 {
+	return float64(f.load.Result(r).Complete) / float64(floodMs/clock.Second)
+}
+
+func (f *flood) goodput() float64 {
+	sum := 0.0
+	for _, r := range rank.All() {
+		sum += f.perSecond(r)
+	}
+	return sum
+}
+
+// floor returns the queries per second that a rank is guaranteed.
+func (f *flood) floor(r rank.Rank) float64 {
+	p, _ := f.tier.Config.Record.Find(f.tier.Config.Record.InForce)
+	return f.capacity * p.Policy(r).FloorPercent / 100
+}
+
+// drain lets every open request end and returns how many are still open.
+func (f *flood) drain() int {
+	f.tier.Loop.RunUntil(f.tier.Loop.Now() + floodDrain)
+	open := 0
+	for _, r := range rank.All() {
+		open += f.load.Result(r).Open
+	}
+	return open
+}
+
+func openGate(cfg TierConfig) TierConfig {
+	cfg.OpenGate = true
+	return cfg
+}
+
+// FloodPatient floods the tier with patient work at five times its capacity.
+// The baseline admits every query at once.
+func FloodPatient(seed uint64) Report {
+	report := Report{Name: "flood-patient", Seed: seed}
+	cfg := DefaultTier(seed)
+	quiet := runFlood(cfg, rank.NewTable(lightShare, lightShare, 0))
+	shares := rank.NewTable(lightShare, otherShare, floodFactor)
+	on, off := runFlood(cfg, shares), runFlood(openGate(cfg), shares)
+	unloaded := quiet.load.Result(rank.Urgent).P99()
+	report.AtMost("urgent p99 against unloaded", "ratio",
+		off.load.Result(rank.Urgent).P99()/unloaded, on.load.Result(rank.Urgent).P99()/unloaded, 1.5)
+	report.AtMost("urgent refused", "queries",
+		float64(off.load.Result(rank.Urgent).Refused), float64(on.load.Result(rank.Urgent).Refused), 0)
+	report.AtLeast("ordinary throughput against its floor", "ratio",
+		off.perSecond(rank.Ordinary)/off.floor(rank.Ordinary), on.perSecond(rank.Ordinary)/on.floor(rank.Ordinary), 1)
+	report.Note("goodput against capacity", "ratio", off.goodput()/off.capacity, on.goodput()/on.capacity)
+	report.AtMost("accepted requests still open after the flood", "queries", float64(off.drain()), float64(on.drain()), 0)
+	report.AtMost("patient failed or partial", "queries", unanswered(off, rank.Patient), unanswered(on, rank.Patient), 0)
+	report.AtMost("violations", "answers", float64(len(off.load.Violations())), float64(len(on.load.Violations())), 0)
+	return report
+}
+
+// unanswered counts queries that were accepted but not answered whole.
+func unanswered(f *flood, r rank.Rank) float64 {
+	return float64(f.load.Result(r).Failed + f.load.Result(r).Partial)
+}
+
+// FloodUrgent floods the tier with urgent work at five times its capacity,
+// while the other ranks ask for more than their floors.
+func FloodUrgent(seed uint64) Report {
+	report := Report{Name: "flood-urgent", Seed: seed}
+	cfg := DefaultTier(seed)
+	shares := rank.NewTable(floodFactor, otherShare, otherShare)
+	on, off := runFlood(cfg, shares), runFlood(openGate(cfg), shares)
+	report.AtLeast("goodput against capacity", "ratio", off.goodput()/off.capacity, on.goodput()/on.capacity, 0.9)
+	for _, r := range []rank.Rank{rank.Ordinary, rank.Patient} {
+		report.AtLeast(r.String()+" throughput against its floor", "ratio",
+			off.perSecond(r)/off.floor(r), on.perSecond(r)/on.floor(r), 0.9)
+	}
+	report.AtMost("answered urgent queries that are not complete", "queries",
+		unanswered(off, rank.Urgent), unanswered(on, rank.Urgent), 0)
+	report.Note("urgent p99", "ms", off.load.Result(rank.Urgent).P99(), on.load.Result(rank.Urgent).P99())
+	report.AtMost("violations", "answers", float64(len(off.load.Violations())), float64(len(on.load.Violations())), 0)
+	return report
+}
+
+// Fanout counts the sub-requests that were sent for queries that end refused,
+// with every rank above its share and five times overload in total.
+func Fanout(seed uint64) Report {
+	report := Report{Name: "fanout", Seed: seed}
+	cfg := DefaultTier(seed)
+	each := floodFactor / rank.Count
+	shares := rank.NewTable(each, each, each)
+	on, off := runFlood(cfg, shares), runFlood(openGate(cfg), shares)
+	report.AtMost("sub-requests sent for queries without an answer", "percent", off.wasted(), on.wasted(), 1)
+	report.Note("goodput against capacity", "ratio", off.goodput()/off.capacity, on.goodput()/on.capacity)
+	return report
+}
+
+// wasted returns the percentage of sub-requests that served refused or failed queries.
+func (f *flood) wasted() float64 {
+	f.drain()
+	wasted, all := 0, 0
+	for _, r := range rank.All() {
+		wasted += f.load.Result(r).Wasted
+		all += f.load.Result(r).Attempts
+	}
+	return 100 * float64(wasted) / float64(max(all, 1))
+}
--- /dev/null
+++ b/experiment/tier.go
@@ -0,0 +1,284 @@
+package experiment
+
+import (
+	"fmt"
+	"math/rand/v2"
+
+	"lentillink.example/lentillink/attempt"
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/coverage"
+	"lentillink.example/lentillink/fleet"
+	"lentillink.example/lentillink/preset"
+	"lentillink.example/lentillink/upstream"
+	"lentillink.example/lentillink/vm"
+)
+
+// Delays of the fakes around a Tier.
+const (
+	tierStart  clock.Millis = 1_700_000_000_000
+	tierHopMs  clock.Millis = 1 // between VMs, and between a VM and an upstream
+	tierOpenMs clock.Millis = 6 // to open a connection to an upstream
+	tierWarmUp clock.Millis = 5 * clock.Second
+	keysEach   uint32       = 100
+)
+
+// TierConfig describes a fleet of whole cores with its upstreams.
+type TierConfig struct {
+	Seed        uint64
+	VMs         int
+	Groups      int
+	Replicas    int
+	Connections int // limit of each upstream
+	MedianMs    float64
+	Routing     vm.Routing
+	Record      preset.Record // presets and the one in force at the start
+	OpenGate    bool          // admit every query at once, for baselines
+}
+
+// DefaultTier returns the search service of today's sizes with fewer
+// connections, so that a flood of five times its capacity runs in seconds.
+func DefaultTier(seed uint64) TierConfig {
+	return TierConfig{
+		Seed: seed, VMs: 9, Groups: 20, Replicas: 2, Connections: 20, MedianMs: 40, Record: preset.Default(),
+	}
+}
+
+// Tier runs one vm.Core per VM in virtual time with fake upstreams, network,
+// store and VM list.
+type Tier struct {
+	Loop      *Loop
+	Config    TierConfig
+	Upstreams map[string]*Upstream
+	Store     *TierStore
+
+	nodes   []*tierNode
+	byID    map[string]*tierNode
+	ids     []string // of the upstreams, in order
+	rng     *rand.Rand
+	calls   uint64
+	pending map[uint64]func(vm.Cmd) // callers that wait
+	sent    map[string]int          // sub-requests that reached an upstream, by request kind
+}
+
+// tierNode is one VM of a Tier.
+type tierNode struct {
+	tier   *Tier
+	self   fleet.VM
+	core   *vm.Core
+	wake   clock.Millis
+	life   int // raised by each stop, so that old callbacks are ignored
+	dead   bool
+	resume clock.Millis // paused until this time
+}
+
+// NewTier starts the cores and runs them until they are ready and warm.
+func NewTier(cfg TierConfig) *Tier {
+	loop := NewLoop(tierStart)
+	t := &Tier{
+		Loop: loop, Config: cfg, Upstreams: make(map[string]*Upstream), byID: make(map[string]*tierNode),
+		rng: rand.New(rand.NewPCG(cfg.Seed, 77)), pending: make(map[uint64]func(vm.Cmd)), sent: make(map[string]int),
+	}
+	t.Store = newTierStore(loop, rand.New(rand.NewPCG(cfg.Seed, 78)))
+	services := t.services()
+	for i := range cfg.VMs {
+		t.startNode(i, services)
+	}
+	loop.RunUntil(loop.Now() + tierWarmUp)
+	return t
+}
+
+func (t *Tier) services() []upstream.Service {
+	svc := upstream.Service{Name: "search", Keys: uint32(t.Config.Groups) * keysEach}
+	for g := range t.Config.Groups {
+		name := fmt.Sprintf("g%02d", g)
+		keys := coverage.Range{From: uint32(g) * keysEach, To: uint32(g+1) * keysEach}
+		group := upstream.Group{Name: name, Range: keys}
+		for r := range t.Config.Replicas {
+			id := upstream.ID(fmt.Sprintf("search/%s/%d", name, r))
+			group.Replicas = append(group.Replicas, upstream.Upstream{
+				ID: id, Service: "search", Group: name, Connections: t.Config.Connections, ConnectMs: tierOpenMs,
+			})
+			up := NewUpstream(t.Loop, rand.New(rand.NewPCG(t.Config.Seed, uint64(1000+g*10+r))), keys)
+			up.MedianMs = t.Config.MedianMs
+			t.Upstreams[string(id)] = up
+			t.ids = append(t.ids, string(id))
+		}
+		svc.Groups = append(svc.Groups, group)
+	}
+	return []upstream.Service{svc}
+}
+
+func (t *Tier) startNode(i int, services []upstream.Service) {
+	self := fleet.VM{
+		ID: fmt.Sprintf("vm-%d", i+1), Address: fmt.Sprintf("10.0.0.%d:1", i+1),
+		DataCentre: fmt.Sprintf("dc-%d", i%3+1), Incarnation: uint64(t.Loop.Now()) + uint64(i),
+	}
+	n := &tierNode{tier: t, self: self}
+	opts := []vm.Option{
+		vm.WithSelf(self), vm.WithSeed(t.Config.Seed+uint64(i)), vm.WithServices(services...),
+		vm.WithInitialRecord(t.Config.Record), vm.WithRouting(t.Config.Routing), vm.WithFleetSize(t.Config.VMs),
+		vm.WithRingEvents(1024),
+	}
+	if t.Config.OpenGate {
+		opts = append(opts, vm.WithOpenAdmission())
+	}
+	n.core = vm.New(opts...)
+	t.nodes = append(t.nodes, n)
+	t.byID[self.ID] = n
+	t.Loop.After(clock.Millis(i), func() { n.update(vm.TickMsg{}) })
+	t.pollRoster(n)
+}
+
+// pollRoster gives a VM the list of VMs every second, as its runtime would.
+func (t *Tier) pollRoster(n *tierNode) {
+	life := n.life
+	t.Loop.After(clock.Second, func() {
+		if n.dead || n.life != life {
+			return
+		}
+		var list []fleet.VM
+		for _, other := range t.nodes {
+			if !other.dead {
+				v := other.self
+				v.Incarnation = 0 // the platform's list does not know processes
+				list = append(list, v)
+			}
+		}
+		n.update(vm.RosterMsg{VMs: list})
+		t.pollRoster(n)
+	})
+}
+
+// update runs one message through the core and performs its commands.
+func (n *tierNode) update(msg vm.Msg) {
+	if n.dead {
+		return
+	}
+	now := n.tier.Loop.Now()
+	if now < n.resume {
+		life := n.life
+		n.tier.Loop.At(n.resume, func() {
+			if n.life == life {
+				n.update(msg)
+			}
+		})
+		return
+	}
+	for _, cmd := range n.core.Update(now, msg) {
+		n.perform(cmd)
+	}
+	n.schedule()
+}
+
+// schedule makes sure that a tick comes at the core's next wake.
+func (n *tierNode) schedule() {
+	at, ok := n.core.NextWake()
+	if !ok {
+		return
+	}
+	at = max(at, n.tier.Loop.Now()+1)
+	if n.wake > n.tier.Loop.Now() && n.wake <= at {
+		return
+	}
+	n.wake = at
+	life := n.life
+	n.tier.Loop.At(at, func() {
+		if n.life == life && n.wake == at {
+			n.wake = 0
+			n.update(vm.TickMsg{})
+		}
+	})
+}
+
+func (n *tierNode) perform(cmd vm.Cmd) {
+	t := n.tier
+	switch m := cmd.(type) {
+	case vm.AnswerQueryCmd:
+		t.answer(m.Call, m)
+	case vm.AnswerOrderCmd:
+		t.answer(m.Call, m)
+	case vm.DispatchCmd:
+		n.dispatch(m)
+	case vm.AbortCmd:
+		n.abort(m)
+	case vm.PollLoadCmd:
+		n.pollLoad(m.Upstream)
+	case vm.StoreCmd:
+		n.callStore(m)
+	case vm.SendPeerCmd:
+		n.sendPeer(m)
+	}
+}
+
+func (t *Tier) answer(call uint64, cmd vm.Cmd) {
+	if done := t.pending[call]; done != nil {
+		delete(t.pending, call)
+		done(cmd)
+	}
+}
+
+func (n *tierNode) dispatch(m vm.DispatchCmd) {
+	t, life := n.tier, n.life
+	delay := tierHopMs
+	if m.Open {
+		delay += tierOpenMs
+	}
+	t.Loop.After(delay, func() {
+		t.sent[m.Request.ID.VM]++
+		t.Upstreams[m.Request.Upstream].Serve(m.Request, func(r attempt.Reply) {
+			t.Loop.After(tierHopMs, func() {
+				if n.life == life {
+					n.update(vm.ReplyMsg{Reply: r})
+				}
+			})
+		})
+	})
+}
+
+// abort frees the connection at once. The fake upstream finishes the work all
+// the same, as a real one that notices the cancellation late would.
+func (n *tierNode) abort(m vm.AbortCmd) {
+	life := n.life
+	n.tier.Loop.After(2*tierHopMs, func() {
+		if n.life == life {
+			n.update(vm.AbortedMsg{ID: m.ID})
+		}
+	})
+}
+
+func (n *tierNode) pollLoad(id upstream.ID) {
+	t, life := n.tier, n.life
+	t.Loop.After(2*tierHopMs, func() {
+		if n.life != life {
+			return
+		}
+		up := t.Upstreams[string(id)]
+		n.update(vm.LoadMsg{
+			Upstream: id, OK: !up.Dead, Load: upstream.Load{Healthy: true, Leaving: up.Leaving, Held: up.Held},
+		})
+	})
+}
+
+func (n *tierNode) callStore(m vm.StoreCmd) {
+	life := n.life
+	n.tier.Store.Call(m.Request, func(r storeReply) {
+		if n.life == life {
+			n.update(vm.StoreMsg{Reply: r})
+		}
+	})
+}
+
+func (n *tierNode) sendPeer(m vm.SendPeerCmd) {
+	t, life := n.tier, n.life
+	to := t.byID[m.To]
+	if to == nil || to.dead {
+		t.Loop.After(tierHopMs, func() {
+			if n.life == life {
+				n.update(vm.PeerUnsentMsg{To: m.To, Body: m.Body})
+			}
+		})
+		return
+	}
+	from := n.self.ID
+	t.Loop.After(tierHopMs, func() { to.update(vm.PeerMsg{From: from, Stamp: m.Stamp, Body: m.Body}) })
+}
--- /dev/null
+++ b/experiment/tier_load.go
@@ -0,0 +1,143 @@
+package experiment
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/rank"
+	"lentillink.example/lentillink/vm"
+)
+
+// Bounds of the latency histograms, in milliseconds.
+const (
+	histogramMaxMs  = 600_000
+	histogramDigits = 3
+)
+
+// RankResult sums up the answers of one rank over a measured window.
+type RankResult struct {
+	Sent     int // requests
+	Complete int
+	Partial  int
+	Refused  int
+	Failed   int
+	Open     int // not answered yet
+	Attempts int
+	Needed   int
+	Wasted   int // attempts sent for queries that ended refused or failed
+	Latency  *hdrhistogram.Histogram
+}
+
+// P99 returns the 99th percentile of complete and partial answers in milliseconds.
+func (r *RankResult) P99() float64 { return float64(r.Latency.ValueAtQuantile(99)) }
+
+// TierLoad sends queries to a Tier at Poisson-distributed times.
+type TierLoad struct {
+	tier    *Tier
+	rng     *rand.Rand
+	results *rank.Table[RankResult]
+	fail    []string // violations of what must always hold
+	next    int
+}
+
+// NewTierLoad returns a load generator with its own seed.
+func NewTierLoad(t *Tier, seed uint64) *TierLoad {
+	l := &TierLoad{tier: t, rng: rand.New(rand.NewPCG(seed, 99))}
+	l.Reset()
+	return l
+}
+
+// Reset starts a new window. Only requests that are sent in it count; answers
+// to earlier ones are checked but not counted.
+func (l *TierLoad) Reset() {
+	l.results = &rank.Table[RankResult]{}
+	for _, r := range rank.All() {
+		l.results.Set(r, RankResult{Latency: hdrhistogram.New(1, histogramMaxMs, histogramDigits)})
+	}
+}
+
+// Result returns the results of a rank.
+func (l *TierLoad) Result(r rank.Rank) *RankResult { return l.results.Ref(r) }
+
+// Violations returns what did not hold.
+func (l *TierLoad) Violations() []string { return l.fail }
+
+// Send starts a stream of queries at the given rate until end.
+func (l *TierLoad) Send(r rank.Rank, perSecond float64, end clock.Millis) {
+	if perSecond <= 0 {
+		return
+	}
+	next := float64(l.tier.Loop.Now())
+	var arrive func()
+	schedule := func() {
+		next += -math.Log(1-l.rng.Float64()) * float64(clock.Second) / perSecond
+		if at := clock.Millis(next); at < end {
+			l.tier.Loop.At(at, arrive)
+		}
+	}
+	arrive = func() {
+		l.query(r)
+		schedule()
+	}
+	schedule()
+}
+
+func (l *TierLoad) query(r rank.Rank) {
+	t := l.tier
+	n := t.nodes[l.next%len(t.nodes)]
+	l.next++
+	t.calls++
+	call, start, res := t.calls, t.Loop.Now(), l.results.Ref(r)
+	id := fmt.Sprintf("q%d", call)
+	res.Sent++
+	res.Open++
+	t.pending[call] = func(cmd vm.Cmd) {
+		res.Open--
+		a := cmd.(vm.AnswerQueryCmd).Answer
+		l.check(id, a)
+		res.record(a, t.Loop.Now()-start)
+	}
+	n.update(vm.QueryMsg{Call: call, ID: id, Rank: r, Service: "search", MinCoverage: -1})
+}
+
+func (r *RankResult) record(a vm.QueryAnswer, took clock.Millis) {
+	r.Attempts += a.Attempts
+	r.Needed += a.Needed
+	switch a.Outcome {
+	case vm.Complete:
+		r.Complete++
+	case vm.Partial:
+		r.Partial++
+	case vm.Refused:
+		r.Refused++
+		r.Wasted += a.Attempts
+		return
+	default:
+		r.Failed++
+		r.Wasted += a.Attempts
+		return
+	}
+	_ = r.Latency.RecordValue(int64(max(took, 1)))
+}
+
+// check verifies an answer on its own: it belongs to the request, and its
+// coverage adds up.
+func (l *TierLoad) check(id string, a vm.QueryAnswer) {
+	if a.ID != id {
+		l.fail = append(l.fail, fmt.Sprintf("%s received the answer to %s", id, a.ID))
+	}
+	var missing uint32
+	for _, gap := range a.Missing {
+		missing += gap.Len()
+	}
+	switch {
+	case a.Covered+missing != a.Expected:
+		l.fail = append(l.fail, fmt.Sprintf("%s covers %d and misses %d of %d keys", id, a.Covered, missing, a.Expected))
+	case a.Outcome == vm.Complete && (missing > 0 || a.Expected == 0):
+		l.fail = append(l.fail, id+" is called complete but is not")
+	}
+}
--- a/vm/core.go
+++ b/vm/core.go
@@ -120,10 +120,16 @@
 	return all
 }
 
+// unlimited is a limit that is never reached.
+const unlimited = 1 << 40
+
 // gateOptions starts the limit of each service at this VM's share of the
 // connections. It may grow to the whole, because load on the VMs is uneven.
 func gateOptions(cfg config) []admission.Option {
 	var opts []admission.Option
+	if cfg.openGate {
+		opts = append(opts, admission.WithInterval(unlimited)) // never adapts
+	}
 	for _, svc := range cfg.services {
 		connections := 0
 		for _, g := range svc.Groups {
@@ -132,7 +138,11 @@
 			}
 		}
 		share := max(connections/max(cfg.fleetSize, 1), 2*len(svc.Groups))
-		opts = append(opts, admission.WithService(svc.Name, share, max(connections, share)))
+		most := max(connections, share)
+		if cfg.openGate {
+			share, most = unlimited, unlimited
+		}
+		opts = append(opts, admission.WithService(svc.Name, share, most))
 	}
 	return opts
 }
--- a/vm/options.go
+++ b/vm/options.go
@@ -15,6 +15,7 @@
 	ringEvents int
 	routing    Routing
 	fleetSize  int
+	openGate   bool
 }
 
 // Routing says how attempts reach upstreams.
@@ -57,6 +58,10 @@
 // limits start. They adapt afterwards.
 func WithFleetSize(n int) Option { return func(c *config) { c.fleetSize = n } }
 
+// WithOpenAdmission admits every query at once. Experiments use it as their
+// baseline.
+func WithOpenAdmission() Option { return func(c *config) { c.openGate = true } }
+
 func newConfig(opts []Option) config {
 	c := config{seed: 1, initial: preset.Default(), fleetSize: 9}
 	for _, opt := range opts {
