Cache the next wake of each upstream in the pool

Cause: NextWake looked at the heaps of every upstream after each message.

Change: the wake of an upstream is computed when that upstream is pumped; NextWake takes the minimum over the upstreams.

Conclusion: NextWake costs one comparison per upstream.

--- a/pool/accessors.go
+++ b/pool/accessors.go
@@ -51,44 +51,9 @@
 // NextWake returns when the model wants a TickMsg. It takes time in the number
 // of upstreams.
 func (m *Model) NextWake() (clock.Millis, bool) {
-	var wake clock.Millis
-	found := false
+	wake := never
 	for _, l := range m.ordered {
-		if at, ok := l.nextWake(m.now, m.cfg.idleMs); ok && (!found || at < wake) {
-			wake, found = at, true
-		}
+		wake = min(wake, l.wake)
 	}
-	return wake, found
-}
-
-func (l *lane) nextWake(now, idleMs clock.Millis) (clock.Millis, bool) {
-	var wake clock.Millis
-	found := false
-	consider := func(at clock.Millis) {
-		if !found || at < wake {
-			wake, found = at, true
-		}
-	}
-	if it := l.queue.earliest(); it != nil {
-		due := it.req.Deadline
-		consider(min(due, due-l.service.At(now)+1))
-		if l.effective < l.limit {
-			consider(l.recoverAt)
-		}
-	}
-	if l.running.Len() > 0 {
-		consider(l.running.top().ends)
-	}
-	if len(l.conns.idle) > 0 {
-		consider(l.conns.idle[0] + idleMs)
-	}
-	return wake, found
-}
-
-// keep is the number of connections that may stay open.
-func (l *lane) keep() int {
-	if l.leaving {
-		return 0
-	}
-	return l.effective
+	return wake, wake != never
 }
--- a/pool/dispatch.go
+++ b/pool/dispatch.go
@@ -21,6 +21,7 @@
 	if l.conns.trim(now, m.cfg.idleMs, l.keep()) {
 		cmds = append(cmds, CloseIdleCmd{Upstream: l.id, Keep: len(l.conns.idle)})
 	}
+	l.wake = l.due(now, m.cfg.idleMs)
 	return cmds
 }
 
--- a/pool/lane.go
+++ b/pool/lane.go
@@ -1,11 +1,16 @@
 package pool
 
 import (
+	"math"
+
 	"lentillink.example/lentillink/attempt"
 	"lentillink.example/lentillink/clock"
 	"lentillink.example/lentillink/quantile"
 )
 
+// never is later than every time at which something is due.
+const never = clock.Millis(math.MaxInt64)
+
 const (
 	// serviceQuantile is low, so that only work which almost surely misses its
 	// deadline is dropped.
@@ -36,6 +41,7 @@
 	running    itemHeap
 	conns      connections
 	service    quantile.Window
+	wake       clock.Millis // when something is due next
 }
 
 func newLane(id string) *lane {
@@ -43,6 +49,7 @@
 		id: id, queue: newQueue(),
 		running: itemHeap{slot: slotOrder, less: endsBefore},
 		service: quantile.NewWindow(serviceQuantile),
+		wake:    never,
 	}
 }
 
@@ -110,3 +117,29 @@
 	}
 	return attempt.OK, false
 }
+
+// due returns when the lane has to be pumped next if no message comes before.
+func (l *lane) due(now, idleMs clock.Millis) clock.Millis {
+	at := never
+	if it := l.queue.earliest(); it != nil {
+		at = min(at, it.req.Deadline, it.req.Deadline-l.service.At(now)+1)
+		if l.effective < l.limit {
+			at = min(at, l.recoverAt)
+		}
+	}
+	if l.running.Len() > 0 {
+		at = min(at, l.running.top().ends)
+	}
+	if len(l.conns.idle) > 0 {
+		at = min(at, l.conns.idle[0]+idleMs)
+	}
+	return at
+}
+
+// keep is the number of connections that may stay open.
+func (l *lane) keep() int {
+	if l.leaving {
+		return 0
+	}
+	return l.effective
+}
--- a/pool/model.go
+++ b/pool/model.go
@@ -9,7 +9,6 @@
 // Model decides which attempt uses which connection. It is a pure state machine.
 type Model struct {
 	cfg      config
-	now      clock.Millis // of the last Update
 	seq      uint64
 	lanes    map[string]*lane
 	ordered  []*lane // fixed order, so that runs repeat
@@ -29,7 +28,6 @@
 
 // Update applies msg at now and returns the commands that follow from it.
 func (m *Model) Update(now clock.Millis, msg Msg) []Cmd {
-	m.now = now
 	switch v := msg.(type) {
 	case EnqueueMsg:
 		return m.enqueue(now, v)
