Add the connections experiment

Change: Connections runs 9 VMs and 40 upstreams with pool.Model on the same bursty arrivals for both variants, at 1%, 30%, 60% and 80% of the capacity of all connections, and with one VM leaving and joining while the view of another lags by 2 s or 4 s. A trace of a first version at 60% showed 21.9 of 1,000 sub-requests unanswered during churn: a VM that was no carrier any more refused at once, so it always had the least outstanding work and drew the retries.

--- /dev/null
+++ b/experiment/connections.go
@@ -0,0 +1,144 @@
+package experiment
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+
+	"lentillink.example/lentillink/clock"
+)
+
+// The fleet of the connections experiment, as in the sizes of today.
+const (
+	connVMs      = 9
+	connGroups   = 20
+	connReplicas = 2
+	connLimit    = 25
+	connOpenMs   = 6
+	connHopMs    = 1
+
+	connMedianMs = 8.0
+	connSigma    = 0.35
+
+	// connBurstMs is the time for which the arrivals keep one distribution over the VMs.
+	connBurstMs clock.Millis = 250
+
+	connDeadlineMs clock.Millis = 2 * clock.Second
+)
+
+// connLoad is one load of the experiment. Share is the part of the total
+// capacity of all connections that the arrivals need.
+type connLoad struct {
+	name       string
+	share      float64
+	durationMs clock.Millis
+	lagMs      clock.Millis // lag of one VM's view while another leaves and joins; 0 for no change
+}
+
+func connLoads() []connLoad {
+	return []connLoad{
+		{name: "1%", share: 0.01, durationMs: 40 * clock.Second}, // longer than the idle timeout
+		{name: "30%", share: 0.30, durationMs: clock.Second},
+		{name: "60%", share: 0.60, durationMs: clock.Second},
+		{name: "80%", share: 0.80, durationMs: clock.Second},
+		{name: "60%, view lags 2 s", share: 0.60, durationMs: 5 * clock.Second, lagMs: 2 * clock.Second},
+		{name: "30%, view lags 4 s", share: 0.30, durationMs: 7 * clock.Second, lagMs: 4 * clock.Second},
+	}
+}
+
+// connSub is one sub-request, drawn once so that both variants serve the same work.
+type connSub struct {
+	replica   uint8
+	serviceMs uint16
+}
+
+// connArrival is one 20-way query.
+type connArrival struct {
+	at   clock.Millis
+	vm   int
+	subs [connGroups]connSub
+}
+
+// Connections compares direct static shares of each upstream's connections
+// (baseline) with carriers (value) on the same arrivals.
+func Connections(seed uint64) Report {
+	report := Report{Name: "connections", Seed: seed}
+	for i, load := range connLoads() {
+		arrivals := connArrivals(rand.New(rand.NewPCG(seed, uint64(i))), load)
+		static := runConnections(load, arrivals, false)
+		carriers := runConnections(load, arrivals, true)
+		reportConnections(&report, load, static, carriers)
+	}
+	return report
+}
+
+func reportConnections(report *Report, load connLoad, static, carriers connResult) {
+	report.Note("sub-request p50 at "+load.name, "ms", static.subP50, carriers.subP50)
+	report.Note("sub-request p99 at "+load.name, "ms", static.subP99, carriers.subP99)
+	report.Note("query p50 at "+load.name, "ms", static.queryP50, carriers.queryP50)
+	report.Note("query p99 at "+load.name, "ms", static.queryP99, carriers.queryP99)
+	report.Note("sub-requests not answered at "+load.name, "per 1000", static.failed, carriers.failed)
+	report.Note("connections opened at "+load.name, "per 1000", static.opened, carriers.opened)
+	report.AtMost("open per upstream at "+load.name, "", static.maxOpen, carriers.maxOpen, connLimit)
+	report.Notes = append(report.Notes, fmt.Sprintf("at %s: query p50 is better with %s, p99 with %s, openings with %s",
+		load.name, better(static.queryP50, carriers.queryP50), better(static.queryP99, carriers.queryP99),
+		better(static.opened, carriers.opened)))
+}
+
+func better(static, carriers float64) string {
+	switch {
+	case static < carriers:
+		return "static shares"
+	case carriers < static:
+		return "carriers"
+	default:
+		return "neither"
+	}
+}
+
+// connArrivals draws the arrivals of one load. While the leaving VM is away
+// it takes no callers.
+func connArrivals(rng *rand.Rand, load connLoad) []connArrival {
+	meanMs := connMedianMs * math.Exp(connSigma*connSigma/2)
+	perMs := load.share * connReplicas * connLimit / meanMs
+	var arrivals []connArrival
+	var weights [connVMs]float64
+	epoch := clock.Millis(-1)
+	for at := rng.ExpFloat64() / perMs; at < float64(load.durationMs); at += rng.ExpFloat64() / perMs {
+		now := clock.Millis(at)
+		if now/connBurstMs != epoch {
+			epoch = now / connBurstMs
+			for i := range weights {
+				weights[i] = 0.3 + rng.ExpFloat64()
+			}
+		}
+		vm := connDrawVM(rng, weights, load.lagMs > 0 && now >= connLeaveAt && now < connJoinAt)
+		arrivals = append(arrivals, connArrival{at: now, vm: vm, subs: connDrawSubs(rng)})
+	}
+	return arrivals
+}
+
+func connDrawVM(rng *rand.Rand, weights [connVMs]float64, away bool) int {
+	if away {
+		weights[connLeavingVM] = 0
+	}
+	total := 0.0
+	for _, w := range weights {
+		total += w
+	}
+	x := rng.Float64() * total
+	for i, w := range weights {
+		if x -= w; x < 0 {
+			return i
+		}
+	}
+	return 0
+}
+
+func connDrawSubs(rng *rand.Rand) (subs [connGroups]connSub) {
+	for i := range subs {
+		ms := connMedianMs * math.Exp(connSigma*rng.NormFloat64())
+		subs[i] = connSub{replica: uint8(rng.IntN(connReplicas)), serviceMs: uint16(math.Ceil(ms))}
+	}
+	return subs
+}
--- /dev/null
+++ b/experiment/connections_fleet.go
@@ -0,0 +1,244 @@
+package experiment
+
+import (
+	"fmt"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"lentillink.example/lentillink/attempt"
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/pool"
+	"lentillink.example/lentillink/rank"
+)
+
+// connTries bounds how often a sub-request that was proved not run is sent again.
+const connTries = 3
+
+// connResult holds the figures of one variant at one load.
+type connResult struct {
+	subP50, subP99, queryP50, queryP99 float64
+	failed, opened                     float64 // per 1,000 sub-requests
+	maxOpen                            float64
+}
+
+// connFleet is one run of one variant.
+type connFleet struct {
+	loop      *Loop
+	carriers  bool
+	upstreams []string
+	vms       []*connVM
+	byName    map[string]*connVM
+	calls     map[uint64]*connCall
+	seq       uint64
+	subMs     *hdrhistogram.Histogram
+	queryMs   *hdrhistogram.Histogram
+	count     int
+	failed    int
+	maxOpen   int
+}
+
+// connVM is one VM with its pool.
+type connVM struct {
+	fleet  *connFleet
+	index  int
+	name   string
+	pool   *pool.Model
+	routes []connRoute
+	full   []bool // by upstream: a carrier with its whole limit
+	wake   clock.Millis
+}
+
+// connCall is one sub-request under way.
+type connCall struct {
+	query    *connQuery
+	vm       *connVM
+	upstream int
+	carrier  int // the VM that it was sent to
+	sub      connSub
+	tries    int
+}
+
+// connQuery is one query under way.
+type connQuery struct {
+	at     clock.Millis
+	left   int
+	failed bool
+}
+
+func runConnections(load connLoad, arrivals []connArrival, carriers bool) connResult {
+	f := newConnFleet(carriers)
+	if load.lagMs > 0 && carriers {
+		f.scheduleChurn(load.lagMs)
+	}
+	for i := range arrivals {
+		a := &arrivals[i]
+		f.loop.At(a.at, func() { f.arrive(a) })
+	}
+	f.loop.RunUntil(load.durationMs + 2*connDeadlineMs)
+	return f.result()
+}
+
+func newConnFleet(carriers bool) *connFleet {
+	f := &connFleet{
+		loop: NewLoop(0), carriers: carriers,
+		byName: make(map[string]*connVM), calls: make(map[uint64]*connCall),
+		subMs: hdrhistogram.New(1, 60_000, 3), queryMs: hdrhistogram.New(1, 60_000, 3),
+	}
+	for g := range connGroups {
+		for r := range connReplicas {
+			f.upstreams = append(f.upstreams, fmt.Sprintf("search/g%d/%d", g, r))
+		}
+	}
+	for i := range connVMs {
+		v := &connVM{fleet: f, index: i, name: fmt.Sprintf("vm%d", i), pool: pool.New()}
+		v.routes = make([]connRoute, len(f.upstreams))
+		v.full = make([]bool, len(f.upstreams))
+		f.vms = append(f.vms, v)
+		f.byName[v.name] = v
+	}
+	for _, v := range f.vms {
+		if carriers {
+			v.start(connMembers(-1))
+		} else {
+			v.setStatic()
+		}
+	}
+	return f
+}
+
+func (f *connFleet) arrive(a *connArrival) {
+	q := &connQuery{at: a.at, left: connGroups}
+	for g, sub := range a.subs {
+		f.count++
+		c := &connCall{query: q, vm: f.vms[a.vm], upstream: g*connReplicas + int(sub.replica), sub: sub}
+		c.vm.send(c)
+	}
+}
+
+// send passes a sub-request to a carrier, or to the own pool.
+func (v *connVM) send(c *connCall) {
+	f := v.fleet
+	route := &v.routes[c.upstream]
+	k := route.pick()
+	// A VM that is no carrier any more refuses at once, so it would always have
+	// the least outstanding work.
+	if c.tries > 0 && route.vms[k] == c.carrier {
+		k = 1 - k
+	}
+	route.sent[k]++
+	c.carrier = route.vms[k]
+	c.tries++
+	f.seq++
+	f.calls[f.seq] = c
+	msg := pool.EnqueueMsg{From: v.name, Request: attempt.Request{
+		ID: attempt.ID{VM: v.name, Seq: f.seq}, Upstream: f.upstreams[c.upstream],
+		Rank: rank.Urgent, Deadline: c.query.at + connDeadlineMs,
+	}}
+	carrier := f.vms[c.carrier]
+	f.loop.After(v.hop(carrier), func() { carrier.update(msg) })
+}
+
+func (v *connVM) hop(to *connVM) clock.Millis {
+	if v == to {
+		return 0
+	}
+	return connHopMs
+}
+
+func (v *connVM) update(msg pool.Msg) {
+	for _, c := range v.pool.Update(v.fleet.loop.Now(), msg) {
+		v.perform(c)
+	}
+	at, ok := v.pool.NextWake()
+	if !ok || (v.wake > 0 && v.wake <= at) {
+		return
+	}
+	v.wake = at
+	v.fleet.loop.At(at, func() {
+		if v.wake == at {
+			v.wake = 0
+			v.update(pool.TickMsg{})
+		}
+	})
+}
+
+func (v *connVM) perform(c pool.Cmd) {
+	f := v.fleet
+	switch c := c.(type) {
+	case pool.DispatchCmd:
+		ms := clock.Millis(f.calls[c.ID.Seq].sub.serviceMs)
+		if c.Open {
+			ms += connOpenMs
+			f.countOpen(c.Upstream)
+		}
+		reply := attempt.Reply{ID: c.ID, Upstream: c.Upstream, Status: attempt.OK, Ran: attempt.Yes}
+		f.loop.After(ms, func() { v.update(pool.ReplyMsg{Reply: reply}) })
+	case pool.AbortCmd:
+		f.loop.After(1, func() { v.update(pool.AbortedMsg{ID: c.ID}) })
+	case pool.ReturnCmd:
+		to := f.byName[c.To]
+		f.loop.After(v.hop(to), func() { to.result(c.Reply) })
+	}
+}
+
+// countOpen records how many connections all VMs together have open.
+func (f *connFleet) countOpen(upstream string) {
+	open := 0
+	for _, v := range f.vms {
+		open += v.pool.Open(upstream)
+	}
+	f.maxOpen = max(f.maxOpen, open)
+}
+
+// result ends a sub-request, or sends it again if it was proved not run.
+func (v *connVM) result(r attempt.Reply) {
+	f := v.fleet
+	c := f.calls[r.ID.Seq]
+	delete(f.calls, r.ID.Seq)
+	route := &v.routes[c.upstream]
+	for k, vm := range route.vms {
+		if vm == c.carrier && route.sent[k] > 0 {
+			route.sent[k]--
+			break
+		}
+	}
+	if r.Status == attempt.NotSent && c.tries < connTries && f.loop.Now() < c.query.at+connDeadlineMs {
+		v.send(c)
+		return
+	}
+	f.finish(c, r.Status == attempt.OK)
+}
+
+// finish records a sub-request, and its query after the last one. Without an
+// answer either counts as its whole deadline.
+func (f *connFleet) finish(c *connCall, ok bool) {
+	took := f.loop.Now() - c.query.at
+	if !ok {
+		f.failed++
+		c.query.failed = true
+		took = connDeadlineMs
+	}
+	_ = f.subMs.RecordValue(int64(took))
+	if c.query.left--; c.query.left > 0 {
+		return
+	}
+	if c.query.failed {
+		took = connDeadlineMs
+	}
+	_ = f.queryMs.RecordValue(int64(took))
+}
+
+func (f *connFleet) result() connResult {
+	opened := 0
+	for _, v := range f.vms {
+		for _, upstream := range f.upstreams {
+			opened += v.pool.Opened(upstream)
+		}
+	}
+	per := 1000 / float64(f.count)
+	return connResult{
+		subP50: float64(f.subMs.ValueAtQuantile(50)), subP99: float64(f.subMs.ValueAtQuantile(99)),
+		queryP50: float64(f.queryMs.ValueAtQuantile(50)), queryP99: float64(f.queryMs.ValueAtQuantile(99)),
+		failed: float64(f.failed) * per, opened: float64(opened) * per, maxOpen: float64(f.maxOpen),
+	}
+}
--- /dev/null
+++ b/experiment/connections_test.go
@@ -0,0 +1,23 @@
+package experiment_test
+
+import (
+	"strings"
+	"testing"
+
+	"lentillink.example/lentillink/experiment"
+)
+
+// TestConnections guards against carriers that open more connections than an
+// upstream accepts while the views of the VMs differ.
+func TestConnections(t *testing.T) {
+	t.Parallel()
+	report := experiment.Connections(1)
+	var out strings.Builder
+	if err := report.Write(&out); err != nil {
+		t.Fatal(err)
+	}
+	t.Log(out.String())
+	if !report.OK() {
+		t.Error("got a missed bound, want all kept")
+	}
+}
