Raise the admission limit only while waits stay low

Cause: the limit rose whenever it was not too high, so it moved around the 4 ms target itself.

Change: the limit rises only if the median wait of each rank is at most half the target, and is held in between.

--- a/admission/limit.go
+++ b/admission/limit.go
@@ -37,7 +37,8 @@
 	full       bool // a query had to wait during the interval
 	peak       int  // highest running cost during the interval
 	samples    rank.Table[int]
-	above      rank.Table[int]
+	above      rank.Table[int] // waits above the target
+	notLow     rank.Table[int] // waits above half the target
 	total      int
 	overloaded int
 }
@@ -70,7 +71,7 @@
 	if l.tooHigh() {
 		l.current = max(min(l.current, float64(l.peak))*decreaseFactor, 1)
 		l.lastFall = now
-	} else if l.full {
+	} else if l.full && l.waitsLow() {
 		l.current = min(l.current+max(l.typicalCost, 1), l.most)
 	}
 	l.reset(now)
@@ -83,6 +84,9 @@
 	if queueMs > l.targetMs {
 		*l.above.Ref(r)++
 	}
+	if 2*queueMs > l.targetMs {
+		*l.notLow.Ref(r)++
+	}
 	if overloaded {
 		l.overloaded++
 	}
@@ -92,8 +96,17 @@
 	if float64(l.overloaded) > overloadedShare*float64(l.total) {
 		return true
 	}
+	return l.mostOf(&l.above)
+}
+
+// waitsLow reports whether the median wait of every rank is at most half the
+// target. Between the half and the whole target the limit stays as it is.
+func (l *limit) waitsLow() bool { return !l.mostOf(&l.notLow) }
+
+// mostOf reports whether counts holds most samples of some rank.
+func (l *limit) mostOf(counts *rank.Table[int]) bool {
 	for _, r := range rank.All() {
-		if l.samples.At(r) >= minSamples && 2*l.above.At(r) > l.samples.At(r) {
+		if l.samples.At(r) >= minSamples && 2*counts.At(r) > l.samples.At(r) {
 			return true
 		}
 	}
@@ -104,6 +117,6 @@
 	l.begin = now
 	l.full = false
 	l.peak = 0
-	l.samples, l.above = rank.Table[int]{}, rank.Table[int]{}
+	l.samples, l.above, l.notLow = rank.Table[int]{}, rank.Table[int]{}, rank.Table[int]{}
 	l.total, l.overloaded = 0, 0
 }
