Bound the slot of a cancelled attempt by the abort bound

Cause: the slot of a cancelled running attempt whose abort was never confirmed stayed busy until deadline, grace and bound had passed; for patient work that is over 30 s.

Change: the bound counts from the AbortCmd. If it passes before the deadline, the attempt is returned as cancelled with ran unknown and its slot is freed. Tests cover both orders, and that estimates are forgotten after a second without samples, so that refusing all work cannot last.

A cancelled attempt with a deadline of 90 s frees its slot after 5 s (TestReturns); by the old rule it was 95 s.

Conclusion: a lost abort costs a connection slot for at most 5 s.

--- a/admission/gate_test.go
+++ b/admission/gate_test.go
@@ -49,6 +49,8 @@
 		{"gone", []step{{2, arrive("c", rank.Urgent)}, {3, admission.GoneMsg{ID: "c"}}, {9, done("a")}, {600, admission.TickMsg{}}}, "+a +b"},
 		{"deadline passed at arrival", []step{{9, admission.ArriveMsg{ID: "c", Service: svc, Deadline: 9}}}, "+a +b -c:too_late"},
 		{"less time than queries take", []step{{9, done("a")}, {9, admission.ArriveMsg{ID: "c", Rank: rank.Patient, Service: svc, Deadline: 18}}}, "+a +b -c:too_late"},
+		{"slow queries", []step{{9, admission.DoneMsg{ID: "a", TookMs: 800}}, {9, arrive("c", rank.Patient)}, {10, admission.DoneMsg{ID: "c", TookMs: 60_000}}, {10, admission.DoneMsg{ID: "b", TookMs: 60_000}}, {20, arrive("d", rank.Patient)}}, "+a +b +c -d:too_late"},
+		{"slow queries, forgotten after a second", []step{{9, admission.DoneMsg{ID: "a", TookMs: 60_000}}, {9, admission.DoneMsg{ID: "b", TookMs: 60_000}}, {1010, arrive("c", rank.Patient)}}, "+a +b +c"},
 		{"shorter deadline under a new preset", []step{{2, arrive("c", rank.Urgent)}, {3, admission.PolicyMsg{Preset: bigger}}, {30, done("a")}}, "+a +b -c:too_late"},
 		{"full queue, newest patient", []step{
 			{2, arrive("c", rank.Patient)}, {2, arrive("d", rank.Patient)}, {2, arrive("e", rank.Patient)}, {2, arrive("f", rank.Patient)},
--- a/pool/dispatch.go
+++ b/pool/dispatch.go
@@ -39,16 +39,17 @@
 func (m *Model) expireRunning(now clock.Millis, l *lane, cmds []Cmd) []Cmd {
 	for l.running.Len() > 0 && l.running.top().ends <= now {
 		it := l.running.top()
-		if it.returned {
-			cmds = m.closeRunning(now, it, attempt.TimedOut, cmds)
+		if it.aborted && now >= it.abortedAt+m.cfg.boundMs {
+			cmds = m.closeRunning(now, it, attempt.Cancelled, cmds)
 			continue
 		}
 		cmds = m.giveBack(now, it, attempt.Reply{ID: it.req.ID, Upstream: l.id, Status: attempt.TimedOut}, cmds)
-		it.ends = now + m.cfg.boundMs
-		l.running.fix(it)
 		if !it.aborted {
 			cmds = m.abort(now, it, cmds)
+			continue
 		}
+		it.ends = it.abortedAt + m.cfg.boundMs
+		l.running.fix(it)
 	}
 	return cmds
 }
--- a/pool/model.go
+++ b/pool/model.go
@@ -158,14 +158,17 @@
 	case it.aborted:
 		return nil
 	}
-	return m.abort(now, it, nil)
+	cmds := m.abort(now, it, nil)
+	return m.pump(now, it.lane, cmds)
 }
 
 // abort asks the runtime to give up a running attempt. Its slot stays busy.
 func (m *Model) abort(now clock.Millis, it *item, cmds []Cmd) []Cmd {
 	it.aborted = true
-	if it.returned {
-		it.ends = now + m.cfg.boundMs
+	it.abortedAt = now
+	bound := now + m.cfg.boundMs
+	if it.returned || bound < it.ends {
+		it.ends = bound
 		it.lane.running.fix(it)
 	}
 	return append(cmds, AbortCmd{ID: it.req.ID, Upstream: it.lane.id})
--- a/pool/model_test.go
+++ b/pool/model_test.go
@@ -67,6 +67,8 @@
 		{"queued, then reply", []step{busy, waits, {7, reply(1, attempt.OK)}, {9, reply(2, attempt.OK)}}, 2, attempt.OK, attempt.Yes, 7, 0},
 		{"cancelled while queued", []step{busy, waits, {3, pool.CancelMsg{ID: id(2)}}}, 2, attempt.Cancelled, attempt.No, 3, 1},
 		{"cancelled while running", []step{busy, {3, pool.CancelMsg{ID: id(1)}}, {4, pool.AbortedMsg{ID: id(1)}}}, 1, attempt.Cancelled, attempt.Unknown, 0, 0},
+		{"cancelled while running, not confirmed by the deadline", []step{busy, {3, pool.CancelMsg{ID: id(1)}}, {1020, pool.TickMsg{}}}, 1, attempt.TimedOut, attempt.Unknown, 0, 1},
+		{"cancelled while running, not confirmed by the bound", []step{{0, request(1, rank.Urgent, 9, 90_000)}, {3, pool.CancelMsg{ID: id(1)}}, {5003, pool.TickMsg{}}}, 1, attempt.Cancelled, attempt.Unknown, 0, 0},
 		{"limit falls to 0", []step{busy, waits, {3, pool.LimitMsg{Upstream: up}}}, 2, attempt.NotSent, attempt.No, 3, 1},
 		{"upstream leaves", []step{busy, waits, {3, pool.LeavingMsg{Upstream: up}}}, 2, attempt.Leaving, attempt.No, 3, 1},
 		{"upstream says that it leaves", []step{busy, waits, {3, reply(1, attempt.Leaving)}}, 2, attempt.Leaving, attempt.No, 3, 0},
@@ -76,6 +78,7 @@
 		{"late reply frees the slot", []step{busy, {1020, pool.TickMsg{}}, {1500, reply(1, attempt.OK)}}, 1, attempt.TimedOut, attempt.Unknown, 0, 0},
 		{"forwarded twice", []step{busy, busy, {7, reply(1, attempt.OK)}}, 1, attempt.OK, attempt.Yes, 0, 0},
 		{"less time than service takes", []step{busy, {40, reply(1, attempt.OK)}, {40, request(2, rank.Urgent, 5, 70)}}, 2, attempt.NotSent, attempt.No, 0, 0},
+		{"service times forgotten after a second", []step{busy, {40, reply(1, attempt.OK)}, {1041, request(2, rank.Urgent, 5, 1071)}, {1050, reply(2, attempt.OK)}}, 2, attempt.OK, attempt.Yes, 0, 0},
 		{"queue full, lowest priority leaves", []step{busy, waits, {0, request(3, rank.Urgent, 1, long)}, {0, request(4, rank.Urgent, 7, long)}}, 3, attempt.Shed, attempt.No, 0, 1},
 	}
 	for _, tt := range tests {
--- a/pool/queue.go
+++ b/pool/queue.go
@@ -18,6 +18,7 @@
 	running    bool
 	returned   bool
 	aborted    bool
+	abortedAt  clock.Millis
 	index      [slotCount]int
 }
 
