Spread load during a rollover and hedge around stragglers

Cause, found with traces of the experiments straggler and rollover: - The newest common version sent all work to the first upstreams that had it, and an upstream known to lack it was never asked again, so its group ran on one replica. - A hedge of a request that was slow by chance went to a known straggler. - The latency of a straggler was forgotten while its attempts were cancelled before they exceeded its mean. Change: queries use the common version that most upstreams hold; Version still tells the newest. An upstream that lacks the version gets one in 32 picks. PickHedge returns to a tried upstream if the other one is twice as slow. A second hedge follows sooner. Groups on an older epoch get longer to catch up.

--- a/query/restart.go
+++ b/query/restart.go
@@ -13,9 +13,9 @@
 	// A pass needs this many times the typical latency.
 	passLatencies = 2
 	// maxReasks bounds how often groups on an older epoch are asked again.
-	maxReasks = 3
-	// A group on an older epoch gets this long, times the number of the
-	// request, to learn the new shard map.
+	maxReasks = 5
+	// The first request goes out at once; the wait before the others starts here
+	// and doubles, so that the group has time to learn the new shard map.
 	reaskWaitMs = 4
 )
 
@@ -79,7 +79,10 @@
 	if q.reasks >= maxReasks || len(q.olderGroups()) == 0 {
 		return false
 	}
-	at := now + reaskWaitMs*clock.Millis(q.reasks)
+	at := now
+	if q.reasks > 0 {
+		at += reaskWaitMs << (q.reasks - 1)
+	}
 	if !m.timeForPass(at, q) {
 		return false
 	}
--- a/query/retry.go
+++ b/query/retry.go
@@ -15,13 +15,21 @@
 	// With an empty budget a hedge waits this much longer, as a share of its
 	// delay, so that the slowest attempts get the remaining tokens.
 	scarceDelay = 1.0
+	// A second hedge follows after three fifths of the delay. By then the first
+	// attempt has taken far longer than usual, so waiting for the whole p95 of
+	// the hedge would only add to the tail.
+	secondHedgeNum, secondHedgeDen = 3, 5
 	// retryBackoffMs doubles with each retry to an upstream that was tried before.
 	retryBackoffMs = 4
 )
 
-// hedgeDelay stretches the delay of the book while tokens are scarce.
-func (m *Model) hedgeDelay(now clock.Millis, q *openQuery, up upstream.ID) clock.Millis {
+// hedgeDelay stretches the delay of the book while tokens are scarce. It does
+// not for a second hedge, which is seldom and worth the most.
+func (m *Model) hedgeDelay(now clock.Millis, q *openQuery, up upstream.ID, hedged bool) clock.Millis {
 	delay := m.book.HedgeDelay(now, up)
+	if hedged {
+		return delay * secondHedgeNum / secondHedgeDen
+	}
 	scarce := 1 - m.budgets.Ref(q.Rank).hedges.fill()
 	return delay + clock.Millis(float64(delay)*scarceDelay*scarce)
 }
--- a/query/start.go
+++ b/query/start.go
@@ -90,7 +90,7 @@
 		Rank: q.Rank, Priority: q.Priority, Deadline: q.answerAt, Version: q.version, Body: q.Body,
 	}})
 	if q.version != 0 && p.nOpen < maxOpen {
-		m.wake(now+m.hedgeDelay(now, q, up), timerHedge, q, g, t.seq)
+		m.wake(now+m.hedgeDelay(now, q, up, kind == tryHedge), timerHedge, q, g, t.seq)
 	}
 }
 
--- a/upstream/book.go
+++ b/upstream/book.go
@@ -20,7 +20,7 @@
 	rng      *rand.Rand
 	rampMs   clock.Millis
 	floorMs  clock.Millis
-	blind    bool
+	random   bool
 	scratch  []*state
 }
 
@@ -33,6 +33,7 @@
 type group struct {
 	name      string
 	upstreams []*state
+	picks     int
 }
 
 type state struct {
@@ -43,6 +44,7 @@
 	latency     latency
 	held        []uint64
 	heldAt      clock.Millis
+	probePick   int // value of group.picks at the last request for a version that it lacked
 	leaving     bool
 	leavingAt   clock.Millis
 	failures    int // consecutive failures
--- a/upstream/latency.go
+++ b/upstream/latency.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// Four buckets an octave keep the error of a quantile below a fifth.
-	bucketsPerOctave = 4
+	// Eight buckets an octave keep the error of a quantile below a tenth.
+	bucketsPerOctave = 8
 	// 14 octaves reach from 1 ms to 16 s.
 	buckets = 14 * bucketsPerOctave
 	// Older samples lose half their weight whenever the window is full.
--- a/upstream/observe.go
+++ b/upstream/observe.go
@@ -68,9 +68,12 @@
 		return
 	}
 	s.ended()
-	// A shorter time says nothing about the upstream.
-	if ms := float64(elapsed); ms > s.latency.mean {
+	switch ms := float64(elapsed); {
+	case ms > s.latency.mean:
 		s.recordLatency(now, ms, ms*abandonedFactor)
+	case ms*abandonedFactor > s.latency.mean:
+		// The time agrees with a slow mean, which therefore must not be forgotten.
+		s.latency.lastAt = now
 	}
 }
 
@@ -97,6 +100,7 @@
 func (s *state) learn(now clock.Millis, r attempt.Reply, sentAt clock.Millis) {
 	if len(r.Held) > 0 {
 		s.heldAt = now
+		s.probePick = s.group.picks
 		if !slices.Equal(s.held, r.Held) {
 			s.held = append(s.held[:0], r.Held...)
 		}
--- a/upstream/options.go
+++ b/upstream/options.go
@@ -34,8 +34,8 @@
 	return func(b *Book) { b.floorMs = ms }
 }
 
-// WithLatencyAware switches the use of latency in Pick. Experiments switch it
-// off for their baselines; Pick then chooses at random among usable upstreams.
-func WithLatencyAware(on bool) Option {
-	return func(b *Book) { b.blind = !on }
+// WithRandomPick makes Pick choose at random among the upstreams that are not
+// leaving, whatever is known of them. It is the baseline of experiments.
+func WithRandomPick() Option {
+	return func(b *Book) { b.random = true }
 }
--- a/upstream/pick.go
+++ b/upstream/pick.go
@@ -13,6 +13,13 @@
 	// A latency without new samples moves halfway to the group's best in this
 	// time, so that a recovered upstream is tried again.
 	latencyForgetMs = 5 * clock.Second
+	// A hedge avoids an upstream whose latency is this many times that of one
+	// that was tried already.
+	stragglerLatency = 2
+	// An upstream known to lack the version is asked once in this many picks
+	// of its group. Without that, nothing would show that it has loaded the
+	// version since. A share of the load costs the same at any fleet size.
+	probeEvery = 32
 )
 
 // Tiers of candidates, best first. Pick chooses within the best one present.
@@ -37,10 +44,27 @@
 	return b.pick(now, service, group, version, exclude, tierDead)
 }
 
-// PickHedge is PickVersion without upstreams that would probably refuse,
-// because a hedge to one of them is only load.
-func (b *Book) PickHedge(now clock.Millis, service, group string, version uint64, exclude []ID) (ID, bool) {
-	return b.pick(now, service, group, version, exclude, tierRamping)
+// PickHedge chooses the upstream for a hedge. It prefers one that was not
+// tried, unless that one is a straggler beside one that was: a request that is
+// slow by chance is served sooner by a second try there. It returns no
+// upstream that would probably refuse, because such a hedge is only load.
+func (b *Book) PickHedge(now clock.Millis, service, group string, version uint64, tried []ID) (ID, bool) {
+	id, ok := b.pick(now, service, group, version, tried, tierRamping)
+	if !ok {
+		return "", false
+	}
+	fresh := b.byID[id]
+	best := fresh.expectedMs(now, fresh.group) / stragglerLatency
+	for _, again := range tried {
+		s := b.byID[again]
+		if s.leaving || s.dead || s.lacks(version) || now < s.retryAt {
+			continue
+		}
+		if ms := s.expectedMs(now, s.group); ms < best {
+			best, id = ms, again
+		}
+	}
+	return id, true
 }
 
 func (b *Book) pick(now clock.Millis, svc, grp string, version uint64, exclude []ID, worst int) (ID, bool) {
@@ -48,6 +72,7 @@
 	if g == nil {
 		return "", false
 	}
+	g.picks++
 	best := tierNone
 	b.scratch = b.scratch[:0]
 	for _, s := range g.upstreams {
@@ -66,14 +91,18 @@
 	if best > worst {
 		return "", false
 	}
-	return b.better(now, g).id, true
+	s := b.better(now, g)
+	if s.lacks(version) {
+		s.probePick = g.picks
+	}
+	return s.id, true
 }
 
 // better compares two random candidates of the scratch list.
 func (b *Book) better(now clock.Millis, g *group) *state {
 	n := len(b.scratch)
 	i := b.rng.IntN(n)
-	if n == 1 || b.blind {
+	if n == 1 || b.random {
 		return b.scratch[i]
 	}
 	j := b.rng.IntN(n - 1)
@@ -88,10 +117,13 @@
 }
 
 func (b *Book) tier(now clock.Millis, s *state, version uint64) int {
+	g := s.group
 	switch {
+	case b.random:
+		return tierUsable
 	case s.dead && (s.trial || now < s.retryAt):
 		return tierDead
-	case version != 0 && len(s.held) > 0 && !slices.Contains(s.held, version):
+	case s.lacks(version) && g.picks < s.probePick+probeEvery:
 		return tierOtherVersion
 	case now < s.retryAt:
 		return tierPaused
@@ -103,6 +135,11 @@
 	return tierUsable
 }
 
+// lacks reports whether the upstream is known not to hold the version; 0 means any.
+func (s *state) lacks(version uint64) bool {
+	return version != 0 && len(s.held) > 0 && !slices.Contains(s.held, version)
+}
+
 // share rises from rampStartShare to 1 over the ramp.
 func (b *Book) share(now clock.Millis, s *state) float64 {
 	if b.rampMs <= 0 || now >= s.rampFrom+b.rampMs {
--- a/upstream/view.go
+++ b/upstream/view.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"cmp"
 	"math"
 	"slices"
 
@@ -46,39 +47,36 @@
 // Version returns the newest version that at least one usable upstream of
 // every group holds. Groups with nothing known are ignored.
 func (b *Book) Version(service string) (version uint64, ok bool) {
-	version, holds, known := b.BestVersion(service)
-	return version, known > 0 && holds == known
+	svc := b.services[service]
+	if svc == nil {
+		return 0, false
+	}
+	seen, known := svc.versions()
+	for _, v := range seen {
+		if groups, _ := svc.holders(v); groups == known && v > version {
+			version = v
+		}
+	}
+	return version, version != 0
 }
 
-// BestVersion returns the version that the most groups hold, the newest of
-// several, with the number of groups that hold it and of groups with known versions.
+// BestVersion returns the version for the next query, with the number of
+// groups that hold it and of groups with known versions. It is the version
+// that the most groups hold; of several, the one that the most upstreams hold;
+// of several, the newest. The newest common version alone would send all work
+// to the first upstreams that load it, with half the capacity of their groups.
 func (b *Book) BestVersion(service string) (version uint64, holds, known int) {
 	svc := b.services[service]
 	if svc == nil {
 		return 0, 0, 0
 	}
-	var seen []uint64
-	for _, g := range svc.groups {
-		groupKnown := false
-		for _, s := range g.upstreams {
-			if !s.usable() || len(s.held) == 0 {
-				continue
-			}
-			groupKnown = true
-			for _, v := range s.held {
-				if !slices.Contains(seen, v) {
-					seen = append(seen, v)
-				}
-			}
-		}
-		if groupKnown {
-			known++
-		}
-	}
+	seen, known := svc.versions()
+	most := 0
 	for _, v := range seen {
-		n := svc.holders(v)
-		if n > holds || (n == holds && v > version) {
-			version, holds = v, n
+		groups, upstreams := svc.holders(v)
+		better := cmp.Or(cmp.Compare(groups, holds), cmp.Compare(upstreams, most), cmp.Compare(v, version))
+		if better > 0 {
+			version, holds, most = v, groups, upstreams
 		}
 	}
 	return version, holds, known
@@ -90,7 +88,8 @@
 	if svc == nil {
 		return 0
 	}
-	return svc.holders(version)
+	groups, _ := svc.holders(version)
+	return groups
 }
 
 // MayHold reports whether some usable upstream of the group holds the version
@@ -164,16 +163,43 @@
 	return s.latency.hedge
 }
 
-func (s *service) holders(version uint64) int {
-	n := 0
+// versions returns the versions that usable upstreams hold and the number of
+// groups that have any.
+func (s *service) versions() (seen []uint64, known int) {
 	for _, g := range s.groups {
-		if slices.ContainsFunc(g.upstreams, func(u *state) bool {
-			return u.usable() && slices.Contains(u.held, version)
-		}) {
-			n++
+		has := false
+		for _, u := range g.upstreams {
+			if !u.usable() {
+				continue
+			}
+			has = has || len(u.held) > 0
+			for _, v := range u.held {
+				if !slices.Contains(seen, v) {
+					seen = append(seen, v)
+				}
+			}
+		}
+		if has {
+			known++
+		}
+	}
+	return seen, known
+}
+
+// holders counts the groups and the usable upstreams that hold the version.
+func (s *service) holders(version uint64) (groups, upstreams int) {
+	for _, g := range s.groups {
+		before := upstreams
+		for _, u := range g.upstreams {
+			if u.usable() && slices.Contains(u.held, version) {
+				upstreams++
+			}
+		}
+		if upstreams > before {
+			groups++
 		}
 	}
-	return n
+	return groups, upstreams
 }
 
 func (s *state) usable() bool { return !s.leaving && !s.dead }
