--- /dev/null
+++ b/experiment/querycarrier.go
@@ -0,0 +1,95 @@
+package experiment
+
+import (
+	"lentillink.example/lentillink/attempt"
+	"lentillink.example/lentillink/clock"
+)
+
+// queryCarrier stands for the connections to one upstream. It queues attempts
+// in order, drops those that were cancelled or whose deadline passed, and
+// frees the connection of a running attempt that is cancelled.
+type queryCarrier struct {
+	loop    *Loop
+	up      *Upstream
+	conns   int
+	table   rowTable
+	running map[attempt.ID]bool
+	queued  map[attempt.ID]bool
+	queue   []queuedQuery
+	silent  bool // the upstream accepts requests and never answers
+	newest  bool // the upstream answers at its newest version, whatever was asked
+	deliver func(attempt.Reply)
+}
+
+type queuedQuery struct {
+	attempt.Request
+	at clock.Millis
+}
+
+func newQueryCarrier(loop *Loop, up *Upstream, conns int, deliver func(attempt.Reply)) *queryCarrier {
+	return &queryCarrier{
+		loop: loop, up: up, conns: conns, deliver: deliver, table: make(rowTable),
+		running: make(map[attempt.ID]bool), queued: make(map[attempt.ID]bool),
+	}
+}
+
+func (c *queryCarrier) send(req attempt.Request) {
+	c.queued[req.ID] = true
+	c.queue = append(c.queue, queuedQuery{Request: req, at: c.loop.Now()})
+	c.dispatch()
+}
+
+func (c *queryCarrier) cancel(id attempt.ID) {
+	delete(c.queued, id)
+	delete(c.running, id)
+	c.dispatch()
+}
+
+func (c *queryCarrier) dispatch() {
+	for len(c.queue) > 0 && len(c.running) < c.conns {
+		next := c.queue[0]
+		c.queue = c.queue[1:]
+		if !c.queued[next.ID] {
+			continue
+		}
+		delete(c.queued, next.ID)
+		waited := c.loop.Now() - next.at
+		if c.loop.Now() >= next.Deadline {
+			c.reply(attempt.Reply{
+				ID: next.ID, Upstream: next.Upstream, Status: attempt.NotSent, Ran: attempt.No, QueueMs: waited,
+			})
+			continue
+		}
+		c.start(next.Request, waited)
+	}
+}
+
+func (c *queryCarrier) start(req attempt.Request, waited clock.Millis) {
+	c.running[req.ID] = true
+	asked := req.Version
+	if c.newest && asked != 0 {
+		req.Version = c.up.Held[len(c.up.Held)-1]
+	}
+	c.up.Serve(req, func(r attempt.Reply) {
+		if c.silent || !c.running[r.ID] {
+			return
+		}
+		delete(c.running, r.ID)
+		switch {
+		case r.Status != attempt.OK:
+		case c.up.Dead:
+			// The upstream died while it ran the request.
+			r = attempt.Reply{ID: r.ID, Upstream: r.Upstream, Status: attempt.Failed}
+		default:
+			r.Rows = c.table.rows(r.Version, r.Ranges)
+			r.Version = asked
+		}
+		r.QueueMs = waited
+		c.reply(r)
+		c.dispatch()
+	})
+}
+
+func (c *queryCarrier) reply(r attempt.Reply) {
+	c.loop.After(queryHopMs, func() { c.deliver(r) })
+}
--- /dev/null
+++ b/experiment/querysystem.go
@@ -0,0 +1,163 @@
+package experiment
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"lentillink.example/lentillink/attempt"
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/coverage"
+	"lentillink.example/lentillink/preset"
+	"lentillink.example/lentillink/query"
+	"lentillink.example/lentillink/rank"
+	"lentillink.example/lentillink/upstream"
+)
+
+const (
+	queryService  = "search"
+	queryGroups   = 20
+	queryReplicas = 2
+	queryKeys     = 200
+	queryPerGroup = queryKeys / queryGroups
+	// queryHopMs is the way of a reply from the carrier.
+	queryHopMs = 1
+	// queryConns is the connection limit of an upstream today.
+	queryConns = 25
+	// queryBurst bounds the saved-up hedges and retries; 0 in the baseline.
+	queryBurst = 200
+	// The first queries only fill the book and are left out of the figures.
+	queryWarmUpMs = clock.Second
+)
+
+// queryPolicy leaves room for the initial tokens within 5% extra attempts.
+var queryPolicy = preset.RankPolicy{HedgeBudgetPercent: 4.85, RetryBudgetPercent: 1}
+
+// querySystem drives one query.Model and its upstream.Book against fakes.
+type querySystem struct {
+	loop      *Loop
+	rng       *rand.Rand
+	book      *upstream.Book
+	model     *query.Model
+	upstreams [][]*Upstream // by group and replica
+	carriers  map[string]*queryCarrier
+	cancelled map[attempt.ID]bool
+	wakeAt    clock.Millis
+	policy    preset.RankPolicy
+	deadline  clock.Millis
+	minimum   float64 // coverage in percent below which a query fails
+	started   int
+	took      *hdrhistogram.Histogram
+	onAnswer  func(query.Answer)
+}
+
+// newQuerySystem builds the system. With the mechanism off the choice of
+// upstreams is random and there are neither hedges nor retries.
+func newQuerySystem(seed uint64, on bool) *querySystem {
+	s := &querySystem{
+		loop: NewLoop(0), rng: rand.New(rand.NewPCG(seed, 2)),
+		carriers: make(map[string]*queryCarrier), cancelled: make(map[attempt.ID]bool),
+		deadline: 300, took: hdrhistogram.New(1, 100_000, 3), onAnswer: func(query.Answer) {},
+	}
+	svc := upstream.Service{Name: queryService, Keys: queryKeys}
+	var list []upstream.Upstream
+	for g := range queryGroups {
+		keys := coverage.Range{From: uint32(g * queryPerGroup), To: uint32((g + 1) * queryPerGroup)}
+		group := upstream.Group{Name: strconv.Itoa(g), Range: keys}
+		fakes := make([]*Upstream, queryReplicas)
+		for r := range fakes {
+			name := queryUpstream(g, r)
+			fakes[r] = NewUpstream(s.loop, s.rng, keys)
+			s.carriers[name] = newQueryCarrier(s.loop, fakes[r], queryConns, s.deliver)
+			group.Replicas = append(group.Replicas, upstream.Upstream{ID: upstream.ID(name), Service: queryService, Group: group.Name})
+		}
+		s.upstreams = append(s.upstreams, fakes)
+		svc.Groups = append(svc.Groups, group)
+		list = append(list, group.Replicas...)
+	}
+	opts := []upstream.Option{upstream.WithSeed(seed), upstream.WithUpstreams(list)}
+	burst := float64(queryBurst)
+	if on {
+		s.policy = queryPolicy
+	} else {
+		opts = append(opts, upstream.WithRandomPick())
+		burst = 0
+	}
+	s.book = upstream.New(opts...)
+	s.model = query.New(s.book, query.WithServices(svc), query.WithVM("vm1", 1), query.WithBurst(burst, burst))
+	return s
+}
+
+// run starts queries at the rate as a Poisson process, then lets them end.
+func (s *querySystem) run(perSecond float64, queries int) {
+	gap := float64(clock.Second) / perSecond
+	at := 0.0
+	for range queries {
+		at += s.rng.ExpFloat64() * gap
+		s.loop.At(clock.Millis(at), s.start)
+	}
+	s.loop.RunUntil(clock.Millis(at) + 2*s.deadline)
+}
+
+func (s *querySystem) start() {
+	s.started++
+	s.update(query.StartMsg{
+		ID: strconv.Itoa(s.started), Rank: rank.Urgent, Service: queryService, Deadline: s.loop.Now() + s.deadline,
+		MinCoverage: s.minimum, Priority: s.rng.Uint32(), Policy: s.policy,
+	})
+}
+
+func (s *querySystem) update(msg query.Msg) {
+	for _, cmd := range s.model.Update(s.loop.Now(), msg) {
+		switch cmd := cmd.(type) {
+		case query.SendCmd:
+			s.carriers[cmd.Upstream].send(cmd.Request)
+		case query.CancelCmd:
+			s.cancelled[cmd.ID] = true
+			s.carriers[cmd.Upstream].cancel(cmd.ID)
+		case query.AnswerCmd:
+			if s.loop.Now() >= queryWarmUpMs {
+				_ = s.took.RecordValue(int64(cmd.TookMs))
+			}
+			s.onAnswer(cmd.Answer)
+		}
+	}
+	s.scheduleWake()
+}
+
+func (s *querySystem) scheduleWake() {
+	at, ok := s.model.NextWake()
+	if !ok || (at >= s.wakeAt && s.wakeAt > s.loop.Now()) {
+		return
+	}
+	s.wakeAt = at
+	s.loop.At(at, func() { s.update(query.TickMsg{}) })
+}
+
+func (s *querySystem) deliver(r attempt.Reply) {
+	if s.cancelled[r.ID] {
+		delete(s.cancelled, r.ID)
+		return
+	}
+	s.update(query.ReplyMsg{Reply: r})
+}
+
+func (s *querySystem) totals() query.Totals { return s.model.Totals(rank.Urgent) }
+
+// extraPercent returns the attempts beyond the needed ones as a share of them.
+func (s *querySystem) extraPercent() float64 {
+	n := s.totals()
+	return 100 * float64(n.Sent-n.Needed) / float64(n.Needed)
+}
+
+func (s *querySystem) quantileMs(q float64) float64 { return float64(s.took.ValueAtQuantile(q)) }
+
+func (s *querySystem) carrier(group, replica int) *queryCarrier {
+	return s.carriers[queryUpstream(group, replica)]
+}
+
+func queryUpstream(group, replica int) string {
+	return fmt.Sprintf("%s/%d/%d", queryService, group, replica)
+}
--- /dev/null
+++ b/experiment/rollover.go
@@ -0,0 +1,183 @@
+package experiment
+
+import (
+	"slices"
+
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/coverage"
+	"lentillink.example/lentillink/query"
+)
+
+const (
+	rolloverQueries   = 16_000
+	rolloverPerSecond = 1_300
+	// With 8 connections each, a group of two serves about 1,900 requests a second, so
+	// the rate above is about 70% of the capacity.
+	rolloverConns     = 8
+	rolloverReleases  = 4
+	rolloverPeriodMs  = 3 * clock.Second
+	rolloverSpreadMs  = 1500 // a release reaches all upstreams within this time
+	rolloverMoves     = 12
+	rolloverMoveMs    = clock.Second
+	rolloverMapLagMs  = 60 // a new shard map reaches all upstreams within this time
+	rolloverRushed    = 3  // this release drops the old version before all groups have the new one
+	rolloverRushLagMs = 400
+)
+
+// Rollover changes the index version four times and moves key ranges twelve
+// times under full load. In the baseline each upstream answers at its newest version.
+func Rollover(seed uint64) Report {
+	off := newRollover(seed, false)
+	on := newRollover(seed, true)
+	off.run()
+	on.run()
+	r := Report{Name: "rollover", Seed: seed}
+	r.AtMost("answers that mix versions", "", float64(off.mixed), float64(on.mixed), 0)
+	r.AtMost("answers with untrue coverage", "", float64(off.untrue), float64(on.untrue), 0)
+	r.AtLeast("complete where a common version exists", "%", off.completePercent(), on.completePercent(), 99)
+	r.AtLeast("queries answered", "", float64(off.answers), float64(on.answers), rolloverQueries)
+	r.Note("answers while no common version existed", "", float64(off.answers-off.common), float64(on.answers-on.common))
+	r.Note("attempts of restarts", "", float64(off.system.totals().Restarts), float64(on.system.totals().Restarts))
+	r.Note("attempts of epoch gaps", "", float64(off.system.totals().Reasks), float64(on.system.totals().Reasks))
+	r.Note("urgent p99", "ms", off.system.quantileMs(99), on.system.quantileMs(99))
+	r.Note("extra attempts", "%", off.system.extraPercent(), on.system.extraPercent())
+	return r
+}
+
+type rollover struct {
+	system   *querySystem
+	bounds   []uint32 // group g holds the keys from bounds[g] to bounds[g+1]
+	epoch    uint64
+	noCommon []clock.Millis // milliseconds at which some group shared no version with the rest
+	answers  int
+	common   int
+	complete int
+	mixed    int
+	untrue   int
+}
+
+func newRollover(seed uint64, on bool) *rollover {
+	r := &rollover{system: newQuerySystem(seed, on), epoch: 1}
+	for g := range queryGroups + 1 {
+		r.bounds = append(r.bounds, uint32(g*queryPerGroup))
+	}
+	for _, c := range r.system.carriers {
+		c.conns = rolloverConns
+		c.newest = !on
+	}
+	r.system.onAnswer = r.check
+	return r
+}
+
+func (r *rollover) each(visit func(group int, up *Upstream)) {
+	for g, group := range r.system.upstreams {
+		for _, up := range group {
+			visit(g, up)
+		}
+	}
+}
+
+func (r *rollover) run() {
+	loop := r.system.loop
+	for n := range rolloverReleases {
+		at := queryWarmUpMs + clock.Millis(n)*rolloverPeriodMs
+		loop.At(at, func() { r.release(uint64(n+2), n+1 == rolloverRushed) })
+	}
+	for n := range rolloverMoves {
+		loop.At(queryWarmUpMs+clock.Millis(n)*rolloverMoveMs, r.move)
+	}
+	r.system.run(rolloverPerSecond, rolloverQueries)
+}
+
+// release brings a version to each upstream at its own time. The old version
+// disappears from each one after the new one is everywhere, or at once if rushed.
+func (r *rollover) release(version uint64, rushed bool) {
+	r.each(func(_ int, up *Upstream) {
+		appear := clock.Millis(r.system.rng.IntN(rolloverSpreadMs))
+		vanish := rolloverSpreadMs + clock.Millis(r.system.rng.IntN(1000))
+		if rushed {
+			appear = clock.Millis(r.system.rng.IntN(rolloverRushLagMs))
+			vanish = appear
+		}
+		r.system.loop.After(appear, func() { r.hold(up, []uint64{version - 1, version}) })
+		r.system.loop.After(vanish, func() { r.hold(up, []uint64{version}) })
+	})
+}
+
+func (r *rollover) hold(up *Upstream, held []uint64) {
+	before := r.hasCommon()
+	up.Held = held
+	if after := r.hasCommon(); before != after {
+		r.noCommon = append(r.noCommon, r.system.loop.Now())
+	}
+}
+
+// hasCommon reports whether some version is held in every group.
+func (r *rollover) hasCommon() bool {
+	for version := uint64(1); version <= rolloverReleases+1; version++ {
+		everywhere := true
+		for _, group := range r.system.upstreams {
+			everywhere = everywhere && slices.ContainsFunc(group, func(up *Upstream) bool {
+				return slices.Contains(up.Held, version)
+			})
+		}
+		if everywhere {
+			return true
+		}
+	}
+	return false
+}
+
+// move shifts the border between two groups. Each upstream adopts the new
+// map at its own time, so that gaps and overlaps appear for a while.
+func (r *rollover) move() {
+	border := 1 + r.system.rng.IntN(queryGroups-1)
+	low, high := r.bounds[border-1]+1, r.bounds[border+1]-1
+	r.bounds = slices.Clone(r.bounds)
+	r.bounds[border] = low + r.system.rng.Uint32N(high-low+1)
+	r.epoch++
+	bounds, epoch := r.bounds, r.epoch
+	r.each(func(g int, up *Upstream) {
+		r.system.loop.After(clock.Millis(r.system.rng.IntN(rolloverMapLagMs)), func() {
+			if up.Epoch < epoch {
+				up.Epoch = epoch
+				up.Ranges = []coverage.Range{{From: bounds[g], To: bounds[g+1]}}
+			}
+		})
+	})
+}
+
+func (r *rollover) check(a query.Answer) {
+	r.answers++
+	if isMixed(a) {
+		r.mixed++
+	}
+	if !coverageIsTrue(a) {
+		r.untrue++
+	}
+	if !r.hadCommon(r.system.loop.Now()-a.TookMs, r.system.loop.Now()) {
+		return
+	}
+	r.common++
+	if a.Outcome == query.Complete && !isMixed(a) {
+		r.complete++
+	}
+}
+
+// hadCommon reports whether a common version existed all the time between two times.
+func (r *rollover) hadCommon(from, to clock.Millis) bool {
+	has := true
+	for _, change := range r.noCommon {
+		if change > from && change <= to {
+			return false
+		}
+		if change <= from {
+			has = !has
+		}
+	}
+	return has
+}
+
+func (r *rollover) completePercent() float64 {
+	return 100 * float64(r.complete) / float64(max(r.common, 1))
+}
--- /dev/null
+++ b/experiment/straggler.go
@@ -0,0 +1,42 @@
+package experiment
+
+const (
+	stragglerQueries   = 20_000
+	stragglerPerSecond = 100
+	stragglerShare     = 0.02
+	stragglerFactor    = 10
+)
+
+// Straggler runs queries while one upstream of 40 and 2% of all sub-requests
+// take 10 times as long. The baseline has a random choice and no hedges. The
+// fault-free p99 is that of the mechanism, which is the lower of the two.
+func Straggler(seed uint64) Report {
+	healthy := stragglerRun(seed, true, false)
+	off := stragglerRun(seed, false, true)
+	on := stragglerRun(seed, true, true)
+	free := healthy.quantileMs(99)
+	r := Report{Name: "straggler", Seed: seed}
+	r.AtMost("urgent p99 against fault-free", "ratio", off.quantileMs(99)/free, on.quantileMs(99)/free, 1.5)
+	r.AtMost("extra attempts", "%", off.extraPercent(), on.extraPercent(), 5)
+	r.Note("urgent p99", "ms", off.quantileMs(99), on.quantileMs(99))
+	r.Note("urgent p50", "ms", off.quantileMs(50), on.quantileMs(50))
+	r.Note("urgent p99 without faults", "ms", free, free)
+	r.Note("hedges that won", "", float64(off.totals().HedgeWins), float64(on.totals().HedgeWins))
+	r.AtMost("incomplete answers", "", float64(off.totals().Partial+off.totals().Failed),
+		float64(on.totals().Partial+on.totals().Failed), 0)
+	return r
+}
+
+func stragglerRun(seed uint64, on, faults bool) *querySystem {
+	s := newQuerySystem(seed, on)
+	if faults {
+		for _, group := range s.upstreams {
+			for _, up := range group {
+				up.SlowShare, up.SlowRequest = stragglerShare, stragglerFactor
+			}
+		}
+		s.upstreams[7][0].SlowFactor = stragglerFactor
+	}
+	s.run(stragglerPerSecond, stragglerQueries)
+	return s
+}
