Test that a cheap retry is counted, and time the query model alone

Change: TestBudgets has a case for refusals. BenchmarkQuery stops its timer. Conclusion: the budget of refused attempts is bounded by a test.

--- a/query/bench_test.go
+++ b/query/bench_test.go
@@ -7,7 +7,8 @@
 	"lentillink.example/lentillink/query"
 )
 
-// BenchmarkQuery measures one query over 98 groups from start to answer.
+// BenchmarkQuery measures one query over 98 groups from start to answer,
+// without the making of the replies.
 func BenchmarkQuery(b *testing.B) {
 	r := newRig(98, 1)
 	b.ReportAllocs()
@@ -15,8 +16,14 @@
 		r.sent, r.answers = r.sent[:0], r.answers[:0]
 		r.now++
 		r.do(query.StartMsg{ID: fmt.Sprint(n), Service: "s", Deadline: r.now + 180})
+		b.StopTimer()
+		msgs := make([]query.Msg, len(r.sent))
 		for i := range r.sent {
-			r.do(query.ReplyMsg{Reply: r.ok(i)})
+			msgs[i] = query.ReplyMsg{Reply: r.ok(i)}
+		}
+		b.StartTimer()
+		for _, msg := range msgs {
+			r.do(msg)
 		}
 	}
 }
--- a/query/tail_test.go
+++ b/query/tail_test.go
@@ -61,12 +61,16 @@
 func TestBudgets(t *testing.T) {
 	const queries, groups, burst = 200, 10, 5
 	tests := []struct {
-		name  string
-		fail  bool // failed attempts earn retries, silent ones hedges
-		extra func(query.Totals) int
+		name    string
+		status  attempt.Status // OK stands for no reply, which leads to hedges
+		ran     attempt.Ran
+		percent float64
+		perCost int // extra attempts for one token
+		extra   func(query.Totals) int
 	}{
-		{"hedges", false, func(n query.Totals) int { return n.Hedges }},
-		{"retries", true, func(n query.Totals) int { return n.Retries }},
+		{"hedges", attempt.OK, attempt.Unknown, 5, 1, func(n query.Totals) int { return n.Hedges }},
+		{"retries", attempt.Failed, attempt.Unknown, 5, 1, func(n query.Totals) int { return n.Retries }},
+		{"retries after refusals", attempt.Shed, attempt.No, 0.25, 10, func(n query.Totals) int { return n.Retries }},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -74,20 +78,22 @@
 			query.WithBurst(burst, burst)(r.model)
 			for n := range queries {
 				first := len(r.sent)
-				r.start(5, 5)
+				r.start(tt.percent, tt.percent)
 				// One group fails or stays silent in each query, twice the budget.
 				silent := first + n%groups
 				for i := first; i < first+groups; i++ {
 					if i != silent {
 						r.do(query.ReplyMsg{Reply: r.ok(i)})
-					} else if tt.fail {
-						r.do(query.ReplyMsg{Reply: attempt.Reply{ID: r.sent[i].ID, Upstream: r.sent[i].Upstream, Status: attempt.Failed}})
+					} else if tt.status != attempt.OK {
+						failed := r.refusal(i, tt.status)
+						failed.Ran = tt.ran
+						r.do(query.ReplyMsg{Reply: failed})
 					}
 				}
 				r.tick(r.now + 200)
 			}
 			n := r.model.Totals(rank.Urgent)
-			limit := queries*groups*5/100 + burst
+			limit := int(queries*groups*tt.percent/100+burst) * tt.perCost
 			if got := tt.extra(n); got > limit || got < limit/2 {
 				t.Errorf("%d extra attempts, want at most %d and the budget used", got, limit)
 			}
