Keep connections below their bound while others break

fasthttp frees the place of a broken connection before it closes it, and it keeps busy connections when the bound shrinks, so one connection too many could be open. The limit of an upstream is shared by all VMs and enforced by resets, so an excess breaks somebody's work. Host now counts its own open and opening connections, lets an opening wait until the place is really free, and closes a busy connection above a new bound when its exchange ends. Peak tells the most connections open at once.

--- a/httpcall/do.go
+++ b/httpcall/do.go
@@ -95,7 +95,7 @@
 	case errors.Is(err, errStale):
 		return KindStale
 	case c == nil || !c.sent:
-		return KindNotSent
+		return KindNotSent // also when the client closed or no place became free
 	case isTimeout(err):
 		return KindTimeout
 	case c.received > 0:
@@ -115,6 +115,7 @@
 	errNoBody   = errors.New("reply without a body")
 	errCut      = errors.New("reply ended early")
 	errTooLarge = errors.New("reply exceeds the limit")
+	errExcess   = errors.New("more connections than allowed")
 	errDoubled  = errors.New("bytes follow the reply")
 )
 
@@ -135,11 +136,15 @@
 			kind = KindRefused
 		}
 	}
+	end := err // an error closes the connection
 	if err == nil {
 		c.finish()
+		if h.excess() {
+			end = errExcess
+		}
 	}
 	if body, ok := resp.BodyStream().(fasthttp.ReadCloserWithError); ok {
-		_ = body.CloseWithError(err)
+		_ = body.CloseWithError(end)
 	}
 	return reply, kind, err
 }
--- a/httpcall/host.go
+++ b/httpcall/host.go
@@ -1,6 +1,7 @@
 package httpcall
 
 import (
+	"context"
 	"errors"
 	"net"
 	"sync"
@@ -36,9 +37,12 @@
 	opened atomic.Int64
 	stale  atomic.Int64
 
-	mu     sync.Mutex
-	open   map[*conn]struct{}
-	closed bool
+	mu      sync.Mutex
+	open    map[*conn]struct{}
+	dialing int
+	peak    int
+	freed   chan struct{} // closed and replaced when a place becomes free
+	closed  bool
 }
 
 // New returns a Host for a host:port address. It opens no connection.
@@ -50,6 +54,7 @@
 		idleTimeout:    defaultIdleTimeout,
 		replyBytes:     defaultReplyBytes,
 		open:           make(map[*conn]struct{}),
+		freed:          make(chan struct{}),
 	}
 	for _, opt := range opts {
 		opt(h)
@@ -85,35 +90,84 @@
 	if timeout <= 0 || timeout > h.connectTimeout {
 		timeout = h.connectTimeout
 	}
-	nc, err := net.DialTimeout("tcp", address, timeout)
-	if err != nil {
-		return nil, dialError{err}
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	if err := h.reserve(ctx); err != nil {
+		return nil, err
 	}
-	c := &conn{Conn: nc, host: h, kept: true}
+	nc, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.dialing--
+	if err != nil {
+		h.free()
+		return nil, dialError{err}
+	}
 	if h.closed {
 		_ = nc.Close()
-		return nil, dialError{errClosed}
+		return nil, errClosed
 	}
+	c := &conn{Conn: nc, host: h, kept: true}
 	h.open[c] = struct{}{}
 	h.opened.Add(1)
 	return c, nil
 }
 
+// reserve waits for a place below the bound. fasthttp frees the place of a
+// broken connection just before it closes it, so without this wait one
+// connection too many could be open for a moment.
+func (h *Host) reserve(ctx context.Context) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for len(h.open)+h.dialing >= h.connections && !h.closed {
+		freed := h.freed
+		h.mu.Unlock()
+		select {
+		case <-freed:
+		case <-ctx.Done():
+		}
+		h.mu.Lock()
+		if ctx.Err() != nil {
+			return fasthttp.ErrNoFreeConns
+		}
+	}
+	if h.closed {
+		return errClosed
+	}
+	h.dialing++
+	h.peak = max(h.peak, len(h.open)+h.dialing)
+	return nil
+}
+
+// free wakes the calls that wait for a place. The caller holds h.mu.
+func (h *Host) free() {
+	close(h.freed)
+	h.freed = make(chan struct{})
+}
+
 func (h *Host) forget(c *conn) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	delete(h.open, c)
+	h.free()
+}
+
+// excess reports whether more connections are open than allowed, which
+// happens when the bound shrinks while they are busy.
+func (h *Host) excess() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.open) > h.connections
 }
 
 // SetConnections changes the bound of open connections. Idle connections are
-// closed when the bound shrinks; busy ones finish their exchange. With 0 no
-// call is sent.
+// closed when the bound shrinks; busy ones finish their exchange first. With 0
+// no call is sent.
 func (h *Host) SetConnections(n int) {
 	h.mu.Lock()
 	shrinks := n < h.connections
 	h.connections = n
+	h.free()
 	h.mu.Unlock()
 	if n > 0 {
 		h.client.SetMaxConns(n)
@@ -129,6 +183,7 @@
 func (h *Host) Close() {
 	h.mu.Lock()
 	h.closed = true
+	h.free()
 	conns := make([]*conn, 0, len(h.open))
 	for c := range h.open {
 		conns = append(conns, c)
--- a/httpcall/stats.go
+++ b/httpcall/stats.go
@@ -13,5 +13,12 @@
 	return len(h.open)
 }
 
+// Peak returns the most connections that were open or being opened at once.
+func (h *Host) Peak() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.peak
+}
+
 // Address returns the address of the host.
 func (h *Host) Address() string { return h.address }
--- a/upstream/httpup/stats.go
+++ b/upstream/httpup/stats.go
@@ -6,6 +6,7 @@
 type Stats struct {
 	Opened  int // connections opened so far, without the control connection
 	Open    int // connections open now, without the control connection
+	Peak    int // most connections open or being opened at once
 	Crossed int // replies to another attempt
 	Cut     int // replies that were cut, oversized or not readable
 	Doubled int // replies followed by further bytes
@@ -21,6 +22,7 @@
 	return Stats{
 		Opened:  h.work.Opened(),
 		Open:    h.work.Open(),
+		Peak:    h.work.Peak(),
 		Crossed: int(h.crossed.Load()),
 		Cut:     int(h.cut.Load()),
 		Doubled: int(h.doubled.Load()),
