Report a connection that closes before its first use as refused

An upstream above its limit may accept a connection and close it at once. The check that kept connections get before a write now covers new ones, so that a close that has already arrived proves that nothing was sent. A close that arrives after the first write stays unknown.

--- a/httpcall/conn.go
+++ b/httpcall/conn.go
@@ -10,6 +10,10 @@
 // returned before any byte is written.
 var errStale = errors.New("kept connection is closed or holds further bytes")
 
+// errClosedAtOnce means that the host closed a new connection before its first
+// use, as a host above its connection limit does.
+var errClosedAtOnce = errors.New("new connection was closed by the host")
+
 // headEnd ends the head of an HTTP reply.
 const headEnd = "\r\n\r\n"
 
@@ -36,12 +40,12 @@
 	conn *conn
 }
 
-// Write sends p. The first write of an exchange on a used connection checks it.
+// Write sends p. The first write of an exchange checks the connection, so that
+// one that is closed already proves that nothing was sent.
 func (c *conn) Write(p []byte) (int, error) {
 	if c.kept {
-		if c.used && !quiet(c.Conn) {
-			c.host.stale.Add(1)
-			return 0, errStale
+		if err := c.checkQuiet(); err != nil {
+			return 0, err
 		}
 		c.kept = false
 	}
@@ -49,6 +53,17 @@
 	return c.Conn.Write(p)
 }
 
+func (c *conn) checkQuiet() error {
+	if quiet(c.Conn) {
+		return nil
+	}
+	if !c.used {
+		return dialError{errClosedAtOnce}
+	}
+	c.host.stale.Add(1)
+	return errStale
+}
+
 // Read receives bytes and finds the end of the reply's head.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
--- a/httpcall/doc.go
+++ b/httpcall/doc.go
@@ -5,6 +5,7 @@
 // is never repeated after a byte of it was written. A kept connection is
 // checked before its next use: a connection that the host closed, or on which
 // bytes arrived after the last reply, is replaced before anything is written.
+// A new connection that the host closed before its first use counts as not opened.
 // A reply counts only if it is whole; a reply that is cut, too large, or
 // followed by further bytes is refused and its connection is closed.
 //
--- a/httpcall/error.go
+++ b/httpcall/error.go
@@ -8,7 +8,7 @@
 // The first three kinds prove that nothing was sent.
 const (
 	KindNotSent  Kind = iota // no time or no connection was left
-	KindDial                 // the connection could not be opened
+	KindDial                 // the connection was not opened, or closed before its first use
 	KindStale                // kept connections were closed or held further bytes
 	KindTimeout              // the deadline passed after the request may have left
 	KindBroken               // the connection broke after the request may have left
--- a/httpcall/httpcall_test.go
+++ b/httpcall/httpcall_test.go
@@ -163,3 +163,35 @@
 		t.Errorf("Do after Close = %v, want kind not_sent", err)
 	}
 }
+
+// TestClosedAtOnce guards against a new connection that the host closed at
+// once and that is reported as if the request might have been run.
+func TestClosedAtOnce(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			_ = c.Close()
+		}
+	}()
+	t.Cleanup(func() { _ = ln.Close(); <-ended })
+	h := host(t, ln.Addr().String())
+	for range 200 {
+		var cerr *httpcall.Error
+		err := do(t, h, nil)
+		if !errors.As(err, &cerr) || cerr.Kind() != httpcall.KindDial && cerr.Kind() != httpcall.KindBroken {
+			t.Fatalf("Do = %v, want kind dial or broken", err)
+		}
+	}
+	if got := h.Open(); got != 0 {
+		t.Errorf("got %d open connections, want 0", got)
+	}
+}
--- a/upstream/httpup/doc.go
+++ b/upstream/httpup/doc.go
@@ -36,11 +36,16 @@
 //	failure                                      status      ran
 //	no time, no free connection, client closed   not_sent    no
 //	connection refused or not opened in time     refused     no
+//	new connection closed before the first write refused     no
 //	deadline after the first write               timed_out   unknown
 //	connection broken after the first write      failed      unknown
 //	HTTP status other than 200                   failed      unknown
 //	wrong attempt, cut, oversized, doubled       mismatched  unknown
 //
+// An upstream above its connection limit that accepts and closes connections
+// is seen as refused if its reset arrives before the first write, and as failed
+// otherwise.
+//
 // Connections to an upstream are bounded; /cancel and /load use one further
 // connection that closes soon after its last use, so that a cancellation never
 // waits behind the work that it cancels.
