Keep the port of a refusing address out of use in tests

A closed listener's port could be taken by a server of another test process; in one of 24 parallel runs TestKinds/refused of store/httpstore reached such a server and saw a timeout. The address is now the local end of an open connection, which nobody can listen on.

Four test binaries, six processes each at once with -race and -test.count=2: one failure in 24 before, none in 24 after.

--- a/store/httpstore/httpstore_test.go
+++ b/store/httpstore/httpstore_test.go
@@ -39,11 +39,26 @@
 	<-r.Context().Done()
 }
 
+// refusing returns an address that refuses connections. It is the local end of
+// an open connection, so no other process can listen on it meanwhile.
+func refusing(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close(); _ = ln.Close() })
+	return c.LocalAddr().String()
+}
+
 // TestKinds guards against a write that may have taken effect and is reported
 // as unavailable or conflict, and against a proof that gets lost.
 func TestKinds(t *testing.T) {
-	closed := httptest.NewServer(http.NotFoundHandler())
-	closed.Close()
+	closed := refusing(t)
 	tests := []struct {
 		name        string
 		handler     http.HandlerFunc // nil for a refused connection
@@ -64,7 +79,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
-			address := strings.TrimPrefix(closed.URL, "http://")
+			address := closed
 			if tt.handler != nil {
 				srv := httptest.NewServer(tt.handler)
 				t.Cleanup(srv.Close)
--- a/upstream/httpup/httpup_test.go
+++ b/upstream/httpup/httpup_test.go
@@ -168,13 +168,25 @@
 	}
 }
 
-// TestSendNotSent guards against an unknown result where nothing was sent.
-func TestSendNotSent(t *testing.T) {
+// refusing returns an address that refuses connections. It is the local end of
+// an open connection, so no other process can listen on it meanwhile.
+func refusing(t *testing.T) string {
+	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	_ = ln.Close()
+	c, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close(); _ = ln.Close() })
+	return c.LocalAddr().String()
+}
+
+// TestSendNotSent guards against an unknown result where nothing was sent.
+func TestSendNotSent(t *testing.T) {
+	address := refusing(t)
 	done, cancel := context.WithCancel(t.Context())
 	cancel()
 	other := request(1, longMs)
@@ -194,7 +206,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			c := client(t, ln.Addr().String())
+			c := client(t, address)
 			c.SetConnections(id, tt.connections)
 			if got := c.Send(tt.ctx, tt.req); got.Status != tt.want || got.Ran != attempt.No {
 				t.Errorf("Send = %v %v, want %v no", got.Status, got.Ran, tt.want)
