--- a/cmd/lentillink/commands.go
+++ b/cmd/lentillink/commands.go
@@ -15,6 +15,7 @@
 	add(p, "order", "Submit one order", "Repeating an order with the same --id is safe. Exits with 4 unless the order was done.", &orderCommand{})
 	add(p, "status", "Show every VM", "Shows readiness, preset, load and avoided upstreams of every VM.", &statusCommand{})
 	add(p, "timeline", "Show what happened on all VMs", "Merges the events of all VMs in the order of cause and effect.", &timelineCommand{})
+	add(p, "experiment", "Run a seeded experiment", "Prints each figure beside its baseline and its bound. Exits with 1 if a bound is missed.", &experimentCommand{})
 	addConfig(p)
 	addPreset(p)
 	return p
--- a/experiment/tier.go
+++ b/experiment/tier.go
@@ -115,7 +115,7 @@
 	}
 	n := &tierNode{tier: t, self: self}
 	opts := []vm.Option{
-		vm.WithSelf(self), vm.WithSeed(t.Config.Seed+uint64(i)), vm.WithServices(services...),
+		vm.WithSelf(self), vm.WithSeed(t.Config.Seed + uint64(i)), vm.WithServices(services...),
 		vm.WithInitialRecord(t.Config.Record), vm.WithRouting(t.Config.Routing), vm.WithFleetSize(t.Config.VMs),
 		vm.WithRingEvents(1024),
 	}
