Check record fields in one pass and refuse repeated fields

The strict decoder parsed each nested object again and accepted a field that appears twice. It now reads tokens once.

--- a/preset/codec.go
+++ b/preset/codec.go
@@ -63,63 +63,83 @@
 	if _, err := d.Token(); err != io.EOF {
 		return fail("decode", KindInvalid, "data after the document")
 	}
-	if err := checkFields("", b, reflect.TypeOf(out).Elem()); err != nil {
+	if err := checkValue(json.NewDecoder(bytes.NewReader(b)), "", reflect.TypeOf(out).Elem()); err != nil {
 		return &Error{op: "decode", kind: KindInvalid, err: err}
 	}
 	return nil
 }
 
-// checkFields compares the fields of a JSON value with those of t. It exists
-// because encoding/json accepts missing fields and ignores letter case.
-func checkFields(path string, raw json.RawMessage, t reflect.Type) error {
-	switch t.Kind() {
-	case reflect.Slice:
-		return checkElements(path, raw, t.Elem())
-	case reflect.Struct:
-		return checkObject(path, raw, t)
-	default:
-		if bytes.Equal(bytes.TrimSpace(raw), []byte("null")) {
-			return fmt.Errorf("%s: must not be null", path)
-		}
-		return nil
+// checkValue compares the fields of the next JSON value with those of t. It
+// exists because encoding/json accepts missing and repeated fields and ignores letter case.
+func checkValue(d *json.Decoder, path string, t reflect.Type) error {
+	token, err := d.Token()
+	switch {
+	case err != nil:
+		return err
+	case token == nil:
+		return fmt.Errorf("%s: must not be null", path)
+	case t.Kind() == reflect.Struct:
+		return checkObject(d, path, t)
+	case t.Kind() == reflect.Slice:
+		return checkElements(d, path, t.Elem())
 	}
+	return nil
 }
 
-func checkElements(path string, raw json.RawMessage, t reflect.Type) error {
-	var list []json.RawMessage
-	if err := json.Unmarshal(raw, &list); err != nil || list == nil {
-		return fmt.Errorf("%s: must be an array", path)
-	}
-	for i, item := range list {
-		if err := checkFields(fmt.Sprintf("%s[%d]", path, i), item, t); err != nil {
+func checkElements(d *json.Decoder, path string, t reflect.Type) error {
+	for i := 0; d.More(); i++ {
+		if err := checkValue(d, fmt.Sprintf("%s[%d]", path, i), t); err != nil {
 			return err
 		}
 	}
-	return nil
+	_, err := d.Token()
+	return err
 }
 
-func checkObject(path string, raw json.RawMessage, t reflect.Type) error {
-	var fields map[string]json.RawMessage
-	if err := json.Unmarshal(raw, &fields); err != nil || fields == nil {
-		return fmt.Errorf("%s: must be an object", strings.TrimPrefix(path, "."))
+func checkObject(d *json.Decoder, path string, t reflect.Type) error {
+	seen := make([]bool, t.NumField())
+	for d.More() {
+		token, err := d.Token()
+		if err != nil {
+			return err
+		}
+		key, _ := token.(string)
+		i := fieldIndex(t, key)
+		switch {
+		case i < 0:
+			return fmt.Errorf("%s: is not a known field, must be one of %v", join(path, key), fieldNames(t))
+		case seen[i]:
+			return fmt.Errorf("%s: appears twice", join(path, key))
+		}
+		seen[i] = true
+		if err := checkValue(d, join(path, key), t.Field(i).Type); err != nil {
+			return err
+		}
 	}
-	accepted := make([]string, t.NumField())
-	for i := range t.NumField() {
-		name := t.Field(i).Tag.Get("json")
-		accepted[i] = name
-		sub := strings.TrimPrefix(path+"."+name, ".")
-		item, ok := fields[name]
+	for i, ok := range seen {
 		if !ok {
-			return fmt.Errorf("%s: is missing", sub)
+			return fmt.Errorf("%s: is missing", join(path, fieldNames(t)[i]))
 		}
-		if err := checkFields(sub, item, t.Field(i).Type); err != nil {
-			return err
+	}
+	_, err := d.Token()
+	return err
+}
+
+func fieldIndex(t reflect.Type, key string) int {
+	for i := range t.NumField() {
+		if t.Field(i).Tag.Get("json") == key {
+			return i
 		}
-		delete(fields, name)
 	}
-	for name := range fields {
-		sub := strings.TrimPrefix(path+"."+name, ".")
-		return fmt.Errorf("%s: is not a known field, must be one of %v", sub, accepted)
+	return -1
+}
+
+func fieldNames(t reflect.Type) []string {
+	list := make([]string, t.NumField())
+	for i := range list {
+		list[i] = t.Field(i).Tag.Get("json")
 	}
-	return nil
+	return list
 }
+
+func join(path, key string) string { return strings.TrimPrefix(path+"."+key, ".") }
