Test the fleet model in virtual time and reduce its cold-start cost

A VM that knew no other took itself for a watcher and left a watch waiting (5 watches for 5 VMs). A stored value was decoded on every read. Bulk answers are no longer spread, a watch waits until the VM has joined, and a value that was read before is not decoded again.

Checked with: go test ./fleet/...

--- /dev/null
+++ b/experiment/fleet.go
@@ -0,0 +1,252 @@
+package experiment
+
+import (
+	"fmt"
+	"math/rand/v2"
+
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/fleet"
+	"lentillink.example/lentillink/preset"
+	"lentillink.example/lentillink/store"
+	"lentillink.example/lentillink/upstream"
+)
+
+// MessageOverheadBytes is added to each payload when traffic is counted: frame, TCP and IP headers.
+const MessageOverheadBytes = 60
+
+// Delays between VMs: within a region about 1 ms, between regions as between distant sites.
+const (
+	nearMs clock.Millis = 1
+	farMs  clock.Millis = 30
+)
+
+// Fleet runs one fleet.Model per VM in virtual time, with a fake network and store.
+type Fleet struct {
+	Loop        *Loop
+	Store       *KV
+	Nodes       []*Node
+	LossPercent float64
+	Cut         func(from, to *Node) bool // nil if no link is cut
+	CPU         func() int64              // nanoseconds of a running clock; nil measures nothing
+	Options     []fleet.Option            // for every VM
+	Tap         func(payload []byte)      // sees every payload sent, if set
+	ByID        map[string]*Node
+
+	rng *rand.Rand
+}
+
+// Node is one VM of a Fleet.
+type Node struct {
+	VM        fleet.VM
+	Index     int
+	Region    int
+	Model     *fleet.Model
+	Running   bool
+	SentBytes int
+	Sent      int
+	BusyNs    int64
+	Reverts   int // times that a lower revision came into force within one process
+	Older     int // times that a new process got a lower revision than the VM had before
+	Applied   clock.Millis
+	Leaving   map[upstream.ID]bool
+
+	revision uint64       // of this process
+	highest  uint64       // of all processes
+	until    clock.Millis // paused until this time
+	wake     clock.Millis
+	life     int // raised by each start and stop, so that old callbacks are ignored
+}
+
+// NewFleet returns n stopped VMs in 3 regions with 3 data centres each.
+func NewFleet(seed uint64, n int) *Fleet {
+	f := &Fleet{
+		Loop: NewLoop(1_700_000_000_000), rng: rand.New(rand.NewPCG(seed, uint64(n))), ByID: make(map[string]*Node, n),
+	}
+	f.Store = NewKV(f.Loop, rand.New(rand.NewPCG(seed, 77)))
+	for i := range n {
+		node := &Node{Index: i, Region: i % 3, VM: fleet.VM{
+			ID: fmt.Sprintf("vm-%04d", i), Address: fmt.Sprintf("10.%d.%d.%d:7400", i%3, i/250, i%250),
+			DataCentre: fmt.Sprintf("dc-%d", i%9),
+		}}
+		f.Nodes = append(f.Nodes, node)
+		f.ByID[node.VM.ID] = node
+	}
+	return f
+}
+
+// Start starts a new process on a VM that is not running.
+func (f *Fleet) Start(n *Node) {
+	n.life++
+	n.Running, n.revision, n.wake, n.until = true, 0, 0, 0
+	n.VM.Incarnation = uint64(f.Loop.Now())
+	n.Leaving = make(map[upstream.ID]bool)
+	opts := append([]fleet.Option{fleet.WithSelf(n.VM), fleet.WithSeed(f.rng.Uint64())}, f.Options...)
+	n.Model = fleet.New(opts...)
+	f.Deliver(n, fleet.RosterMsg{VMs: f.roster()})
+}
+
+// StartAll starts every VM within the given time.
+func (f *Fleet) StartAll(within clock.Millis) {
+	for _, n := range f.Nodes {
+		f.Loop.After(clock.Millis(f.rng.Int64N(int64(within)+1)), func() { f.Start(n) })
+	}
+}
+
+// Kill ends the process of a VM at once.
+func (f *Fleet) Kill(n *Node) {
+	n.life++
+	n.Running = false
+}
+
+// Pause stops a VM from running for d. Messages wait for it.
+func (f *Fleet) Pause(n *Node, d clock.Millis) { n.until = f.Loop.Now() + d }
+
+// Paused reports whether n is paused.
+func (f *Fleet) Paused(n *Node) bool { return f.Loop.Now() < n.until }
+
+// roster is the VM list: every VM of the fleet, whether it runs or not.
+func (f *Fleet) roster() []fleet.VM {
+	list := make([]fleet.VM, len(f.Nodes))
+	for i, n := range f.Nodes {
+		list[i] = n.VM
+	}
+	return list
+}
+
+// Deliver gives msg to n now, or at the end of its pause.
+func (f *Fleet) Deliver(n *Node, msg fleet.Msg) {
+	if !n.Running {
+		return
+	}
+	if f.Paused(n) {
+		life := n.life
+		f.Loop.At(n.until, func() {
+			if n.life == life {
+				f.Deliver(n, msg)
+			}
+		})
+		return
+	}
+	var begin int64
+	if f.CPU != nil {
+		begin = f.CPU()
+	}
+	cmds := n.Model.Update(f.Loop.Now(), msg)
+	if f.CPU != nil {
+		n.BusyNs += f.CPU() - begin
+	}
+	for _, c := range cmds {
+		f.perform(n, c)
+	}
+	f.arm(n)
+}
+
+func (f *Fleet) arm(n *Node) {
+	at, ok := n.Model.NextWake()
+	if !ok || n.wake != 0 && n.wake <= at && n.wake > f.Loop.Now() {
+		return
+	}
+	n.wake = max(at, f.Loop.Now()+1)
+	due, life := n.wake, n.life
+	f.Loop.At(due, func() {
+		if n.life == life && n.wake == due {
+			n.wake = 0
+			f.Deliver(n, fleet.TickMsg{})
+		}
+	})
+}
+
+func (f *Fleet) perform(n *Node, c fleet.Cmd) {
+	switch c := c.(type) {
+	case fleet.SendCmd:
+		f.send(n, c)
+	case fleet.StoreCmd:
+		life := n.life
+		f.Store.Call(n, c.Request, func(r store.Reply) {
+			if n.life == life {
+				f.Deliver(n, fleet.StoreMsg{Reply: r})
+			}
+		})
+	case fleet.RecordCmd:
+		n.apply(f.Loop.Now(), c.Record)
+	case fleet.UpstreamCmd:
+		n.Leaving[c.Upstream] = c.Leaving
+	}
+}
+
+func (n *Node) apply(now clock.Millis, rec preset.Record) {
+	if rec.Revision < n.revision {
+		n.Reverts++
+	} else if rec.Revision < n.highest {
+		n.Older++
+	}
+	n.highest = max(n.highest, rec.Revision)
+	n.revision, n.Applied = rec.Revision, now
+}
+
+func (f *Fleet) send(from *Node, c fleet.SendCmd) {
+	from.Sent++
+	from.SentBytes += len(c.Payload) + MessageOverheadBytes
+	if f.Tap != nil {
+		f.Tap(c.Payload)
+	}
+	to := f.ByID[c.To]
+	if to == nil || f.rng.Float64()*100 < f.LossPercent || f.Cut != nil && f.Cut(from, to) {
+		return
+	}
+	delay := nearMs
+	if from.Region != to.Region {
+		delay = farMs
+	}
+	f.Loop.After(delay+clock.Millis(f.rng.Int64N(int64(delay)+1)), func() {
+		f.Deliver(to, fleet.PeerMsg{From: from.VM.ID, Payload: c.Payload})
+	})
+}
+
+// RunFor lets d pass.
+func (f *Fleet) RunFor(d clock.Millis) { f.Loop.RunUntil(f.Loop.Now() + d) }
+
+// All reports whether ok holds on every running VM that is not paused.
+func (f *Fleet) All(ok func(*Node) bool) bool {
+	for _, n := range f.Nodes {
+		if n.Running && !f.Paused(n) && !ok(n) {
+			return false
+		}
+	}
+	return true
+}
+
+// Until runs in steps of step until ok holds, at most for limit, and returns the time taken.
+func (f *Fleet) Until(step, limit clock.Millis, ok func() bool) (clock.Millis, bool) {
+	begin := f.Loop.Now()
+	for !ok() {
+		if f.Loop.Now() >= begin+limit {
+			return limit, false
+		}
+		f.RunFor(step)
+	}
+	return f.Loop.Now() - begin, true
+}
+
+// Converged reports whether every running VM sees exactly the running VMs as alive.
+func (f *Fleet) Converged() bool {
+	running := 0
+	for _, n := range f.Nodes {
+		if n.Running {
+			running++
+		}
+	}
+	return f.All(func(n *Node) bool {
+		if n.Model.LiveCount() != running {
+			return false
+		}
+		for _, other := range f.Nodes {
+			if other.Running && !n.Model.IsLive(other.VM.ID) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func upstreamID(i int) upstream.ID { return upstream.ID(fmt.Sprintf("search/group-%d/a", i)) }
--- /dev/null
+++ b/experiment/kv.go
@@ -0,0 +1,115 @@
+package experiment
+
+import (
+	"math/rand/v2"
+
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/store"
+)
+
+const storeMs clock.Millis = 3 // usual delay of the fake store, each way
+
+// KV is a fake configuration store in virtual time that holds one key.
+type KV struct {
+	Down        bool
+	SlowMs      clock.Millis // added to each way
+	LostPercent float64      // answers lost after the call took effect
+	Reads       int
+	Writes      int
+	Watches     int
+	Unreachable func(caller *Node) bool // nil if every VM reaches the store
+	Wrote       func(store.Entry)       // called for every write that took effect
+
+	Unconditional bool // writes succeed whatever revision they expect; for baselines
+
+	entry   store.Entry
+	watches []waiting
+	loop    *Loop
+	rng     *rand.Rand
+}
+
+type waiting struct {
+	after uint64
+	tag   uint64
+	reply func(store.Reply)
+}
+
+// NewKV returns an empty store.
+func NewKV(loop *Loop, rng *rand.Rand) *KV { return &KV{loop: loop, rng: rng} }
+
+// Entry returns the stored value without a call.
+func (k *KV) Entry() store.Entry { return k.entry }
+
+// Waiting returns the number of watches that wait for a change.
+func (k *KV) Waiting() int { return len(k.watches) }
+
+// Call performs r and calls done, which may never happen if the answer is lost.
+func (k *KV) Call(caller *Node, r store.Request, done func(store.Reply)) {
+	k.count(r.Op)
+	reply := store.Reply{Owner: r.Owner, Tag: r.Tag, Op: r.Op}
+	k.loop.After(k.delay(), func() {
+		if k.Down || k.Unreachable != nil && k.Unreachable(caller) {
+			reply.Kind = store.KindUnavailable
+			k.loop.After(storeMs, func() { done(reply) })
+			return
+		}
+		if r.Op == store.OpWatch && k.entry.Revision <= r.Expect {
+			k.watches = append(k.watches, waiting{r.Expect, r.Tag, func(reply store.Reply) {
+				reply.Owner, reply.Tag, reply.Op = r.Owner, r.Tag, r.Op
+				k.answer(reply, done)
+			}})
+			return
+		}
+		reply.Kind, reply.Entry = k.run(r)
+		k.answer(reply, done)
+	})
+}
+
+func (k *KV) run(r store.Request) (store.Kind, store.Entry) {
+	if r.Op != store.OpSwap {
+		return store.KindOK, k.entry
+	}
+	if r.Expect != k.entry.Revision && !k.Unconditional {
+		return store.KindConflict, store.Entry{}
+	}
+	// The store's revision moves by more than one, as if it counted all keys.
+	k.entry = store.Entry{Key: r.Key, Value: r.Value, Revision: k.entry.Revision + 1 + k.rng.Uint64N(9)}
+	entry := k.entry
+	if k.Wrote != nil {
+		k.Wrote(entry)
+	}
+	for _, w := range k.watches {
+		w.reply(store.Reply{Entry: entry})
+	}
+	k.watches = nil
+	return store.KindOK, entry
+}
+
+func (k *KV) answer(r store.Reply, done func(store.Reply)) {
+	if k.rng.Float64()*100 < k.LostPercent {
+		r.Kind, r.Entry = store.KindUnknown, store.Entry{}
+	}
+	k.loop.After(k.delay(), func() { done(r) })
+}
+
+// Fail takes the store down; waiting watches end.
+func (k *KV) Fail() {
+	k.Down = true
+	for _, w := range k.watches {
+		w.reply(store.Reply{Kind: store.KindUnavailable})
+	}
+	k.watches = nil
+}
+
+func (k *KV) delay() clock.Millis { return storeMs + clock.Millis(k.rng.Int64N(int64(k.SlowMs)+1)) }
+
+func (k *KV) count(op store.Op) {
+	switch op {
+	case store.OpGet:
+		k.Reads++
+	case store.OpWatch:
+		k.Watches++
+	default:
+		k.Writes++
+	}
+}
--- /dev/null
+++ b/fleet/fleet_test.go
@@ -0,0 +1,226 @@
+package fleet_test
+
+import (
+	"testing"
+
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/experiment"
+	"lentillink.example/lentillink/fleet"
+	"lentillink.example/lentillink/preset"
+	"lentillink.example/lentillink/store"
+	"lentillink.example/lentillink/upstream"
+)
+
+const (
+	heal      = 40 * clock.Second
+	byHand    = upstream.ID("orders/desk-1/a")
+	leavingMs = 3 * clock.Second // bound of the design page
+)
+
+// joined returns nine VMs that see each other and have a record.
+func joined(t *testing.T, seed uint64) *experiment.Fleet {
+	t.Helper()
+	f := experiment.NewFleet(seed, 9)
+	f.StartAll(clock.Second)
+	f.RunFor(clock.Second + 1)
+	until(t, f, heal, "join", func() bool {
+		return f.Converged() && f.All(func(n *experiment.Node) bool { return n.Model.Ready() })
+	})
+	return f
+}
+
+func until(t *testing.T, f *experiment.Fleet, limit clock.Millis, what string, ok func() bool) {
+	t.Helper()
+	if took, done := f.Until(50, limit, ok); !done {
+		t.Fatalf("%s: not reached within %d ms", what, took)
+	}
+}
+
+// state returns what viewer believes about id.
+func state(viewer *experiment.Node, id string) fleet.State {
+	for _, v := range viewer.Model.Members() {
+		if v.ID == id {
+			return v.State
+		}
+	}
+	return fleet.Dead
+}
+
+// TestMembershipRecovers guards against VMs that stay out, or stay in, after a fault has ended.
+func TestMembershipRecovers(t *testing.T) {
+	tests := []struct {
+		name  string
+		fault func(t *testing.T, f *experiment.Fleet, n *experiment.Node)
+	}{
+		{"refutation", func(t *testing.T, f *experiment.Fleet, n *experiment.Node) {
+			f.Cut = func(a, b *experiment.Node) bool { return a == n || b == n }
+			until(t, f, 10*clock.Second, "suspicion", func() bool { return state(f.Nodes[0], n.VM.ID) == fleet.Suspect })
+			f.Cut = nil
+			f.RunFor(8 * clock.Second)
+			if n.Model.Self().Refutation == 0 {
+				t.Error("a suspected VM did not refute")
+			}
+		}},
+		{"restart at the same address", func(t *testing.T, f *experiment.Fleet, n *experiment.Node) {
+			old := n.VM.Incarnation
+			f.Kill(n)
+			f.RunFor(500)
+			f.Start(n)
+			until(t, f, heal, "new incarnation", func() bool {
+				for _, v := range f.Nodes[0].Model.Live() {
+					if v.ID == n.VM.ID && v.Incarnation > old {
+						return true
+					}
+				}
+				return false
+			})
+		}},
+		{"long pause", func(t *testing.T, f *experiment.Fleet, n *experiment.Node) {
+			f.Pause(n, clock.Minute)
+			f.RunFor(50 * clock.Second)
+			if got := state(f.Nodes[0], n.VM.ID); got != fleet.Dead {
+				t.Errorf("a VM paused for 50 s is %s, want dead", got)
+			}
+			f.RunFor(11 * clock.Second)
+			if got := n.Model.LiveCount(); got < 8 {
+				t.Errorf("after its pause the VM sees %d live members, want at least 8", got)
+			}
+		}},
+		{"partition for two minutes", func(_ *testing.T, f *experiment.Fleet, _ *experiment.Node) { partition(f, 2*clock.Minute) }},
+		{"partition until the others are forgotten", func(_ *testing.T, f *experiment.Fleet, _ *experiment.Node) { partition(f, 12*clock.Minute) }},
+		{"planned stop and new start", func(t *testing.T, f *experiment.Fleet, n *experiment.Node) {
+			f.Deliver(n, fleet.StopMsg{})
+			f.RunFor(leavingMs)
+			if !n.Model.Announced(f.Loop.Now()) || n.Model.Ready() {
+				t.Error("a stopping VM is ready or has not announced its stop")
+			}
+			for _, other := range f.Nodes {
+				if other.Model.IsLive(n.VM.ID) {
+					t.Errorf("%s still chooses a VM that left", other.VM.ID)
+				}
+			}
+			f.Kill(n)
+			f.RunFor(clock.Second)
+			f.Start(n)
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := joined(t, 1)
+			tt.fault(t, f, f.Nodes[4])
+			until(t, f, heal, "convergence", f.Converged)
+		})
+	}
+}
+
+func partition(f *experiment.Fleet, d clock.Millis) {
+	f.Cut = func(a, b *experiment.Node) bool { return (a.Region == 0) != (b.Region == 0) }
+	f.RunFor(d)
+	f.Cut = nil
+}
+
+// TestOneCutLinkIsNotFailure guards against suspicion of a VM that others reach.
+func TestOneCutLinkIsNotFailure(t *testing.T) {
+	f := joined(t, 2)
+	a, b := f.Nodes[1], f.Nodes[2]
+	f.Cut = func(from, to *experiment.Node) bool { return from == a && to == b }
+	for range 60 {
+		f.RunFor(clock.Second)
+		if !f.Converged() {
+			t.Fatal("a link cut one way made a VM suspect")
+		}
+	}
+}
+
+// TestAddressTakenOver guards against a replaced VM that stays a carrier until it is found dead.
+func TestAddressTakenOver(t *testing.T) {
+	f := joined(t, 3)
+	old := f.Nodes[5]
+	f.Kill(old)
+	next := &experiment.Node{VM: old.VM, Index: 9, Region: old.Region}
+	next.VM.ID = "vm-next"
+	f.Nodes = append(f.Nodes, next)
+	f.ByID[next.VM.ID] = next
+	f.RunFor(100)
+	f.Start(next)
+	until(t, f, 6*clock.Second, "replacement", f.Converged)
+}
+
+// TestUpstreamReports guards against work sent to a leaving upstream, and against reports that never end.
+func TestUpstreamReports(t *testing.T) {
+	f := joined(t, 4)
+	f.LossPercent = 5
+	honoured := func(want bool) func() bool {
+		return func() bool {
+			return f.All(func(n *experiment.Node) bool { return n.Leaving[byHand] == want && n.Model.Leaving(byHand) == want })
+		}
+	}
+	for _, leaving := range []bool{true, false, true} {
+		for _, n := range f.Nodes[:3] { // several VMs observe the same
+			f.Deliver(n, fleet.LeavingMsg{Upstream: byHand, Leaving: leaving})
+		}
+		until(t, f, leavingMs, "report", honoured(leaving))
+		f.RunFor(5 * clock.Second)
+	}
+	f.Start(f.Nodes[8]) // a new process learns the report too
+	until(t, f, leavingMs, "report on a new VM", honoured(true))
+	f.RunFor(9 * clock.Minute)
+	if !honoured(true)() {
+		t.Error("the report ended too early")
+	}
+	until(t, f, 2*clock.Minute, "expiry", honoured(false))
+	if got := f.Nodes[0].Model.Reports(); len(got) != 0 {
+		t.Errorf("reports after expiry: %v", got)
+	}
+}
+
+// TestStartDuringOutage guards against a VM that is ready without a record, or never ready although peers have it.
+func TestStartDuringOutage(t *testing.T) {
+	f := joined(t, 5)
+	f.Store.Fail()
+	n := f.Nodes[3]
+	f.Kill(n)
+	f.RunFor(clock.Second)
+	f.Cut = func(a, b *experiment.Node) bool { return a == n || b == n }
+	f.Start(n)
+	f.RunFor(20 * clock.Second)
+	if n.Model.Ready() {
+		t.Error("a VM without store and peers is ready")
+	}
+	f.Cut = nil
+	until(t, f, 5*clock.Second, "record from peers", n.Model.Ready)
+	if !n.Model.Stale(f.Loop.Now()) {
+		f.Cut = func(a, b *experiment.Node) bool { return a == n || b == n }
+		until(t, f, 10*clock.Second, "stale", func() bool { return n.Model.Stale(f.Loop.Now()) })
+	}
+	if !n.Model.Ready() {
+		t.Error("a stale VM left service")
+	}
+}
+
+// TestOnlyHigherRevisions guards against a record that reverts, whatever its source.
+func TestOnlyHigherRevisions(t *testing.T) {
+	f := joined(t, 6)
+	old := f.Nodes[0].Model.Record()
+	next, err := preset.Switch(old, preset.Change{ID: "c", Author: "a", Reason: "r", SwitchTo: "peak"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	value, _ := preset.Encode(old)
+	f.Deliver(f.Nodes[0], fleet.RecordMsg{Record: next})
+	f.Deliver(f.Nodes[0], fleet.RecordMsg{Record: old})
+	for _, op := range []store.Op{store.OpGet, store.OpWatch} {
+		f.Deliver(f.Nodes[0], fleet.StoreMsg{Reply: store.Reply{Op: op, Entry: store.Entry{Value: value, Revision: 99}}})
+	}
+	if got := f.Nodes[0].Model.Record().Revision; got != next.Revision {
+		t.Errorf("revision %d in force, want %d", got, next.Revision)
+	}
+	until(t, f, 4*clock.Second, "spread", func() bool {
+		return f.All(func(n *experiment.Node) bool { return n.Model.Record().Revision == next.Revision })
+	})
+	// The store holds an older record than the fleet: a watcher writes the newer one back.
+	until(t, f, 2*clock.Minute, "write-back", func() bool {
+		rec, err := preset.Decode(f.Store.Entry().Value)
+		return err == nil && rec.Revision == next.Revision
+	})
+}
--- a/fleet/gossip.go
+++ b/fleet/gossip.go
@@ -8,12 +8,12 @@
 )
 
 const (
-	newsBytes                = 900 // of updates and reports on one message
-	updateBytes              = 56  // estimate of one update or report
-	burstFanout              = 4
-	burstRounds              = 3
-	burstEvery  clock.Millis = 200
-	sampleTries              = 4 // per wanted member
+	newsBytes                  = 900 // of updates and reports on one message
+	updateBytes                = 56  // estimate of one update or report
+	burstFanout                = 4
+	defaultBursts              = 3 // with the fan-out, 12 messages: misses one VM in 160,000 on average
+	burstEvery    clock.Millis = 200
+	sampleTries                = 4 // per wanted member
 )
 
 // gossiping is the state of dissemination. Each change is put on a number of
@@ -22,7 +22,8 @@
 type gossiping struct {
 	members queue
 	reports queue
-	bursts  int // rounds left
+	muted   bool // changes are taken over without being spread
+	bursts  int  // rounds left
 	next    clock.Millis
 }
 
@@ -93,7 +94,7 @@
 	if m.gossip.bursts == 0 {
 		m.gossip.next = max(m.gossip.next, now)
 	}
-	m.gossip.bursts = burstRounds
+	m.gossip.bursts = m.cfg.bursts
 }
 
 func (m *Model) burstDue(now clock.Millis) {
--- a/fleet/merge.go
+++ b/fleet/merge.go
@@ -7,6 +7,9 @@
 
 // mergeAll merges the claims of a message and returns members about which this VM knows better.
 func (m *Model) mergeAll(now clock.Millis, msg *message) []VM {
+	// A bulk answer repairs this VM alone; the senders of each claim spread it already.
+	m.gossip.muted = msg.kind == kindState && len(msg.updates) >= bulkUpdates
+	defer func() { m.gossip.muted = false }()
 	var newer []VM
 	for _, v := range msg.updates {
 		m.merge(now, v)
@@ -79,7 +82,9 @@
 	}
 	mem.VM = v
 	m.index(mem)
-	m.gossip.members.push(mem.ID)
+	if !m.gossip.muted {
+		m.gossip.members.push(mem.ID)
+	}
 	if before.State != v.State || before.Incarnation != v.Incarnation {
 		mem.since = now
 		m.entered(now, mem, before)
--- a/fleet/model.go
+++ b/fleet/model.go
@@ -55,7 +55,7 @@
 
 // New returns a Model. WithSelf is required.
 func New(opts ...Option) *Model {
-	cfg := config{initial: preset.Default(), read: clock.Minute}
+	cfg := config{initial: preset.Default(), read: clock.Minute, bursts: defaultBursts}
 	for _, opt := range opts {
 		opt(&cfg)
 	}
--- a/fleet/options.go
+++ b/fleet/options.go
@@ -14,6 +14,7 @@
 	seeds   []VM
 	initial preset.Record
 	read    clock.Millis
+	bursts  int
 }
 
 // WithSelf sets the identity of this VM. Incarnation must exceed that of an earlier process with the same identifier.
@@ -30,3 +31,7 @@
 
 // WithReadInterval sets the mean time between reads of the record from the store.
 func WithReadInterval(d clock.Millis) Option { return func(c *config) { c.read = d } }
+
+// WithBursts sets how many rounds of eager messages follow news. 0 leaves the
+// spreading to the heartbeats, which is the baseline of the experiments.
+func WithBursts(rounds int) Option { return func(c *config) { c.bursts = rounds } }
--- a/fleet/query.go
+++ b/fleet/query.go
@@ -21,11 +21,22 @@
 
 // Live returns the members that are alive, including this VM unless it is stopping, ordered by identifier.
 func (m *Model) Live() []VM {
-	list := make([]VM, len(m.eligible))
-	for i, mem := range m.eligible {
+	order := slices.Clone(m.eligible)
+	slices.SortFunc(order, func(a, b *member) int { return cmp.Compare(a.ID, b.ID) })
+	list := make([]VM, len(order))
+	for i, mem := range order {
 		list[i] = mem.VM
 	}
-	return sortVMs(list)
+	return list
+}
+
+// LiveCount returns the number of live members.
+func (m *Model) LiveCount() int { return len(m.eligible) }
+
+// IsLive reports whether a member is alive.
+func (m *Model) IsLive(id string) bool {
+	mem := m.byID[id]
+	return mem != nil && mem.State == Alive
 }
 
 // Members returns all known members, including dead ones, ordered by identifier.
@@ -34,10 +45,6 @@
 	for _, mem := range m.byID {
 		list = append(list, mem.VM)
 	}
-	return sortVMs(list)
-}
-
-func sortVMs(list []VM) []VM {
 	slices.SortFunc(list, func(a, b VM) int { return cmp.Compare(a.ID, b.ID) })
 	return list
 }
--- a/fleet/storesync.go
+++ b/fleet/storesync.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
+
 	"lentillink.example/lentillink/clock"
 	"lentillink.example/lentillink/preset"
 	"lentillink.example/lentillink/store"
@@ -15,8 +17,10 @@
 	watchTimeout clock.Millis = 90 * clock.Second
 	retryMin     clock.Millis = clock.Second
 	retryMax     clock.Millis = 15 * clock.Second
-	rearmMs      clock.Millis = 100              // bounds the calls of a watch that returns at once
-	createAfter  clock.Millis = 3 * clock.Second // peers are asked for this long before a first record is written
+	rearmMs      clock.Millis = 100 // bounds the calls of a watch that returns at once
+	// A VM that has not joined knows no other, and would hold a watch that stays with the store.
+	aloneAfter  clock.Millis = 15 * clock.Second
+	createAfter clock.Millis = 3 * clock.Second // peers are asked for this long before a first record is written
 )
 
 // storing is the state of the exchange with the configuration store.
@@ -30,6 +34,9 @@
 	watch    call
 	watching bool
 	writeTag uint64
+
+	readHash     uint64 // of the last value read
+	readRevision uint64 // of the record in it
 }
 
 // call is one repeated store call.
@@ -57,7 +64,7 @@
 	if s.get.tag == 0 && now >= s.get.next {
 		m.call(now, &s.get, store.OpGet)
 	}
-	s.watching = slices.Contains(m.watchers, m.self.ID)
+	s.watching = slices.Contains(m.watchers, m.self.ID) && (m.sync.joined || now >= s.began+aloneAfter)
 	if !s.watching {
 		return
 	}
@@ -121,13 +128,10 @@
 func (m *Model) read(now clock.Millis, entry store.Entry, current bool) {
 	var stored uint64
 	if entry.Revision > 0 {
-		rec, err := preset.Decode(entry.Value)
-		if err != nil {
-			m.event(timeline.Event{Kind: timeline.StoreFailed, Detail: err.Error()})
+		var ok bool
+		if stored, ok = m.decodeEntry(now, entry.Value); !ok {
 			return
 		}
-		stored = rec.Revision
-		m.adopt(now, rec, blob{})
 	}
 	if !current || m.store.writeTag != 0 || stored > 0 && stored >= m.record.Revision {
 		return
@@ -142,6 +146,23 @@
 	}
 }
 
+// decodeEntry takes over the stored record and returns its revision. A value
+// that was read before is not decoded again.
+func (m *Model) decodeEntry(now clock.Millis, value []byte) (uint64, bool) {
+	hash := xxhash.Sum64(value)
+	if m.store.readRevision > 0 && hash == m.store.readHash {
+		return m.store.readRevision, true
+	}
+	rec, err := preset.Decode(value)
+	if err != nil {
+		m.event(timeline.Event{Kind: timeline.StoreFailed, Detail: err.Error()})
+		return 0, false
+	}
+	m.store.readHash, m.store.readRevision = hash, rec.Revision
+	m.adopt(now, rec, blob{})
+	return rec.Revision, true
+}
+
 // write compares and swaps on the entry that was just read, so it cannot undo a later change.
 func (m *Model) write(rec preset.Record, expect uint64) {
 	value, err := preset.Encode(rec)
--- /dev/null
+++ b/fleet/wire_test.go
@@ -0,0 +1,164 @@
+package fleet_test
+
+import (
+	"bytes"
+	"errors"
+	"testing"
+
+	"google.golang.org/protobuf/encoding/protowire"
+	"pgregory.net/rapid"
+
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/experiment"
+	"lentillink.example/lentillink/fleet"
+	"lentillink.example/lentillink/preset"
+)
+
+// samples returns payloads of every kind from a short run.
+func samples() [][]byte {
+	f := experiment.NewFleet(1, 5)
+	var list [][]byte
+	seen := make(map[byte]int)
+	f.Tap = func(p []byte) {
+		if kind := p[1]; seen[kind] < 20 {
+			seen[kind]++
+			list = append(list, p)
+		}
+	}
+	f.StartAll(100)
+	f.RunFor(8 * clock.Second)
+	f.LossPercent = 30
+	f.Deliver(f.Nodes[0], fleet.LeavingMsg{Upstream: "a/b/c", Leaving: true})
+	f.RunFor(20 * clock.Second)
+	rec := f.Nodes[0].Model.Record()
+	rec.Revision++
+	f.Deliver(f.Nodes[0], fleet.RecordMsg{Record: rec})
+	f.RunFor(clock.Second)
+	return list
+}
+
+// newModel returns a model that accepts the payloads of samples.
+func newModel() *fleet.Model {
+	m := fleet.New(fleet.WithSelf(fleet.VM{ID: "vm-0001", Incarnation: 1}), fleet.WithSeed(1))
+	m.Update(1_700_000_000_000, fleet.TickMsg{})
+	return m
+}
+
+// feed delivers a payload and checks that what it causes is valid and bounded.
+func feed(t interface {
+	Helper()
+	Errorf(string, ...any)
+}, m *fleet.Model, payload []byte,
+) {
+	t.Helper()
+	for _, c := range m.Update(1_700_000_000_500, fleet.PeerMsg{From: "vm-0002", Payload: payload}) {
+		switch c := c.(type) {
+		case fleet.RecordCmd:
+			if err := c.Record.Validate(); err != nil {
+				t.Errorf("an invalid record came into force: %v", err)
+			}
+		case fleet.SendCmd:
+			if err := fleet.Check(c.Payload); err != nil {
+				t.Errorf("the answer does not decode: %v", err)
+			}
+		}
+	}
+}
+
+// TestDamagedPayloads guards against a peer whose damaged message stops a VM.
+func TestDamagedPayloads(t *testing.T) {
+	list := samples()
+	kinds := make(map[byte]bool)
+	for _, p := range list {
+		kinds[p[1]] = true
+		if err := fleet.Check(p); err != nil {
+			t.Fatalf("own payload refused: %v", err)
+		}
+	}
+	if len(kinds) != 8 {
+		t.Fatalf("samples of %d kinds, want all 8", len(kinds))
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel()
+		for range rapid.IntRange(1, 10).Draw(t, "messages") {
+			p := bytes.Clone(rapid.SampledFrom(list).Draw(t, "payload"))
+			for range rapid.IntRange(0, 3).Draw(t, "changes") {
+				p[rapid.IntRange(0, len(p)-1).Draw(t, "at")] = rapid.Byte().Draw(t, "byte")
+			}
+			feed(t, m, p[:rapid.IntRange(0, len(p)).Draw(t, "cut")])
+		}
+	})
+}
+
+// TestDecoderBounds guards against payloads that would take memory without bound.
+func TestDecoderBounds(t *testing.T) {
+	ping := protowire.AppendVarint(protowire.AppendTag(nil, 1, protowire.VarintType), 1)
+	vm := protowire.AppendString(protowire.AppendTag(nil, 1, protowire.BytesType), "x")
+	field := func(num protowire.Number, b []byte) []byte {
+		return protowire.AppendBytes(protowire.AppendTag(bytes.Clone(ping), num, protowire.BytesType), b)
+	}
+	var many []byte
+	for range 300 {
+		many = protowire.AppendBytes(protowire.AppendTag(many, 6, protowire.BytesType), vm)
+	}
+	tests := []struct {
+		name    string
+		payload []byte
+		want    fleet.Kind
+	}{
+		{"empty", nil, fleet.KindMalformed},
+		{"too long", make([]byte, 1<<17), fleet.KindTooLarge},
+		{"unknown kind", []byte{8, 99}, fleet.KindMalformed},
+		{"too many updates", append(bytes.Clone(ping), many...), fleet.KindTooLarge},
+		{"long chunk", field(12, make([]byte, 20_000)), fleet.KindTooLarge},
+		{"short digest", field(8, make([]byte, 8)), fleet.KindMalformed},
+		{"long name", field(3, make([]byte, 200)), fleet.KindTooLarge},
+		{"member without identifier", field(6, nil), fleet.KindMalformed},
+		{"unknown state", field(6, append(bytes.Clone(vm), 6<<3, 9)), fleet.KindTooLarge},
+		{"cut", field(6, vm)[:6], fleet.KindMalformed},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var e *fleet.Error
+			if err := fleet.Check(tt.payload); !errors.As(err, &e) || e.Kind() != tt.want {
+				t.Errorf("got %v, want kind %d", err, tt.want)
+			}
+		})
+	}
+}
+
+// TestLargeRecordTravelsInChunks guards against records that exceed one message.
+func TestLargeRecordTravelsInChunks(t *testing.T) {
+	f := joined(t, 10)
+	f.Store.Fail()
+	f.LossPercent = 5
+	rec := f.Nodes[0].Model.Record()
+	rec.Revision++
+	for i := range 60 {
+		p := rec.Presets[0]
+		p.Name = "extra-" + string(rune('a'+i%26)) + string(rune('a'+i/26))
+		noise := make([]byte, 500)
+		for j := range noise { // text that does not compress well
+			noise[j] = byte('!' + (i*7919+j*j*31+j*i*17)%90)
+		}
+		p.Description = string(noise)
+		rec.Presets = append(rec.Presets, p)
+	}
+	if err := rec.Validate(); err != nil {
+		t.Fatal(err)
+	}
+	f.Deliver(f.Nodes[0], fleet.RecordMsg{Record: rec})
+	until(t, f, 4*clock.Second, "large record", func() bool {
+		return f.All(func(n *experiment.Node) bool { return n.Model.Record().Revision == rec.Revision })
+	})
+	if got := preset.Diff(rec, f.Nodes[7].Model.Record()); len(got) != 0 {
+		t.Errorf("the record changed on its way: %v", got)
+	}
+}
+
+func FuzzPayload(f *testing.F) {
+	for _, p := range samples() {
+		f.Add(p)
+	}
+	f.Fuzz(func(t *testing.T, p []byte) { feed(t, newModel(), p) })
+}
