--- /dev/null
+++ b/experiment/control.go
@@ -0,0 +1,169 @@
+package experiment
+
+import (
+	"fmt"
+	"math"
+	"runtime"
+
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/fleet"
+	"lentillink.example/lentillink/preset"
+)
+
+// Bounds and rates of section 1.7 of the design page. The rates are those of
+// the whole two-year fleet and are applied at every size.
+const (
+	controlBytes      = 3000.0
+	controlCore       = 3.9
+	controlMB         = 64.0
+	storeReads        = 2000.0
+	storeWrites       = 300.0
+	restartsPerDay    = 2700.0
+	failuresPerDay    = 38.0
+	changesPerDay     = 2300.0
+	reportsPerDay     = 2 * 2700.0 // upstreams restart like VMs; each is reported leaving and back
+	minutesPerDay     = 1440.0
+	controlMinutes    = 4
+	settleMs          = 2 * clock.Minute // the cold start is not part of the figures
+	baselineBeatBytes = 2 * (MessageOverheadBytes + 20)
+)
+
+// Control measures what membership and dissemination cost one VM under the
+// restarts, failures and changes of the two-year size. cpu returns the
+// nanoseconds of a running clock; without it, processor time is not measured.
+// The baseline of bytes and messages is computed: every VM pings every other each second.
+func Control(seed uint64, cpu func() int64, sizes ...int) Report {
+	r := Report{Name: "control", Seed: seed}
+	if len(sizes) == 0 {
+		sizes = Sizes
+	}
+	costs := make([]controlCost, len(sizes))
+	for i, n := range sizes {
+		costs[i] = controlOnce(seed, n, cpu)
+		costs[i].report(&r, n, cpu != nil)
+	}
+	last := len(sizes) - 1
+	if last > 0 {
+		a, b := costs[0], costs[last]
+		span := float64(sizes[last] - sizes[0])
+		r.Notes = append(r.Notes,
+			fmt.Sprintf("slope: %.3g bytes/s, %.3g messages/s, %.3g %% of a core, %.3g KB per further member",
+				(b.bytes-a.bytes)/span, (b.messages-a.messages)/span, (b.core-a.core)/span, 1000*(b.megabytes-a.megabytes)/span),
+			"the baseline of bytes and messages is computed for pings between all pairs, not run")
+	}
+	return r
+}
+
+// controlCost is the cost per VM, and of the whole fleet for the store.
+type controlCost struct {
+	bytes, maxBytes, messages, core, megabytes, reads, writes, waiting float64
+	agreed                                                             bool
+}
+
+func (c *controlCost) report(r *Report, n int, timed bool) {
+	size := fmt.Sprintf(", %d VMs", n)
+	all := float64(n - 1)
+	r.AtMost("sent by a VM"+size, "bytes/s", all*baselineBeatBytes, c.bytes, controlBytes)
+	r.AtMost("sent by the busiest VM"+size, "bytes/s", all*baselineBeatBytes, c.maxBytes, controlBytes)
+	r.Note("messages of a VM"+size, "1/s", 2*all, c.messages)
+	if timed {
+		r.AtMost("processor time of a VM"+size, "% core", 0, c.core, controlCore)
+	}
+	r.AtMost("memory of a VM"+size, "MB", 0, c.megabytes, controlMB)
+	r.AtMost("store reads and watches of the fleet"+size, "1/s", all, c.reads, storeReads)
+	r.AtMost("store writes of the fleet"+size, "1/s", 0, c.writes, storeWrites)
+	r.Note("watches waiting at the end"+size, "", 0, c.waiting)
+	agreed := 0.0
+	if c.agreed {
+		agreed = 1
+	}
+	r.AtLeast("members agree at the end"+size, "", 0, agreed, 1)
+}
+
+func controlOnce(seed uint64, n int, cpu func() int64) controlCost {
+	before := heapBytes()
+	f := NewFleet(seed, n)
+	f.startAndJoin()
+	f.RunFor(settleMs)
+	f.CPU = cpu
+	for _, node := range f.Nodes {
+		node.Sent, node.SentBytes, node.BusyNs = 0, 0, 0
+	}
+	f.Store.Reads, f.Store.Writes, f.Store.Watches = 0, 0, 0
+	span := controlMinutes * clock.Minute
+	f.churn(span)
+	f.RunFor(span)
+	c := f.cost(span)
+	c.megabytes = (heapBytes() - before) / float64(n) / 1e6
+	_, c.agreed = f.Until(500, clock.Minute, f.Converged)
+	return c
+}
+
+// heapBytes counts the fake network and its queues as well, so it overstates the models.
+func heapBytes() float64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return float64(stats.HeapAlloc)
+}
+
+func (f *Fleet) cost(span clock.Millis) controlCost {
+	var c controlCost
+	seconds := float64(span) / float64(clock.Second)
+	var bytes, sent, busy float64
+	for _, n := range f.Nodes {
+		bytes += float64(n.SentBytes)
+		sent += float64(n.Sent)
+		busy += float64(n.BusyNs)
+		c.maxBytes = max(c.maxBytes, float64(n.SentBytes)/seconds)
+	}
+	vms := float64(len(f.Nodes))
+	c.bytes, c.messages = bytes/vms/seconds, sent/vms/seconds
+	c.core = 100 * busy / vms / seconds / 1e9
+	c.reads = float64(f.Store.Reads+f.Store.Watches) / seconds
+	c.writes = float64(f.Store.Writes) / seconds
+	c.waiting = float64(f.Store.Waiting())
+	return c
+}
+
+// churn schedules the events of span at even distances.
+func (f *Fleet) churn(span clock.Millis) {
+	f.every(span, restartsPerDay, func(int) { f.restartPlanned(f.someRunning()) })
+	f.every(span, failuresPerDay, func(int) {
+		n := f.someRunning()
+		f.Kill(n)
+		f.Loop.After(30*clock.Second, func() { f.Start(n) })
+	})
+	f.every(span, changesPerDay, func(i int) {
+		change := preset.Change{
+			ID: fmt.Sprintf("control-%d", i), Author: "experiment", Reason: "load", SwitchTo: []string{"peak", "ordinary"}[i%2],
+		}
+		f.Operate(f.someRunning(), change, 5*clock.Second, func(preset.Result) {})
+	})
+	f.every(span, reportsPerDay, func(i int) {
+		f.Deliver(f.someRunning(), fleet.LeavingMsg{Upstream: upstreamID(i / 2), Leaving: i%2 == 0})
+	})
+}
+
+func (f *Fleet) every(span clock.Millis, perDay float64, run func(i int)) {
+	count := int(math.Ceil(perDay / minutesPerDay * float64(span/clock.Minute)))
+	for i := range count {
+		// The last tenth stays free, so that restarts end within the span.
+		f.Loop.After(span*clock.Millis(9*i)/clock.Millis(10*count), func() { run(i) })
+	}
+}
+
+func (f *Fleet) someRunning() *Node {
+	for {
+		if n := f.Nodes[f.rng.IntN(len(f.Nodes))]; n.Running && n.Model.Ready() {
+			return n
+		}
+	}
+}
+
+// restartPlanned stops a VM as planned and starts it again.
+func (f *Fleet) restartPlanned(n *Node) {
+	f.Deliver(n, fleet.StopMsg{})
+	f.Loop.After(3*clock.Second, func() { f.Kill(n) })
+	f.Loop.After(8*clock.Second, func() { f.Start(n) })
+}
--- /dev/null
+++ b/experiment/fleet_test.go
@@ -0,0 +1,46 @@
+package experiment_test
+
+import (
+	"testing"
+
+	"lentillink.example/lentillink/experiment"
+)
+
+func check(t *testing.T, r experiment.Report) {
+	t.Helper()
+	for _, f := range r.Figures {
+		if !f.OK {
+			t.Errorf("%s (seed %d): %s is %g %s, want %s", r.Name, r.Seed, f.Name, f.Value, f.Unit, f.Bound)
+		}
+	}
+}
+
+// TestPresets guards against a revert, a second winner and a false report in
+// at least 1,000 random histories.
+func TestPresets(t *testing.T) {
+	histories := 1000
+	if testing.Short() {
+		histories = 60
+	}
+	r := experiment.Presets(1, histories)
+	check(t, r)
+	for _, f := range r.Figures {
+		if f.Name == "accepted changes lost" && f.Baseline == 0 {
+			t.Error("the baseline, unconditional writes, lost no change: the check cannot fail")
+		}
+	}
+}
+
+// TestSpread guards against changes and reports that reach a VM too late.
+func TestSpread(t *testing.T) { check(t, experiment.Spread(1, sizes()...)) }
+
+// TestControl guards against control traffic, memory and store calls that grow with the fleet.
+func TestControl(t *testing.T) { check(t, experiment.Control(1, nil, sizes()...)) }
+
+// sizes leaves the largest fleet to the command: it takes a minute of processor time.
+func sizes() []int {
+	if testing.Short() {
+		return []int{9}
+	}
+	return []int{9, 100, 400}
+}
--- /dev/null
+++ b/experiment/presets_fault.go
@@ -0,0 +1,139 @@
+package experiment
+
+import (
+	"slices"
+
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/preset"
+)
+
+const maxFaultMs = 15 * clock.Second
+
+// fault starts one random fault that ends by itself.
+func (h *history) fault() {
+	f, s := h.fleet, h.fleet.Store
+	span := 500 + clock.Millis(h.rng.Int64N(int64(maxFaultMs)))
+	n := f.Nodes[h.rng.IntN(len(f.Nodes))]
+	switch h.rng.IntN(8) {
+	case 0:
+		s.Fail()
+		f.Loop.After(span, func() { s.Down = false })
+	case 1:
+		s.SlowMs = clock.Millis(h.rng.Int64N(4000))
+		f.Loop.After(span, func() { s.SlowMs = 0 })
+	case 2:
+		s.LostPercent = 60
+		f.Loop.After(span, func() { s.LostPercent = 0 })
+	case 3:
+		s.Unreachable = func(caller *Node) bool { return caller == n }
+		f.Loop.After(span, func() { s.Unreachable = nil })
+	case 4:
+		h.restart(n, span)
+	case 5:
+		f.Pause(n, span)
+	case 6:
+		side := h.rng.IntN(3)
+		f.Cut = func(a, b *Node) bool { return (a.Region == side) != (b.Region == side) }
+		f.Loop.After(span, func() { f.Cut = nil })
+	default:
+		f.Cut = func(a, _ *Node) bool { return a == n } // one way only
+		f.Loop.After(span, func() { f.Cut = nil })
+	}
+}
+
+func (h *history) restart(n *Node, down clock.Millis) {
+	if !n.Running {
+		return
+	}
+	h.fleet.Kill(n)
+	h.fleet.Loop.After(down, func() {
+		if !n.Running {
+			h.fleet.Start(n)
+		}
+	})
+}
+
+// heal ends every fault but pauses.
+func (h *history) heal() {
+	f := h.fleet
+	f.Cut = nil
+	f.Store.Down, f.Store.SlowMs, f.Store.LostPercent, f.Store.Unreachable = false, 0, 0, nil
+	for _, n := range f.Nodes {
+		if !n.Running {
+			f.Start(n)
+		}
+	}
+}
+
+// sameRecord reports whether every VM has the stored record.
+func (h *history) sameRecord() bool {
+	return h.fleet.All(func(n *Node) bool {
+		have := n.Model.Record()
+		return have.Revision == h.stored.Revision && have.ChangeID == h.stored.ChangeID
+	})
+}
+
+func (h *history) somePaused() bool { return slices.ContainsFunc(h.fleet.Nodes, h.fleet.Paused) }
+
+// judge compares what operators were told and what VMs did with what the store took.
+func (h *history) judge(took clock.Millis, converged bool) promises {
+	p := promises{races: len(h.races), slowest: took}
+	if !converged {
+		p.diverged = 1
+	}
+	for _, n := range h.fleet.Nodes {
+		p.reverts += n.Reverts
+		p.older += n.Older
+	}
+	final, _ := preset.Decode(h.fleet.Store.Entry().Value)
+	for id := range h.accepted {
+		if _, ok := final.Includes(id); !ok {
+			p.lost++
+		}
+	}
+	for _, r := range h.reported {
+		h.judgeReport(&p, r)
+	}
+	for _, r := range h.races {
+		winners := 0
+		for _, id := range r.changes {
+			if h.accepted[id] {
+				winners++
+			}
+		}
+		if winners > 1 {
+			p.manyWinners++
+		}
+		if winners == 0 && r.rejected > 0 && !h.otherWinner(r, &final) {
+			p.noWinner++
+		}
+	}
+	return p
+}
+
+func (h *history) judgeReport(p *promises, r reported) {
+	switch r.truth {
+	case preset.Accepted:
+		p.yes++
+		if !h.accepted[r.change] {
+			p.falseReports++
+		}
+	case preset.NotAccepted:
+		p.no++
+		if h.accepted[r.change] {
+			p.falseReports++
+		}
+	default:
+		p.unknown++
+	}
+}
+
+// otherWinner reports whether a change of another race took the revision after the base.
+func (h *history) otherWinner(r *race, final *preset.Record) bool {
+	for _, past := range append(final.History, final.Latest()) {
+		if past.Revision == r.base+1 && h.accepted[past.ChangeID] {
+			return true
+		}
+	}
+	return false
+}
