Add the orders experiment and its checker

Orders must run at most once while callers repeat and VMs, links, upstreams and the store fail. The experiment runs 7 to 9 order machines in virtual time and a checker that sees only callers, store and upstreams checks every answer.

Ids whose claim is held by a killed VM stay blocked by design; the checker finds them from the claims that are in the store at the end.

--- /dev/null
+++ b/experiment/orders_carry.go
@@ -0,0 +1,102 @@
+package experiment
+
+import (
+	"fmt"
+
+	"lentillink.example/lentillink/attempt"
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/store"
+	"lentillink.example/lentillink/upstream"
+)
+
+type storeReply = store.Reply
+
+const (
+	orderGroups   = 30
+	orderReplicas = 2
+	orderService  = "desk"
+)
+
+func orderGroup(n int) string { return fmt.Sprintf("g%02d", n%orderGroups) }
+
+func orderUpstream(group string, replica int) upstream.ID {
+	return upstream.ID(fmt.Sprintf("%s/%s/%d", orderService, group, replica))
+}
+
+func (r *ordersRun) pick(_ clock.Millis, _, group string, exclude []upstream.ID) (upstream.ID, bool) {
+	first := r.rng.IntN(orderReplicas)
+	for i := range orderReplicas {
+		id := orderUpstream(group, (first+i)%orderReplicas)
+		if len(exclude) == 0 || exclude[0] != id {
+			return id, true
+		}
+	}
+	return "", false
+}
+
+// carry takes an attempt to its upstream and its reply back, exactly once.
+func (r *ordersRun) carry(vm *orderVM, req attempt.Request) {
+	replied := false
+	reply := func(rep attempt.Reply) {
+		if replied { // the timeout was reported first
+			r.check.attemptLost(req.OrderID)
+			return
+		}
+		replied = true
+		vm.deliver(replyMsg(rep))
+	}
+	r.loop.At(req.Deadline, func() {
+		if replied {
+			return
+		}
+		reply(attempt.Reply{ID: req.ID, Upstream: req.Upstream, Status: attempt.TimedOut})
+	})
+	delay := clock.Millis(1)
+	if r.faulty() {
+		switch r.rng.IntN(300) {
+		case 0:
+			r.loop.After(1, func() {
+				reply(attempt.Reply{ID: req.ID, Upstream: req.Upstream, Status: attempt.NotSent, Ran: attempt.No})
+			})
+			return
+		case 1: // the request is lost
+			r.check.attemptLost(req.OrderID)
+			return
+		case 2:
+			delay += clock.Millis(r.rng.IntN(2500))
+		case 3, 4, 5:
+			r.loop.After(2, func() {
+				reply(attempt.Reply{ID: req.ID, Upstream: req.Upstream, Status: attempt.Shed, Ran: attempt.No})
+			})
+			return
+		}
+	}
+	r.loop.After(delay, func() { r.serve(req, reply) })
+}
+
+// serve runs the attempt at its upstream. The upstream starts at once or
+// refuses, so its count of runs tells which of the two happened.
+func (r *ordersRun) serve(req attempt.Request, reply func(attempt.Reply)) {
+	u := r.upstreams[req.Upstream]
+	before := u.Ran(req.OrderID)
+	u.Serve(req, func(rep attempt.Reply) {
+		if !r.faulty() {
+			r.loop.After(1, func() { reply(rep) })
+			return
+		}
+		switch r.rng.IntN(300) {
+		case 0: // the reply is lost
+			r.check.attemptLost(req.OrderID)
+		case 1:
+			r.loop.After(1, func() { reply(attempt.Reply{ID: req.ID, Upstream: req.Upstream, Status: attempt.Failed}) })
+			r.check.attemptLost(req.OrderID)
+		case 2:
+			r.loop.After(1+clock.Millis(r.rng.IntN(1000)), func() { reply(rep) })
+		default:
+			r.loop.After(1, func() { reply(rep) })
+		}
+	})
+	if u.Ran(req.OrderID) > before {
+		r.check.ranAt(req)
+	}
+}
--- /dev/null
+++ b/experiment/orders_run.go
@@ -0,0 +1,126 @@
+package experiment
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+
+	"lentillink.example/lentillink/attempt"
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/coverage"
+	"lentillink.example/lentillink/order"
+)
+
+// ordersRun is one run in virtual time.
+type ordersRun struct {
+	cfg         ordersConfig
+	loop        *Loop
+	rng         *rand.Rand
+	store       *orderStore
+	upstreams   map[string]*Upstream
+	names       []string
+	vms         map[string]*orderVM // current incarnation by name
+	dead        []*orderVM
+	cuts        map[[2]string]clock.Millis
+	check       *orderChecker
+	callers     []orderCaller
+	faultsEnd   clock.Millis
+	faultCounts []int
+}
+
+// ordersResult is what one run measured.
+type ordersResult struct {
+	broken          map[orderRule]int
+	run             int
+	lost            int // never run, and an attempt was lost or the claim's holder was killed
+	lostUnexplained int
+	submissions     int
+	writesPerOrder  float64
+	p50, p99        float64
+	faults          string
+}
+
+const (
+	ordersStart clock.Millis = 1_700_000_000_000
+	// ordersTail lets callers repeat and releases end after the faults.
+	ordersTail = 90 * clock.Second
+	minVMs     = 7
+	vmSpread   = 3 // 7 to 9 VMs
+)
+
+func replyMsg(r attempt.Reply) order.Msg { return order.ReplyMsg{Reply: r} }
+
+func runOrders(cfg ordersConfig) ordersResult {
+	r := newOrdersRun(cfg)
+	if cfg.faults {
+		r.scheduleFaults()
+	}
+	for i := range cfg.orders {
+		r.loop.At(ordersStart+clock.Millis(i*1000/cfg.perSec), func() { r.arrive(i) })
+	}
+	r.loop.RunUntil(r.faultsEnd + ordersTail)
+	r.check.finish()
+	return r.result()
+}
+
+func newOrdersRun(cfg ordersConfig) *ordersRun {
+	loop := NewLoop(ordersStart)
+	r := &ordersRun{
+		cfg: cfg, loop: loop, rng: newOrdersRNG(cfg.seed, 1),
+		store:     newOrderStore(loop, newOrdersRNG(cfg.seed, 2)),
+		upstreams: make(map[string]*Upstream), vms: make(map[string]*orderVM),
+		cuts: make(map[[2]string]clock.Millis), check: newOrderChecker(),
+		callers:     make([]orderCaller, cfg.orders),
+		faultsEnd:   ordersStart + clock.Millis(cfg.orders*1000/cfg.perSec),
+		faultCounts: make([]int, len(orderFaults)),
+	}
+	if cfg.faults {
+		r.store.lostShare = 0.01
+	}
+	r.store.wrote = func(key string, value []byte) { r.check.wrote(loop.Now(), key, value) }
+	for g := range orderGroups {
+		for i := range orderReplicas {
+			id := string(orderUpstream(orderGroup(g), i))
+			r.upstreams[id] = NewUpstream(loop, newOrdersRNG(cfg.seed, uint64(100+g*orderReplicas+i)), coverage.Range{})
+		}
+	}
+	for i := range minVMs + int(cfg.seed%vmSpread) {
+		r.names = append(r.names, fmt.Sprintf("vm%d", i))
+	}
+	for _, name := range r.names {
+		r.startVM(name, 1)
+	}
+	for _, name := range r.names {
+		r.vms[name].deliver(order.OwnersMsg{Live: r.names})
+	}
+	return r
+}
+
+// faulty reports whether faults may still happen.
+func (r *ordersRun) faulty() bool { return r.cfg.faults && r.loop.Now() < r.faultsEnd }
+
+func (r *ordersRun) result() ordersResult {
+	res := ordersResult{
+		broken: r.check.broken, submissions: len(r.check.subs), faults: r.faultSummary(),
+		writesPerOrder: float64(r.store.writes) / float64(r.cfg.orders),
+	}
+	stuck := r.claimsOfDead()
+	for i := range r.callers {
+		id := r.callers[i].id
+		switch {
+		case r.check.runs[id] > 0:
+			res.run++
+		case r.check.uncertain[id], stuck[order.HashOf(id)]:
+			res.lost++
+		default:
+			res.lostUnexplained++
+		}
+	}
+	sends := r.check.firstSends
+	slices.Sort(sends)
+	if len(sends) > 0 {
+		res.p50 = float64(sends[len(sends)/2])
+		res.p99 = float64(sends[len(sends)*99/100])
+	}
+	return res
+}
--- /dev/null
+++ b/experiment/orders_store.go
@@ -0,0 +1,98 @@
+package experiment
+
+import (
+	"math/rand/v2"
+
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/store"
+)
+
+// orderStore is a fake configuration store in virtual time. A write takes
+// effect once, in one order for all keys; its answer may be late or lost.
+type orderStore struct {
+	loop      *Loop
+	rng       *rand.Rand
+	entries   map[string]store.Entry
+	revision  uint64
+	downUntil clock.Millis
+	slowUntil clock.Millis
+	lostShare float64 // share of calls whose answer is lost
+	writes    int
+	wrote     func(key string, value []byte)
+}
+
+const (
+	storeTimeoutMs clock.Millis = 250
+	storeSlowdown  clock.Millis = 20
+)
+
+func newOrderStore(loop *Loop, rng *rand.Rand) *orderStore {
+	return &orderStore{loop: loop, rng: rng, entries: make(map[string]store.Entry), wrote: func(string, []byte) {}}
+}
+
+// do performs one call and reports its result to done.
+func (s *orderStore) do(r store.Request, done func(store.Reply)) {
+	if r.Op == store.OpSwap {
+		s.writes++
+	}
+	reply := store.Reply{Owner: r.Owner, Tag: r.Tag, Op: r.Op}
+	if s.loop.Now() < s.downUntil {
+		s.refuse(reply, done)
+		return
+	}
+	latency := 2 + clock.Millis(s.rng.IntN(4))
+	if s.loop.Now() < s.slowUntil {
+		latency *= storeSlowdown
+	}
+	if s.rng.Float64() < s.lostShare {
+		s.lose(r, reply, latency, done)
+		return
+	}
+	s.loop.After(latency/2, func() {
+		s.apply(r, &reply)
+		s.loop.After(latency-latency/2, func() { done(reply) })
+	})
+}
+
+// refuse fails a call during an outage, quickly or by a timeout.
+func (s *orderStore) refuse(reply store.Reply, done func(store.Reply)) {
+	reply.Kind = store.KindUnavailable
+	wait := clock.Millis(2)
+	if s.rng.IntN(3) == 0 {
+		reply.Kind, wait = store.KindUnknown, storeTimeoutMs
+	}
+	s.loop.After(wait, func() { done(reply) })
+}
+
+// lose reports an unknown result. The call takes effect before it, after it, or never.
+func (s *orderStore) lose(r store.Request, reply store.Reply, latency clock.Millis, done func(store.Reply)) {
+	switch s.rng.IntN(4) {
+	case 0:
+	case 1:
+		latency += clock.Millis(s.rng.IntN(1000))
+		fallthrough
+	default:
+		s.loop.After(latency, func() { s.apply(r, &store.Reply{}) })
+	}
+	reply.Kind = store.KindUnknown
+	s.loop.After(storeTimeoutMs, func() { done(reply) })
+}
+
+func (s *orderStore) apply(r store.Request, reply *store.Reply) {
+	entry := s.entries[r.Key]
+	entry.Key = r.Key
+	if r.Op != store.OpGet && entry.Revision != r.Expect {
+		reply.Kind = store.KindConflict
+		return
+	}
+	switch r.Op {
+	case store.OpSwap:
+		s.revision++
+		entry = store.Entry{Key: r.Key, Value: r.Value, Revision: s.revision}
+		s.entries[r.Key] = entry
+		s.wrote(r.Key, r.Value)
+	case store.OpDelete:
+		delete(s.entries, r.Key)
+	}
+	reply.Entry = entry
+}
--- /dev/null
+++ b/experiment/orders_test.go
@@ -0,0 +1,32 @@
+package experiment_test
+
+import (
+	"os"
+	"testing"
+
+	"lentillink.example/lentillink/experiment"
+)
+
+// TestOrders guards against an order that runs twice and against a false
+// answer, over several fault histories.
+func TestOrders(t *testing.T) {
+	for seed := range uint64(6) {
+		report := experiment.Orders(seed, 5000)
+		if !report.OK() {
+			_ = report.Write(os.Stderr)
+			t.Errorf("seed %d: got a missed bound, want none", seed)
+		}
+	}
+}
+
+// TestOrdersFull runs the size that the design page asks for.
+func TestOrdersFull(t *testing.T) {
+	if testing.Short() {
+		t.Skip("too slow under the race detector")
+	}
+	report := experiment.Orders(1, 100000)
+	_ = report.Write(os.Stderr)
+	if !report.OK() {
+		t.Error("got a missed bound, want none")
+	}
+}
--- a/order/entry.go
+++ b/order/entry.go
@@ -143,7 +143,8 @@
 // the token may be in the store.
 func (m *Model) abandon(now clock.Millis, o *submission, a Answer, mayExist bool) {
 	delete(m.open, o.token.Seq)
-	m.remember(now, o, mayExist)
+	// After already_submitted the id has a claim already, so another release is not worth a write.
+	m.remember(now, o, mayExist, mayExist || a.Outcome == Refused)
 	m.finish(o, a)
 }
 
--- a/order/load.go
+++ b/order/load.go
@@ -87,7 +87,7 @@
 	for _, s := range p.head.Segments {
 		if !p.have[s.Number] {
 			p.reading = s.Number
-			m.call(now, p, phaseReadSegment, store.Request{Op: store.OpGet, Key: segmentKey(p.n, s.Number)})
+			m.call(now, p, phaseReadSegment, store.Request{Op: store.OpGet, Key: SegmentKey(p.n, s.Number)})
 			return
 		}
 	}
--- a/order/partition.go
+++ b/order/partition.go
@@ -97,7 +97,8 @@
 // HeadKey returns the store key of the head of partition n.
 func HeadKey(n int) string { return fmt.Sprintf("orders/%02d/head", n) }
 
-func segmentKey(n int, number uint64) string { return fmt.Sprintf("orders/%02d/segment/%d", n, number) }
+// SegmentKey returns the store key of a sealed segment of partition n.
+func SegmentKey(n int, number uint64) string { return fmt.Sprintf("orders/%02d/segment/%d", n, number) }
 
 // find returns the claim of id as of the cache. A released claim does not count.
 func (p *partition) find(id Hash) (Claim, bool) {
--- a/order/release.go
+++ b/order/release.go
@@ -18,25 +18,27 @@
 	backoff clock.Millis
 	forget  clock.Millis // while not pending
 	asks    int
+	again   bool // to be asked for once more at the end of the quarantine
 }
 
 const (
 	releaseBackoffMs    clock.Millis = 500
 	releaseBackoffMaxMs              = 30 * clock.Second
-	// A delayed claim request can still be written after the release; its
-	// confirmation is answered by another release within this time.
-	quarantineMs = 60 * clock.Second
+	// A delayed or doubled claim request can still be written after the token
+	// was given up. Its confirmation is answered by another release; since the
+	// confirmation can be lost too, one more release follows after this time.
+	quarantineMs = 15 * clock.Second
 )
 
 // remember keeps the token of a closed submission. A pending release is kept
 // until it is written or its id is past Window, and releaseLimit bounds the
 // memory: above it the oldest is dropped and its claim stays, which blocks that
 // id but never runs it twice.
-func (m *Model) remember(now clock.Millis, o *submission, pending bool) {
+func (m *Model) remember(now clock.Millis, o *submission, pending, again bool) {
 	seq := o.token.Seq
 	r := &release{
 		token: o.token, id: o.msg.ID, hash: o.hash, issued: o.issued,
-		pending: pending, backoff: releaseBackoffMs, forget: now + quarantineMs,
+		pending: pending, again: again, backoff: releaseBackoffMs, forget: now + quarantineMs,
 	}
 	m.releases[seq] = r
 	m.oldest = append(m.oldest, seq)
@@ -66,15 +68,18 @@
 	vms := m.ranked[r.hash.Partition()]
 	to := vms[r.asks/asksPerOwner%len(vms)]
 	r.asks++
-	m.tell(now, to, ClaimMsg{Op: OpRelease, Token: r.token, ID: r.hash, Issued: r.issued, Budget: quarantineMs})
+	m.tell(now, to, ClaimMsg{Op: OpRelease, Token: r.token, ID: r.hash, Issued: r.issued, Budget: markKeepMs})
 }
 
 func (m *Model) releaseDue(now clock.Millis, seq uint64) {
 	r := m.releases[seq]
 	switch {
 	case r == nil:
-	case r.pending && now > r.issued+Window, !r.pending && now >= r.forget:
+	case r.pending && now > r.issued+Window, !r.pending && !r.again && now >= r.forget:
 		m.forgetRelease(seq)
+	case !r.pending && now >= r.forget:
+		r.again = false
+		m.reopen(now, r)
 	case r.pending && now >= r.nextAsk:
 		m.askRelease(now, r)
 	}
@@ -100,7 +105,12 @@
 		r.forget = now + quarantineMs
 		m.wakeAt(r.forget, timerRelease, msg.Token.Seq)
 	case msg.Result == Claimed && !r.pending:
-		r.pending, r.backoff, r.asks = true, releaseBackoffMs, 0
-		m.askRelease(now, r)
+		m.reopen(now, r)
 	}
 }
+
+// reopen asks for a release again after an earlier one was written or not needed.
+func (m *Model) reopen(now clock.Millis, r *release) {
+	r.pending, r.backoff, r.asks = true, releaseBackoffMs, 0
+	m.askRelease(now, r)
+}
--- a/order/seal.go
+++ b/order/seal.go
@@ -23,7 +23,7 @@
 	m.stats.Writes++
 	segment := Head{Claims: p.head.Claims, Newest: p.head.Newest}
 	m.call(now, p, phaseSeal, store.Request{
-		Op: store.OpSwap, Key: segmentKey(p.n, p.sealing), Value: segment.Encode(),
+		Op: store.OpSwap, Key: SegmentKey(p.n, p.sealing), Value: segment.Encode(),
 	})
 }
 
@@ -70,7 +70,7 @@
 	}
 	p.garbage = rest
 	if found {
-		m.issue(p, store.Request{Op: store.OpGet, Key: segmentKey(p.n, next)}, true)
+		m.issue(p, store.Request{Op: store.OpGet, Key: SegmentKey(p.n, next)}, true)
 	}
 }
 
--- a/order/send.go
+++ b/order/send.go
@@ -49,7 +49,7 @@
 // releases its claim.
 func (m *Model) settle(now clock.Millis, o *submission, reason Reason) {
 	m.close(o)
-	m.remember(now, o, true)
+	m.remember(now, o, true, true)
 	if o.state != answered {
 		m.finish(o, Answer{Outcome: Refused, Ran: attempt.No, Reason: reason})
 	}
--- a/order/token.go
+++ b/order/token.go
@@ -1,8 +1,6 @@
 package order
 
-import (
-	"fmt"
-)
+import "fmt"
 
 // Token names the holder of a claim. It is unique to one submission, so only
 // the Model that drew it may send or release under it.
