--- /dev/null
+++ b/experiment/orders_mutant_test.go
@@ -0,0 +1,179 @@
+package experiment
+
+import (
+	"testing"
+
+	"lentillink.example/lentillink/attempt"
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/order"
+)
+
+// faultyMachine is a double around a correct machine: fault may change, add or
+// drop commands.
+type faultyMachine struct {
+	orderMachine
+	subs  map[string]order.SubmitMsg // by id
+	extra uint64
+	fault func(m *faultyMachine, now clock.Millis, msg order.Msg, cmds []order.Cmd) []order.Cmd
+}
+
+func (m *faultyMachine) Update(now clock.Millis, msg order.Msg) []order.Cmd {
+	if msg, ok := msg.(order.SubmitMsg); ok {
+		m.subs[msg.ID] = msg
+	}
+	return m.fault(m, now, msg, m.orderMachine.Update(now, msg))
+}
+
+// attempt builds a SendCmd that the correct machine did not ask for.
+func (m *faultyMachine) attempt(s order.SubmitMsg, token order.Token) order.SendCmd {
+	m.extra++
+	return order.SendCmd{Token: token, Request: attempt.Request{
+		ID: attempt.ID{VM: "double", Seq: m.extra}, Upstream: string(orderUpstream(s.Group, 0)),
+		Kind: attempt.Order, OrderID: s.ID, Body: s.Body, Deadline: s.Deadline,
+	}}
+}
+
+// answers replaces the answers for which change returns true.
+func answers(cmds []order.Cmd, change func(*order.Answer) bool) []order.Cmd {
+	for i, cmd := range cmds {
+		if a, ok := cmd.(order.AnswerCmd); ok && change(&a.Answer) {
+			cmds[i] = a
+		}
+	}
+	return cmds
+}
+
+// sendOnSubmit sends before the claim is confirmed.
+func sendOnSubmit(m *faultyMachine, _ clock.Millis, msg order.Msg, cmds []order.Cmd) []order.Cmd {
+	if s, ok := msg.(order.SubmitMsg); ok {
+		cmds = append(cmds, m.attempt(s, order.Token{}))
+	}
+	return cmds
+}
+
+// confirmAtOnce is an owner that confirms a claim before its write is known.
+func confirmAtOnce(_ *faultyMachine, _ clock.Millis, msg order.Msg, cmds []order.Cmd) []order.Cmd {
+	if c, ok := msg.(order.ClaimMsg); ok && c.Op == order.OpClaim {
+		cmds = append(cmds, order.PeerCmd{To: c.From, Msg: order.ClaimedMsg{Token: c.Token, Result: order.Claimed}})
+	}
+	return cmds
+}
+
+// retryUnknown sends again after a reply that does not prove not run.
+func retryUnknown(m *faultyMachine, _ clock.Millis, _ order.Msg, cmds []order.Cmd) []order.Cmd {
+	for _, cmd := range cmds {
+		if a, ok := cmd.(order.AnswerCmd); ok && a.Answer.Outcome == order.Unknown {
+			cmds = append(cmds, m.attempt(m.subs[a.Answer.ID], order.Token{}))
+		}
+	}
+	return cmds
+}
+
+// unknownAsNo answers an uncertain order as not run.
+func unknownAsNo(_ *faultyMachine, _ clock.Millis, _ order.Msg, cmds []order.Cmd) []order.Cmd {
+	return answers(cmds, func(a *order.Answer) bool {
+		if a.Outcome != order.Unknown {
+			return false
+		}
+		a.Outcome, a.Ran = order.Refused, attempt.No
+		return true
+	})
+}
+
+// sendAfterDeadline sends although the order was refused at its deadline.
+func sendAfterDeadline(m *faultyMachine, _ clock.Millis, _ order.Msg, cmds []order.Cmd) []order.Cmd {
+	for _, cmd := range cmds {
+		if a, ok := cmd.(order.AnswerCmd); ok && a.Answer.Reason == order.ReasonDeadline {
+			cmds = append(cmds, m.attempt(m.subs[a.Answer.ID], order.Token{}))
+		}
+	}
+	return cmds
+}
+
+// unknownAsDone answers an uncertain order as run.
+func unknownAsDone(_ *faultyMachine, _ clock.Millis, _ order.Msg, cmds []order.Cmd) []order.Cmd {
+	return answers(cmds, func(a *order.Answer) bool {
+		if a.Outcome != order.Unknown {
+			return false
+		}
+		a.Outcome, a.Ran = order.Done, attempt.Yes
+		return true
+	})
+}
+
+// refusedAsRepeat reports a claim that never existed.
+func refusedAsRepeat(_ *faultyMachine, _ clock.Millis, _ order.Msg, cmds []order.Cmd) []order.Cmd {
+	return answers(cmds, func(a *order.Answer) bool {
+		if a.Outcome != order.Refused {
+			return false
+		}
+		a.Outcome, a.Ran = order.AlreadySubmitted, attempt.Unknown
+		return true
+	})
+}
+
+// answerTwice answers each submission twice.
+func answerTwice(_ *faultyMachine, _ clock.Millis, _ order.Msg, cmds []order.Cmd) []order.Cmd {
+	for _, cmd := range cmds {
+		if _, ok := cmd.(order.AnswerCmd); ok {
+			cmds = append(cmds, cmd)
+		}
+	}
+	return cmds
+}
+
+// dropRelease is an entry side that never releases a claim.
+func dropRelease(_ *faultyMachine, _ clock.Millis, _ order.Msg, cmds []order.Cmd) []order.Cmd {
+	var out []order.Cmd
+	for _, cmd := range cmds {
+		if p, ok := cmd.(order.PeerCmd); ok {
+			if c, ok := p.Msg.(order.ClaimMsg); ok && c.Op == order.OpRelease {
+				continue
+			}
+		}
+		out = append(out, cmd)
+	}
+	return out
+}
+
+// TestCheckerCatchesFaults guards against a checker that passes everything: each
+// invariant is broken on purpose and must be counted.
+func TestCheckerCatchesFaults(t *testing.T) {
+	const lost orderRule = "lost"
+	tests := []struct {
+		name  string
+		fault func(*faultyMachine, clock.Millis, order.Msg, []order.Cmd) []order.Cmd
+		want  []orderRule
+	}{
+		{"none", func(_ *faultyMachine, _ clock.Millis, _ order.Msg, cmds []order.Cmd) []order.Cmd { return cmds }, nil},
+		{"send on submit", sendOnSubmit, []orderRule{ruleRunsTwice, ruleUnclaimed, ruleTwoSends}},
+		{"confirm before the write is known", confirmAtOnce, []orderRule{ruleRunsTwice, ruleUnclaimed}},
+		{"retry after an unknown reply", retryUnknown, []orderRule{ruleRunsTwice, ruleTwoSends}},
+		{"unknown answered as not run", unknownAsNo, []orderRule{ruleWrongNo}},
+		{"send after the deadline", sendAfterDeadline, []orderRule{ruleSentAfterNo, ruleWrongNo}},
+		{"unknown answered as run", unknownAsDone, []orderRule{ruleWrongYes}},
+		{"refusal answered as a repeat", refusedAsRepeat, []orderRule{ruleNoClaim}},
+		{"answered twice", answerTwice, []orderRule{ruleAnswers}},
+		{"claims never released", dropRelease, []orderRule{lost}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			cfg := ordersConfig{seed: 3, orders: 5000, perSec: ordersPerSec, faults: true, options: headOptions(5000)}
+			cfg.wrap = func(m orderMachine) orderMachine {
+				return &faultyMachine{orderMachine: m, subs: make(map[string]order.SubmitMsg), fault: tt.fault}
+			}
+			res := runOrders(cfg)
+			if res.lostUnexplained > 0 {
+				res.broken[lost] = res.lostUnexplained
+			}
+			for _, rule := range tt.want {
+				if res.broken[rule] == 0 {
+					t.Errorf("%q: got 0 violations, want some; all: %v", rule, res.broken)
+				}
+			}
+			if len(tt.want) == 0 && len(res.broken) > 0 {
+				t.Errorf("got %v, want no violation", res.broken)
+			}
+		})
+	}
+}
