--- a/experiment/orders_carry.go
+++ b/experiment/orders_carry.go
@@ -5,12 +5,9 @@
 
 	"lentillink.example/lentillink/attempt"
 	"lentillink.example/lentillink/clock"
-	"lentillink.example/lentillink/store"
 	"lentillink.example/lentillink/upstream"
 )
 
-type storeReply = store.Reply
-
 const (
 	orderGroups   = 30
 	orderReplicas = 2
--- a/experiment/orders_vm.go
+++ b/experiment/orders_vm.go
@@ -6,6 +6,7 @@
 	"lentillink.example/lentillink/attempt"
 	"lentillink.example/lentillink/clock"
 	"lentillink.example/lentillink/order"
+	"lentillink.example/lentillink/store"
 )
 
 // orderVM is one incarnation of a VM: it performs the commands of its machine.
@@ -66,7 +67,7 @@
 		r.check.sent(r.loop.Now(), cmd)
 		r.carry(vm, cmd.Request)
 	case order.StoreCmd:
-		r.store.do(cmd.Request, func(reply storeReply) { vm.deliver(order.StoreMsg{Reply: reply}) })
+		r.store.do(cmd.Request, func(reply store.Reply) { vm.deliver(order.StoreMsg{Reply: reply}) })
 	case order.PeerCmd:
 		r.post(vm.name, cmd.To, cmd.Msg)
 	case order.AnswerCmd:
--- a/experiment/registry.go
+++ b/experiment/registry.go
@@ -16,10 +16,27 @@
 		{"connections", "carriers against static shares of each upstream's connections", Connections},
 		{"flood-patient", "patient work at five times capacity, against an open gate", FloodPatient},
 		{"flood-urgent", "urgent work at five times capacity, against an open gate", FloodUrgent},
+		{"orders", "100,000 orders with repeats and every fault, against one write per order", allOrders},
+		{"presets", "1,000 random histories of changes under faults, against unconditional writes", allPresets},
+		{"spread", "time until a change is in force, against no eager spreading", func(seed uint64) Report { return Spread(seed) }},
+		{"control", "control traffic, processor time and memory by fleet size", wallControl},
 		{"fanout", "sub-requests wasted under five times overload, against an open gate", Fanout},
 	}
 }
 
+// Sizes of the runs that the design page asks for.
+const (
+	ordersCount      = 100_000
+	presetsHistories = 1000
+)
+
+func allOrders(seed uint64) Report  { return Orders(seed, ordersCount) }
+func allPresets(seed uint64) Report { return Presets(seed, presetsHistories) }
+
+// wallControl measures processor time with the monotonic clock. It is the only
+// figure that differs between runs of one seed.
+func wallControl(seed uint64) Report { return Control(seed, nanoseconds) }
+
 // Find returns the experiment with the given name.
 func Find(name string) (Entry, bool) {
 	for _, e := range All() {
--- a/experiment/tier.go
+++ b/experiment/tier.go
@@ -9,6 +9,7 @@
 	"lentillink.example/lentillink/coverage"
 	"lentillink.example/lentillink/fleet"
 	"lentillink.example/lentillink/preset"
+	"lentillink.example/lentillink/store"
 	"lentillink.example/lentillink/upstream"
 	"lentillink.example/lentillink/vm"
 )
@@ -261,7 +262,7 @@
 
 func (n *tierNode) callStore(m vm.StoreCmd) {
 	life := n.life
-	n.tier.Store.Call(m.Request, func(r storeReply) {
+	n.tier.Store.Call(m.Request, func(r store.Reply) {
 		if n.life == life {
 			n.update(vm.StoreMsg{Reply: r})
 		}
--- a/experiment/tier_store.go
+++ b/experiment/tier_store.go
@@ -7,8 +7,6 @@
 	"lentillink.example/lentillink/store"
 )
 
-type storeReply = store.Reply
-
 // TierStore is a fake configuration store in virtual time with any number of keys.
 type TierStore struct {
 	Down   bool
