Bound the gossip queue and let one message carry many reports

At 1600 members the busiest VM sent 2709 bytes/s: its queue still held hundreds of member changes from the cold start. The queue now keeps the 128 newest; the digest exchange repairs the rest. A joining VM asks one VM for its table instead of three.

200 reports at once missed the 3 s bound, because a message carried 8. A rumour now carries 64 and a burst goes on while reports wait (TestManyUpstreamsLeave fails with the old limits).

--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"fmt"
 	"testing"
 
 	"lentillink.example/lentillink/clock"
@@ -174,6 +175,18 @@
 	}
 }
 
+// TestManyUpstreamsLeave guards against reports that wait for room in messages when a rack drains.
+func TestManyUpstreamsLeave(t *testing.T) {
+	f := joined(t, 11)
+	f.LossPercent = 5
+	for i := range 200 {
+		f.Deliver(f.Nodes[i%2], fleet.LeavingMsg{Upstream: upstream.ID(fmt.Sprintf("s/g%d/a", i)), Leaving: true})
+	}
+	until(t, f, leavingMs, "200 reports", func() bool {
+		return f.All(func(n *experiment.Node) bool { return len(n.Leaving) == 200 })
+	})
+}
+
 // TestStartDuringOutage guards against a VM that is ready without a record, or never ready although peers have it.
 func TestStartDuringOutage(t *testing.T) {
 	f := joined(t, 5)
--- a/fleet/gossip.go
+++ b/fleet/gossip.go
@@ -13,7 +13,11 @@
 	burstFanout                = 4
 	defaultBursts              = 3 // with the fan-out, 12 messages: misses one VM in 160,000 on average
 	burstEvery    clock.Millis = 200
-	sampleTries                = 4 // per wanted member
+	// A rack of upstreams that drains at once must fit in one burst, or its last reports come too late.
+	rumourReports = 64
+	// Bounds the traffic after a mass change; the comparison of digests repairs what is dropped.
+	maxQueued   = 128
+	sampleTries = 4 // per wanted member
 )
 
 // gossiping is the state of dissemination. Each change is put on a number of
@@ -43,6 +47,10 @@
 		it.sent = 0
 		return
 	}
+	if len(q.items) == maxQueued {
+		delete(q.index, q.items[0].key)
+		q.items = q.items[1:]
+	}
 	it := &item{key: key}
 	q.index[key] = it
 	q.items = append(q.items, it)
@@ -76,12 +84,16 @@
 		msg.updates = append(msg.updates, mem.VM)
 	}
 	room := newsBytes / updateBytes
-	for _, id := range m.gossip.reports.take(room/2, m.transmissions()) {
+	reports := room / 2
+	if k == kindRumour {
+		reports = rumourReports
+	}
+	for _, id := range m.gossip.reports.take(reports, m.transmissions()) {
 		if r, ok := m.reports.table[upstream.ID(id)]; ok {
 			msg.reports = append(msg.reports, m.outgoing(r))
 		}
 	}
-	for _, id := range m.gossip.members.take(room-len(msg.reports), m.transmissions()) {
+	for _, id := range m.gossip.members.take(max(room-len(msg.reports), room/2), m.transmissions()) {
 		if mem := m.byID[id]; mem != nil && mem != m.self {
 			msg.updates = append(msg.updates, mem.VM)
 		}
@@ -103,6 +115,9 @@
 	}
 	m.gossip.bursts--
 	m.gossip.next = now + burstEvery
+	if len(m.gossip.reports.items) > rumourReports {
+		m.gossip.bursts = max(m.gossip.bursts, 1) // not all reports fit in the messages of one burst
+	}
 	for _, mem := range m.sample(burstFanout, nil) {
 		if m.stopping {
 			m.ping(now, mem.ID, ping{purpose: forStop})
--- a/fleet/sync.go
+++ b/fleet/sync.go
@@ -41,14 +41,20 @@
 }
 
 func (m *Model) beginSync() {
-	if !m.sync.joined {
-		for range joinContacts {
-			m.contactHint()
-		}
-	}
-	for _, mem := range m.sample(1, nil) {
+	known := m.sample(1, nil)
+	for _, mem := range known {
 		m.sendDigest(mem.ID)
 	}
+	if m.sync.joined {
+		return
+	}
+	// One VM sends its table; the others only learn of this VM and tell their revision.
+	if len(known) == 0 {
+		m.contactHint((*Model).sendDigest)
+	}
+	for range joinContacts - 1 {
+		m.contactHint(func(m *Model, to string) { m.ping(m.last, to, ping{purpose: forProbe}) })
+	}
 }
 
 // contactLost tries a dead member or a hint that is not a live member.
@@ -62,10 +68,11 @@
 			return
 		}
 	}
-	m.contactHint()
+	m.contactHint((*Model).sendDigest)
 }
 
-func (m *Model) contactHint() {
+// contactHint sends to a VM of the VM list that is not known to be alive.
+func (m *Model) contactHint(send func(m *Model, to string)) {
 	for range hintTries {
 		if len(m.sync.hints) == 0 {
 			return
@@ -76,7 +83,7 @@
 			continue
 		}
 		m.remember(v)
-		m.sendDigest(v.ID)
+		send(m, v.ID)
 		return
 	}
 }
