--- a/query/restart.go
+++ b/query/restart.go
@@ -45,7 +45,7 @@
 	if q.pass >= maxRestarts || !m.timeForPass(now, q) {
 		return false
 	}
-	version, holds, _ := m.book.BestVersion(q.Service)
+	version, holds, _ := m.book.BestVersion(now, q.Service)
 	if holds == 0 || version == q.version {
 		return false
 	}
--- a/query/start.go
+++ b/query/start.go
@@ -49,7 +49,7 @@
 	budget.retries.earn(float64(needed) * q.Policy.RetryBudgetPercent / 100)
 	q.parts = make([]part, needed)
 	m.wake(q.answerAt, timerDeadline, q, 0, 0)
-	version, _, _ := m.book.BestVersion(q.Service)
+	version, _, _ := m.book.BestVersion(now, q.Service)
 	m.fanOut(now, q, version, tryNeeded)
 }
 
--- a/upstream/book.go
+++ b/upstream/book.go
@@ -9,6 +9,9 @@
 const (
 	defaultRampMs       = 5 * clock.Second
 	defaultHedgeFloorMs = 2
+	// settleMs is how long every group must hold a version before upstreams
+	// that still lack it no longer delay its use.
+	settleMs = 30 * clock.Second
 	// defaultLatencyMs stands in for a latency that is not known yet.
 	defaultLatencyMs = 20
 )
@@ -24,7 +27,14 @@
 	scratch  []*state
 }
 
+// commonVersion is a snapshot version that every group holds.
+type commonVersion struct {
+	version uint64
+	since   clock.Millis
+}
+
 type service struct {
+	common  []commonVersion
 	groups  []*group
 	byName  map[string]*group
 	latency latency
--- a/upstream/book_test.go
+++ b/upstream/book_test.go
@@ -191,3 +191,25 @@
 		})
 	}
 }
+
+// TestBestVersionSettles guards against one upstream that never loads a new
+// version and keeps the service on the old snapshot for ever.
+func TestBestVersionSettles(t *testing.T) {
+	b := newBook()
+	for _, id := range []upstream.ID{two, "s/h/1"} {
+		observe(b, 0, id, ok(5, 1, 2))
+	}
+	observe(b, 0, one, ok(5, 1))
+	for _, tc := range []struct {
+		now  clock.Millis
+		want uint64
+	}{{1 * clock.Second, 1}, {29 * clock.Second, 1}, {31 * clock.Second, 2}} {
+		if got, _, _ := b.BestVersion(tc.now, "s"); got != tc.want {
+			t.Errorf("BestVersion after %d ms = %d, want %d", tc.now, got, tc.want)
+		}
+	}
+	observe(b, 40*clock.Second, two, ok(5, 1))
+	if got, _, _ := b.BestVersion(80*clock.Second, "s"); got != 1 {
+		t.Errorf("BestVersion after a group lost version 2 = %d, want 1", got)
+	}
+}
--- a/upstream/observe.go
+++ b/upstream/observe.go
@@ -82,7 +82,33 @@
 func (b *Book) LearnHeld(now clock.Millis, id ID, held []uint64) {
 	if s := b.byID[id]; s != nil && len(held) > 0 {
 		s.heldAt = now
+		s.setHeld(now, held)
+	}
+}
+
+func (s *state) setHeld(now clock.Millis, held []uint64) {
+	if !slices.Equal(s.held, held) {
 		s.held = append(s.held[:0], held...)
+		s.service.noteCommon(now)
+	}
+}
+
+// noteCommon records since when each version is held by every group.
+func (s *service) noteCommon(now clock.Millis) {
+	seen, known := s.versions()
+	kept := s.common[:0]
+	for _, c := range s.common {
+		if groups, _ := s.holders(c.version); groups == known {
+			kept = append(kept, c)
+		}
+	}
+	s.common = kept
+	for _, v := range seen {
+		groups, _ := s.holders(v)
+		isKept := slices.ContainsFunc(s.common, func(c commonVersion) bool { return c.version == v })
+		if groups == known && !isKept {
+			s.common = append(s.common, commonVersion{version: v, since: now})
+		}
 	}
 }
 
@@ -110,9 +136,7 @@
 	if len(r.Held) > 0 {
 		s.heldAt = now
 		s.probePick = s.group.picks
-		if !slices.Equal(s.held, r.Held) {
-			s.held = append(s.held[:0], r.Held...)
-		}
+		s.setHeld(now, r.Held)
 	}
 	switch {
 	case r.Leaving || r.Status == attempt.Leaving:
--- a/upstream/view.go
+++ b/upstream/view.go
@@ -61,16 +61,25 @@
 }
 
 // BestVersion returns the version for the next query, with the number of
-// groups that hold it and of groups with known versions. It is the version
-// that the most groups hold; of several, the one that the most upstreams hold;
-// of several, the newest. The newest common version alone would send all work
-// to the first upstreams that load it, with half the capacity of their groups.
-func (b *Book) BestVersion(service string) (version uint64, holds, known int) {
+// groups that hold it and of groups with known versions.
+//
+// It is the newest version that every group has held for settleMs. Before that
+// it is the version that the most groups hold; of several, the one that the
+// most upstreams hold; of several, the newest. Taking the newest common version
+// at once would send all work to the first upstreams that load it, with half
+// the capacity of their groups; without the time limit one upstream that never
+// loads it would keep the whole service on an old snapshot.
+func (b *Book) BestVersion(now clock.Millis, service string) (version uint64, holds, known int) {
 	svc := b.services[service]
 	if svc == nil {
 		return 0, 0, 0
 	}
 	seen, known := svc.versions()
+	if v := svc.settled(now); v != 0 {
+		if groups, _ := svc.holders(v); groups == known {
+			return v, groups, known
+		}
+	}
 	most := 0
 	for _, v := range seen {
 		groups, upstreams := svc.holders(v)
@@ -82,6 +91,17 @@
 	return version, holds, known
 }
 
+// settled returns the newest version that every group has held for settleMs, or 0.
+func (s *service) settled(now clock.Millis) uint64 {
+	var newest uint64
+	for _, c := range s.common {
+		if now >= c.since+settleMs {
+			newest = max(newest, c.version)
+		}
+	}
+	return newest
+}
+
 // Holders returns the number of groups in which a usable upstream is known to hold the version.
 func (b *Book) Holders(service string, version uint64) int {
 	svc := b.services[service]
