Detect a silent carrier by the results that it owes

Cause: a paused VM closes no connection, and membership needs seconds to suspect it. Attempts that were forwarded to it waited until the deadline. Ruled out: more hedging, because one of nine VMs carries 11% of all sub-requests and the hedge budget is 4%.

--- a/experiment/registry.go
+++ b/experiment/registry.go
@@ -14,6 +14,7 @@
 		{"replica-loss", "one replica lost in a quarter of the groups, against no retries", ReplicaLoss},
 		{"rollover", "new index versions and repartition under load, against no version choice", Rollover},
 		{"connections", "carriers against static shares of each upstream's connections", Connections},
+		{"stall", "a carrier that is paused for 10 s, against waiting for membership", Stall},
 		{"flood-patient", "patient work at five times capacity, against an open gate", FloodPatient},
 		{"flood-urgent", "urgent work at five times capacity, against an open gate", FloodUrgent},
 		{"orders", "100,000 orders with repeats and every fault, against one write per order", allOrders},
--- /dev/null
+++ b/experiment/stall.go
@@ -0,0 +1,53 @@
+package experiment
+
+import (
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/rank"
+)
+
+// Shape of the stall experiment.
+const (
+	stallShare   = 0.1 // of capacity, per rank
+	stallPauseMs = 10 * clock.Second
+	stallMs      = 15 * clock.Second
+)
+
+// stallRun pauses one VM for stallPauseMs while the others carry a light load,
+// and returns the load. The paused VM receives no queries itself.
+func stallRun(cfg TierConfig) *TierLoad {
+	t := NewTier(cfg)
+	l := NewTierLoad(t, cfg.Seed)
+	l.entries = t.nodes[1:]
+	end := t.Loop.Now() + stallMs
+	for _, r := range rank.All() {
+		l.Send(r, stallShare*t.Capacity(), end)
+	}
+	t.Loop.RunUntil(t.Loop.Now() + clock.Second)
+	l.Reset()
+	t.nodes[0].resume = t.Loop.Now() + stallPauseMs
+	t.Loop.RunUntil(end)
+	return l
+}
+
+// Stall pauses a VM that carries connections for others. The baseline waits
+// for membership to suspect it.
+func Stall(seed uint64) Report {
+	report := Report{Name: "stall", Seed: seed}
+	cfg := DefaultTier(seed)
+	off := cfg
+	off.NoStall = true
+	with, without := stallRun(cfg), stallRun(off)
+	for _, r := range []rank.Rank{rank.Urgent, rank.Ordinary} {
+		a, b := with.Result(r), without.Result(r)
+		report.Note(r.String()+" queries not answered whole", "queries", float64(b.Partial+b.Failed), float64(a.Partial+a.Failed))
+		report.Note(r.String()+" p99", "ms", b.P99(), a.P99())
+	}
+	report.AtMost("urgent queries not answered whole", "percent", share(without), share(with), 1)
+	report.AtMost("violations", "answers", float64(len(without.Violations())), float64(len(with.Violations())), 0)
+	return report
+}
+
+func share(l *TierLoad) float64 {
+	r := l.Result(rank.Urgent)
+	return 100 * float64(r.Partial+r.Failed+r.Refused) / float64(max(r.Sent, 1))
+}
--- a/experiment/tier.go
+++ b/experiment/tier.go
@@ -34,6 +34,7 @@
 	Routing     vm.Routing
 	Record      preset.Record // presets and the one in force at the start
 	OpenGate    bool          // admit every query at once, for baselines
+	NoStall     bool          // leave silent carriers to membership, for baselines
 }
 
 // DefaultTier returns the search service of today's sizes with fewer
@@ -123,6 +124,9 @@
 	if t.Config.OpenGate {
 		opts = append(opts, vm.WithOpenAdmission())
 	}
+	if t.Config.NoStall {
+		opts = append(opts, vm.WithStallMs(0))
+	}
 	n.core = vm.New(opts...)
 	t.nodes = append(t.nodes, n)
 	t.byID[self.ID] = n
--- a/experiment/tier_load.go
+++ b/experiment/tier_load.go
@@ -42,11 +42,12 @@
 	results *rank.Table[RankResult]
 	fail    []string // violations of what must always hold
 	next    int
+	entries []*tierNode // VMs that receive queries, in turn
 }
 
 // NewTierLoad returns a load generator with its own seed.
 func NewTierLoad(t *Tier, seed uint64) *TierLoad {
-	l := &TierLoad{tier: t, rng: rand.New(rand.NewPCG(seed, 99))}
+	l := &TierLoad{tier: t, entries: t.nodes, rng: rand.New(rand.NewPCG(seed, 99))}
 	l.Reset()
 	return l
 }
@@ -88,7 +89,7 @@
 
 func (l *TierLoad) query(r rank.Rank) {
 	t := l.tier
-	n := t.nodes[l.next%len(t.nodes)]
+	n := l.entries[l.next%len(l.entries)]
 	l.next++
 	t.calls++
 	call, start, res := t.calls, t.Loop.Now(), l.results.Ref(r)
--- a/vm/core.go
+++ b/vm/core.go
@@ -36,17 +36,19 @@
 	ring     *timeline.Ring
 	carriers *CarrierTable
 
-	preset   preset.Preset
-	revision uint64
-	calls    map[uint64]*call
-	openID   map[string]uint64 // open order id to its call
-	forwards *forwards
-	rng      *rand.Rand
-	stopping bool
-	live     int
-	orderSeq uint64
-	nextPoll clock.Millis
-	polled   map[upstream.ID]bool // polls without an answer
+	preset    preset.Preset
+	revision  uint64
+	calls     map[uint64]*call
+	openID    map[string]uint64 // open order id to its call
+	forwards  *forwards
+	rng       *rand.Rand
+	stopping  bool
+	live      int
+	orderSeq  uint64
+	nextPoll  clock.Millis
+	stallMs   clock.Millis
+	nextStall clock.Millis
+	polled    map[upstream.ID]bool // polls without an answer
 
 	inner []any // messages between the machines, in order
 	cmds  []Cmd
@@ -79,7 +81,7 @@
 func New(opts ...Option) *Core {
 	cfg := newConfig(opts)
 	c := &Core{
-		self: cfg.self, routing: cfg.routing,
+		self: cfg.self, routing: cfg.routing, stallMs: cfg.stallMs,
 		services: make(map[string]*service), ups: make(map[string]upstream.Upstream),
 		ring:  timeline.NewRing(cfg.self.ID, cfg.ringEvents),
 		calls: make(map[uint64]*call), openID: make(map[string]uint64), forwards: newForwards(),
--- a/vm/forward.go
+++ b/vm/forward.go
@@ -20,21 +20,23 @@
 type forward struct {
 	req      attempt.Request
 	to       string
+	sentAt   clock.Millis
 	rerouted bool
 }
 
 // forwards tracks the attempts at other VMs.
 type forwards struct {
-	open   map[attempt.ID]*forward
-	broken map[string]clock.Millis // until when a VM is avoided
+	open    map[attempt.ID]*forward
+	broken  map[string]clock.Millis // until when a VM is avoided
+	heardAt map[string]clock.Millis // when a VM last sent something
 }
 
 func newForwards() *forwards {
-	return &forwards{open: make(map[attempt.ID]*forward), broken: make(map[string]clock.Millis)}
+	return &forwards{open: make(map[attempt.ID]*forward), broken: make(map[string]clock.Millis), heardAt: make(map[string]clock.Millis)}
 }
 
-func (fs *forwards) add(req attempt.Request, to string, _ clock.Millis) *forward {
-	f := &forward{req: req, to: to}
+func (fs *forwards) add(req attempt.Request, to string, now clock.Millis) *forward {
+	f := &forward{req: req, to: to, sentAt: now}
 	fs.open[req.ID] = f
 	return f
 }
--- a/vm/handle.go
+++ b/vm/handle.go
@@ -71,6 +71,7 @@
 	if due(c.fleet) {
 		c.push(fleet.TickMsg{})
 	}
+	c.checkStalls(now)
 	if now >= c.nextPoll {
 		c.nextPoll = now + pollInterval
 		c.pollUpstreams()
--- a/vm/member.go
+++ b/vm/member.go
@@ -82,6 +82,7 @@
 }
 
 func (c *Core) fromPeer(now clock.Millis, m PeerMsg) {
+	c.forwards.heard(m.From, now)
 	switch b := m.Body.(type) {
 	case Forward:
 		c.forwardReceived(now, m.From, b.Request)
--- a/vm/options.go
+++ b/vm/options.go
@@ -1,6 +1,7 @@
 package vm
 
 import (
+	"lentillink.example/lentillink/clock"
 	"lentillink.example/lentillink/fleet"
 	"lentillink.example/lentillink/preset"
 	"lentillink.example/lentillink/upstream"
@@ -16,6 +17,7 @@
 	routing    Routing
 	fleetSize  int
 	openGate   bool
+	stallMs    clock.Millis
 }
 
 // Routing says how attempts reach upstreams.
@@ -62,8 +64,12 @@
 // baseline.
 func WithOpenAdmission() Option { return func(c *config) { c.openGate = true } }
 
+// WithStallMs sets how long a carrier may be silent while it owes results; 0
+// leaves the detection to membership.
+func WithStallMs(d clock.Millis) Option { return func(c *config) { c.stallMs = d } }
+
 func newConfig(opts []Option) config {
-	c := config{seed: 1, initial: preset.Default(), fleetSize: 9}
+	c := config{seed: 1, initial: preset.Default(), fleetSize: 9, stallMs: defaultStallMs}
 	for _, opt := range opts {
 		opt(&c)
 	}
--- a/vm/status.go
+++ b/vm/status.go
@@ -19,6 +19,9 @@
 			wake = min(wake, at)
 		}
 	}
+	if at, ok := c.wakeStall(); ok {
+		wake = min(wake, at)
+	}
 	return wake, true
 }
 
