Remove carrier and owner choice from the fleet package

vm.CarrierTable and order.Model choose from the live list; the copies in fleet were used by tests only.

--- a/fleet/place_test.go
+++ b/fleet/place_test.go
@@ -8,40 +8,57 @@
 	"lentillink.example/lentillink/clock"
 	"lentillink.example/lentillink/experiment"
 	"lentillink.example/lentillink/fleet"
+	"lentillink.example/lentillink/vm"
 )
 
+// carriersOf returns the carriers of the upstreams as one VM chooses them from
+// its live members.
+func carriersOf(n *experiment.Node, upstreams []string) [][]string {
+	var live []string
+	for _, v := range n.Model.Live() {
+		live = append(live, v.ID)
+	}
+	table := vm.NewCarrierTable(upstreams)
+	table.SetMembers(live)
+	out := make([][]string, len(upstreams))
+	for i, u := range upstreams {
+		out[i] = []string{table.Carrier(u, 0), table.Carrier(u, 1)}
+	}
+	return out
+}
+
 // TestPlacement guards against VMs that disagree on a choice, and against
 // choices that move although their member stayed.
 func TestPlacement(t *testing.T) {
 	f := joined(t, 7)
 	gone := f.Nodes[8]
-	before := make(map[string][]string)
-	count := make(map[string]int)
+	var upstreams []string
 	for i := range 900 {
-		key := fmt.Sprintf("search/group-%d/a", i)
-		before[key] = f.Nodes[0].Model.Carriers(key, 2)
-		if got := f.Nodes[5].Model.Carriers(key, 2); !slices.Equal(got, before[key]) || got[0] == got[1] {
-			t.Fatalf("carriers of %s: %v and %v", key, before[key], got)
-		}
-		if got := f.Nodes[3].Model.Owner(key); got != before[key][0] {
-			t.Fatalf("owner of %s is %s, want the first carrier %s", key, got, before[key][0])
+		upstreams = append(upstreams, fmt.Sprintf("search/group-%d/a", i))
+	}
+	before := carriersOf(f.Nodes[0], upstreams)
+	other := carriersOf(f.Nodes[5], upstreams)
+	count := make(map[string]int)
+	for i, u := range upstreams {
+		if got := other[i]; !slices.Equal(got, before[i]) || got[0] == got[1] {
+			t.Fatalf("carriers of %s: %v and %v", u, before[i], got)
 		}
-		count[before[key][0]]++
+		count[before[i][0]]++
 	}
 	for id, n := range count {
 		if n < 60 || n > 150 {
-			t.Errorf("%s owns %d of 900 keys, want about 100", id, n)
+			t.Errorf("%s is first carrier of %d of 900 upstreams, want about 100", id, n)
 		}
 	}
 	f.Deliver(gone, fleet.StopMsg{})
 	f.RunFor(3 * clock.Second)
-	for key, old := range before {
-		got := f.Nodes[0].Model.Carriers(key, 2)
-		if slices.Contains(got, gone.VM.ID) {
-			t.Errorf("%s is carried by a VM that left", key)
+	after := carriersOf(f.Nodes[0], upstreams)
+	for i, u := range upstreams {
+		if slices.Contains(after[i], gone.VM.ID) {
+			t.Errorf("%s is carried by a VM that left", u)
 		}
-		if !slices.Contains(old, gone.VM.ID) && !slices.Equal(got, old) {
-			t.Errorf("carriers of %s moved from %v to %v", key, old, got)
+		if !slices.Contains(before[i], gone.VM.ID) && !slices.Equal(after[i], before[i]) {
+			t.Errorf("carriers of %s moved from %v to %v", u, before[i], after[i])
 		}
 	}
 }
--- a/fleet/query.go
+++ b/fleet/query.go
@@ -49,29 +49,6 @@
 	return list
 }
 
-// Generation changes whenever the result of Live, Carriers or Owner may change.
-func (m *Model) Generation() uint64 { return m.generation }
-
-// Carriers returns the n members that own the connections to an upstream,
-// best first. It scans all members; cache the result by Generation.
-func (m *Model) Carriers(upstream string, n int) []string {
-	best := m.top(upstream, n)
-	ids := make([]string, len(best))
-	for i, c := range best {
-		ids[i] = c.mem.ID
-	}
-	return ids
-}
-
-// Owner returns the member that owns key, or "" if no member is alive.
-func (m *Model) Owner(key string) string {
-	best := m.top(key, 1)
-	if len(best) == 0 {
-		return ""
-	}
-	return best[0].mem.ID
-}
-
 // Watchers returns the members that watch the record in the store.
 func (m *Model) Watchers() []string { return slices.Clone(m.watchers) }
 
