Do not report replies that crossed their own cancellation

Cause: every cancelled hedge whose reply was already on its way made a reply_dropped event; a demo of 619 requests had 41 of them, and they hid the replies that are really late, crossed or doubled. They are still counted.

--- a/query/reply.go
+++ b/query/reply.go
@@ -32,8 +32,13 @@
 	m.settle(now, *t, r)
 }
 
+// drop counts a reply that must not be used. A reply that crossed its own
+// cancellation is expected, so it makes no event.
 func (m *Model) drop(r attempt.Reply, d Drop) {
 	m.dropped[d]++
+	if d == DropFinished && m.slots.wasCancelled(r.ID.Seq) {
+		return
+	}
 	m.emit(EventCmd{timeline.Event{
 		Kind: timeline.ReplyDropped, Request: r.ID.String(), Upstream: r.Upstream, Detail: d.String(),
 	}})
@@ -101,7 +106,7 @@
 		t.q.ranMaybe = true
 		m.emit(CancelCmd{ID: m.id(seq), Upstream: string(t.up)})
 		m.book.Abandon(now, t.up, now-t.sentAt)
-		m.slots.remove(seq)
+		m.slots.cancel(seq)
 	}
 	p.nOpen = 0
 }
--- a/query/slot.go
+++ b/query/slot.go
@@ -28,6 +28,8 @@
 	kind    tryKind
 	version uint64
 	sentAt  clock.Millis
+	// cancelled is the last attempt in this slot that the model cancelled.
+	cancelled uint64
 }
 
 // slots holds the open attempts. A sequence number contains its slot, so
@@ -49,6 +51,7 @@
 	}
 	s.issued++
 	t.seq = s.issued<<slotBits | uint64(i)
+	t.cancelled = s.list[i].cancelled
 	s.list[i] = t
 	return &s.list[i]
 }
@@ -69,6 +72,18 @@
 
 func (s *slots) remove(seq uint64) {
 	i := uint32(seq & (1<<slotBits - 1))
-	s.list[i] = try{}
+	s.list[i] = try{cancelled: s.list[i].cancelled}
 	s.free = append(s.free, i)
 }
+
+// cancel removes an attempt and remembers that its reply may still come.
+func (s *slots) cancel(seq uint64) {
+	s.get(seq).cancelled = seq
+	s.remove(seq)
+}
+
+// wasCancelled reports whether seq is the last cancelled attempt of its slot.
+func (s *slots) wasCancelled(seq uint64) bool {
+	i := seq & (1<<slotBits - 1)
+	return i < uint64(len(s.list)) && s.list[i].cancelled == seq
+}
