Ignore reports about a former carrier of an order

Cause: after a forward was rerouted, a doubled NotCarrier or Shed of the first carrier, or a doubled unsent report, was taken for the second carrier's. A Shed passed to the order machine as proof of not run while the second carrier still held the attempt, so a second attempt followed: a possible double run.

Change: an unsent report counts only for the carrier that holds the forward, and a result from another VM is dropped for orders.

Figures: `go test ./vm` with vm/forward.go reverted: of 8 cases "shed by a former carrier" sends 2 attempts instead of 1, and "unsent doubled" and "unsent after not carrier" lose the live forward. All pass with the change.

Conclusion: one attempt of an order is at one carrier at a time.

--- a/vm/forward.go
+++ b/vm/forward.go
@@ -84,18 +84,24 @@
 		return
 	}
 	c.forwards.broken[m.To] = now + avoidMs
-	f := c.forwards.remove(fwd.Request.ID)
-	if f == nil || c.reroute(now, f) {
+	f := c.forwards.open[fwd.Request.ID]
+	if f == nil || f.to != m.To { // the report is doubled: the attempt is at another carrier by now
+		return
+	}
+	delete(c.forwards.open, fwd.Request.ID)
+	if c.reroute(now, f) {
 		return
 	}
 	c.deliver(now, attempt.Reply{ID: f.req.ID, Upstream: f.req.Upstream, Status: attempt.NotCarrier, Ran: attempt.No})
 }
 
-// resultReceived accepts a result only from the VM that was asked.
+// resultReceived accepts a result only from the VM that was asked. After a
+// rerouted forward, a doubled answer of the first carrier does not prove that
+// the second carrier has not run an order, so it is dropped.
 func (c *Core) resultReceived(now clock.Millis, from string, r attempt.Reply) {
 	f := c.forwards.open[r.ID]
 	if f == nil || f.to != from {
-		if r.Status != attempt.Cancelled {
+		if r.Status != attempt.Cancelled && r.ID.Seq&orderSeqBit == 0 {
 			c.deliver(now, r) // the machine that sent it counts and drops a late reply
 		}
 		return
--- /dev/null
+++ b/vm/forward_test.go
@@ -0,0 +1,148 @@
+package vm_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"lentillink.example/lentillink/attempt"
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/fleet"
+	"lentillink.example/lentillink/order"
+	"lentillink.example/lentillink/rank"
+	"lentillink.example/lentillink/store"
+	"lentillink.example/lentillink/upstream"
+	"lentillink.example/lentillink/vm"
+)
+
+// trio runs three cores over one store and keeps the forwards instead of delivering them.
+type trio struct {
+	now      clock.Millis
+	cores    map[string]*vm.Core
+	entries  map[string]store.Entry
+	forwards []vm.SendPeerCmd
+	answers  []vm.OrderAnswer
+}
+
+// newTrio returns three members; "a" carries none of the upstreams.
+func newTrio() *trio {
+	t := &trio{now: 1_700_000_000_000, cores: make(map[string]*vm.Core), entries: make(map[string]store.Entry)}
+	group := upstream.Group{Name: "g"}
+	for i := 0; len(group.Replicas) < 2; i++ {
+		id := fmt.Sprintf("desk/g/%d", i)
+		table := vm.NewCarrierTable([]string{id})
+		table.SetMembers([]string{"a", "b", "c"})
+		if !table.Carries(id, "a") {
+			group.Replicas = append(group.Replicas, upstream.Upstream{ID: upstream.ID(id), Service: "desk", Group: "g", Connections: 10})
+		}
+	}
+	var all []fleet.VM
+	for _, id := range []string{"a", "b", "c"} {
+		all = append(all, fleet.VM{ID: id, Address: id, Incarnation: 1})
+	}
+	for _, v := range all {
+		t.cores[v.ID] = vm.New(vm.WithSelf(v), vm.WithSeeds(all...), vm.WithServices(upstream.Service{Name: "desk", Groups: []upstream.Group{group}}))
+	}
+	t.run(10 * clock.Second)
+	return t
+}
+
+func (t *trio) run(d clock.Millis) {
+	for end := t.now + d; t.now < end; t.now += 20 {
+		for _, id := range []string{"a", "b", "c"} {
+			t.deliver(id, vm.TickMsg{})
+		}
+	}
+}
+
+func (t *trio) deliver(id string, msg vm.Msg) {
+	for _, cmd := range slices.Clone(t.cores[id].Update(t.now, msg)) {
+		switch cmd := cmd.(type) {
+		case vm.StoreCmd:
+			t.deliver(id, vm.StoreMsg{Reply: t.callStore(cmd.Request)})
+		case vm.AnswerOrderCmd:
+			t.answers = append(t.answers, cmd.Answer)
+		case vm.SendPeerCmd:
+			if _, ok := cmd.Body.(vm.Forward); ok {
+				t.forwards = append(t.forwards, cmd)
+				continue
+			}
+			t.deliver(cmd.To, vm.PeerMsg{From: id, Stamp: cmd.Stamp, Body: cmd.Body})
+		}
+	}
+}
+
+func (t *trio) callStore(r store.Request) store.Reply {
+	reply := store.Reply{Owner: r.Owner, Tag: r.Tag, Op: r.Op}
+	e := t.entries[r.Key]
+	switch {
+	case r.Op == store.OpWatch:
+		reply.Kind = store.KindUnavailable
+	case r.Op == store.OpSwap && e.Revision != r.Expect:
+		reply.Kind = store.KindConflict
+	case r.Op == store.OpSwap:
+		e = store.Entry{Key: r.Key, Value: r.Value, Revision: e.Revision + 1}
+		t.entries[r.Key] = e
+	}
+	reply.Entry = e
+	return reply
+}
+
+// TestForwardedOrder guards against an order that reaches two upstreams because
+// a doubled or late report about one carrier is taken for the other's.
+func TestForwardedOrder(t *testing.T) {
+	type event func(first, last vm.SendPeerCmd) vm.Msg
+	result := func(s attempt.Status, of func(first, last vm.SendPeerCmd) vm.SendPeerCmd) event {
+		return func(first, last vm.SendPeerCmd) vm.Msg {
+			f := of(first, last)
+			req := f.Body.(vm.Forward).Request
+			return vm.PeerMsg{From: f.To, Body: vm.Result{Reply: attempt.Reply{ID: req.ID, Upstream: req.Upstream, Status: s, Ran: attempt.No}}}
+		}
+	}
+	first := func(first, _ vm.SendPeerCmd) vm.SendPeerCmd { return first }
+	unsent := func(first, _ vm.SendPeerCmd) vm.Msg { return vm.PeerUnsentMsg{To: first.To, Body: first.Body} }
+	down := func(first, _ vm.SendPeerCmd) vm.Msg { return vm.PeerDownMsg{VM: first.To} }
+	tests := []struct {
+		name     string
+		events   []event
+		forwards int
+		attempts int
+		outcome  order.Outcome // empty while the order is open
+	}{
+		{"not carrier doubled", []event{result(attempt.NotCarrier, first), result(attempt.NotCarrier, first)}, 2, 1, ""},
+		{"shed by a former carrier", []event{result(attempt.NotCarrier, first), result(attempt.Shed, first)}, 2, 1, ""},
+		{"unsent doubled", []event{unsent, unsent}, 2, 1, ""},
+		{"unsent after not carrier", []event{result(attempt.NotCarrier, first), unsent}, 2, 1, ""},
+		{"shed after the link broke", []event{down, result(attempt.Shed, first)}, 1, 1, order.Unknown},
+		{"not carrier after the link broke", []event{down, result(attempt.NotCarrier, first)}, 1, 1, order.Unknown},
+		{"first carrier down after rerouting", []event{result(attempt.NotCarrier, first), down}, 2, 1, ""},
+		{"shed proves not run", []event{result(attempt.Shed, first)}, 2, 2, ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := newTrio()
+			r.deliver("a", vm.OrderMsg{Call: 1, ID: fmt.Sprintf("%d-x", r.now), Rank: rank.Ordinary, Service: "desk", Group: "g"})
+			r.run(200)
+			if len(r.forwards) != 1 {
+				t.Fatalf("got %d forwards of a new order and answers %v, want 1 forward", len(r.forwards), r.answers)
+			}
+			for _, e := range tt.events {
+				r.deliver("a", e(r.forwards[0], r.forwards[len(r.forwards)-1]))
+			}
+			ids := make(map[attempt.ID]bool)
+			for _, f := range r.forwards {
+				ids[f.Body.(vm.Forward).Request.ID] = true
+			}
+			if len(r.forwards) != tt.forwards || len(ids) != tt.attempts {
+				t.Errorf("got %d forwards of %d attempts, want %d of %d", len(r.forwards), len(ids), tt.forwards, tt.attempts)
+			}
+			var got order.Outcome
+			if len(r.answers) > 0 {
+				got = r.answers[0].Outcome
+			}
+			if got != tt.outcome {
+				t.Errorf("got outcome %q, want %q", got, tt.outcome)
+			}
+		})
+	}
+}
