--- a/vm/forward_test.go
+++ b/vm/forward_test.go
@@ -100,6 +100,7 @@
 		}
 	}
 	first := func(first, _ vm.SendPeerCmd) vm.SendPeerCmd { return first }
+	last := func(_, last vm.SendPeerCmd) vm.SendPeerCmd { return last }
 	unsent := func(first, _ vm.SendPeerCmd) vm.Msg { return vm.PeerUnsentMsg{To: first.To, Body: first.Body} }
 	down := func(first, _ vm.SendPeerCmd) vm.Msg { return vm.PeerDownMsg{VM: first.To} }
 	tests := []struct {
@@ -117,6 +118,7 @@
 		{"not carrier after the link broke", []event{down, result(attempt.NotCarrier, first)}, 1, 1, order.Unknown},
 		{"first carrier down after rerouting", []event{result(attempt.NotCarrier, first), down}, 2, 1, ""},
 		{"shed proves not run", []event{result(attempt.Shed, first)}, 2, 2, ""},
+		{"no carrier left", []event{result(attempt.NotCarrier, first), result(attempt.NotCarrier, last)}, 3, 2, ""},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
