Refuse ids at or below the newest dropped issue time

Cause: an owner drops a segment by its own clock and another owner accepts ids by its own. With clocks more than DropMargin (10 min) apart, a claim was dropped while its id was still accepted, and the order ran twice.

Change: the head keeps the newest issue time of any dropped segment as Floor, and a claim of an id at or below it is expired. The compare-and-swap carries Floor with the drop, so the rule needs no clock. The field is written only when it is not zero. The test rig gives each VM a clock offset.

Conclusion: a wrong clock can refuse ids as too old; it cannot run one twice.

--- a/order/batch.go
+++ b/order/batch.go
@@ -94,7 +94,7 @@
 		case op.msg.Op == OpDone:
 			b.done(p, op)
 		case op.msg.Op != OpClaim:
-		case op.msg.Issued < now-Window:
+		case op.msg.Issued < now-Window || op.msg.Issued <= p.head.Floor:
 			b.add(op, Expired)
 		case released[op.msg.Token]:
 			b.add(op, Unavailable)
@@ -107,10 +107,11 @@
 // build computes the head to write. A claim whose release would uncover an
 // older sealed one is kept as released.
 func (b *batch) build(now clock.Millis, p *partition) {
-	b.head = Head{Next: p.head.Next, Newest: max(b.newest, p.head.Newest)}
+	b.head = Head{Next: p.head.Next, Newest: max(b.newest, p.head.Newest), Floor: p.head.Floor}
 	for _, s := range p.head.Segments {
 		if s.Newest < now-Window-DropMargin {
 			b.expired = append(b.expired, s)
+			b.head.Floor = max(b.head.Floor, s.Newest)
 			continue
 		}
 		b.head.Segments = append(b.head.Segments, s)
--- a/order/head.go
+++ b/order/head.go
@@ -36,6 +36,10 @@
 	Newest   clock.Millis // newest issue time among Claims
 	Next     uint64       // lowest number that a new segment may take
 	Segments []SegmentRef // oldest first
+	// Floor is the newest issue time in any dropped segment. An id at or below
+	// it may have had a claim, so it is never claimed again, whatever the clock
+	// of the owner says. It never decreases.
+	Floor clock.Millis
 }
 
 const (
@@ -44,6 +48,7 @@
 	fieldNext
 	fieldSegmentNumber
 	fieldSegmentNewest
+	fieldFloor
 )
 
 const (
@@ -67,6 +72,9 @@
 		b = appendUint(b, fieldSegmentNumber, s.Number)
 		b = appendUint(b, fieldSegmentNewest, uint64(s.Newest))
 	}
+	if h.Floor != 0 {
+		b = appendUint(b, fieldFloor, uint64(h.Floor))
+	}
 	return b
 }
 
@@ -88,7 +96,7 @@
 		switch {
 		case num == fieldClaim && typ == protowire.BytesType:
 			b, err = h.decodeClaim(b)
-		case num > fieldClaim && num <= fieldSegmentNewest && typ == protowire.VarintType:
+		case num > fieldClaim && num <= fieldFloor && typ == protowire.VarintType:
 			b, err = h.decodeUint(num, b)
 		default:
 			err = newError("decode head", KindCorrupt, nil)
@@ -133,6 +141,8 @@
 			return nil, newError("decode segment", KindCorrupt, nil)
 		}
 		h.Segments[len(h.Segments)-1].Newest = clock.Millis(v)
+	case fieldFloor:
+		h.Floor = clock.Millis(v)
 	}
 	return b[n:], nil
 }
--- a/order/head_test.go
+++ b/order/head_test.go
@@ -17,6 +17,7 @@
 		},
 		Newest: start, Next: 7,
 		Segments: []order.SegmentRef{{Number: 3, Newest: start - 5}, {Number: 6, Newest: start - 1}},
+		Floor:    start - 9,
 	}
 }
 
--- a/order/model_test.go
+++ b/order/model_test.go
@@ -234,3 +234,29 @@
 	}
 	checkSafety(t, r)
 }
+
+// TestFloor guards against a second run when the clocks of two owners differ
+// by more than DropMargin: one drops a segment, the other still accepts its ids.
+func TestFloor(t *testing.T) {
+	r := newRig(func(string) string { return faultNone })
+	all := ids(start, 12)
+	submit := func(vm, id string) *rigCall {
+		c := r.submit(vm, id)
+		r.runUntil(r.now + clock.Second)
+		return c
+	}
+	for _, id := range all {
+		submit("entry", id)
+	}
+	const ahead = 25 * clock.Hour
+	r.vms["owner"].ahead, r.vms["entry"].ahead = ahead, ahead
+	submit("entry", ids(r.now+ahead, 1)[0]) // its write drops every segment
+	r.boot("owner")
+	for _, id := range all {
+		c := submit("other", id)
+		if got := c.answers[0]; got.Ran == attempt.No || r.runs[id] != 1 {
+			t.Errorf("got %v and %d runs of %s, want no claim and 1 run", got, r.runs[id], id)
+		}
+	}
+	checkSafety(t, r)
+}
--- a/order/options.go
+++ b/order/options.go
@@ -12,8 +12,9 @@
 // FutureLimit is how far an id's issue time may be ahead of this VM's clock.
 const FutureLimit = 5 * clock.Minute
 
-// DropMargin is added to Window before a sealed segment is dropped. It must
-// exceed the difference between the clocks of two VMs.
+// DropMargin is added to Window before a sealed segment is dropped. While the
+// clocks of two VMs differ by less, no accepted id is below Head.Floor; a larger
+// difference refuses such ids as too old and never runs one twice.
 const DropMargin = 10 * clock.Minute
 
 // Picker chooses the upstream of an attempt.
--- a/order/rig_test.go
+++ b/order/rig_test.go
@@ -9,6 +9,7 @@
 	"lentillink.example/lentillink/order"
 	"lentillink.example/lentillink/preset"
 	"lentillink.example/lentillink/store"
+	"lentillink.example/lentillink/timeline"
 	"lentillink.example/lentillink/upstream"
 )
 
@@ -70,6 +71,7 @@
 type rigVM struct {
 	model  *order.Model
 	paused clock.Millis
+	ahead  clock.Millis // how far its clock is ahead
 	dead   bool
 }
 
@@ -94,6 +96,8 @@
 	runs     map[string]int
 	sheds    int // attempts still to be shed
 	fault    func(step string) string
+
+	storeEvents []string // details of the events about the store
 }
 
 func newRig(fault func(step string) string) *rig {
@@ -141,12 +145,12 @@
 		r.at(vm.paused-r.now, func() { r.deliverTo(name, vm, msg) })
 		return
 	}
-	for _, cmd := range vm.model.Update(r.now, msg) {
+	for _, cmd := range vm.model.Update(r.now+vm.ahead, msg) {
 		r.perform(name, vm, cmd)
 	}
 	if at, ok := vm.model.NextWake(); ok {
-		r.at(max(at-r.now, 1), func() {
-			if next, ok := vm.model.NextWake(); ok && next <= r.now {
+		r.at(max(at-r.now-vm.ahead, 1), func() {
+			if next, ok := vm.model.NextWake(); ok && next <= r.now+vm.ahead {
 				r.deliverTo(name, vm, order.TickMsg{})
 			}
 		})
@@ -158,7 +162,7 @@
 	r.calls = append(r.calls, c)
 	r.deliver(vm, order.SubmitMsg{
 		Call: uint64(len(r.calls) - 1), ID: id, Service: "desk", Group: "g",
-		Body: []byte{byte(len(r.calls) - 1)}, Deadline: r.now + deadline, Outage: preset.OutageWait,
+		Body: []byte{byte(len(r.calls) - 1)}, Deadline: r.now + c.vm.ahead + deadline, Outage: preset.OutageWait,
 	})
 	return c
 }
@@ -200,6 +204,10 @@
 	case order.AnswerCmd:
 		c := r.calls[cmd.Answer.Call]
 		c.answers = append(c.answers, cmd.Answer)
+	case order.EventCmd:
+		if cmd.Event.Kind == timeline.StoreFailed {
+			r.storeEvents = append(r.storeEvents, cmd.Event.Detail)
+		}
 	}
 }
 
@@ -218,7 +226,7 @@
 func (r *rig) send(name string, vm *rigVM, req attempt.Request) {
 	reply := attempt.Reply{ID: req.ID, Upstream: req.Upstream, Status: attempt.OK, Ran: attempt.Yes}
 	copies, after := r.hit(r.fault(stepSend))
-	r.at(req.Deadline-r.now, func() {
+	r.at(req.Deadline-r.now-vm.ahead, func() {
 		r.deliverTo(name, vm, order.ReplyMsg{Reply: attempt.Reply{ID: req.ID, Status: attempt.TimedOut}})
 	})
 	if copies == 0 {
