Report records of claims that cannot be decoded

Cause: a damaged head or segment blocked its partition without any event. Change: a store_failed event names the key; the record is never overwritten. Conclusion: the partition refuses with ran: no, and the operator sees why.

--- a/order/load.go
+++ b/order/load.go
@@ -49,6 +49,7 @@
 func (m *Model) headRead(now clock.Millis, p *partition, r store.Reply) {
 	head, err := DecodeHead(r.Entry.Value)
 	if r.Kind != store.KindOK || err != nil {
+		m.unreadable(HeadKey(p.n), r, err)
 		m.fail(now, p)
 		return
 	}
@@ -58,6 +59,16 @@
 	m.readSegments(now, p)
 }
 
+// unreadable reports a record that the store returned but that cannot be
+// decoded. Its partition refuses every claim until the record is restored.
+func (m *Model) unreadable(key string, r store.Reply, err error) {
+	if r.Kind != store.KindOK || err == nil {
+		return
+	}
+	m.stats.StoreFailures++
+	m.event(timeline.Event{Kind: timeline.StoreFailed, Detail: "cannot decode " + key})
+}
+
 func (p *partition) setHead(h Head, revision uint64) {
 	p.head, p.revision = h, revision
 	clear(p.inHead)
@@ -100,6 +111,7 @@
 	seg, err := DecodeHead(r.Entry.Value)
 	if r.Kind != store.KindOK || err != nil || r.Entry.Revision == 0 {
 		// A missing segment was dropped by another owner: the head is read again.
+		m.unreadable(SegmentKey(p.n, p.reading), r, err)
 		m.fail(now, p)
 		return
 	}
--- a/order/model_test.go
+++ b/order/model_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -9,6 +10,8 @@
 	"lentillink.example/lentillink/attempt"
 	"lentillink.example/lentillink/clock"
 	"lentillink.example/lentillink/order"
+	"lentillink.example/lentillink/store"
+	"lentillink.example/lentillink/timeline"
 )
 
 // ids returns n ids of partition 0 that were issued at the given time.
@@ -260,3 +263,23 @@
 	}
 	checkSafety(t, r)
 }
+
+// TestUnreadable guards against a damaged record that is overwritten, or that
+// nobody hears of.
+func TestUnreadable(t *testing.T) {
+	r := newRig(func(string) string { return faultNone })
+	e := store.Entry{Key: order.HeadKey(0), Value: []byte{0x7a, 0x00}, Revision: 1}
+	r.entries[e.Key], r.revision = e, 1
+	c := r.submit("entry", ids(start, 1)[0])
+	r.runUntil(start + clock.Minute)
+	if got := c.answers[0]; got.Outcome != order.Refused || got.Ran != attempt.No {
+		t.Errorf("got %v, want refused, ran no", got)
+	}
+	if got := r.entries[e.Key].Revision; got != e.Revision {
+		t.Errorf("got revision %d, want the record unchanged", got)
+	}
+	want := timeline.Event{Kind: timeline.StoreFailed, Detail: "cannot decode " + e.Key}
+	if !slices.Contains(r.storeEvents, want.Detail) {
+		t.Errorf("got events %v, want %v", r.storeEvents, want)
+	}
+}
