--- a/order/model_test.go
+++ b/order/model_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -9,6 +10,8 @@
 	"lentillink.example/lentillink/attempt"
 	"lentillink.example/lentillink/clock"
 	"lentillink.example/lentillink/order"
+	"lentillink.example/lentillink/store"
+	"lentillink.example/lentillink/timeline"
 )
 
 // ids returns n ids of partition 0 that were issued at the given time.
@@ -234,3 +237,49 @@
 	}
 	checkSafety(t, r)
 }
+
+// TestFloor guards against a second run when the clocks of two owners differ
+// by more than DropMargin: one drops a segment, the other still accepts its ids.
+func TestFloor(t *testing.T) {
+	r := newRig(func(string) string { return faultNone })
+	all := ids(start, 12)
+	submit := func(vm, id string) *rigCall {
+		c := r.submit(vm, id)
+		r.runUntil(r.now + clock.Second)
+		return c
+	}
+	for _, id := range all {
+		submit("entry", id)
+	}
+	const ahead = 25 * clock.Hour
+	r.vms["owner"].ahead, r.vms["entry"].ahead = ahead, ahead
+	submit("entry", ids(r.now+ahead, 1)[0]) // its write drops every segment
+	r.boot("owner")
+	for _, id := range all {
+		c := submit("other", id)
+		if got := c.answers[0]; got.Ran == attempt.No || r.runs[id] != 1 {
+			t.Errorf("got %v and %d runs of %s, want no claim and 1 run", got, r.runs[id], id)
+		}
+	}
+	checkSafety(t, r)
+}
+
+// TestUnreadable guards against a damaged record that is overwritten, or that
+// nobody hears of.
+func TestUnreadable(t *testing.T) {
+	r := newRig(func(string) string { return faultNone })
+	e := store.Entry{Key: order.HeadKey(0), Value: []byte{0x7a, 0x00}, Revision: 1}
+	r.entries[e.Key], r.revision = e, 1
+	c := r.submit("entry", ids(start, 1)[0])
+	r.runUntil(start + clock.Minute)
+	if got := c.answers[0]; got.Outcome != order.Refused || got.Ran != attempt.No {
+		t.Errorf("got %v, want refused, ran no", got)
+	}
+	if got := r.entries[e.Key].Revision; got != e.Revision {
+		t.Errorf("got revision %d, want the record unchanged", got)
+	}
+	want := timeline.Event{Kind: timeline.StoreFailed, Detail: "cannot decode " + e.Key}
+	if !slices.Contains(r.storeEvents, want.Detail) {
+		t.Errorf("got events %v, want %v", r.storeEvents, want)
+	}
+}
