Let a demo fleet take its own settings and kill a VM

Cause: tests of the whole path need small deployments and a VM that dies without a drain. Change: StartConfig takes the settings and entry options; Kill closes every socket of one VM, in and out, and takes it off the VM list. Conclusion: StartFleet and the demo behave as before.

--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -4,7 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
+	"sync"
 	"time"
 
 	"github.com/go-kit/log"
@@ -12,6 +12,7 @@
 	"lentillink.example/lentillink/caller"
 	"lentillink.example/lentillink/clock"
 	"lentillink.example/lentillink/entry"
+	"lentillink.example/lentillink/peer"
 	"lentillink.example/lentillink/roster"
 	"lentillink.example/lentillink/roster/httproster"
 	"lentillink.example/lentillink/settings"
@@ -26,20 +27,33 @@
 	pollInterval = 20 * time.Millisecond
 )
 
+// FleetConfig describes a fleet to start.
+type FleetConfig struct {
+	Settings *settings.Settings // of any VM; addresses are replaced by free ports
+	VMs      int
+	Logger   log.Logger
+	Standins []standin.DeploymentOption
+	Entry    []entry.Option // for every VM
+}
+
 // Fleet is a running deployment: its stand-ins and its entry VMs.
 type Fleet struct {
 	Standins *standin.Deployment
 	vms      []*member
 	logger   log.Logger
+	options  []entry.Option
 }
 
 // member is one running VM. End receives the result of its Run.
 type member struct {
-	id     string
-	caller *caller.Client
-	stop   context.CancelFunc
-	end    chan error
-	closer func()
+	id      string
+	address string
+	caller  *caller.Client
+	stop    context.CancelFunc
+	end     chan error
+	closer  func()
+	sockets *sockets
+	killed  bool
 }
 
 // StartFleet starts the stand-ins of a deployment and n entry VMs, and waits
@@ -49,12 +63,18 @@
 	if err != nil {
 		return nil, err
 	}
-	standins, err := standin.StartDeployment(ctx, cfg, append([]standin.DeploymentOption{standin.WithFreePorts()}, opts...)...)
+	return StartConfig(ctx, FleetConfig{Settings: cfg, VMs: n, Logger: logger, Standins: opts})
+}
+
+// StartConfig starts a fleet and waits until every VM is ready.
+func StartConfig(ctx context.Context, cfg FleetConfig) (*Fleet, error) {
+	opts := append([]standin.DeploymentOption{standin.WithFreePorts()}, cfg.Standins...)
+	standins, err := standin.StartDeployment(ctx, cfg.Settings, opts...)
 	if err != nil {
 		return nil, err
 	}
-	f := &Fleet{Standins: standins, logger: logger}
-	for i := range n {
+	f := &Fleet{Standins: standins, logger: cfg.Logger, options: cfg.Entry}
+	for i := range cfg.VMs {
 		if err := f.Start(ctx, fmt.Sprintf("vm-%d", i+1)); err != nil {
 			return nil, errors.Join(err, f.Close())
 		}
@@ -65,13 +85,15 @@
 	return f, nil
 }
 
-// Start adds one entry VM and registers it on the VM list.
+// Start adds one entry VM and registers it on the VM list. It does not wait
+// until the VM is ready.
 func (f *Fleet) Start(ctx context.Context, id string) error {
-	peers, err := net.Listen("tcp", "127.0.0.1:0")
+	socks := newSockets()
+	peers, err := socks.listen()
 	if err != nil {
 		return err
 	}
-	callers, err := net.Listen("tcp", "127.0.0.1:0")
+	callers, err := socks.listen()
 	if err != nil {
 		return err
 	}
@@ -82,19 +104,24 @@
 	doc := cfg.Document()
 	st, list := httpstore.New(doc.Store), httproster.New(doc.VMList)
 	ups := httpup.New(httpup.WithServices(cfg.Services()...))
-	v, err := entry.New(cfg, entry.WithStore(st), entry.WithRoster(list), entry.WithUpstreams(ups),
-		entry.WithLogger(f.logger), entry.WithListeners(peers, callers), entry.WithBalancerWait(200))
+	opts := append([]entry.Option{
+		entry.WithStore(st), entry.WithRoster(list), entry.WithUpstreams(ups), entry.WithLogger(f.logger),
+		entry.WithListeners(peers, callers), entry.WithBalancerWait(200),
+		entry.WithMeshOptions(peer.WithDialer(socks.dial)),
+	}, f.options...)
+	v, err := entry.New(cfg, opts...)
 	if err != nil {
 		return err
 	}
 	run, stop := context.WithCancel(ctx)
 	m := &member{
-		id: id, caller: caller.New(callers.Addr().String()), stop: stop, end: make(chan error, 1),
-		closer: func() { ups.Close(); list.Close(); st.Close() },
+		id: id, address: doc.Addresses.Callers, caller: caller.New(doc.Addresses.Callers), stop: stop,
+		end: make(chan error, 1), sockets: socks,
+		closer: sync.OnceFunc(func() { ups.Close(); list.Close(); st.Close() }),
 	}
 	go func() { m.end <- v.Run(run) }()
 	f.vms = append(f.vms, m)
-	return f.Standins.VMList().Register(roster.VM{ID: id, Address: peers.Addr().String(), DataCentre: doc.DataCentre})
+	return f.Standins.VMList().Register(roster.VM{ID: id, Address: doc.Addresses.Peers, DataCentre: doc.DataCentre})
 }
 
 // settingsFor adapts the settings of the stand-ins to one VM.
@@ -125,6 +152,9 @@
 // Caller returns a client of the i-th VM, counted round.
 func (f *Fleet) Caller(i int) *caller.Client { return f.vms[i%len(f.vms)].caller }
 
+// Address returns the address of the i-th VM for callers.
+func (f *Fleet) Address(i int) string { return f.vms[i].address }
+
 // Size returns the number of VMs that were started.
 func (f *Fleet) Size() int { return len(f.vms) }
 
@@ -137,6 +167,17 @@
 	return err
 }
 
+// Kill closes every socket of the i-th VM at once, without a drain, and takes
+// it off the VM list, as the platform does when a VM dies.
+func (f *Fleet) Kill(i int) {
+	m := f.vms[i]
+	m.killed = true
+	m.sockets.cut()
+	m.closer()
+	m.stop()
+	f.Standins.VMList().Remove(m.id)
+}
+
 // Close stops all VMs, then the stand-ins.
 func (f *Fleet) Close() error {
 	var errs []error
@@ -144,7 +185,9 @@
 		m.stop()
 	}
 	for _, m := range f.vms {
-		errs = append(errs, <-m.end)
+		if err := <-m.end; !m.killed { // a killed VM ends with an error
+			errs = append(errs, err)
+		}
 		m.closer()
 	}
 	errs = append(errs, f.Standins.Close())
