Prove entry VMs under failure on real sockets

Cause: package entry had no tests. They found that an unknown service and an order id without a time were refused without naming the field, that a null query was accepted and run, that a body of the wrong JSON type named no field, and that a caller with an oversized body could read 'connection reset by peer' instead of its 400 (the server closed with unread bytes). Change: the checks name the field; null counts as left out; a connection that is closed after a body that is too large is lingered on, bounded by 1 s and 16 MB. Tests cover coverage, refusals, repeats, store outages and lost answers, racing switches, a start in an outage, killed VMs, a planned stop, a leaving upstream and broken replies.

--- /dev/null
+++ b/entry/helper_test.go
@@ -0,0 +1,227 @@
+package entry_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"lentillink.example/lentillink/attempt"
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/demo"
+	"lentillink.example/lentillink/entry"
+	"lentillink.example/lentillink/settings"
+)
+
+const (
+	// waitLimit bounds every wait for a condition. It is generous because the
+	// machine may be busy; a condition that holds ends the wait at once.
+	waitLimit = 20 * time.Second
+	groupKeys = 1000
+	deskCount = 6
+)
+
+// start runs a fleet with a search service of 20 groups of 2 upstreams and an
+// order service of 6 groups of 2.
+func start(t *testing.T, vms int, opts ...entry.Option) *demo.Fleet {
+	t.Helper()
+	example, err := settings.Example("hautakukka")
+	if err != nil {
+		t.Fatal(err)
+	}
+	doc := example.Document()
+	search, orders := doc.Services[0], doc.Services[1]
+	orders.Groups = orders.Groups[:deskCount]
+	doc.Services = []settings.Service{search, orders}
+	cfg, err := settings.New(doc)
+	if err != nil {
+		t.Fatal(err)
+	}
+	// The context of the test ends before its cleanup, but the VMs need their
+	// store until they have stopped.
+	ctx := context.WithoutCancel(t.Context())
+	f, err := demo.StartConfig(ctx, demo.FleetConfig{Settings: cfg, VMs: vms, Logger: log.NewNopLogger(), Entry: opts})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if err := f.Close(); err != nil {
+			t.Errorf("Close: %v", err)
+		}
+	})
+	return f
+}
+
+func inject(t *testing.T, f *demo.Fleet, target, fault string, value any) {
+	t.Helper()
+	if _, err := f.Standins.Inject(target, fault, value); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// until polls a condition.
+func until(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(waitLimit)
+	for !ok() {
+		if time.Now().After(deadline) {
+			t.Fatalf("not within %s: %s", waitLimit, what)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+var lastID atomic.Int64
+
+func newQuery() entry.QueryRequest {
+	return entry.QueryRequest{
+		ID: fmt.Sprintf("q-%d", lastID.Add(1)), Rank: "ordinary", Service: "search", Query: json.RawMessage(`{"find":"all"}`),
+	}
+}
+
+func newOrder() entry.OrderRequest {
+	n := lastID.Add(1)
+	return entry.OrderRequest{
+		ID: fmt.Sprintf("%d-t%d", clock.System{}.Now(), n), Rank: "ordinary", Service: "orders",
+		Group: fmt.Sprintf("desk-%02d", n%deskCount+1), Body: json.RawMessage(`{"flowers":1}`),
+	}
+}
+
+// post sends a body as it is and returns the status and the answer.
+func post(t *testing.T, address, path string, body []byte) (int, http.Header, []byte) {
+	t.Helper()
+	r, err := http.Post("http://"+address+path, "application/json", bytes.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = r.Body.Close() }()
+	data, err := io.ReadAll(r.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r.StatusCode, r.Header, data
+}
+
+func postJSON(t *testing.T, address, path string, in, out any) (int, http.Header) {
+	t.Helper()
+	body, err := json.Marshal(in)
+	if err != nil {
+		t.Fatal(err)
+	}
+	status, head, data := post(t, address, path, body)
+	if err := json.Unmarshal(data, out); err != nil {
+		t.Fatalf("answer %q: %v", data, err)
+	}
+	return status, head
+}
+
+// checkQuery reports what is untrue in an answer.
+func checkQuery(q entry.QueryRequest, a entry.QueryDocument) error {
+	var missing uint32
+	for _, gap := range a.Coverage.Missing {
+		missing += gap.Len()
+	}
+	switch {
+	case a.ID != q.ID:
+		return fmt.Errorf("%s received the answer to %s", q.ID, a.ID)
+	case a.Outcome == "refused" || a.Outcome == "failed":
+		return nil
+	case a.Coverage.Covered+missing != a.Coverage.Expected || (a.Outcome == "complete") != (missing == 0):
+		return fmt.Errorf("%s is %s with untrue coverage %+v", q.ID, a.Outcome, a.Coverage)
+	}
+	seen := make(map[uint32]bool)
+	for _, row := range a.Rows {
+		if seen[row.Key] || row.Value != fmt.Sprintf("v%d/%d", a.Snapshot, row.Key) {
+			return fmt.Errorf("%s has a doubled or mixed row %+v in snapshot %d", q.ID, row, a.Snapshot)
+		}
+		seen[row.Key] = true
+		for _, gap := range a.Coverage.Missing {
+			if gap.Contains(row.Key) {
+				return fmt.Errorf("%s returns key %d, which it reports as missing", q.ID, row.Key)
+			}
+		}
+	}
+	return nil
+}
+
+// complete sends a query and requires the whole answer.
+func complete(t *testing.T, f *demo.Fleet, vm int) {
+	t.Helper()
+	q := newQuery()
+	a, err := f.Caller(vm).Query(q)
+	if err == nil {
+		err = checkQuery(q, a)
+	}
+	if err != nil || a.Outcome != "complete" {
+		t.Fatalf("query through VM %d: %v, %s %s, coverage %+v", vm, err, a.Outcome, a.Reason, a.Coverage)
+	}
+}
+
+// runs returns how often the upstreams ran an order.
+func runs(f *demo.Fleet, id string) int {
+	n := 0
+	for _, up := range f.Standins.Upstreams() {
+		n += f.Standins.Upstream(up).Runs(id)
+	}
+	return n
+}
+
+// received returns how many attempts reached upstreams whose name starts so.
+func received(f *demo.Fleet, prefix string) int {
+	n := 0
+	for _, up := range f.Standins.Upstreams() {
+		if strings.HasPrefix(string(up), prefix) {
+			n += f.Standins.Upstream(up).Counts().Received
+		}
+	}
+	return n
+}
+
+// ledger collects the answers to orders by id.
+type ledger struct {
+	mu      sync.Mutex
+	answers map[string][]entry.OrderDocument
+}
+
+func newLedger() *ledger { return &ledger{answers: make(map[string][]entry.OrderDocument)} }
+
+// add notes an answer; without one, whether the order ran is not known.
+func (l *ledger) add(id string, a entry.OrderDocument, err error) {
+	if err != nil {
+		a = entry.OrderDocument{ID: id, Outcome: "unknown"}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.answers[id] = append(l.answers[id], a)
+}
+
+// check compares all answers with what the upstreams ran.
+func (l *ledger) check(t *testing.T, f *demo.Fleet) (done int) {
+	t.Helper()
+	for id, answers := range l.answers {
+		n, notRun, ran := runs(f, id), true, false
+		for _, a := range answers {
+			notRun = notRun && a.Ran == attempt.No
+			ran = ran || a.Outcome == "done"
+			if a.ID != id {
+				t.Errorf("order %s received the answer to %s", id, a.ID)
+			}
+		}
+		if n > 1 || notRun && n > 0 || ran && n != 1 {
+			t.Errorf("order %s ran %d times, answers %+v", id, n, answers)
+		}
+		if ran {
+			done++
+		}
+	}
+	return done
+}
--- a/entry/http.go
+++ b/entry/http.go
@@ -13,6 +13,7 @@
 
 	"lentillink.example/lentillink/attempt"
 	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/settings"
 	"lentillink.example/lentillink/vm"
 )
 
@@ -66,6 +67,9 @@
 	text := "request could not be read whole: " + err.Error()
 	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
 		text = "body: larger than limits.request_body_bytes"
+		if c, ok := r.Conn().(*lingerConn); ok {
+			c.unread = true
+		}
 	}
 	writeJSON(r, fasthttp.StatusBadRequest, ErrorDocument{Error: text, Field: "body", Ran: attempt.No})
 }
@@ -76,6 +80,10 @@
 		writeInvalid(r, err)
 		return
 	}
+	if err := v.checkService(q.Service); err != nil {
+		writeInvalid(r, err)
+		return
+	}
 	msg := vm.QueryMsg{
 		Call: v.calls.Add(1), ID: q.ID, Rank: rk, Service: q.Service, Body: q.Query, MinCoverage: -1,
 	}
@@ -100,8 +108,8 @@
 		writeInvalid(r, err)
 		return
 	}
-	if !v.hasGroup(o.Service, o.Group) {
-		writeInvalid(r, invalid("group", "%q is not a group of service %q", o.Group, o.Service))
+	if err := v.checkGroup(o.Service, o.Group); err != nil {
+		writeInvalid(r, err)
 		return
 	}
 	msg := vm.OrderMsg{Call: v.calls.Add(1), ID: o.ID, Rank: rk, Service: o.Service, Group: o.Group, Body: o.Body}
@@ -114,15 +122,34 @@
 	writeJSON(r, orderStatus(a.Answer), v.orderDocument(a.Answer))
 }
 
-func (v *VM) hasGroup(service, group string) bool {
-	for _, s := range v.settings.Document().Services {
-		for _, g := range s.Groups {
-			if s.Name == service && g.Name == group {
-				return true
-			}
+// checkService refuses a service that is not in the settings.
+func (v *VM) checkService(service string) error {
+	if v.groups[service] == nil {
+		return invalid("service", "%q is not a service of this deployment", service)
+	}
+	return nil
+}
+
+// checkGroup refuses a service or group that is not in the settings.
+func (v *VM) checkGroup(service, group string) error {
+	if err := v.checkService(service); err != nil {
+		return err
+	}
+	if !v.groups[service][group] {
+		return invalid("group", "%q is not a group of service %q", group, service)
+	}
+	return nil
+}
+
+func groupsOf(s *settings.Settings) map[string]map[string]bool {
+	services := make(map[string]map[string]bool)
+	for _, svc := range s.Document().Services {
+		services[svc.Name] = make(map[string]bool)
+		for _, g := range svc.Groups {
+			services[svc.Name][g.Name] = true
 		}
 	}
-	return false
+	return services
 }
 
 // call hands a request to the core and waits for its answer. It returns nil if
--- /dev/null
+++ b/entry/linger.go
@@ -0,0 +1,45 @@
+package entry
+
+import (
+	"io"
+	"net"
+	"time"
+
+	"lentillink.example/lentillink/clock"
+)
+
+// Bounds of what is read and dropped from a caller whose body is too large.
+const (
+	lingerLimit = clock.Second
+	lingerBytes = 16 << 20
+)
+
+// lingerListener accepts connections that can be closed without a reset.
+type lingerListener struct{ net.Listener }
+
+// Accept returns the next connection.
+func (l lingerListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &lingerConn{Conn: c}, nil
+}
+
+// lingerConn is closed gently after a refusal that came before the whole body:
+// closing with unread bytes resets the connection, and the reset can destroy
+// the answer before the caller reads it.
+type lingerConn struct {
+	net.Conn
+	unread bool // set by the goroutine that also closes the connection
+}
+
+// Close closes the connection, after the rest of a refused body.
+func (c *lingerConn) Close() error {
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if c.unread && ok && half.CloseWrite() == nil {
+		_ = c.SetReadDeadline(time.Now().Add(lingerLimit.Duration()))
+		_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes)
+	}
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/entry/order_test.go
@@ -0,0 +1,177 @@
+package entry_test
+
+import (
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"lentillink.example/lentillink/attempt"
+	"lentillink.example/lentillink/demo"
+	"lentillink.example/lentillink/entry"
+	"lentillink.example/lentillink/preset"
+)
+
+// TestOrderRepeats guards against an order that runs again when it is repeated
+// at the same time or later, through any VM.
+func TestOrderRepeats(t *testing.T) {
+	t.Parallel()
+	f := start(t, 5)
+	for range 5 {
+		o := newOrder()
+		var mu sync.Mutex
+		statuses := make(map[int]int)
+		var wait sync.WaitGroup
+		for vm := range f.Size() {
+			wait.Go(func() {
+				var a entry.OrderDocument
+				status, _ := postJSON(t, f.Address(vm), "/v1/order", o, &a)
+				mu.Lock()
+				defer mu.Unlock()
+				statuses[status]++
+			})
+		}
+		wait.Wait()
+		if statuses[http.StatusOK] != 1 || statuses[http.StatusConflict] != f.Size()-1 {
+			t.Errorf("at once: got statuses %v, want one 200 and else 409", statuses)
+		}
+		for vm := range f.Size() {
+			var a entry.OrderDocument
+			if status, _ := postJSON(t, f.Address(vm), "/v1/order", o, &a); status != http.StatusConflict || a.Outcome != "already_submitted" {
+				t.Errorf("later, VM %d: got %d %s, want 409", vm, status, a.Outcome)
+			}
+		}
+		if got := runs(f, o.ID); got != 1 {
+			t.Errorf("order %s ran %d times, want 1", o.ID, got)
+		}
+	}
+}
+
+// TestStoreDown guards against orders that run, hang or claim too much while
+// the store is down, and against queries that depend on the store.
+func TestStoreDown(t *testing.T) {
+	t.Parallel()
+	f := start(t, 3)
+	complete(t, f, 0)
+	for _, tt := range []struct {
+		preset string
+		least  time.Duration // a waiting order is refused only when its deadline is near
+	}{{"ordinary", 0}, {"maintenance", time.Second}} {
+		if tt.preset != "ordinary" {
+			switchTo(t, f, tt.preset)
+		}
+		inject(t, f, "store", "down", true)
+		for vm := range f.Size() {
+			complete(t, f, vm)
+		}
+		o := newOrder()
+		o.Rank = "urgent" // the shortest deadline
+		begin := time.Now()
+		var a entry.OrderDocument
+		status, head := postJSON(t, f.Address(1), "/v1/order", o, &a)
+		took := time.Since(begin)
+		if a.Outcome != "refused" || a.Ran != attempt.No || status != http.StatusServiceUnavailable || head.Get("Retry-After") == "" {
+			t.Errorf("%s: got %d %+v, want 503, ran: no and Retry-After", tt.preset, status, a)
+		}
+		if took < tt.least {
+			t.Errorf("%s: refused after %s, want at least %s", tt.preset, took, tt.least)
+		}
+		if got := runs(f, o.ID); got != 0 {
+			t.Errorf("%s: a refused order ran %d times", tt.preset, got)
+		}
+		inject(t, f, "store", "down", false)
+		until(t, "an order is done after the outage", func() bool {
+			a, err := f.Caller(2).Order(newOrder())
+			return err == nil && a.Outcome == "done"
+		})
+	}
+}
+
+// TestStoreAnswerLost guards against a write that took effect, but whose lost
+// answer makes an order run twice or a switch be reported as refused.
+func TestStoreAnswerLost(t *testing.T) {
+	t.Parallel()
+	f := start(t, 3)
+	for range 5 {
+		lost := f.Standins.Store().LostAnswers()
+		inject(t, f, "store", "lose_answers", 1)
+		o := newOrder()
+		a, err := f.Caller(0).Order(o)
+		if err != nil || a.Outcome != "done" {
+			t.Errorf("got %+v, %v, want done", a, err)
+		}
+		until(t, "the answer is lost", func() bool { return f.Standins.Store().LostAnswers() > lost })
+		if again, err := f.Caller(1).Order(o); err != nil || again.Outcome != "already_submitted" {
+			t.Errorf("repeat: got %+v, %v, want already_submitted", again, err)
+		}
+		if got := runs(f, o.ID); got != 1 {
+			t.Errorf("order %s ran %d times, want 1", o.ID, got)
+		}
+	}
+	inject(t, f, "store", "lose_answers", 1)
+	switchTo(t, f, "peak")
+}
+
+// switchTo requires that a switch is accepted and in force everywhere.
+func switchTo(t *testing.T, f *demo.Fleet, name string) {
+	t.Helper()
+	doc, err := f.Caller(0).Change(preset.Change{ID: "to-" + name, Author: "aino", Reason: "test", SwitchTo: name})
+	if err != nil || doc.Accepted != preset.Accepted || doc.InForce != name {
+		t.Fatalf("switch to %s: got %+v, %v, want accepted", name, doc, err)
+	}
+	if _, err := demo.AwaitRevision(f, doc.Revision, 4000); err != nil {
+		t.Error(err)
+	}
+}
+
+// TestKilledVM guards against orders that run twice, or run after `ran: no`,
+// when VMs die without a drain while orders are open on them.
+func TestKilledVM(t *testing.T) {
+	t.Parallel()
+	f := start(t, 5)
+	inject(t, f, "orders", "median_ms", 40)
+	answers := newLedger()
+	stop := make(chan struct{})
+	var wait sync.WaitGroup
+	for w := range 10 {
+		wait.Go(func() {
+			for n := w; ; n++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				o := newOrder()
+				for repeat := range 3 { // as a caller does through the balancer
+					a, err := f.Caller(n + repeat).Order(o)
+					answers.add(o.ID, a, err)
+					if err == nil && a.Outcome == "done" {
+						break
+					}
+				}
+			}
+		})
+	}
+	for _, vm := range []int{1, 3} {
+		before := received(f, "orders")
+		until(t, "orders run", func() bool { return received(f, "orders") > before+40 })
+		f.Kill(vm)
+	}
+	before := received(f, "orders")
+	until(t, "orders run after the kills", func() bool { return received(f, "orders") > before+40 })
+	close(stop)
+	wait.Wait()
+	done := answers.check(t, f)
+	t.Logf("%d orders, %d done", len(answers.answers), done)
+	if done < 80 {
+		t.Errorf("%d of %d orders are done, want at least 80", done, len(answers.answers))
+	}
+	until(t, "a complete query through each VM that is left", func() bool {
+		for _, vm := range []int{0, 2, 4} {
+			if a, err := f.Caller(vm).Query(newQuery()); err != nil || a.Outcome != "complete" {
+				return false
+			}
+		}
+		return true
+	})
+}
--- /dev/null
+++ b/entry/preset_test.go
@@ -0,0 +1,128 @@
+package entry_test
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"lentillink.example/lentillink/demo"
+	"lentillink.example/lentillink/entry"
+	"lentillink.example/lentillink/fleet"
+	"lentillink.example/lentillink/preset"
+)
+
+// TestRacingSwitches guards against two operators who both believe that their
+// switch is in force, and against a loser who is not told why.
+func TestRacingSwitches(t *testing.T) {
+	t.Parallel()
+	f := start(t, 3)
+	rec, err := f.Caller(0).Presets()
+	if err != nil {
+		t.Fatal(err)
+	}
+	changes := []preset.Change{
+		{ID: "c-aino", Author: "aino", Reason: "heat lists today", Base: rec.Revision, SwitchTo: "peak"},
+		{ID: "c-kofi", Author: "kofi", Reason: "pump repair", Base: rec.Revision, SwitchTo: "maintenance"},
+	}
+	docs := make([]entry.ChangeDocument, len(changes))
+	var wait sync.WaitGroup
+	for i, c := range changes {
+		wait.Go(func() {
+			var err error
+			if docs[i], err = f.Caller(i).Change(c); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	wait.Wait()
+	won := 0
+	if docs[0].Accepted != preset.Accepted {
+		won = 1
+	}
+	winner, lost := changes[won], docs[1-won]
+	if docs[won].Accepted != preset.Accepted || lost.Accepted != preset.NotAccepted {
+		t.Fatalf("got %+v, want one accepted and one not", docs)
+	}
+	for _, part := range []string{winner.Author, winner.Reason, winner.SwitchTo, winner.ID, time.Now().UTC().Format("2006-01-")} {
+		if !strings.Contains(lost.Error, part) {
+			t.Errorf("the loser reads %q, which lacks %q", lost.Error, part)
+		}
+	}
+	if _, err := demo.AwaitRevision(f, docs[won].Revision, 4000); err != nil {
+		t.Error(err)
+	}
+}
+
+// TestChangeThenStoreLost guards against a change that is accepted but stays
+// in the store that is lost right after the write.
+func TestChangeThenStoreLost(t *testing.T) {
+	t.Parallel()
+	f := start(t, 7)
+	doc, err := f.Caller(2).Change(preset.Change{ID: "c1", Author: "aino", Reason: "test", SwitchTo: "peak"})
+	inject(t, f, "store", "down", true)
+	if err != nil || doc.Accepted != preset.Accepted {
+		t.Fatalf("got %+v, %v", doc, err)
+	}
+	status, err := demo.AwaitRevision(f, doc.Revision, 4000)
+	if err != nil || len(status.VMs) != 7 {
+		t.Fatalf("%v, %d VMs answered", err, len(status.VMs))
+	}
+	// A change during the outage is reported as not in force, and stays so.
+	late, err := f.Caller(0).Change(preset.Change{ID: "c2", Author: "aino", Reason: "test", SwitchTo: "ordinary"})
+	if err != nil || late.Accepted != preset.NotAccepted {
+		t.Errorf("in an outage: got %+v, %v, want not accepted", late, err)
+	}
+	inject(t, f, "store", "down", false)
+	for vm := range f.Size() {
+		if rec, err := f.Caller(vm).Presets(); err != nil || rec.InForce != "peak" || rec.Revision < doc.Revision {
+			t.Errorf("VM %d: %s at revision %d, %v, want peak at %d", vm, rec.InForce, rec.Revision, err, doc.Revision)
+		}
+	}
+}
+
+// TestStartInOutage guards against a VM that serves under a guessed preset: it
+// has no record until its peers, whom it first does not know, have sent theirs.
+func TestStartInOutage(t *testing.T) {
+	t.Parallel()
+	f := start(t, 3)
+	switchTo(t, f, "peak")
+	inject(t, f, "store", "down", true)
+	inject(t, f, "vm_list", "down", true)
+	if err := f.Start(context.WithoutCancel(t.Context()), "vm-late"); err != nil {
+		t.Fatal(err)
+	}
+	late := f.Caller(3)
+	until(t, "the VM answers", func() bool { _, err := late.Status(); return err == nil })
+	q := newQuery()
+	for range 20 {
+		if late.Ready() {
+			t.Fatal("ready without a record")
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	if a, err := late.Query(q); err != nil || a.Outcome != "refused" || a.Reason != "not_ready" {
+		t.Errorf("got %s %s, %v, want refused not_ready", a.Outcome, a.Reason, err)
+	}
+	inject(t, f, "vm_list", "down", false)
+	until(t, "the VM is ready", late.Ready)
+	if rec, err := late.Presets(); err != nil || rec.InForce != "peak" {
+		t.Errorf("got %s, %v, want peak", rec.InForce, err)
+	}
+	complete(t, f, 3)
+}
+
+// memberState returns how VM i sees a member.
+func memberState(f *demo.Fleet, i int, id string) fleet.State {
+	s, err := f.Caller(i).Status()
+	if err != nil {
+		return fleet.Alive
+	}
+	for _, m := range s.Members {
+		if m.ID == id {
+			return m.State
+		}
+	}
+	return fleet.Dead
+}
--- /dev/null
+++ b/entry/query_test.go
@@ -0,0 +1,157 @@
+package entry_test
+
+import (
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"lentillink.example/lentillink/attempt"
+	"lentillink.example/lentillink/coverage"
+	"lentillink.example/lentillink/entry"
+)
+
+// TestQueryCoverage guards against an answer that hides missing keys.
+func TestQueryCoverage(t *testing.T) {
+	t.Parallel()
+	f := start(t, 3)
+	var a entry.QueryDocument
+	status, _ := postJSON(t, f.Address(0), "/v1/query", newQuery(), &a)
+	if status != http.StatusOK || a.Outcome != "complete" || a.Coverage.Covered != 20*groupKeys {
+		t.Fatalf("got status %d, %s, coverage %+v, want 200 and all %d keys", status, a.Outcome, a.Coverage, 20*groupKeys)
+	}
+	inject(t, f, "search/planner-03", "down", true)
+	for vm := range f.Size() {
+		q := newQuery()
+		status, _ = postJSON(t, f.Address(vm), "/v1/query", q, &a)
+		want := coverage.Range{From: 2 * groupKeys, To: 3 * groupKeys}
+		if status != http.StatusPartialContent || a.Outcome != "partial" || len(a.Coverage.Missing) != 1 || a.Coverage.Missing[0] != want {
+			t.Fatalf("got status %d, %s, missing %v, want 206 and %v", status, a.Outcome, a.Coverage.Missing, want)
+		}
+		if err := checkQuery(q, a); err != nil {
+			t.Error(err)
+		}
+	}
+	inject(t, f, "search/planner-03", "down", false)
+	until(t, "a complete answer after the group is back", func() bool {
+		a, err := f.Caller(1).Query(newQuery())
+		return err == nil && a.Outcome == "complete"
+	})
+}
+
+// TestBadRequests guards against work for a request that is refused, and
+// against an error that does not say which field is wrong.
+func TestBadRequests(t *testing.T) {
+	t.Parallel()
+	f := start(t, 1)
+	const id = `"id":"1700000000000-a","rank":"urgent",`
+	tests := []struct{ name, path, body, field string }{
+		{"unknown rank", "query", `{"id":"a","rank":"vip","service":"search","query":{}}`, "rank"},
+		{"missing rank", "query", `{"id":"a","service":"search","query":{}}`, "rank"},
+		{"missing id", "query", `{"rank":"urgent","service":"search","query":{}}`, "id"},
+		{"long id", "query", `{"id":"` + strings.Repeat("a", 129) + `","rank":"urgent","service":"search","query":{}}`, "id"},
+		{"missing service", "query", `{` + id + `"query":{}}`, "service"},
+		{"unknown service", "query", `{` + id + `"service":"nowhere","query":{}}`, "service"},
+		{"missing query", "query", `{` + id + `"service":"search"}`, "query"},
+		{"null query", "query", `{` + id + `"service":"search","query":null}`, "query"},
+		{"negative deadline", "query", `{` + id + `"service":"search","query":{},"deadline_ms":-1}`, "deadline_ms"},
+		{"zero deadline", "query", `{` + id + `"service":"search","query":{},"deadline_ms":0}`, "deadline_ms"},
+		{"absurd deadline", "query", `{` + id + `"service":"search","query":{},"deadline_ms":9000000000000}`, "deadline_ms"},
+		{"overflowing deadline", "query", `{` + id + `"service":"search","query":{},"deadline_ms":99999999999999999999}`, "deadline_ms"},
+		{"text as deadline", "query", `{` + id + `"service":"search","query":{},"deadline_ms":"1s"}`, "deadline_ms"},
+		{"coverage above 1", "query", `{` + id + `"service":"search","query":{},"min_coverage":50}`, "min_coverage"},
+		{"unknown field", "query", `{` + id + `"service":"search","query":{},"color":1}`, "color"},
+		{"bad JSON", "query", `{"id":`, "body"},
+		{"no body", "query", ``, "body"},
+		{"two documents", "query", `{` + id + `"service":"search","query":{}}{}`, "body"},
+		{"not an object", "query", `[]`, "body"},
+		{"oversized", "query", `{` + id + `"service":"search","query":"` + strings.Repeat("a", 1<<20) + `"}`, "body"},
+		{"order: unknown group", "order", `{` + id + `"service":"orders","group":"desk-99","body":{}}`, "group"},
+		{"order: unknown service", "order", `{` + id + `"service":"nowhere","group":"desk-01","body":{}}`, "service"},
+		{"order: missing group", "order", `{` + id + `"service":"orders","body":{}}`, "group"},
+		{"order: missing body", "order", `{` + id + `"service":"orders","group":"desk-01"}`, "body"},
+		{"order: id without time", "order", `{"id":"a","rank":"urgent","service":"orders","group":"desk-01","body":{}}`, "id"},
+		{"order: unknown field", "order", `{` + id + `"service":"orders","group":"desk-01","body":{},"deadline_ms":5}`, "deadline_ms"},
+		{"order: oversized", "order", `{` + id + `"service":"orders","group":"desk-01","body":"` + strings.Repeat("a", 1<<20) + `"}`, "body"},
+	}
+	for _, tt := range tests {
+		status, _, data := post(t, f.Address(0), "/v1/"+tt.path, []byte(tt.body))
+		var doc entry.ErrorDocument
+		if err := json.Unmarshal(data, &doc); err != nil {
+			t.Errorf("%s: answer %q: %v", tt.name, data, err)
+		}
+		if status != http.StatusBadRequest || doc.Field != tt.field || doc.Ran != attempt.No || doc.Error == "" {
+			t.Errorf("%s: got status %d, %+v, want 400 naming %s", tt.name, status, doc, tt.field)
+		}
+	}
+	cutBody(t, f.Address(0))
+	if got := received(f, ""); got != 0 {
+		t.Errorf("upstreams received %d attempts, want 0", got)
+	}
+}
+
+// cutBody sends half a body, then ends its side of the connection.
+func cutBody(t *testing.T, address string) {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, "POST /v1/query HTTP/1.1\r\nHost: x\r\nContent-Length: 500\r\n\r\n{\"id\":\"a\",")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := conn.(*net.TCPConn).CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
+	_ = conn.SetReadDeadline(time.Now().Add(waitLimit))
+	data, err := io.ReadAll(conn)
+	if err != nil || !strings.Contains(string(data), " 400 ") || !strings.Contains(string(data), `"field":"body"`) {
+		t.Errorf("cut body: got %q, %v, want 400 naming body", data, err)
+	}
+}
+
+// TestBrokenReplies guards against a caller that receives part of an answer, or
+// another caller's, when upstreams send late, crossed, cut and doubled replies.
+func TestBrokenReplies(t *testing.T) {
+	t.Parallel()
+	f := start(t, 3)
+	for _, fault := range []string{"crossed_share", "cut_share", "doubled_share", "late_share"} {
+		inject(t, f, "search", fault, 0.01)
+	}
+	inject(t, f, "search", "late_ms", 200)
+	const workers, each = 12, 10
+	outcomes := make(chan string, workers*each)
+	var wait sync.WaitGroup
+	for w := range workers {
+		wait.Go(func() {
+			for range each {
+				q := newQuery()
+				a, err := f.Caller(w).Query(q)
+				if err == nil {
+					err = checkQuery(q, a)
+				}
+				if err != nil {
+					t.Errorf("%s: %v", q.ID, err)
+				}
+				outcomes <- a.Outcome
+			}
+		})
+	}
+	wait.Wait()
+	close(outcomes)
+	got := make(map[string]int)
+	for o := range outcomes {
+		got[o]++
+	}
+	t.Log("outcomes:", got)
+	// A group is missing only if both replicas spoil their reply, or the retry budget is spent.
+	if got["complete"] < workers*each*3/4 {
+		t.Errorf("outcomes %v, want most of them complete", got)
+	}
+}
--- a/entry/request.go
+++ b/entry/request.go
@@ -8,6 +8,7 @@
 	"strings"
 
 	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/order"
 	"lentillink.example/lentillink/rank"
 )
 
@@ -48,7 +49,7 @@
 		return q, 0, err
 	}
 	switch {
-	case len(q.Query) == 0:
+	case !present(q.Query):
 		return q, 0, invalid("query", "must be present")
 	case q.DeadlineMs != nil && (*q.DeadlineMs <= 0 || *q.DeadlineMs > maxDeadlineMs):
 		return q, 0, invalid("deadline_ms", "is %d, must be 1 to %d", *q.DeadlineMs, maxDeadlineMs)
@@ -69,14 +70,25 @@
 		return o, 0, err
 	}
 	switch {
+	case !validOrderID(o.ID):
+		return o, 0, invalid("id", "%q must be <unix ms>-<random>, with 1 to 64 letters, digits, _ or - after the first -", o.ID)
 	case o.Group == "":
 		return o, 0, invalid("group", "must not be empty")
-	case len(o.Body) == 0:
+	case !present(o.Body):
 		return o, 0, invalid("body", "must be present")
 	}
 	return o, r, nil
 }
 
+// present reports whether a field that takes any JSON was given. null counts
+// as left out, as it does for every other field.
+func present(raw json.RawMessage) bool { return len(raw) > 0 && string(raw) != "null" }
+
+func validOrderID(id string) bool {
+	_, err := order.ParseID(id)
+	return err == nil
+}
+
 func checkCommon(id, rankName, service string) (rank.Rank, error) {
 	if id == "" || len(id) > maxIDBytes {
 		return 0, invalid("id", "has %d bytes, must have 1 to %d", len(id), maxIDBytes)
@@ -107,6 +119,9 @@
 func decodeError(err error) error {
 	var wrongType *json.UnmarshalTypeError
 	if errors.As(err, &wrongType) {
+		if wrongType.Field == "" { // the document itself
+			return invalid("body", "is a JSON %s, must be an object", wrongType.Value)
+		}
 		return invalid(wrongType.Field, "is a %s, must be a %s", wrongType.Value, wrongType.Type)
 	}
 	if name, ok := strings.CutPrefix(err.Error(), "json: unknown field "); ok {
--- /dev/null
+++ b/entry/stop_test.go
@@ -0,0 +1,116 @@
+package entry_test
+
+import (
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"lentillink.example/lentillink/entry"
+	"lentillink.example/lentillink/fleet"
+	"lentillink.example/lentillink/upstream"
+)
+
+// TestPlannedStop guards against a planned stop that cuts requests in flight,
+// or that the balancer and the other VMs do not notice.
+func TestPlannedStop(t *testing.T) {
+	t.Parallel()
+	f := start(t, 3, entry.WithBalancerWait(2000))
+	inject(t, f, "search", "median_ms", 300)
+	inject(t, f, "orders", "median_ms", 300)
+	answers := newLedger()
+	var open atomic.Int32 // requests in flight on the VM that stops
+	var queries, complete atomic.Int32
+	var wait sync.WaitGroup
+	for w := range 12 {
+		wait.Go(func() {
+			for f.Caller(0).Ready() { // as the balancer does
+				open.Add(1)
+				if w%2 == 0 {
+					o := newOrder()
+					a, err := f.Caller(0).Order(o)
+					if err != nil {
+						t.Errorf("order cut: %v", err)
+					}
+					answers.add(o.ID, a, err)
+				} else {
+					q := newQuery()
+					a, err := f.Caller(0).Query(q)
+					if err == nil {
+						err = checkQuery(q, a)
+					}
+					if err != nil {
+						t.Errorf("query cut: %v", err)
+					}
+					queries.Add(1)
+					if a.Outcome == "complete" {
+						complete.Add(1)
+					}
+				}
+				open.Add(-1)
+			}
+		})
+	}
+	until(t, "load is in flight", func() bool { return queries.Load() > 12 && open.Load() >= 8 })
+	end := make(chan error, 1)
+	go func() { end <- f.Stop(0) }()
+	until(t, "not ready", func() bool { return !f.Caller(0).Ready() })
+	if open.Load() == 0 {
+		t.Error("readyz turned 503 only when nothing was in flight")
+	}
+	until(t, "the others stop choosing it", func() bool {
+		return memberState(f, 1, "vm-1") != fleet.Alive && memberState(f, 2, "vm-1") != fleet.Alive
+	})
+	wait.Wait()
+	select {
+	case err := <-end:
+		if err != nil {
+			t.Errorf("Run: %v, want nil", err)
+		}
+	case <-time.After(35 * time.Second): // the drain limit and some room
+		t.Error("the stop took longer than its limit")
+	}
+	answers.check(t, f)
+	if q, c := queries.Load(), complete.Load(); c < q-3 {
+		t.Errorf("%d of %d queries are complete; a draining VM may refuse only those that arrive late", c, q)
+	}
+}
+
+// TestLeavingUpstream guards against new work for a leaving upstream from a VM
+// that has not noticed by itself.
+func TestLeavingUpstream(t *testing.T) {
+	t.Parallel()
+	f := start(t, 7)
+	for vm := range f.Size() {
+		complete(t, f, vm)
+	}
+	id := upstream.ID("search/app-04/b")
+	inject(t, f, string(id), "leaving", true)
+	left := time.Now()
+	complete(t, f, 0) // one VM may notice
+	time.Sleep(time.Until(left.Add(3 * time.Second)))
+	up := f.Standins.Upstream(id)
+	before := up.Counts().Received
+	for n := range 10 * f.Size() {
+		complete(t, f, n)
+	}
+	if got := up.Counts().Received; got != before {
+		t.Errorf("the leaving upstream received %d more attempts after 3 s, want 0", got-before)
+	}
+}
+
+// TestStopInOutage guards against a planned stop that fails only because the
+// store cannot take the marks of orders that are already answered.
+func TestStopInOutage(t *testing.T) {
+	t.Parallel()
+	f := start(t, 1, entry.WithDrainLimit(3000))
+	for range 5 {
+		if a, err := f.Caller(0).Order(newOrder()); err != nil || a.Outcome != "done" {
+			t.Fatalf("got %+v, %v, want done", a, err)
+		}
+	}
+	inject(t, f, "store", "down", true)
+	if err := f.Stop(0); err != nil {
+		t.Errorf("Run: %v, want nil", err)
+	}
+}
--- a/entry/vm.go
+++ b/entry/vm.go
@@ -49,6 +49,7 @@
 	stopped chan struct{} // closed when the event loop has ended
 	calls   atomic.Uint64
 	told    *questions
+	groups  map[string]map[string]bool // names of the groups of each service
 
 	waiters  map[uint64]chan<- vm.Cmd // owned by the event loop
 	requeued []vm.Msg                 // owned by the event loop
@@ -74,7 +75,7 @@
 		settings: s, clock: clock.System{}, logger: log.NewNopLogger(), registry: prometheus.NewRegistry(),
 		drainLimit: defaultDrainLimit, balancerWait: defaultBalancerWait, initial: preset.Default(),
 		inbox: make(chan item, inboxLen), asks: make(chan ask), stopped: make(chan struct{}),
-		told: newQuestions(), waiters: make(map[uint64]chan<- vm.Cmd),
+		told: newQuestions(), groups: groupsOf(s), waiters: make(map[uint64]chan<- vm.Cmd),
 	}
 	for _, opt := range opts {
 		opt(v)
@@ -179,7 +180,7 @@
 }
 
 func serve(s *fasthttp.Server, lis net.Listener) error {
-	if err := s.Serve(lis); err != nil {
+	if err := s.Serve(lingerListener{lis}); err != nil {
 		return wrap("serve", KindServe, err)
 	}
 	return nil
