--- /dev/null
+++ b/experiment/capacity.go
@@ -0,0 +1,149 @@
+package experiment
+
+import (
+	"fmt"
+	"runtime"
+)
+
+// Sizes of section 1.7 of the design page.
+const (
+	targetVMs        = 1600.0
+	targetUpstreams  = 9500.0
+	targetQueries    = 230_000.0 // per second in the whole fleet
+	targetGroups     = 98.0
+	targetDeadlineMs = 180.0
+	dataCentres      = 9.0
+	secondsPerDay    = 86400.0
+	storeValueBytes  = 1e6
+)
+
+// Rates per VM that follow from the sizes.
+const (
+	queriesPerVM  = targetQueries / targetVMs
+	attemptsPerVM = queriesPerVM * targetGroups
+	// A restart is one leaving and one joining, and so is a failure with its replacement.
+	changesOfMembers = 2 * (restartsPerDay + failuresPerDay) / secondsPerDay
+)
+
+// Capacity measures what one unit of each kind of work costs the pure machines
+// at several sizes, and extrapolates to the two-year size. cpu returns the
+// nanoseconds of a running clock; without it, processor time is not measured.
+// The run is single-threaded, so elapsed time overstates processor time if the
+// machine is busy. HTTP, system calls and the stream library are not included.
+func Capacity(seed uint64, cpu func() int64) Report {
+	r := Report{Name: "capacity", Seed: seed}
+	m := meter{cpu: cpu}
+	var c capacityCosts
+	c.queries(&r, m, seed)
+	c.pools(&r, m)
+	c.peers(&r, m)
+	c.gates(&r, m)
+	c.tables(&r, m, seed)
+	c.statuses(&r, m)
+	c.claims(&r, m)
+	c.events(&r)
+	c.extrapolate(&r, m)
+	return r
+}
+
+// capacityCosts are the costs at the largest size that was measured.
+type capacityCosts struct {
+	query, attempt, decision   cost
+	encode, decode             cost // of a forward and its result together
+	join, leave, leaveDC       cost
+	owners, statusCost         cost
+	statusBytes                float64
+	pairBytes                  float64 // a forward and its result on the wire
+	openQueryBytes             float64
+	bookBytes, tableBytes      float64 // per upstream
+	claimBytes, claimWireBytes float64 // per claim, in an owner and in the store
+	eventBytes                 float64
+}
+
+// cost is the cost of one unit of work.
+type cost struct{ ns, allocs, bytes float64 }
+
+// meter measures processor time and allocations.
+type meter struct{ cpu func() int64 }
+
+// measure runs f, which performs n units of work, and returns the cost of one.
+func (m meter) measure(n int, f func()) cost {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	var start, end int64
+	if m.cpu != nil {
+		start = m.cpu()
+	}
+	f()
+	if m.cpu != nil {
+		end = m.cpu()
+	}
+	runtime.ReadMemStats(&after)
+	units := float64(n)
+	return cost{
+		ns:     float64(end-start) / units,
+		allocs: float64(after.Mallocs-before.Mallocs) / units,
+		bytes:  float64(after.TotalAlloc-before.TotalAlloc) / units,
+	}
+}
+
+// report adds the figures of one size.
+func (m meter) report(r *Report, c cost, what, size string) {
+	if m.cpu != nil {
+		r.Note(what+" time"+size, "us", 0, c.ns/1e3)
+	}
+	r.Note(what+" allocations"+size, "", 0, c.allocs)
+	r.Note(what+" allocated"+size, "bytes", 0, c.bytes)
+}
+
+// grown returns the bytes that what build returned keeps in use.
+func grown[T any](build func() T) (float64, T) {
+	before := heapBytes()
+	kept := build()
+	after := heapBytes()
+	runtime.KeepAlive(&kept)
+	return after - before, kept
+}
+
+// extrapolate works out the two-year size from the costs.
+func (c *capacityCosts) extrapolate(r *Report, m meter) {
+	if m.cpu != nil {
+		c.extrapolateTime(r)
+	}
+	r.Note("two years: queries of a VM", "1/s", 0, queriesPerVM)
+	r.Note("two years: sub-requests sent by a VM", "1/s", 0, attemptsPerVM)
+	r.Note("two years: upstreams carried by a VM", "", 0, targetUpstreams*carriersEach/targetVMs)
+	r.Note("two years: peer traffic of a VM, each way", "MB/s", 0, attemptsPerVM*c.pairBytes/1e6)
+	r.Note("two years: peer streams of a VM", "", 0, streams(targetVMs))
+	r.Note("two years: open queries of a VM", "MB", 0, queriesPerVM*targetDeadlineMs/1e3*c.openQueryBytes/1e6)
+	r.Note("two years: book of upstreams in a VM", "MB", 0, targetUpstreams*c.bookBytes/1e6)
+	r.Note("two years: ring of events in a VM", "MB", 0, ringEvents*c.eventBytes/1e6)
+	r.AtMost("two years: carrier table of a VM", "MB", 0, targetUpstreams*c.tableBytes/1e6, controlMB)
+	r.Note("two years: answers to one question for the status of the fleet", "MB", 0, targetVMs*c.statusBytes/1e6)
+	for _, perSecond := range []float64{1, 10, 100, 1000} {
+		c.extrapolateClaims(r, perSecond)
+	}
+	r.Notes = append(r.Notes,
+		fmt.Sprintf("sizes: %g VMs, %g upstreams, %g queries/s to %g groups each", targetVMs, targetUpstreams, targetQueries, targetGroups),
+		"two-year figures are computed from the figures above at the largest size; HTTP, system calls and the stream library are not included",
+		fmt.Sprintf("an owner's cache of claims reaches %g MB at %.3g orders/s of the fleet", controlMB, claimRateAt(controlMB*1e6, c.claimBytes)))
+}
+
+func (c *capacityCosts) extrapolateTime(r *Report) {
+	core := func(ns, perSecond float64) float64 { return 100 * ns * perSecond / 1e9 }
+	query := core(c.query.ns, queriesPerVM)
+	pool := core(c.attempt.ns, attemptsPerVM)
+	// Each VM encodes and decodes as caller and again as carrier.
+	peer := core(c.encode.ns+c.decode.ns, 2*attemptsPerVM)
+	gate := core(c.decision.ns, queriesPerVM)
+	r.Note("two years: query machine of a VM", "% core", 0, query)
+	r.Note("two years: pool machine of a VM", "% core", 0, pool)
+	r.Note("two years: peer encoding of a VM", "% core", 0, peer)
+	r.Note("two years: admission of a VM", "% core", 0, gate)
+	r.AtMost("two years: machines on the event loop of a VM", "% core", 0, query+pool+gate, 100)
+	members := core((c.join.ns+c.leave.ns)/2+c.owners.ns, changesOfMembers)
+	r.AtMost("two years: carrier and owner tables of a VM", "% core", 0, members, controlCore)
+	r.Note("two years: longest stop of the event loop, one VM joins", "ms", 0, c.join.ns/1e6)
+	r.Note("two years: longest stop of the event loop, a data centre leaves", "ms", 0, c.leaveDC.ns/1e6)
+}
--- /dev/null
+++ b/experiment/capacity_order.go
@@ -0,0 +1,152 @@
+package experiment
+
+import (
+	"fmt"
+
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/order"
+	"lentillink.example/lentillink/store"
+)
+
+const (
+	claimSeconds = 20
+	claimStepMs  = 10
+	// A done mark follows its claim after the wait for the batch and the work of the upstream.
+	doneAfterMs = 80
+	// The head is sealed into a segment at this size.
+	sealBytes = 64 << 10
+)
+
+// claims measures the store calls of the claim owners by rate, and the memory of a claim.
+func (c *capacityCosts) claims(r *Report, m meter) {
+	for _, perSecond := range []int{10, 100, 1000, 10_000} {
+		size := fmt.Sprintf(", %d orders/s", perSecond)
+		rig := newClaimRig()
+		orders := perSecond * claimSeconds
+		var spent cost
+		grew, _ := grown(func() *claimRig {
+			spent = m.measure(orders, func() { rig.run(perSecond) })
+			return rig
+		})
+		c.claimBytes = (grew - float64(rig.stored())) / float64(orders)
+		c.claimWireBytes = float64(rig.stored()) / float64(orders)
+		r.Note("store writes of an order"+size, "", 1, float64(rig.writes)/float64(orders))
+		r.AtMost("store writes of all partitions"+size, "1/s", float64(perSecond), float64(rig.writes)/claimSeconds, storeWrites)
+		r.Note("store reads of all partitions"+size, "1/s", 0, float64(rig.reads)/claimSeconds)
+		r.Note("bytes written to the store"+size, "MB/s", 0, float64(rig.written)/claimSeconds/1e6)
+		r.AtMost("largest value in the store"+size, "bytes", 0, float64(rig.largest), storeValueBytes)
+		r.Note("claim in the store"+size, "bytes", 0, c.claimWireBytes)
+		r.Note("claim in the cache of its owner"+size, "bytes", 0, c.claimBytes)
+		m.report(r, spent, "order at the owner", size)
+	}
+}
+
+// claimRig is the owner of all partitions with a store that answers at once.
+type claimRig struct {
+	model                           *order.Model
+	now                             clock.Millis
+	seq                             uint64
+	entries                         map[string]store.Entry
+	revision                        uint64
+	writes, reads, written, largest int
+	claimed                         []order.ClaimMsg // not marked done
+}
+
+func newClaimRig() *claimRig {
+	return &claimRig{
+		model: order.New(order.WithSelf("vm-0001", 1)), now: 1_700_000_000_000, entries: make(map[string]store.Entry),
+	}
+}
+
+func (c *claimRig) run(perSecond int) {
+	steps := claimSeconds * int(clock.Second) / claimStepMs
+	made := 0
+	for step := range steps {
+		c.now += claimStepMs
+		for ; made < (step+1)*perSecond*claimStepMs/int(clock.Second); made++ {
+			c.claim()
+		}
+		c.markDone()
+		c.perform(c.model.Update(c.now, order.TickMsg{}))
+	}
+}
+
+func (c *claimRig) claim() {
+	c.seq++
+	msg := order.ClaimMsg{
+		From: "vm-0002", Token: order.Token{VM: "vm-0002", Incarnation: 1, Seq: c.seq},
+		ID: order.HashOf(fmt.Sprintf("%d-%d", c.now, c.seq)), Issued: c.now, Budget: 10 * clock.Second,
+	}
+	c.claimed = append(c.claimed, msg)
+	c.perform(c.model.Update(c.now, msg))
+}
+
+func (c *claimRig) markDone() {
+	for len(c.claimed) > 0 && c.claimed[0].Issued+doneAfterMs <= c.now {
+		msg := c.claimed[0]
+		c.claimed = c.claimed[1:]
+		msg.Op = order.OpDone
+		c.perform(c.model.Update(c.now, msg))
+	}
+}
+
+func (c *claimRig) perform(cmds []order.Cmd) {
+	var calls []store.Request
+	for _, cmd := range cmds {
+		if call, ok := cmd.(order.StoreCmd); ok {
+			calls = append(calls, call.Request)
+		}
+	}
+	for _, call := range calls {
+		c.perform(c.model.Update(c.now, order.StoreMsg{Reply: c.call(call)}))
+	}
+}
+
+func (c *claimRig) call(r store.Request) store.Reply {
+	reply := store.Reply{Owner: r.Owner, Tag: r.Tag, Op: r.Op, Kind: store.KindOK}
+	switch {
+	case r.Op == store.OpGet:
+		c.reads++
+	case r.Expect != c.entries[r.Key].Revision:
+		c.writes++
+		reply.Kind = store.KindConflict
+		return reply
+	case r.Op == store.OpDelete:
+		c.writes++
+		delete(c.entries, r.Key)
+	default:
+		c.writes++
+		c.revision++
+		c.written += len(r.Value)
+		c.largest = max(c.largest, len(r.Value))
+		c.entries[r.Key] = store.Entry{Key: r.Key, Value: append([]byte(nil), r.Value...), Revision: c.revision}
+	}
+	reply.Entry = c.entries[r.Key]
+	return reply
+}
+
+// stored returns the bytes of all values in the store.
+func (c *claimRig) stored() int {
+	n := 0
+	for _, e := range c.entries {
+		n += len(e.Value)
+	}
+	return n
+}
+
+// extrapolateClaims works out 24 hours of claims at a rate of the whole fleet.
+func (c *capacityCosts) extrapolateClaims(r *Report, perSecond float64) {
+	size := fmt.Sprintf(", %g orders/s", perSecond)
+	perPartition := perSecond * secondsPerDay / order.Partitions
+	segments := perPartition * c.claimWireBytes / sealBytes
+	// The rate of orders in two years is not stated, so these figures have no bound.
+	r.Note("two years: 24 h of claims of one partition at its owner"+size, "MB", 0, perPartition*c.claimBytes/1e6)
+	r.Note("two years: segments that a new owner reads"+size, "", 0, segments)
+	r.Note("two years: 24 h of claims in the store"+size, "MB", 0, order.Partitions*perPartition*c.claimWireBytes/1e6)
+}
+
+// claimRateAt returns the orders per second of the fleet at which 24 hours of
+// claims of one partition take the given memory.
+func claimRateAt(limitBytes, claimBytes float64) float64 {
+	return limitBytes / claimBytes * order.Partitions / secondsPerDay
+}
--- /dev/null
+++ b/experiment/capacity_peer.go
@@ -0,0 +1,91 @@
+package experiment
+
+import (
+	"fmt"
+
+	"google.golang.org/protobuf/proto"
+
+	"lentillink.example/lentillink/attempt"
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/coverage"
+	"lentillink.example/lentillink/peer"
+	"lentillink.example/lentillink/peer/peerpb"
+	"lentillink.example/lentillink/timeline"
+	"lentillink.example/lentillink/vm"
+)
+
+const (
+	capacityMessages = 20_000
+	ringEvents       = float64(timeline.DefaultCapacity)
+)
+
+// peers measures the messages between VMs for results of several sizes.
+func (c *capacityCosts) peers(r *Report, m meter) {
+	id := attempt.ID{VM: "vm-0001", Incarnation: 1_700_000_000_000, Seq: 123_456_789}
+	up := "search/planner-0042/a"
+	forward := vm.Forward{Request: attempt.Request{
+		ID: id, Upstream: up, Service: capacityService, Group: "planner-0042", Priority: 1 << 31, Deadline: 180,
+		Version: capacityVersion, Body: []byte(`{"plot":"north 14","name":"Korhonen"}`),
+	}}
+	for _, rows := range []int{0, 100, capacityKeys} { // the last one is used for the extrapolation
+		result := vm.Result{Reply: attempt.Reply{
+			ID: id, Upstream: up, Ran: attempt.Yes, Version: capacityVersion, Epoch: 1, Held: []uint64{capacityVersion},
+			Ranges: []coverage.Range{{From: 420, To: 430}}, Rows: capacityRows(420, rows), QueueMs: 1, ServiceMs: 8,
+		}}
+		size := fmt.Sprintf(", %d rows", rows)
+		wire := [][]byte{wireOf(forward), wireOf(result)}
+		r.Note("forward on the wire"+size, "bytes", 0, float64(len(wire[0])))
+		r.Note("result on the wire"+size, "bytes", 0, float64(len(wire[1])))
+		c.pairBytes = float64(len(wire[0]) + len(wire[1]))
+		c.encode = m.measure(capacityMessages, func() {
+			for range capacityMessages {
+				wireOf(forward)
+				wireOf(result)
+			}
+		})
+		c.decode = m.measure(capacityMessages, func() {
+			for range capacityMessages {
+				unwire(wire[0])
+				unwire(wire[1])
+			}
+		})
+		m.report(r, c.encode, "encoding a forward and its result", size)
+		m.report(r, c.decode, "decoding a forward and its result", size)
+	}
+}
+
+func wireOf(body vm.PeerBody) []byte {
+	data, err := proto.Marshal(peer.Encode(0, clock.Stamp{WallMs: 1_700_000_000_000}, body))
+	if err != nil {
+		panic(err) // the message is made here
+	}
+	return data
+}
+
+func unwire(data []byte) {
+	env := &peerpb.Envelope{}
+	if err := proto.Unmarshal(data, env); err != nil {
+		panic(err)
+	}
+	if _, _, err := peer.Decode(0, env); err != nil {
+		panic(err)
+	}
+}
+
+// events measures the ring of events with the texts that events carry.
+func (c *capacityCosts) events(r *Report) {
+	for _, n := range []int{1024, 4096, timeline.DefaultCapacity} {
+		grew, _ := grown(func() *timeline.Ring {
+			ring := timeline.NewRing("vm-0001", n)
+			for i := range n {
+				ring.Add(clock.Millis(i), timeline.Event{
+					Kind: timeline.Retried, Request: fmt.Sprintf("%d-request", i), Upstream: fmt.Sprintf("search/planner-%04d/a", i),
+					Rank: "ordinary", Detail: fmt.Sprintf("timed_out %d", i),
+				})
+			}
+			return ring
+		})
+		c.eventBytes = grew / float64(n)
+		r.Note(fmt.Sprintf("event in the ring memory, %d events", n), "bytes", 0, c.eventBytes)
+	}
+}
--- /dev/null
+++ b/experiment/capacity_query.go
@@ -0,0 +1,184 @@
+package experiment
+
+import (
+	"fmt"
+
+	"lentillink.example/lentillink/admission"
+	"lentillink.example/lentillink/attempt"
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/coverage"
+	"lentillink.example/lentillink/pool"
+	"lentillink.example/lentillink/query"
+	"lentillink.example/lentillink/rank"
+	"lentillink.example/lentillink/upstream"
+)
+
+const (
+	capacityQueries  = 400
+	capacityAttempts = 40_000
+	capacityKeys     = 10 // keys and rows of one group
+	capacityService  = "search"
+	capacityVersion  = 1
+)
+
+func (c *capacityCosts) queries(r *Report, m meter, seed uint64) {
+	for _, groups := range []int{10, 20, 40, int(targetGroups)} {
+		size := fmt.Sprintf(", %d groups", groups)
+		rig := newQueryRig(seed, groups)
+		rig.run(capacityQueries / 10) // latencies and maps are filled before the measurement
+		c.query = m.measure(capacityQueries, func() { rig.run(capacityQueries) })
+		m.report(r, c.query, "query", size)
+		grew, _ := grown(func() *queryRig { rig.open(capacityQueries); return rig })
+		c.openQueryBytes = grew / capacityQueries
+		r.Note("open query memory"+size, "bytes", 0, c.openQueryBytes)
+	}
+}
+
+// queryRig answers each attempt of a query.Model at once with the rows of its group.
+type queryRig struct {
+	model  *query.Model
+	now    clock.Millis
+	next   int
+	sent   []attempt.Request
+	ranges map[string][]coverage.Range
+	rows   map[string][]coverage.Row
+	held   []uint64
+}
+
+func newQueryRig(seed uint64, groups int) *queryRig {
+	list, svc := capacityUpstreams(groups)
+	rig := &queryRig{
+		ranges: make(map[string][]coverage.Range), rows: make(map[string][]coverage.Row), held: []uint64{capacityVersion},
+	}
+	book := upstream.New(upstream.WithUpstreams(list), upstream.WithSeed(seed))
+	for _, u := range list {
+		book.Observe(0, u.ID, attempt.Reply{Status: attempt.VersionGone, Held: rig.held})
+	}
+	for i, g := range svc.Groups {
+		from := uint32(i * capacityKeys)
+		rig.ranges[g.Name] = []coverage.Range{{From: from, To: from + capacityKeys}}
+		rig.rows[g.Name] = capacityRows(from, capacityKeys)
+	}
+	rig.model = query.New(book, query.WithServices(svc), query.WithVM("vm-0001", 1))
+	return rig
+}
+
+// capacityUpstreams returns one service of groups with two replicas each.
+func capacityUpstreams(groups int) ([]upstream.Upstream, upstream.Service) {
+	svc := upstream.Service{Name: capacityService, Keys: uint32(groups * capacityKeys)}
+	var list []upstream.Upstream
+	for g := range groups {
+		group := upstream.Group{Name: fmt.Sprintf("planner-%04d", g)}
+		for _, replica := range []string{"a", "b"} {
+			id := upstream.ID(capacityService + "/" + group.Name + "/" + replica)
+			group.Replicas = append(group.Replicas, upstream.Upstream{ID: id, Service: svc.Name, Group: group.Name})
+		}
+		list = append(list, group.Replicas...)
+		svc.Groups = append(svc.Groups, group)
+	}
+	return list, svc
+}
+
+func capacityRows(from uint32, n int) []coverage.Row {
+	rows := make([]coverage.Row, n)
+	for i := range rows {
+		rows[i] = coverage.Row{Key: from + uint32(i), Value: "plot with a value"}
+	}
+	return rows
+}
+
+func (q *queryRig) run(n int) {
+	for range n {
+		q.open(1)
+		for i := range q.sent {
+			q.model.Update(q.now, query.ReplyMsg{Reply: q.reply(&q.sent[i])})
+		}
+	}
+}
+
+// open starts n queries without answering their attempts.
+func (q *queryRig) open(n int) {
+	for range n {
+		q.now++
+		q.next++
+		q.sent = q.sent[:0]
+		start := query.StartMsg{ID: fmt.Sprint(q.next), Service: capacityService, Deadline: q.now + 1<<20}
+		for _, cmd := range q.model.Update(q.now, start) {
+			if send, ok := cmd.(query.SendCmd); ok {
+				q.sent = append(q.sent, send.Request)
+			}
+		}
+	}
+}
+
+func (q *queryRig) reply(req *attempt.Request) attempt.Reply {
+	return attempt.Reply{
+		ID: req.ID, Upstream: req.Upstream, Status: attempt.OK, Ran: attempt.Yes, Version: req.Version, Epoch: 1,
+		Ranges: q.ranges[req.Group], Held: q.held, Rows: q.rows[req.Group], ServiceMs: 8,
+	}
+}
+
+func (c *capacityCosts) pools(r *Report, m meter) {
+	for _, lanes := range []int{2, 12, 48, 192} {
+		rig := newPoolRig(lanes)
+		rig.run(capacityAttempts / 10)
+		got := m.measure(capacityAttempts, func() { rig.run(capacityAttempts) })
+		m.report(r, got, "pool attempt", fmt.Sprintf(", %d upstreams", lanes))
+		if lanes == 12 { // the upstreams carried by one VM in two years
+			c.attempt = got
+		}
+	}
+}
+
+type poolRig struct {
+	model *pool.Model
+	ids   []string
+	seq   uint64
+}
+
+func newPoolRig(lanes int) *poolRig {
+	rig := &poolRig{}
+	var opts []pool.Option
+	for i := range lanes {
+		rig.ids = append(rig.ids, fmt.Sprintf("search/planner-%04d/a", i))
+		opts = append(opts, pool.WithUpstream(rig.ids[i], 25))
+	}
+	rig.model = pool.New(opts...)
+	return rig
+}
+
+// run passes n attempts through the pool and asks for the next wake as the event loop does.
+func (p *poolRig) run(n int) {
+	for range n {
+		p.seq++
+		now := clock.Millis(p.seq / 14)
+		id := attempt.ID{VM: "vm-0001", Incarnation: 1, Seq: p.seq}
+		up := p.ids[p.seq%uint64(len(p.ids))]
+		p.model.Update(now, pool.EnqueueMsg{Request: attempt.Request{ID: id, Upstream: up, Deadline: now + 180}, From: "vm-0002"})
+		p.model.Update(now, pool.ReplyMsg{Reply: attempt.Reply{ID: id, Upstream: up, Status: attempt.OK, Ran: attempt.Yes}})
+		p.model.NextWake()
+	}
+}
+
+func (c *capacityCosts) gates(r *Report, m meter) {
+	for _, running := range []int{16, 64, 256} {
+		gate := admission.New(admission.WithService(capacityService, 1<<20, 1<<20), admission.WithService("orders", 64, 64))
+		n := 0
+		run := func(count int) {
+			for range count {
+				n++
+				now := clock.Millis(n / 10)
+				gate.Update(now, admission.ArriveMsg{
+					ID: fmt.Sprint(n), Rank: rank.Ordinary, Service: capacityService, Cost: int(targetGroups), Deadline: now + 1<<20,
+				})
+				if n > running {
+					gate.Update(now, admission.DoneMsg{ID: fmt.Sprint(n - running), TookMs: 20})
+				}
+				gate.NextWake()
+			}
+		}
+		run(2 * running)
+		c.decision = m.measure(capacityAttempts, func() { run(capacityAttempts) })
+		m.report(r, c.decision, "admission decision", fmt.Sprintf(", %d running", running))
+	}
+}
--- /dev/null
+++ b/experiment/capacity_test.go
@@ -0,0 +1,32 @@
+package experiment_test
+
+import (
+	"strings"
+	"testing"
+
+	"lentillink.example/lentillink/experiment"
+)
+
+// TestCapacity guards against a carrier table or store writes that outgrow the
+// two-year size, and against an experiment without its extrapolated figures.
+func TestCapacity(t *testing.T) {
+	if testing.Short() {
+		t.Skip("measures memory; the race detector changes it")
+	}
+	report := experiment.Capacity(1, nil)
+	if !report.OK() {
+		t.Error("got a missed bound, want all kept")
+	}
+	computed := 0
+	for _, f := range report.Figures {
+		if strings.HasPrefix(f.Name, "two years: ") {
+			computed++
+		}
+		if strings.Contains(f.Name, " time, ") {
+			t.Errorf("figure %q: got a time, want none without a clock", f.Name)
+		}
+	}
+	if computed == 0 {
+		t.Error("got no extrapolated figure")
+	}
+}
--- a/experiment/registry.go
+++ b/experiment/registry.go
@@ -21,6 +21,7 @@
 		{"spread", "time until a change is in force, against no eager spreading", func(seed uint64) Report { return Spread(seed) }},
 		{"control", "control traffic, processor time and memory by fleet size", wallControl},
 		{"fanout", "sub-requests wasted under five times overload, against an open gate", Fanout},
+		{"capacity", "cost of each kind of work by size, extrapolated to the two-year size", wallCapacity},
 	}
 }
 
@@ -33,9 +34,10 @@
 func allOrders(seed uint64) Report  { return Orders(seed, ordersCount) }
 func allPresets(seed uint64) Report { return Presets(seed, presetsHistories) }
 
-// wallControl measures processor time with the monotonic clock. It is the only
-// figure that differs between runs of one seed.
-func wallControl(seed uint64) Report { return Control(seed, nanoseconds) }
+// wallControl and wallCapacity measure processor time with the monotonic clock.
+// It is the only figure that differs between runs of one seed, besides memory.
+func wallControl(seed uint64) Report  { return Control(seed, nanoseconds) }
+func wallCapacity(seed uint64) Report { return Capacity(seed, nanoseconds) }
 
 // Find returns the experiment with the given name.
 func Find(name string) (Entry, bool) {
--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -63,7 +63,7 @@
 	stop func()
 }
 
-func startNode(t *testing.T, name string, opts ...peer.Option) *node {
+func startNode(t testing.TB, name string, opts ...peer.Option) *node {
 	t.Helper()
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
