Add the fault matrix over whole cores

Cause: the faults of section 1.5 were tested machine by machine. Nothing showed that whole cores keep section 1.1 when a fault strikes at a given step of a query, an order, a claim, a preset switch or a hand-over.

Change: RunCell runs one fault at one step in a Tier with mixed load, orders that are repeated through other VMs and one preset switch, and compares every answer with a ledger of what the fake upstreams did. A cell counts only if its step was reached and its fault had an effect. Tier takes hooks, an order service, and planned stops, kills and pauses of VMs. Each checker has a test double that it must catch.

--- a/cmd/lentillink/experiment.go
+++ b/cmd/lentillink/experiment.go
@@ -12,6 +12,7 @@
 
 type experimentCommand struct {
 	jsonFlag
+	matrixFlags
 	Seed uint64 `long:"seed" default:"1" description:"seed; the same seed gives the same figures"`
 	Args struct {
 		Name string `positional-arg-name:"NAME" description:"experiment, or list for all names"`
@@ -23,6 +24,9 @@
 	if c.Args.Name == "list" {
 		return listExperiments()
 	}
+	if c.Args.Name == matrixName {
+		return c.runMatrix()
+	}
 	e, ok := experiment.Find(c.Args.Name)
 	if !ok {
 		return &exitError{code: exitUsage, err: fmt.Errorf("NAME: %q is not one of %s", c.Args.Name, strings.Join(experimentNames(), ", "))}
@@ -50,7 +54,7 @@
 	for _, e := range experiment.All() {
 		names = append(names, e.Name)
 	}
-	return names
+	return append(names, matrixName)
 }
 
 func listExperiments() error {
@@ -58,5 +62,6 @@
 		for _, e := range experiment.All() {
 			_, _ = fmt.Fprintf(tw, "%s\t%s\n", e.Name, e.Short)
 		}
+		_, _ = fmt.Fprintf(tw, "%s\t%s\n", matrixName, "every fault at every step, checked for every invariant")
 	})
 }
--- /dev/null
+++ b/experiment/matrix_check.go
@@ -0,0 +1,156 @@
+package experiment
+
+import (
+	"fmt"
+
+	"lentillink.example/lentillink/attempt"
+	"lentillink.example/lentillink/coverage"
+	"lentillink.example/lentillink/order"
+	"lentillink.example/lentillink/vm"
+)
+
+// The invariants of section 1.1 of the design, and that every request is answered.
+const (
+	InvariantSnapshot  = "one-snapshot"
+	InvariantCoverage  = "true-coverage"
+	InvariantOwn       = "own-answer"
+	InvariantNotRun    = "not-run"
+	InvariantOnce      = "at-most-once"
+	InvariantLeaving   = "leaving"
+	InvariantStop      = "planned-stop"
+	InvariantPreset    = "preset-in-force"
+	InvariantRevert    = "no-revert"
+	InvariantOnePreset = "one-preset"
+	InvariantAnswered  = "answered"
+)
+
+// Violation is one thing that did not hold.
+type Violation struct {
+	Invariant string
+	Detail    string
+}
+
+// checker collects the violations of one cell.
+type checker struct {
+	found []Violation
+}
+
+func (c *checker) fail(invariant, format string, args ...any) {
+	c.found = append(c.found, Violation{Invariant: invariant, Detail: fmt.Sprintf(format, args...)})
+}
+
+// requests checks every answer of a run that has ended.
+func (c *checker) requests(list []*request, g *ledger) {
+	for _, q := range list {
+		c.answered(q)
+		for _, cmd := range q.answers {
+			switch a := cmd.(type) {
+			case vm.AnswerQueryCmd:
+				c.query(q, a.Answer, g)
+			case vm.AnswerOrderCmd:
+				c.order(q, a.Answer, g)
+			}
+		}
+	}
+	for _, q := range list {
+		if q.order && g.orders[q.id] > 1 {
+			c.fail(InvariantOnce, "order %s ran %d times", q.id, g.orders[q.id])
+		}
+	}
+	for _, l := range g.late {
+		c.fail(InvariantLeaving, "%s", l)
+	}
+}
+
+func (c *checker) answered(q *request) {
+	switch {
+	case q.lost:
+	case len(q.answers) == 0:
+		c.fail(InvariantAnswered, "%s sent to %s at %d was never answered", q.body, q.vm, q.sent)
+	case len(q.answers) > 1:
+		c.fail(InvariantOwn, "%s was answered %d times", q.body, len(q.answers))
+	case q.at > q.due:
+		c.fail(InvariantAnswered, "%s of %s was answered %d ms late by %s", q.body, q.rank, q.at-q.due, q.vm)
+	}
+}
+
+func (c *checker) query(q *request, a vm.QueryAnswer, g *ledger) {
+	if q.order || a.ID != q.id {
+		c.fail(InvariantOwn, "%s received the answer to %s", q.body, a.ID)
+		return
+	}
+	if a.Ran == attempt.No && g.runs[q.body] > 0 {
+		c.fail(InvariantNotRun, "%s: ran no, but an upstream began it %d times", q.body, g.runs[q.body])
+	}
+	if a.Outcome != vm.Complete && a.Outcome != vm.Partial {
+		return
+	}
+	c.rows(q, a)
+	c.coverage(q, a, g)
+}
+
+func (c *checker) rows(q *request, a vm.QueryAnswer) {
+	want := fmt.Sprintf("v%d", a.Snapshot)
+	for _, row := range a.Rows {
+		version, body := splitRow(row.Value)
+		if version != want {
+			c.fail(InvariantSnapshot, "%s of snapshot %d has a row of %s", q.body, a.Snapshot, version)
+			return
+		}
+		if body != q.body {
+			c.fail(InvariantOwn, "%s has a row of %s", q.body, body)
+			return
+		}
+	}
+}
+
+// coverage checks that the covered keys were really served at the snapshot, and
+// that every row in them arrived.
+func (c *checker) coverage(q *request, a vm.QueryAnswer, g *ledger) {
+	var missing coverage.Set
+	for _, gap := range a.Missing {
+		missing.Add(gap)
+	}
+	if a.Covered+missing.Len() != a.Expected {
+		c.fail(InvariantCoverage, "%s covers %d and misses %d of %d keys", q.body, a.Covered, missing.Len(), a.Expected)
+	}
+	if complete := a.Outcome == vm.Complete; complete != (missing.Len() == 0) {
+		c.fail(InvariantCoverage, "%s is %s with %d missing keys", q.body, a.Outcome, missing.Len())
+	}
+	rows := make(map[uint32]int)
+	for _, row := range a.Rows {
+		rows[row.Key]++
+	}
+	served := g.served[q.body][a.Snapshot]
+	for _, covered := range missing.Missing(coverage.Range{To: a.Expected}) {
+		if served == nil || len(served.Missing(covered)) > 0 {
+			c.fail(InvariantCoverage, "%s claims keys %d to %d, which no upstream served", q.body, covered.From, covered.To)
+			return
+		}
+		for k := (covered.From + rowEvery - 1) / rowEvery * rowEvery; k < covered.To; k += rowEvery {
+			switch {
+			case rows[k] == 0:
+				c.fail(InvariantCoverage, "%s claims key %d but has no row of it", q.body, k)
+				return
+			case rows[k] > 1:
+				c.fail(InvariantOwn, "%s has %d rows of key %d", q.body, rows[k], k)
+				return
+			}
+		}
+	}
+}
+
+func (c *checker) order(q *request, a vm.OrderAnswer, g *ledger) {
+	if !q.order || a.ID != q.id {
+		c.fail(InvariantOwn, "%s received the answer to order %s", q.body, a.ID)
+		return
+	}
+	switch {
+	case a.Ran == attempt.No && g.runs[q.body] > 0:
+		c.fail(InvariantNotRun, "%s: ran no (%s), but it ran %d times", q.body, a.Reason, g.runs[q.body])
+	case a.Outcome == order.Done && g.runs[q.body] != 1:
+		c.fail(InvariantOnce, "%s is called done and ran %d times", q.body, g.runs[q.body])
+	case a.Outcome == order.Done && string(a.Body) != "done "+q.body:
+		c.fail(InvariantOwn, "%s received the body %q", q.body, a.Body)
+	}
+}
--- /dev/null
+++ b/experiment/matrix_check_test.go
@@ -0,0 +1,279 @@
+package experiment_test
+
+import (
+	"slices"
+	"testing"
+
+	"lentillink.example/lentillink/attempt"
+	"lentillink.example/lentillink/coverage"
+	"lentillink.example/lentillink/experiment"
+	"lentillink.example/lentillink/order"
+	"lentillink.example/lentillink/timeline"
+	"lentillink.example/lentillink/vm"
+)
+
+type commands = func(id string, cmd vm.Cmd) []vm.Cmd
+
+// eachQuery changes the answers to queries.
+func eachQuery(change func(*vm.QueryAnswer)) commands {
+	return func(_ string, cmd vm.Cmd) []vm.Cmd {
+		if a, ok := cmd.(vm.AnswerQueryCmd); ok {
+			a.Answer.Rows = slices.Clone(a.Answer.Rows)
+			change(&a.Answer)
+			return []vm.Cmd{a}
+		}
+		return []vm.Cmd{cmd}
+	}
+}
+
+// eachOrder changes the answers to orders.
+func eachOrder(change func(*vm.OrderAnswer)) commands {
+	return func(_ string, cmd vm.Cmd) []vm.Cmd {
+		if a, ok := cmd.(vm.AnswerOrderCmd); ok {
+			change(&a.Answer)
+			return []vm.Cmd{a}
+		}
+		return []vm.Cmd{cmd}
+	}
+}
+
+func duplicateDispatch(_ string, cmd vm.Cmd) []vm.Cmd {
+	if d, ok := cmd.(vm.DispatchCmd); ok && d.Request.Kind == attempt.Order {
+		return []vm.Cmd{cmd, cmd}
+	}
+	return []vm.Cmd{cmd}
+}
+
+func changeRowVersion(a *vm.QueryAnswer) {
+	if len(a.Rows) > 0 {
+		a.Rows[0].Value = "v99" + a.Rows[0].Value[2:]
+	}
+}
+
+func claimWhole(a *vm.QueryAnswer) {
+	if a.Outcome == vm.Partial {
+		a.Outcome, a.Covered, a.Missing = vm.Complete, a.Expected, nil
+	}
+}
+
+func claimLess(a *vm.QueryAnswer) {
+	if a.Outcome == vm.Complete {
+		a.Missing = []coverage.Range{{From: 0, To: 10}}
+	}
+}
+
+// otherSnapshot claims a snapshot at which no upstream served the request.
+func otherSnapshot(a *vm.QueryAnswer) {
+	if a.Outcome != vm.Complete {
+		return
+	}
+	a.Snapshot = 7
+	for i := range a.Rows {
+		a.Rows[i].Value = "v7" + a.Rows[i].Value[2:]
+	}
+}
+
+func doubleRow(a *vm.QueryAnswer) {
+	if len(a.Rows) > 0 {
+		a.Rows = append(a.Rows, a.Rows[0])
+	}
+}
+
+func loseRow(a *vm.QueryAnswer) {
+	if len(a.Rows) > 0 {
+		a.Rows = a.Rows[1:]
+	}
+}
+
+// exchange gives each of two answers to the caller of the other.
+func exchange(rows bool) commands {
+	var first *vm.AnswerQueryCmd
+	return func(_ string, cmd vm.Cmd) []vm.Cmd {
+		a, ok := cmd.(vm.AnswerQueryCmd)
+		if !ok || a.Answer.Outcome != vm.Complete {
+			return []vm.Cmd{cmd}
+		}
+		if first == nil {
+			first = &a
+			return nil
+		}
+		other := *first
+		first = nil
+		if rows {
+			a.Answer.Rows, other.Answer.Rows = other.Answer.Rows, a.Answer.Rows
+		} else {
+			a.Answer, other.Answer = other.Answer, a.Answer
+		}
+		return []vm.Cmd{a, other}
+	}
+}
+
+func queryUnknownToNo(a *vm.QueryAnswer) {
+	if a.Outcome == vm.Failed {
+		a.Ran = attempt.No
+	}
+}
+
+func orderUnknownToNo(a *vm.OrderAnswer) {
+	if a.Outcome == order.Unknown {
+		a.Outcome, a.Ran = order.Refused, attempt.No
+	}
+}
+
+func otherBody(a *vm.OrderAnswer) {
+	if a.Outcome == order.Done {
+		a.Body = []byte("done another order")
+	}
+}
+
+// ignoreLeaving sends a copy of the work of its other replica to a leaving upstream.
+func ignoreLeaving() commands {
+	leaving := ""
+	return func(_ string, cmd vm.Cmd) []vm.Cmd {
+		switch m := cmd.(type) {
+		case vm.EventCmd:
+			if m.Event.Kind == timeline.UpstreamLeaving {
+				leaving = m.Event.Upstream
+			}
+		case vm.DispatchCmd:
+			if leaving != "" && m.Request.Upstream[:len(m.Request.Upstream)-1] == leaving[:len(leaving)-1] {
+				m.Request.Upstream = leaving
+				m.Request.ID.Seq += 1 << 40
+				return []vm.Cmd{cmd, m}
+			}
+		}
+		return []vm.Cmd{cmd}
+	}
+}
+
+// dropOne loses the tenth answer.
+func dropOne() commands {
+	n := 0
+	return func(_ string, cmd vm.Cmd) []vm.Cmd {
+		if _, ok := cmd.(vm.AnswerQueryCmd); ok {
+			n++
+			if n == 10 {
+				return nil
+			}
+		}
+		return []vm.Cmd{cmd}
+	}
+}
+
+// delayOne holds one urgent answer back until many more commands have followed.
+func delayOne() commands {
+	var held vm.Cmd
+	n := 0
+	return func(_ string, cmd vm.Cmd) []vm.Cmd {
+		n++
+		if a, ok := cmd.(vm.AnswerQueryCmd); ok && held == nil && n > 1000 {
+			held, n = a, 0
+			return nil
+		}
+		if held != nil && n == 20_000 {
+			return []vm.Cmd{cmd, held}
+		}
+		return []vm.Cmd{cmd}
+	}
+}
+
+// cutAtStop loses what a stopping VM still has to answer, or makes it unknown.
+func cutAtStop(drop bool) commands {
+	stopping := ""
+	return func(id string, cmd vm.Cmd) []vm.Cmd {
+		if e, ok := cmd.(vm.EventCmd); ok && e.Event.Kind == timeline.DrainStarted {
+			stopping = id
+		}
+		if id != stopping {
+			return []vm.Cmd{cmd}
+		}
+		switch a := cmd.(type) {
+		case vm.AnswerQueryCmd:
+			if drop {
+				return nil
+			}
+			a.Answer.Outcome = vm.Failed
+			return []vm.Cmd{a}
+		case vm.AnswerOrderCmd:
+			if drop {
+				return nil
+			}
+			a.Answer.Outcome = order.Unknown
+			return []vm.Cmd{a}
+		}
+		return []vm.Cmd{cmd}
+	}
+}
+
+type presetView = func(id, name string, revision uint64) (string, uint64)
+
+// revert puts revision 1 back in force on one VM after it has had revision 2 for a while.
+func revert() presetView {
+	seen := 0
+	return func(id, name string, revision uint64) (string, uint64) {
+		if id != "vm-2" || revision < 2 {
+			return name, revision
+		}
+		if seen++; seen < 100 || seen > 200 {
+			return name, revision
+		}
+		return "ordinary", 1
+	}
+}
+
+func stuck(id, name string, revision uint64) (string, uint64) {
+	if id == "vm-2" && revision > 1 {
+		return "ordinary", 1
+	}
+	return name, revision
+}
+
+func another(id, name string, revision uint64) (string, uint64) {
+	if id == "vm-2" && revision > 1 {
+		return "maintenance", revision
+	}
+	return name, revision
+}
+
+// Guards against a checker that cannot fail: each double breaks one invariant.
+func TestMatrixCheckersCatch(t *testing.T) {
+	const quiet, cut, stop = "upstream-cold/query-sent", "reply-cut/query-sent", "vm-stopped/query-sent"
+	tests := map[string]struct {
+		cell   string
+		double experiment.CellOptions
+		want   string
+	}{
+		"order dispatched twice":       {quiet, experiment.CellOptions{Commands: duplicateDispatch}, experiment.InvariantOnce},
+		"row of another version":       {quiet, experiment.CellOptions{Commands: eachQuery(changeRowVersion)}, experiment.InvariantSnapshot},
+		"full coverage claimed":        {cut, experiment.CellOptions{Commands: eachQuery(claimWhole)}, experiment.InvariantCoverage},
+		"coverage does not add up":     {quiet, experiment.CellOptions{Commands: eachQuery(claimLess)}, experiment.InvariantCoverage},
+		"keys that nobody served":      {quiet, experiment.CellOptions{Commands: eachQuery(otherSnapshot)}, experiment.InvariantCoverage},
+		"row lost":                     {quiet, experiment.CellOptions{Commands: eachQuery(loseRow)}, experiment.InvariantCoverage},
+		"row doubled":                  {quiet, experiment.CellOptions{Commands: eachQuery(doubleRow)}, experiment.InvariantOwn},
+		"answers exchanged":            {quiet, experiment.CellOptions{Commands: exchange(false)}, experiment.InvariantOwn},
+		"rows exchanged":               {quiet, experiment.CellOptions{Commands: exchange(true)}, experiment.InvariantOwn},
+		"body of another order":        {quiet, experiment.CellOptions{Commands: eachOrder(otherBody)}, experiment.InvariantOwn},
+		"unknown order called not run": {cut, experiment.CellOptions{Commands: eachOrder(orderUnknownToNo)}, experiment.InvariantNotRun},
+		"failed query called not run":  {cut, experiment.CellOptions{Commands: eachQuery(queryUnknownToNo)}, experiment.InvariantNotRun},
+		"revision lowered":             {quiet, experiment.CellOptions{Preset: revert()}, experiment.InvariantRevert},
+		"revision not in force":        {quiet, experiment.CellOptions{Preset: stuck}, experiment.InvariantPreset},
+		"two presets at one revision":  {quiet, experiment.CellOptions{Preset: another}, experiment.InvariantOnePreset},
+		"work for a leaving upstream":  {"upstream-leaving/query-sent", experiment.CellOptions{Commands: ignoreLeaving()}, experiment.InvariantLeaving},
+		"answer dropped":               {quiet, experiment.CellOptions{Commands: dropOne()}, experiment.InvariantAnswered},
+		"answer late":                  {quiet, experiment.CellOptions{Commands: delayOne()}, experiment.InvariantAnswered},
+		"requests dropped at a stop":   {stop, experiment.CellOptions{Commands: cutAtStop(true)}, experiment.InvariantStop},
+		"requests cut at a stop":       {stop, experiment.CellOptions{Commands: cutAtStop(false)}, experiment.InvariantStop},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			got, err := experiment.RunCell(1, tt.cell, tt.double)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if !slices.Contains(got.Names(), tt.want) {
+				t.Errorf("got %v %s, want %s", got.Names(), got.Problem, tt.want)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/experiment/matrix_fault_reply.go
@@ -0,0 +1,87 @@
+package experiment
+
+import (
+	"lentillink.example/lentillink/attempt"
+	"lentillink.example/lentillink/clock"
+)
+
+// replyFaultPercent is the share of replies that a reply fault concerns.
+const replyFaultPercent = 20
+
+// corrupt applies a fault to a share of the replies of upstreams that ran the work.
+func (c *cell) corrupt(s *strike, apply func(attempt.Request, attempt.Reply, func(attempt.Reply))) func() {
+	inner := c.faults.reply
+	c.faults.reply = func(req attempt.Request, r attempt.Reply, deliver func(attempt.Reply)) {
+		if r.Status == attempt.OK && c.rng.IntN(100) < replyFaultPercent {
+			s.effects++
+			apply(req, r, deliver)
+			return
+		}
+		if inner != nil {
+			inner(req, r, deliver)
+			return
+		}
+		deliver(r)
+	}
+	return func() { c.faults.reply = inner }
+}
+
+func replyLate(c *cell, s *strike, _ moment) func() {
+	return c.corrupt(s, func(_ attempt.Request, r attempt.Reply, deliver func(attempt.Reply)) {
+		c.tier.Loop.After(100+clock.Millis(c.rng.Int64N(4000)), func() { deliver(r) })
+	})
+}
+
+func mismatched(r attempt.Reply) attempt.Reply {
+	return attempt.Reply{ID: r.ID, Upstream: r.Upstream, Status: attempt.Mismatched}
+}
+
+// replyCrossed exchanges two replies. The adapter reports both as mismatched;
+// as a further trial of the core, the exchanged replies arrive as well.
+func replyCrossed(c *cell, s *strike, _ moment) func() {
+	type held struct {
+		reply   attempt.Reply
+		deliver func(attempt.Reply)
+	}
+	var first *held
+	return c.corrupt(s, func(_ attempt.Request, r attempt.Reply, deliver func(attempt.Reply)) {
+		if first == nil {
+			first = &held{r, deliver}
+			own := first
+			c.tier.Loop.After(200, func() {
+				if first == own { // no partner came
+					first = nil
+					deliver(r)
+				}
+			})
+			return
+		}
+		other := *first
+		first = nil
+		other.deliver(mismatched(other.reply))
+		deliver(mismatched(r))
+		other.deliver(r)
+		deliver(other.reply)
+	})
+}
+
+// replyCut loses the end of a reply: the adapter reports it as mismatched, or
+// whole rows and ranges are missing.
+func replyCut(c *cell, s *strike, _ moment) func() {
+	return c.corrupt(s, func(req attempt.Request, r attempt.Reply, deliver func(attempt.Reply)) {
+		if req.Kind == attempt.Order || c.rng.IntN(2) == 0 {
+			deliver(mismatched(r))
+			return
+		}
+		r.Ranges, r.Rows = nil, nil
+		deliver(r)
+	})
+}
+
+func replyDoubled(c *cell, s *strike, _ moment) func() {
+	return c.corrupt(s, func(_ attempt.Request, r attempt.Reply, deliver func(attempt.Reply)) {
+		deliver(r)
+		deliver(r)
+		c.tier.Loop.After(clock.Millis(c.rng.Int64N(500)), func() { deliver(r) })
+	})
+}
--- /dev/null
+++ b/experiment/matrix_fault_upstream.go
@@ -0,0 +1,150 @@
+package experiment
+
+import (
+	"strings"
+
+	"lentillink.example/lentillink/attempt"
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/coverage"
+	"lentillink.example/lentillink/timeline"
+	"lentillink.example/lentillink/upstream"
+	"lentillink.example/lentillink/vm"
+)
+
+// target returns the upstream that the moment concerns, or one of the service
+// that the step concerns.
+func (c *cell) target(s *strike, m moment) (string, *Upstream) {
+	id := ""
+	if d, ok := m.cmd.(vm.DispatchCmd); ok {
+		id = d.Request.Upstream
+	}
+	if m.served != nil {
+		id = m.served.Upstream
+	}
+	for prefix := "search/"; id == ""; {
+		if s.step.orders {
+			prefix = "orders/"
+		}
+		if try := c.tier.ids[c.rng.IntN(len(c.tier.ids))]; strings.HasPrefix(try, prefix) {
+			id = try
+		}
+	}
+	c.note("fault %s concerns %s", s.fault.name, id)
+	return id, c.tier.Upstreams[id]
+}
+
+// countReceived counts the requests that reach an upstream from now on.
+func countReceived(s *strike, up *Upstream) {
+	inner := up.Received
+	up.Received = func(r attempt.Request) {
+		s.effects++
+		inner(r)
+	}
+}
+
+func straggler(c *cell, s *strike, m moment) func() {
+	_, up := c.target(s, m)
+	up.SlowFactor = 10
+	countReceived(s, up)
+	return func() { up.SlowFactor = 1 }
+}
+
+func replicaLost(c *cell, s *strike, m moment) func() {
+	_, up := c.target(s, m)
+	up.Dead = true
+	countReceived(s, up)
+	return func() { up.Dead = false }
+}
+
+// repartition moves keys from one group to the next. Its replicas learn of the
+// new shard map one after another.
+func repartition(c *cell, s *strike, _ moment) func() {
+	const moved = 40
+	g := c.rng.IntN(c.tier.Config.Groups - 1)
+	for i, id := range c.tier.ids {
+		group, replica := i/c.tier.Config.Replicas, i%c.tier.Config.Replicas
+		up := c.tier.Upstreams[id]
+		if group != g && group != g+1 || !strings.HasPrefix(id, "search/") {
+			continue
+		}
+		after := clock.Millis(replica*400 + c.rng.IntN(200))
+		c.tier.Loop.After(after, func() {
+			keys := up.Ranges[0]
+			if group == g {
+				keys.To -= moved
+			} else {
+				keys.From -= moved
+			}
+			up.Ranges, up.Epoch = []coverage.Range{keys}, up.Epoch+1
+			countReceived(s, up)
+		})
+	}
+	return nil
+}
+
+// indexChange loads a new snapshot on one upstream after another and drops the
+// old one.
+func indexChange(c *cell, s *strike, _ moment) func() {
+	for _, id := range c.tier.ids {
+		up := c.tier.Upstreams[id]
+		if len(up.Held) == 0 {
+			continue
+		}
+		latest := up.Held[len(up.Held)-1]
+		loaded := clock.Millis(c.rng.Int64N(1500))
+		dropped := loaded + clock.Millis(c.rng.Int64N(1500))
+		c.tier.Loop.After(loaded, func() { up.Held = []uint64{latest, latest + 1} })
+		c.tier.Loop.After(dropped, func() {
+			up.Held = []uint64{latest + 1}
+			countReceived(s, up)
+		})
+	}
+	return nil
+}
+
+func upstreamLeaving(c *cell, s *strike, m moment) func() {
+	id, up := c.target(s, m)
+	up.Leaving = true
+	c.ledger.leaving[id] = c.tier.Loop.Now()
+	c.faults.seen = append(c.faults.seen, func(_ string, cmd vm.Cmd) {
+		if e, ok := cmd.(vm.EventCmd); ok && e.Event.Kind == timeline.UpstreamLeaving && e.Event.Upstream == id {
+			s.effects++
+		}
+	})
+	return func() {
+		up.Leaving = false
+		delete(c.ledger.leaving, id)
+	}
+}
+
+func upstreamCold(c *cell, s *strike, m moment) func() {
+	_, up := c.target(s, m)
+	up.ColdUntil = c.tier.Loop.Now() + faultMs
+	countReceived(s, up)
+	return nil
+}
+
+func upstreamShedding(c *cell, s *strike, m moment) func() {
+	_, up := c.target(s, m)
+	up.Workers, up.ShedAbove = 1, 1
+	countReceived(s, up)
+	return func() { up.Workers, up.ShedAbove = 0, 0 }
+}
+
+// upstreamLying is slow and sheds load while its load endpoint says that all is
+// well and names snapshots that it does not hold.
+func upstreamLying(c *cell, s *strike, m moment) func() {
+	id, up := c.target(s, m)
+	up.SlowFactor, up.Workers, up.ShedAbove = 6, 4, 2
+	c.faults.load = func(of upstream.ID, load upstream.Load) upstream.Load {
+		if string(of) == id {
+			s.effects++
+			load = upstream.Load{Healthy: true, Held: []uint64{1, 99}}
+		}
+		return load
+	}
+	return func() {
+		up.SlowFactor, up.Workers, up.ShedAbove = 1, 0, 0
+		c.faults.load = nil
+	}
+}
--- /dev/null
+++ b/experiment/matrix_hooks.go
@@ -0,0 +1,129 @@
+package experiment
+
+import (
+	"lentillink.example/lentillink/attempt"
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/fleet"
+	"lentillink.example/lentillink/order"
+	"lentillink.example/lentillink/upstream"
+	"lentillink.example/lentillink/vm"
+)
+
+// faultState is what the faults have switched on. The zero values are healthy.
+type faultState struct {
+	reply      func(attempt.Request, attempt.Reply, func(attempt.Reply))
+	load       func(upstream.ID, upstream.Load) upstream.Load
+	roster     func(string, []fleet.VM) []fleet.VM
+	loseAnswer func() bool
+	cut        map[[2]string]*int // messages dropped, by direction
+	seen       []func(string, vm.Cmd)
+}
+
+func (f *faultState) init() { f.cut = make(map[[2]string]*int) }
+
+func (c *cell) before(id string, msg vm.Msg) { c.observe(moment{vm: id, msg: msg}) }
+
+func (c *cell) after(id string, core *vm.Core) {
+	if c.tier != nil {
+		c.changes.observe(id, core)
+	}
+}
+
+func (c *cell) commands(id string, cmd vm.Cmd) []vm.Cmd {
+	list := []vm.Cmd{cmd}
+	if c.opts.Commands != nil {
+		list = c.opts.Commands(id, cmd)
+	}
+	for _, cmd := range list {
+		c.observe(moment{vm: id, cmd: cmd})
+		for _, see := range c.faults.seen {
+			see(id, cmd)
+		}
+		switch a := cmd.(type) {
+		case vm.AnswerQueryCmd:
+			c.load.receive(a.Call, a)
+		case vm.AnswerOrderCmd:
+			c.load.receive(a.Call, a)
+		}
+	}
+	return list
+}
+
+func (c *cell) reply(req attempt.Request, r attempt.Reply, deliver func(attempt.Reply)) {
+	if c.faults.reply != nil {
+		c.faults.reply(req, r, deliver)
+		return
+	}
+	deliver(r)
+}
+
+func (c *cell) loadReport(id upstream.ID, load upstream.Load) upstream.Load {
+	if c.faults.load != nil {
+		return c.faults.load(id, load)
+	}
+	return load
+}
+
+func (c *cell) roster(id string, list []fleet.VM) []fleet.VM {
+	if c.faults.roster != nil {
+		return c.faults.roster(id, list)
+	}
+	return list
+}
+
+func (c *cell) cut(from, to string) bool {
+	dropped := c.faults.cut[[2]string{from, to}]
+	if dropped != nil {
+		*dropped++
+	}
+	return dropped != nil
+}
+
+// stop begins the planned stop of a VM and replaces it once it has drained.
+func (c *cell) stop(id string) {
+	life := c.tier.byID[id].life
+	c.stopping[id] = life + 1
+	c.note("%s begins its planned stop", id)
+	c.tier.Stop(id, func(took clock.Millis) {
+		c.note("%s drained in %d ms", id, took)
+		delete(c.stopping, id)
+		c.load.killed(id, life) // a request that a drained VM has not answered was cut
+		c.check.cut(c.load.requests, id, life)
+		c.tier.Loop.After(clock.Second, func() { c.tier.Replace(id) })
+	})
+}
+
+// kill ends a VM at once and replaces it two seconds later.
+func (c *cell) kill(id string) {
+	c.load.killed(id, c.tier.byID[id].life)
+	c.tier.Kill(id)
+	c.tier.Loop.After(2*clock.Second, func() { c.tier.Replace(id) })
+}
+
+// cut checks that a VM that ended its planned stop has answered every request.
+func (c *checker) cut(list []*request, id string, life int) {
+	for _, q := range list {
+		if q.vm == id && q.life == life && len(q.answers) == 0 {
+			c.fail(InvariantStop, "%s was not answered before %s ended its planned stop", q.body, id)
+		}
+	}
+}
+
+// uncut checks a run in which nothing but a planned stop happened: no request
+// may end without a known result.
+func (c *checker) uncut(list []*request) {
+	for _, q := range list {
+		for _, cmd := range q.answers {
+			switch a := cmd.(type) {
+			case vm.AnswerQueryCmd:
+				if a.Answer.Outcome == vm.Failed || a.Answer.Outcome == vm.Partial {
+					c.fail(InvariantStop, "%s through %s ended %s: %s", q.body, q.vm, a.Answer.Outcome, a.Answer.Reason)
+				}
+			case vm.AnswerOrderCmd:
+				if a.Answer.Outcome == order.Unknown {
+					c.fail(InvariantStop, "%s through %s ended unknown: %s", q.body, q.vm, a.Answer.Reason)
+				}
+			}
+		}
+	}
+}
--- /dev/null
+++ b/experiment/matrix_test.go
@@ -0,0 +1,72 @@
+package experiment_test
+
+import (
+	"bytes"
+	"math/rand/v2"
+	"strings"
+	"testing"
+
+	"lentillink.example/lentillink/experiment"
+)
+
+// Guards against a fault at any step of the work that breaks an invariant of
+// section 1.1, and against cells in which the step or the fault did not happen.
+func TestMatrixHolds(t *testing.T) {
+	const seed = 1
+	names := append(experiment.MatrixCells(), experiment.MatrixPairs(seed, 40)...)
+	if testing.Short() {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		rng.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+		names = names[:40]
+	}
+	for _, r := range experiment.RunCells(seed, names) {
+		if !r.OK() {
+			t.Errorf("seed %d cell %s: %v %s\n%s", seed, r.Cell, r.Names(), r.Problem, strings.Join(r.Trace, "\n"))
+			for _, v := range r.Violations[:min(len(r.Violations), 3)] {
+				t.Logf("%s: %s", v.Invariant, v.Detail)
+			}
+		}
+	}
+}
+
+// Guards against a failure that cannot be rerun from its seed and cell.
+func TestMatrixRepeats(t *testing.T) {
+	names := []string{"vm-killed/order-attempt-sent", "reply-crossed/query-sent", "link-cut-both-ways/owner-change+store-down/preset-write"}
+	print := func() string {
+		var out bytes.Buffer
+		for _, name := range names {
+			report := experiment.MatrixReport{Seed: 3, Cells: experiment.RunCells(3, []string{name})}
+			if err := report.Write(&out); err != nil {
+				t.Fatal(err)
+			}
+		}
+		return out.String()
+	}
+	first, second := print(), print()
+	if first != second {
+		t.Errorf("got\n%s\nwant\n%s", second, first)
+	}
+}
+
+// Guards against a grid that leaves a fault, a step or a cell out in silence.
+func TestMatrixGridHasEveryCell(t *testing.T) {
+	names := experiment.MatrixCells()
+	seen := make(map[string]bool)
+	faults, steps := make(map[string]bool), make(map[string]bool)
+	for _, name := range names {
+		fault, step, _ := strings.Cut(name, "/")
+		seen[name], faults[fault], steps[step] = true, true, true
+	}
+	if got, want := len(seen), len(faults)*len(steps); got != want || got != len(names) {
+		t.Errorf("got %d cells of %d names, want %d", got, len(names), want)
+	}
+}
+
+// Guards against a misspelt cell that runs nothing and passes.
+func TestRunCellRefusesUnknownNames(t *testing.T) {
+	for _, name := range []string{"", "straggler", "straggler/nowhere", "nothing/query-sent", "straggler/query-sent+x"} {
+		if _, err := experiment.RunCell(1, name, experiment.CellOptions{}); err == nil {
+			t.Errorf("cell %q was accepted", name)
+		}
+	}
+}
--- a/experiment/tier.go
+++ b/experiment/tier.go
@@ -33,6 +33,8 @@
 	Routing     vm.Routing
 	Record      preset.Record // presets and the one in force at the start
 	OpenGate    bool          // admit every query at once, for baselines
+	OrderGroups int           // groups of the order service, 0 for none
+	Hooks       TierHooks
 }
 
 // DefaultTier returns the search service of today's sizes with fewer
@@ -69,6 +71,10 @@
 	life   int // raised by each stop, so that old callbacks are ignored
 	dead   bool
 	resume clock.Millis // paused until this time
+	held   int          // messages that came during a pause
+
+	seed     uint64
+	services []upstream.Service
 }
 
 // NewTier starts the cores and runs them until they are ready and warm.
@@ -105,7 +111,11 @@
 		}
 		svc.Groups = append(svc.Groups, group)
 	}
-	return []upstream.Service{svc}
+	list := []upstream.Service{svc}
+	if t.Config.OrderGroups > 0 {
+		list = append(list, t.orderService())
+	}
+	return list
 }
 
 func (t *Tier) startNode(i int, services []upstream.Service) {
@@ -113,20 +123,25 @@
 		ID: fmt.Sprintf("vm-%d", i+1), Address: fmt.Sprintf("10.0.0.%d:1", i+1),
 		DataCentre: fmt.Sprintf("dc-%d", i%3+1), Incarnation: uint64(t.Loop.Now()) + uint64(i),
 	}
-	n := &tierNode{tier: t, self: self}
+	n := &tierNode{tier: t, self: self, seed: t.Config.Seed + uint64(i), services: services}
+	n.core = n.newCore()
+	t.nodes = append(t.nodes, n)
+	t.byID[self.ID] = n
+	t.Loop.After(clock.Millis(i), func() { n.update(vm.TickMsg{}) })
+	t.pollRoster(n)
+}
+
+func (n *tierNode) newCore() *vm.Core {
+	t := n.tier
 	opts := []vm.Option{
-		vm.WithSelf(self), vm.WithSeed(t.Config.Seed + uint64(i)), vm.WithServices(services...),
+		vm.WithSelf(n.self), vm.WithSeed(n.seed), vm.WithServices(n.services...),
 		vm.WithInitialRecord(t.Config.Record), vm.WithRouting(t.Config.Routing), vm.WithFleetSize(t.Config.VMs),
 		vm.WithRingEvents(1024),
 	}
 	if t.Config.OpenGate {
 		opts = append(opts, vm.WithOpenAdmission())
 	}
-	n.core = vm.New(opts...)
-	t.nodes = append(t.nodes, n)
-	t.byID[self.ID] = n
-	t.Loop.After(clock.Millis(i), func() { n.update(vm.TickMsg{}) })
-	t.pollRoster(n)
+	return vm.New(opts...)
 }
 
 // pollRoster gives a VM the list of VMs every second, as its runtime would.
@@ -144,7 +159,7 @@
 				list = append(list, v)
 			}
 		}
-		n.update(vm.RosterMsg{VMs: list})
+		n.update(vm.RosterMsg{VMs: t.Config.Hooks.roster(n.self.ID, list)})
 		t.pollRoster(n)
 	})
 }
@@ -156,6 +171,7 @@
 	}
 	now := n.tier.Loop.Now()
 	if now < n.resume {
+		n.held++
 		life := n.life
 		n.tier.Loop.At(n.resume, func() {
 			if n.life == life {
@@ -164,9 +180,14 @@
 		})
 		return
 	}
+	hooks := &n.tier.Config.Hooks
+	hooks.before(n.self.ID, msg)
 	for _, cmd := range n.core.Update(now, msg) {
-		n.perform(cmd)
+		for _, c := range hooks.commands(n.self.ID, cmd) {
+			n.perform(c)
+		}
 	}
+	hooks.after(n)
 	n.schedule()
 }
 
@@ -226,7 +247,7 @@
 	t.Loop.After(delay, func() {
 		t.sent[m.Request.ID.VM]++
 		t.Upstreams[m.Request.Upstream].Serve(m.Request, func(r attempt.Reply) {
-			t.Loop.After(tierHopMs, func() {
+			t.Config.Hooks.reply(t.Loop, m.Request, r, func(r attempt.Reply) {
 				if n.life == life {
 					n.update(vm.ReplyMsg{Reply: r})
 				}
@@ -253,9 +274,8 @@
 			return
 		}
 		up := t.Upstreams[string(id)]
-		n.update(vm.LoadMsg{
-			Upstream: id, OK: !up.Dead, Load: upstream.Load{Healthy: true, Leaving: up.Leaving, Held: up.Held},
-		})
+		load := upstream.Load{Healthy: true, Leaving: up.Leaving, Held: up.Held}
+		n.update(vm.LoadMsg{Upstream: id, OK: !up.Dead, Load: t.Config.Hooks.load(id, load)})
 	})
 }
 
@@ -279,6 +299,13 @@
 		})
 		return
 	}
-	from := n.self.ID
-	t.Loop.After(tierHopMs, func() { to.update(vm.PeerMsg{From: from, Stamp: m.Stamp, Body: m.Body}) })
+	from, toLife := n.self.ID, to.life
+	if t.Config.Hooks.cut(from, m.To) {
+		return
+	}
+	t.Loop.After(tierHopMs, func() {
+		if to.life == toLife {
+			to.update(vm.PeerMsg{From: from, Stamp: m.Stamp, Body: m.Body})
+		}
+	})
 }
--- /dev/null
+++ b/experiment/tier_hooks.go
@@ -0,0 +1,152 @@
+package experiment
+
+import (
+	"fmt"
+	"math/rand/v2"
+
+	"lentillink.example/lentillink/attempt"
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/coverage"
+	"lentillink.example/lentillink/fleet"
+	"lentillink.example/lentillink/upstream"
+	"lentillink.example/lentillink/vm"
+)
+
+// TierHooks observe and change what passes between the cores of a Tier and its
+// fakes. Each may be nil.
+type TierHooks struct {
+	Before   func(id string, msg vm.Msg)
+	After    func(id string, core *vm.Core)
+	Commands func(id string, cmd vm.Cmd) []vm.Cmd
+	// Reply decides when and how often a reply is delivered after the network hop.
+	Reply  func(req attempt.Request, r attempt.Reply, deliver func(attempt.Reply))
+	Load   func(id upstream.ID, load upstream.Load) upstream.Load
+	Roster func(id string, list []fleet.VM) []fleet.VM
+	Cut    func(from, to string) bool
+}
+
+func (h *TierHooks) before(id string, msg vm.Msg) {
+	if h.Before != nil {
+		h.Before(id, msg)
+	}
+}
+
+func (h *TierHooks) after(n *tierNode) {
+	if h.After != nil {
+		h.After(n.self.ID, n.core)
+	}
+}
+
+func (h *TierHooks) commands(id string, cmd vm.Cmd) []vm.Cmd {
+	if h.Commands == nil {
+		return []vm.Cmd{cmd}
+	}
+	return h.Commands(id, cmd)
+}
+
+func (h *TierHooks) reply(loop *Loop, req attempt.Request, r attempt.Reply, deliver func(attempt.Reply)) {
+	loop.After(tierHopMs, func() {
+		if h.Reply == nil {
+			deliver(r)
+			return
+		}
+		h.Reply(req, r, deliver)
+	})
+}
+
+func (h *TierHooks) load(id upstream.ID, load upstream.Load) upstream.Load {
+	if h.Load == nil {
+		return load
+	}
+	return h.Load(id, load)
+}
+
+func (h *TierHooks) roster(id string, list []fleet.VM) []fleet.VM {
+	if h.Roster == nil {
+		return list
+	}
+	return h.Roster(id, list)
+}
+
+func (h *TierHooks) cut(from, to string) bool { return h.Cut != nil && h.Cut(from, to) }
+
+// orderService describes the upstreams that take orders.
+func (t *Tier) orderService() upstream.Service {
+	svc := upstream.Service{Name: "orders"}
+	for g := range t.Config.OrderGroups {
+		group := upstream.Group{Name: fmt.Sprintf("d%02d", g)}
+		for r := range t.Config.Replicas {
+			id := upstream.ID(fmt.Sprintf("orders/%s/%d", group.Name, r))
+			group.Replicas = append(group.Replicas, upstream.Upstream{
+				ID: id, Service: svc.Name, Group: group.Name, Connections: t.Config.Connections, ConnectMs: tierOpenMs,
+			})
+			up := NewUpstream(t.Loop, rand.New(rand.NewPCG(t.Config.Seed, uint64(5000+g*10+r))), coverage.Range{})
+			up.MedianMs, up.Ranges, up.Held = t.Config.MedianMs, nil, nil
+			t.Upstreams[string(id)] = up
+			t.ids = append(t.ids, string(id))
+		}
+		svc.Groups = append(svc.Groups, group)
+	}
+	return svc
+}
+
+// Kill ends the process of a VM at once. Its peers notice the broken connections.
+func (t *Tier) Kill(id string) {
+	n := t.byID[id]
+	if n.dead {
+		return
+	}
+	n.dead = true
+	n.life++
+	for _, other := range t.nodes {
+		if other != n && !other.dead {
+			life := other.life
+			t.Loop.After(tierHopMs, func() {
+				if other.life == life {
+					other.update(vm.PeerDownMsg{VM: id})
+				}
+			})
+		}
+	}
+}
+
+// Replace starts a new process for a VM that has ended. It remembers nothing.
+func (t *Tier) Replace(id string) {
+	n := t.byID[id]
+	if !n.dead {
+		return
+	}
+	n.dead, n.wake, n.resume = false, 0, 0
+	n.life++
+	n.self.Incarnation = uint64(t.Loop.Now())
+	n.core = n.newCore()
+	n.update(vm.TickMsg{})
+	t.pollRoster(n)
+}
+
+// Pause holds every message to a VM back for d. They arrive when it resumes.
+func (t *Tier) Pause(id string, d clock.Millis) {
+	n := t.byID[id]
+	n.resume = max(n.resume, t.Loop.Now()+d)
+}
+
+// Stop begins the planned stop of a VM. The process ends once it has drained;
+// done receives the time that this took.
+func (t *Tier) Stop(id string, done func(clock.Millis)) {
+	n := t.byID[id]
+	life, begin := n.life, t.Loop.Now()
+	n.update(vm.StopMsg{})
+	var poll func()
+	poll = func() {
+		if n.life != life {
+			return
+		}
+		if n.core.Drained(t.Loop.Now()) {
+			t.Kill(id)
+			done(t.Loop.Now() - begin)
+			return
+		}
+		t.Loop.After(10, poll)
+	}
+	t.Loop.After(10, poll)
+}
--- a/experiment/upstream.go
+++ b/experiment/upstream.go
@@ -28,6 +28,12 @@
 	ColdUntil   clock.Millis // service times are ColdFactor times longer before this time
 	ColdFactor  float64
 
+	// Received sees every request that arrives, Run those that start to run.
+	// Answer completes the reply to a request that was run. All may be nil.
+	Received func(attempt.Request)
+	Run      func(attempt.Request)
+	Answer   func(attempt.Request, *attempt.Reply)
+
 	loop    *Loop
 	rng     *rand.Rand
 	busy    int
@@ -55,6 +61,9 @@
 // A dead upstream refuses the connection.
 func (u *Upstream) Serve(req attempt.Request, done func(attempt.Reply)) {
 	reply := attempt.Reply{ID: req.ID, Upstream: req.Upstream, Held: u.Held, Epoch: u.Epoch, Leaving: u.Leaving}
+	if u.Received != nil {
+		u.Received(req)
+	}
 	if status, refused := u.refusal(req); refused {
 		reply.Status, reply.Ran = status, attempt.No
 		u.loop.After(1, func() { done(reply) })
@@ -66,6 +75,9 @@
 			reply.Status, reply.Ran, reply.Version = attempt.OK, attempt.Yes, req.Version
 			reply.Epoch, reply.Ranges, reply.Held, reply.Leaving = u.Epoch, u.Ranges, u.Held, u.Leaving
 			reply.ServiceMs = u.loop.Now() - begin
+			if u.Answer != nil {
+				u.Answer(req, &reply)
+			}
 			done(reply)
 		})
 	}
@@ -96,6 +108,9 @@
 	if req.Kind == attempt.Order {
 		u.ran[req.OrderID]++
 	}
+	if u.Run != nil {
+		u.Run(req)
+	}
 	u.loop.After(u.serviceTime(), func() {
 		u.busy--
 		finish()
