Back off retries without a token and end those without time

Cause: a part without a retry token woke every 3 ms, and a part whose attempt its carrier had dropped or shed was sent again at once.

Change: the wait for a token doubles from 3 ms to 1.5 s and ends the group if it would pass the deadline. An attempt that its carrier dropped when less than a typical latency is left is not retried. A pool that sheds names the time its queue takes.

--- a/pool/dispatch.go
+++ b/pool/dispatch.go
@@ -79,8 +79,11 @@
 	l := it.lane
 	l.queue.remove(it)
 	reply := attempt.Reply{ID: it.req.ID, Upstream: l.id, Status: status, Ran: attempt.No}
-	if l.closed(now) {
+	switch {
+	case l.closed(now):
 		reply.RetryAfter = l.closedTill - now
+	case status == attempt.Shed:
+		reply.RetryAfter = l.drainMs(now)
 	}
 	cmds = m.giveBack(now, it, reply, cmds)
 	m.release(it)
--- a/pool/lane.go
+++ b/pool/lane.go
@@ -118,6 +118,12 @@
 	return attempt.OK, false
 }
 
+// drainMs estimates how long the queue takes, so that work that was shed does
+// not come back before there is room for it.
+func (l *lane) drainMs(now clock.Millis) clock.Millis {
+	return clock.Millis(l.queue.size) * l.service.At(now) / clock.Millis(max(l.effective, 1))
+}
+
 // due returns when the lane has to be pumped next if no message comes before.
 func (l *lane) due(now, idleMs clock.Millis) clock.Millis {
 	at := never
--- a/query/model.go
+++ b/query/model.go
@@ -65,16 +65,19 @@
 
 // part is the state of one group of a query.
 type part struct {
-	open     [maxOpen]uint64 // open attempts
-	nOpen    int8
-	tries    int8
-	retries  int8
-	hedges   int8
-	nTried   int8
-	refused  bool // the last failure proved not run
-	settled  bool
-	answered bool
-	tried    [maxTries]upstream.ID
+	open    [maxOpen]uint64 // open attempts
+	nOpen   int8
+	tries   int8
+	retries int8
+	hedges  int8
+	nTried  int8
+	// tokenWaits is the number of waits for a token, which lengthens the next one.
+	tokenWaits int8
+	refused    bool // the last failure proved not run
+	settled    bool
+	answered   bool
+	tried      [maxTries]upstream.ID
+	retryAt    clock.Millis // a retry at a tried upstream waits until this time
 }
 
 // New returns a Model that chooses upstreams from book and keeps it up to date.
--- a/query/reply.go
+++ b/query/reply.go
@@ -58,8 +58,14 @@
 		m.wake(now, timerHedge, q, t.group, p.open[0])
 	case r.Status == attempt.VersionGone:
 		m.versionGone(now, q, t.group)
+	case r.Status == attempt.NotSent && now+m.book.TypicalMs(q.Service) > q.answerAt:
+		// The carrier dropped it for lack of time, so a retry would not finish either.
+		m.lose(now, q, t.group, "dropped by its carrier")
 	default:
 		p.refused = r.Ran == attempt.No
+		if r.Status == attempt.Shed {
+			p.retryAt = max(p.retryAt, now+r.RetryAfter)
+		}
 		m.sendRetry(now, q, t.group)
 	}
 }
--- a/query/retry.go
+++ b/query/retry.go
@@ -10,8 +10,10 @@
 	// maxHedges is the number of hedges per group. The second one covers a
 	// hedge that is itself slow.
 	maxHedges = 2
-	// tokenWaitMs is how soon an attempt that found no budget asks again.
-	tokenWaitMs = 3
+	// An attempt that found no budget asks again after tokenWaitMs. The wait
+	// doubles each time up to maxTokenWaitMs: thousands of parts without tokens
+	// that all ask every few milliseconds would take the whole processor.
+	tokenWaitMs, maxTokenWaitMs = 3, 1536
 	// With an empty budget a hedge waits this much longer, as a share of its
 	// delay, so that the slowest attempts get the remaining tokens.
 	scarceDelay = 1.0
@@ -51,7 +53,7 @@
 	}
 	if !m.budgets.Ref(q.Rank).hedges.take(1) {
 		m.outOfTokens(q, "hedge")
-		m.wake(now+tokenWaitMs, timerHedge, q, g, seq)
+		m.wake(now+p.tokenWait(), timerHedge, q, g, seq)
 		return
 	}
 	p.hedges++
@@ -100,7 +102,7 @@
 		m.lose(now, q, g, "no other upstream")
 		return
 	}
-	at := now + retryBackoffMs<<p.retries
+	at := max(now+retryBackoffMs<<p.retries, p.retryAt)
 	if at >= q.answerAt {
 		m.lose(now, q, g, "no time for a retry")
 		return
@@ -118,7 +120,7 @@
 	}
 	if !m.budgets.Ref(q.Rank).retries.take(cost) {
 		m.outOfTokens(q, "retry")
-		m.wake(now+tokenWaitMs, timerRetry, q, g, 0)
+		m.waitForToken(now, q, g)
 		return
 	}
 	p.retries++
@@ -126,6 +128,26 @@
 	m.send(now, q, g, up, tryRetry)
 }
 
+// waitForToken asks for a retry token again after a while. A wait that would
+// pass the deadline is pointless.
+func (m *Model) waitForToken(now clock.Millis, q *openQuery, g int) {
+	at := now + q.parts[g].tokenWait()
+	if at >= q.answerAt {
+		m.lose(now, q, g, "no retry budget")
+		return
+	}
+	m.wake(at, timerRetry, q, g, 0)
+}
+
+// tokenWait returns the next wait for a token and doubles the one after it.
+func (p *part) tokenWait() clock.Millis {
+	wait := min(clock.Millis(tokenWaitMs)<<p.tokenWaits, maxTokenWaitMs)
+	if wait < maxTokenWaitMs {
+		p.tokenWaits++
+	}
+	return wait
+}
+
 // outOfTokens reports an exhausted budget once per query.
 func (m *Model) outOfTokens(q *openQuery, what string) {
 	m.totals.Ref(q.Rank).NoTokens++
--- /dev/null
+++ b/query/retry_test.go
@@ -0,0 +1,85 @@
+package query_test
+
+import (
+	"testing"
+
+	"lentillink.example/lentillink/attempt"
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/query"
+)
+
+// TestTokenWait guards against attempts without a retry token that ask again
+// every few milliseconds and so take the whole processor under overload.
+func TestTokenWait(t *testing.T) {
+	r := newRig(1, 1)
+	query.WithBurst(0, 0)(r.model)
+	const timeMs = 10_000
+	r.do(query.StartMsg{ID: "q", Service: "s", Deadline: timeMs})
+	r.do(query.ReplyMsg{Reply: attempt.Reply{ID: r.sent[0].ID, Upstream: r.sent[0].Upstream, Status: attempt.Failed}})
+	wakes := 0
+	for r.model.Open() > 0 {
+		at, ok := r.model.NextWake()
+		if !ok {
+			t.Fatal("an open query without a wake")
+		}
+		r.tick(at)
+		wakes++
+	}
+	// The waits double from 3 ms to 1.5 s, so ten seconds hold about 16 of them.
+	if want := 20; wakes > want {
+		t.Errorf("%d wakes, want at most %d", wakes, want)
+	}
+	if len(r.sent) != 1 || len(r.answers) != 1 {
+		t.Errorf("%d attempts and %d answers, want 1 and 1", len(r.sent), len(r.answers))
+	}
+}
+
+// TestNoRetry guards against retries that cannot succeed: after a carrier
+// dropped an attempt for lack of time, and at an upstream that shed the
+// attempt before the time that it named.
+func TestNoRetry(t *testing.T) {
+	tests := []struct {
+		name       string
+		at         clock.Millis // of the first reply; the deadline is 200
+		status     attempt.Status
+		retryAfter clock.Millis
+		want       []clock.Millis // when attempts are sent; every one ends the same way
+	}{
+		{"dropped for lack of time", 185, attempt.NotSent, 0, []clock.Millis{0}},
+		{"no connection, time left", 10, attempt.NotSent, 0, []clock.Millis{0, 10, 18, 34, 66, 130}},
+		{"shed without a time", 10, attempt.Shed, 0, []clock.Millis{0, 10, 18, 34, 66, 130}},
+		{"shed for 100 ms", 10, attempt.Shed, 100, []clock.Millis{0, 10, 110}},
+		{"shed beyond the deadline", 10, attempt.Shed, 1000, []clock.Millis{0, 10}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := newRig(1, 1)
+			query.WithBurst(100, 100)(r.model)
+			r.do(query.OverloadMsg{Service: "s", Overloaded: true}) // no hedges
+			r.start(100, 100)
+			r.tick(tt.at)
+			var got []clock.Millis
+			for len(got) < len(r.sent) {
+				if len(got) == 0 {
+					got = append(got, 0)
+				} else {
+					got = append(got, r.now)
+				}
+				refused := r.refusal(len(got)-1, tt.status)
+				refused.RetryAfter = tt.retryAfter
+				r.do(query.ReplyMsg{Reply: refused})
+				for wake, ok := r.model.NextWake(); ok && len(got) == len(r.sent); wake, ok = r.model.NextWake() {
+					r.tick(wake)
+				}
+			}
+			if len(got) != len(tt.want) {
+				t.Fatalf("attempts sent at %v, want %v", got, tt.want)
+			}
+			for i := range got {
+				if got[i] != tt.want[i] {
+					t.Errorf("attempts sent at %v, want %v", got, tt.want)
+				}
+			}
+		})
+	}
+}
