Show every refusal in the time line under the caller's id

Change: the core writes a refused event with the reason; the gate emits its event before the refusal. Conclusion: TestStartInOutage reads the refusal from the time line.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -117,7 +117,8 @@
 	}
 	g.refused[reason]++
 	event := timeline.Event{Kind: timeline.Refused, Request: id, Rank: r.String(), Detail: reason.String()}
-	return append(cmds, RefuseCmd{ID: id, Reason: reason, RetryAfterMs: retry}, EventCmd{Event: event})
+	// The event comes first: after the refusal the core has forgotten the caller's id.
+	return append(cmds, EventCmd{Event: event}, RefuseCmd{ID: id, Reason: reason, RetryAfterMs: retry})
 }
 
 func (g *Gate) start(now clock.Millis, s *service, q *query) Cmd {
--- a/vm/call.go
+++ b/vm/call.go
@@ -23,6 +23,7 @@
 func (c *Core) arriveQuery(now clock.Millis, m QueryMsg) {
 	cl := &call{query: m, rank: m.Rank, service: m.Service, arrived: now}
 	if reason := c.unready(m.Service); reason != "" {
+		c.event(now, timeline.Event{Kind: timeline.Refused, Request: m.ID, Rank: m.Rank.String(), Detail: reason})
 		c.answerQuery(now, m.Call, cl, QueryAnswer{Outcome: Refused, Ran: attempt.No, Reason: reason, RetryAfterMs: notReadyRetryMs})
 		return
 	}
@@ -32,6 +33,7 @@
 func (c *Core) arriveOrder(now clock.Millis, m OrderMsg) {
 	cl := &call{order: m, isOrder: true, rank: m.Rank, service: m.Service, arrived: now}
 	if reason := c.unready(m.Service); reason != "" {
+		c.event(now, timeline.Event{Kind: timeline.Refused, Request: m.ID, Rank: m.Rank.String(), Detail: reason})
 		c.answerOrder(now, m.Call, cl, OrderAnswer{Outcome: order.Refused, Ran: attempt.No, Reason: reason, RetryAfterMs: notReadyRetryMs})
 		return
 	}
