Say how the last attempt of a missing group ended

Cause: group_missing said only 'attempts failed'; an operator could not tell a refused connection from a timeout. Change: the detail ends with the status of the last attempt. Conclusion: TestCommands reads the group and 'refused' from the time line.

--- a/query/model.go
+++ b/query/model.go
@@ -65,16 +65,17 @@
 
 // part is the state of one group of a query.
 type part struct {
-	open     [maxOpen]uint64 // open attempts
-	nOpen    int8
-	tries    int8
-	retries  int8
-	hedges   int8
-	nTried   int8
-	refused  bool // the last failure proved not run
-	settled  bool
-	answered bool
-	tried    [maxTries]upstream.ID
+	open       [maxOpen]uint64 // open attempts
+	nOpen      int8
+	tries      int8
+	retries    int8
+	hedges     int8
+	nTried     int8
+	refused    bool           // the last failure proved not run
+	lastStatus attempt.Status // of the last attempt that ended
+	settled    bool
+	answered   bool
+	tried      [maxTries]upstream.ID
 }
 
 // New returns a Model that chooses upstreams from book and keeps it up to date.
--- a/query/reply.go
+++ b/query/reply.go
@@ -49,6 +49,7 @@
 	// What the query waits for includes the way to the carrier.
 	r.ServiceMs = max(now-t.sentAt-r.QueueMs, 0)
 	m.book.Observe(now, t.up, r)
+	p.lastStatus = r.Status
 	switch {
 	case r.Status == attempt.OK:
 		m.accept(now, t, r)
@@ -120,6 +121,9 @@
 		return
 	}
 	if !p.answered {
+		if p.lastStatus != attempt.OK {
+			reason += ", last one " + p.lastStatus.String()
+		}
 		m.event(q, timeline.GroupMissing, "", q.service.groups[g]+": "+reason)
 	}
 	m.settlePart(q, p)
