Write an event for an operator's change and bound the metric labels

Cause: only preset_applied was written, without author or reason. The label reason of refusals_total took any text. Change: the VM that carried out an accepted change writes preset_switched with author, reason and change id. Unknown reasons count as other.

--- a/entry/change.go
+++ b/entry/change.go
@@ -43,6 +43,9 @@
 	if result.Record.Revision > 0 {
 		v.post(vm.RecordMsg{Record: result.Record})
 	}
+	if past, ok := result.Record.Includes(change.ID); ok && result.Accepted == preset.Accepted {
+		v.post(vm.SwitchedMsg{Change: past})
+	}
 	doc := ChangeDocument{
 		Accepted: result.Accepted, Revision: result.Record.Revision, InForce: result.Record.InForce,
 		Superseded: result.Superseded,
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -51,11 +51,25 @@
 	return m
 }
 
+// refusalReasons are the values of the label reason. Anything else is counted
+// as other, so that text in a reason can never add time series.
+var refusalReasons = map[string]bool{
+	vm.ReasonNotReady: true, vm.ReasonUnknownService: true, "queue_full": true, "displaced": true, "too_late": true,
+	"draining": true, "duplicate_id": true,
+}
+
+func knownReason(reason string) string {
+	if refusalReasons[reason] {
+		return reason
+	}
+	return "other"
+}
+
 func (m *metrics) query(a vm.QueryAnswer) {
 	r := a.Rank.String()
 	m.queries.WithLabelValues(r, string(a.Outcome)).Inc()
 	if a.Outcome == vm.Refused {
-		m.refusals.WithLabelValues(r, a.Reason).Inc()
+		m.refusals.WithLabelValues(r, knownReason(a.Reason)).Inc()
 		return
 	}
 	m.attempts.WithLabelValues(r).Add(float64(a.Attempts))
--- a/entry/preset_test.go
+++ b/entry/preset_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/url"
 	"strings"
 	"sync"
 	"testing"
@@ -11,6 +12,7 @@
 	"lentillink.example/lentillink/entry"
 	"lentillink.example/lentillink/fleet"
 	"lentillink.example/lentillink/preset"
+	"lentillink.example/lentillink/timeline"
 )
 
 // TestRacingSwitches guards against two operators who both believe that their
@@ -105,6 +107,10 @@
 	if a, err := late.Query(q); err != nil || a.Outcome != "refused" || a.Reason != "not_ready" {
 		t.Errorf("got %s %s, %v, want refused not_ready", a.Outcome, a.Reason, err)
 	}
+	doc, err := late.Events(url.Values{"request": {q.ID}})
+	if err != nil || len(doc.Events) != 1 || doc.Events[0].Kind != timeline.Refused || doc.Events[0].Detail != "not_ready" {
+		t.Errorf("the time line shows %+v, %v, want the refusal and its reason", doc.Events, err)
+	}
 	inject(t, f, "vm_list", "down", false)
 	until(t, "the VM is ready", late.Ready)
 	if rec, err := late.Presets(); err != nil || rec.InForce != "peak" {
--- a/vm/handle.go
+++ b/vm/handle.go
@@ -1,6 +1,8 @@
 package vm
 
 import (
+	"fmt"
+
 	"lentillink.example/lentillink/admission"
 	"lentillink.example/lentillink/attempt"
 	"lentillink.example/lentillink/clock"
@@ -37,6 +39,11 @@
 		c.push(fleet.RosterMsg{VMs: m.VMs})
 	case RecordMsg:
 		c.push(fleet.RecordMsg{Record: m.Record})
+	case SwitchedMsg:
+		c.event(now, timeline.Event{
+			Kind: timeline.PresetSwitched, Revision: m.Change.Revision,
+			Detail: fmt.Sprintf("%s by %s: %s (change %s)", m.Change.InForce, m.Change.Author, m.Change.Reason, m.Change.ChangeID),
+		})
 	case PeerMsg:
 		c.ring.Observe(now, m.Stamp)
 		c.fromPeer(now, m)
--- a/vm/message.go
+++ b/vm/message.go
@@ -60,6 +60,9 @@
 // RecordMsg is a record that this VM has just committed to the store.
 type RecordMsg struct{ Record preset.Record }
 
+// SwitchedMsg says that this VM has carried out an operator's change.
+type SwitchedMsg struct{ Change preset.Past }
+
 // StopMsg begins a planned stop.
 type StopMsg struct{}
 
@@ -75,6 +78,7 @@
 func (StoreMsg) vmMsg()      {}
 func (RosterMsg) vmMsg()     {}
 func (RecordMsg) vmMsg()     {}
+func (SwitchedMsg) vmMsg()   {}
 func (StopMsg) vmMsg()       {}
 func (TickMsg) vmMsg()       {}
 func (PeerMsg) vmMsg()       {}
