--- a/cmd/lentillink/commands.go
+++ b/cmd/lentillink/commands.go
@@ -2,9 +2,14 @@
 
 import "github.com/jessevdk/go-flags"
 
+const completionHelp = `Shell completion: with GO_FLAGS_COMPLETION=1 in its environment the program prints the completions of its last argument. For bash:
+  _lentillink() { local IFS=$'\n'; COMPREPLY=($(GO_FLAGS_COMPLETION=1 "${COMP_WORDS[0]}" "${COMP_WORDS[@]:1:$COMP_CWORD}")); }
+  complete -F _lentillink lentillink`
+
 // newParser returns the parser with every command.
 func newParser() *flags.Parser {
 	p := flags.NewNamedParser("lentillink", flags.HelpFlag|flags.PassDoubleDash)
+	p.LongDescription = completionHelp
 	add(p, "demo", "Run a whole deployment in one process",
 		"Starts the stand-ins of one deployment and several entry VMs, sends queries and orders of all ranks, switches a preset, slows an upstream, and checks what must always hold.",
 		&demoCommand{})
