--- a/query/model.go
+++ b/query/model.go
@@ -73,7 +73,8 @@
 	nTried  int8
 	// tokenWaits is the number of waits for a token, which lengthens the next one.
 	tokenWaits int8
-	refused    bool // the last failure proved not run
+	refused    bool           // the last failure proved not run
+	lastStatus attempt.Status // of the last attempt that ended
 	settled    bool
 	answered   bool
 	tried      [maxTries]upstream.ID
