Let daemons started by hand find each other

Two lentillinkd with the example settings never met: run-stand-ins served an empty VM list, and the settings field seeds is not used by the daemon.

By hand, two VMs: vm_joined on both within 4 s, preset switch "in force on 2 VMs after 2 ms". go test ./cmd/... ./settings ./standin ./demo passes.

The daemon still ignores seeds: without a VM list a VM stays alone.

--- a/cmd/lentillink/commands.go
+++ b/cmd/lentillink/commands.go
@@ -9,13 +9,13 @@
 		"Starts the stand-ins of one deployment and several entry VMs, sends queries and orders of all ranks, switches a preset, slows an upstream, and checks what must always hold.",
 		&demoCommand{})
 	add(p, "run-stand-ins", "Serve stand-ins for the store, the VM list and the upstreams",
-		"Serves the addresses in a settings file until it is interrupted. Faults are switched with POST /fault on the control address.",
+		"Serves the addresses in settings files until it is interrupted. Faults are switched with POST /fault on the control address; GET /faults there lists them.",
 		&standInsCommand{})
 	add(p, "query", "Ask one question", "Exits with 4 unless the answer is complete.", &queryCommand{})
 	add(p, "order", "Submit one order", "Repeating an order with the same --id is safe. Exits with 4 unless the order was done.", &orderCommand{})
 	add(p, "status", "Show every VM", "Shows readiness, preset, load and avoided upstreams of every VM.", &statusCommand{})
 	add(p, "timeline", "Show what happened on all VMs", "Merges the events of all VMs in the order of cause and effect.", &timelineCommand{})
-	add(p, "experiment", "Run a seeded experiment", "Prints each figure beside its baseline and its bound. Exits with 1 if a bound is missed.", &experimentCommand{})
+	add(p, "experiment", "Run a seeded experiment", "Prints each figure beside its baseline and its bound; a bound is stated in docs/design.md. The name list prints all names. Exits with 1 if a bound is missed.", &experimentCommand{})
 	addConfig(p)
 	addPreset(p)
 	return p
--- a/cmd/lentillink/config.go
+++ b/cmd/lentillink/config.go
@@ -36,6 +36,10 @@
 	return nil
 }
 
+// examplePortBase is the default of config example --port-base. The default of
+// --vm is the first VM of that example.
+const examplePortBase = 9000
+
 type configExampleCommand struct {
 	Deployment string `long:"deployment" choice:"hautakukka" choice:"pondslip" default:"hautakukka" description:"deployment to describe"`
 	VM         int    `long:"number" default:"1" description:"which VM the settings are for, 1 to 9"`
--- a/cmd/lentillink/preset.go
+++ b/cmd/lentillink/preset.go
@@ -141,7 +141,10 @@
 	return table(os.Stdout, func(tw *tabwriter.Writer) {
 		_, _ = fmt.Fprintln(tw, "REVISION\tWHEN (UTC)\tIN FORCE\tBY\tWHY")
 		for _, p := range all {
-			at := time.UnixMilli(int64(p.At)).UTC().Format(time.DateTime)
+			at := "-" // the shipped presets carry no time
+			if p.At != 0 {
+				at = time.UnixMilli(int64(p.At)).UTC().Format(time.DateTime)
+			}
 			_, _ = fmt.Fprintf(tw, "%d\t%s\t%s\t%s\t%s\n", p.Revision, at, p.InForce, p.Author, p.Reason)
 		}
 	})
@@ -227,6 +230,7 @@
 
 // confirm waits until the revision is in force on every VM that answers.
 func (f *changeFlags) confirm(client *caller.Client, revision uint64, start time.Time) error {
+	shown := -1
 	for {
 		doc, err := client.FleetStatus()
 		if err != nil {
@@ -251,7 +255,10 @@
 			}
 			return nil
 		}
-		fmt.Fprintf(os.Stderr, "\rin force on %d VMs, waiting for %d", confirmed, len(missing))
+		if confirmed != shown { // standard error may be a file
+			fmt.Fprintf(os.Stderr, "in force on %d VMs, waiting for %d\n", confirmed, len(missing))
+			shown = confirmed
+		}
 		time.Sleep(confirmInterval)
 	}
 }
--- a/cmd/lentillink/standins.go
+++ b/cmd/lentillink/standins.go
@@ -7,36 +7,71 @@
 	"os/signal"
 	"syscall"
 
+	"lentillink.example/lentillink/roster"
 	"lentillink.example/lentillink/settings"
 	"lentillink.example/lentillink/standin"
 )
 
 type standInsCommand struct {
-	Settings string `long:"settings" short:"s" value-name:"FILE" description:"settings whose store, VM list and upstreams to serve"`
-	Control  string `long:"control" default:"127.0.0.1:8999" value-name:"HOST:PORT" description:"address for POST /fault"`
+	Settings []string `long:"settings" short:"s" value-name:"FILE" description:"settings of one VM; repeat it for each VM. The first names the store, VM list and upstreams to serve (default: the nine VMs of config example)"`
+	Control  string   `long:"control" default:"127.0.0.1:8999" value-name:"HOST:PORT" description:"address for POST /fault"`
 }
 
 // Execute serves the stand-ins until it is interrupted.
 func (c *standInsCommand) Execute([]string) (err error) {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	cfg, err := c.load()
+	all, err := c.load()
 	if err != nil {
 		return &exitError{code: exitUsage, err: err}
 	}
-	d, err := standin.StartDeployment(ctx, cfg, standin.WithControlAddress(c.Control))
+	d, err := standin.StartDeployment(ctx, all[0], standin.WithControlAddress(c.Control))
 	if err != nil {
 		return err
 	}
-	fmt.Printf("store %s, VM list %s, %d upstreams, control %s; interrupt to stop\n",
-		cfg.Document().Store, cfg.Document().VMList, len(d.Upstreams()), d.ControlAddress())
+	if err := register(d.VMList(), all); err != nil {
+		return errors.Join(err, d.Close())
+	}
+	fmt.Printf("store %s, VM list %s with %d VMs, %d upstreams, control %s; interrupt to stop\n",
+		all[0].Document().Store, all[0].Document().VMList, len(all), len(d.Upstreams()), d.ControlAddress())
 	<-ctx.Done()
-	return errors.Join(err, d.Close())
+	return d.Close()
+}
+
+// register puts the VMs on the VM list. VMs find each other only through it.
+func register(list *standin.VMList, all []*settings.Settings) error {
+	for _, s := range all {
+		vm := roster.VM{ID: s.VM(), Address: s.Addresses().Peers, DataCentre: s.DataCentre()}
+		if err := list.Register(vm); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *standInsCommand) load() ([]*settings.Settings, error) {
+	if len(c.Settings) == 0 {
+		return exampleFleet()
+	}
+	var all []*settings.Settings
+	for _, file := range c.Settings {
+		s, err := settings.Load(file)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, s)
+	}
+	return all, nil
 }
 
-func (c *standInsCommand) load() (*settings.Settings, error) {
-	if c.Settings != "" {
-		return settings.Load(c.Settings)
+func exampleFleet() ([]*settings.Settings, error) {
+	var all []*settings.Settings
+	for n := 1; n <= settings.ExampleVMs; n++ {
+		s, err := settings.Example("hautakukka", settings.WithVM(n), settings.WithPortBase(examplePortBase))
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, s)
 	}
-	return settings.Example("hautakukka")
+	return all, nil
 }
--- a/settings/example.go
+++ b/settings/example.go
@@ -14,10 +14,12 @@
 	vmListPort      = 1
 	vmPorts         = 10 // three ports for each VM
 	upstreamPorts   = 100
-	exampleVMs      = 9
 	exampleSeeds    = 3
 )
 
+// ExampleVMs is the number of VMs that an example has addresses for.
+const ExampleVMs = 9
+
 // groupKeys is the number of keys of each group in an example.
 const groupKeys = 1000
 
@@ -67,8 +69,8 @@
 	for _, opt := range opts {
 		opt(e)
 	}
-	if e.vm < 1 || e.vm > exampleVMs {
-		return nil, &Error{op: "example", kind: KindInvalid, err: fmt.Errorf("VM is %d, want 1 to %d", e.vm, exampleVMs)}
+	if e.vm < 1 || e.vm > ExampleVMs {
+		return nil, &Error{op: "example", kind: KindInvalid, err: fmt.Errorf("VM is %d, want 1 to %d", e.vm, ExampleVMs)}
 	}
 	return New(e.document(shapes))
 }
