Let the queue of a peer stream grow as needed

Cause: a channel for 8,192 messages was allocated per stream, 262 KB of the 302 KB that one end of a stream takes. A VM has a stream with nearly every other VM at the size in two years.

Change: the queue is a slice under the lock of the mesh with the same bound. Messages behind a failed one are reported as unsent, as before.

go test ./peer -run xxx -bench Streams -benchtime 1x, 60 streams: 302,558 bytes per end before, 40,073 after.

--- a/peer/link.go
+++ b/peer/link.go
@@ -11,38 +11,43 @@
 	body  vm.PeerBody
 }
 
-// link is the outgoing queue to one peer. Its methods need the lock of the Mesh.
+// link is the outgoing queue to one peer. Its methods need the lock of the
+// Mesh. The queue grows as needed: a VM has a link to nearly every other VM,
+// and nearly all of the queues are empty.
 type link struct {
 	peer   string
-	queue  chan outgoing
+	limit  int
+	queue  []outgoing
+	ready  chan struct{} // holds a token while the queue may have messages
 	closed bool
 }
 
-func newLink(peer string, n int) *link { return &link{peer: peer, queue: make(chan outgoing, n)} }
+func newLink(peer string, limit int) *link {
+	return &link{peer: peer, limit: limit, ready: make(chan struct{}, 1)}
+}
 
 // push queues a message. It reports false if the queue is full or closed.
 func (l *link) push(out outgoing) bool {
-	if l.closed {
+	if l.closed || len(l.queue) >= l.limit {
 		return false
 	}
+	l.queue = append(l.queue, out)
 	select {
-	case l.queue <- out:
-		return true
+	case l.ready <- struct{}{}:
 	default:
-		return false
 	}
+	return true
+}
+
+// take returns all waiting messages.
+func (l *link) take() []outgoing {
+	out := l.queue
+	l.queue = nil
+	return out
 }
 
 // close ends the queue and returns the messages that were not taken.
 func (l *link) close() []outgoing {
-	if l.closed {
-		return nil
-	}
 	l.closed = true
-	close(l.queue)
-	var rest []outgoing
-	for out := range l.queue {
-		rest = append(rest, out)
-	}
-	return rest
+	return l.take()
 }
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -108,9 +108,7 @@
 	}
 	rest := l.close()
 	m.mu.Unlock()
-	for _, out := range rest {
-		m.handler.Unsent(l.peer, out.body)
-	}
+	m.unsent(l.peer, rest)
 }
 
 // Connected returns the number of peers with an open or opening stream.
--- a/peer/stream.go
+++ b/peer/stream.go
@@ -133,9 +133,9 @@
 
 // writeLoop returns when the stream breaks, the context ends or the stream is idle.
 func (m *Mesh) writeLoop(ctx context.Context, s stream, l *link, r *reader) error {
-	var queue chan outgoing
+	var ready chan struct{}
 	if l != nil {
-		queue = l.queue
+		ready = l.ready
 	}
 	idle := time.NewTimer(m.idle.Duration())
 	defer idle.Stop()
@@ -149,14 +149,32 @@
 			return ctx.Err()
 		case <-idle.C:
 			return nil
-		case out, ok := <-queue:
-			if !ok {
-				return nil
-			}
-			if err := s.Send(Encode(m.clock.Now(), out.stamp, out.body)); err != nil {
-				return wrap("send", KindStream, err)
+		case <-ready:
+			if err := m.writeQueue(s, l); err != nil {
+				return err
 			}
 			idle.Reset(m.idle.Duration())
 		}
 	}
 }
+
+// writeQueue sends the messages that wait. After a failure the message that
+// failed may have arrived; those after it never left and are reported as unsent.
+func (m *Mesh) writeQueue(s stream, l *link) error {
+	m.mu.Lock()
+	batch := l.take()
+	m.mu.Unlock()
+	for i, out := range batch {
+		if err := s.Send(Encode(m.clock.Now(), out.stamp, out.body)); err != nil {
+			m.unsent(l.peer, batch[i+1:])
+			return wrap("send", KindStream, err)
+		}
+	}
+	return nil
+}
+
+func (m *Mesh) unsent(peer string, list []outgoing) {
+	for _, out := range list {
+		m.handler.Unsent(peer, out.body)
+	}
+}
