--- a/entry/question.go
+++ b/entry/question.go
@@ -83,7 +83,9 @@
 		}
 		return newest(core.Events(f), maxPeerEvents)
 	}
-	return core.Status(now)
+	status := core.Status(now)
+	status.Members = nil // the VM that asks has its own list, which grows with the fleet
+	return status
 }
 
 func newest(events []timeline.Event, n int) []timeline.Event {
