Keep spare carrier candidates per upstream

Cause: when a data centre was lost, every upstream that lost a carrier was hashed against all VMs in one step of the event loop.

Change: the table keeps the five best VMs of each upstream and scans only upstreams that are left with fewer than two.

--- a/vm/carrier.go
+++ b/vm/carrier.go
@@ -10,6 +10,11 @@
 // Two let queries go on while one of them fails.
 const carriersPerUpstream = 2
 
+// candidatesPerUpstream is how many of the best VMs are kept per upstream, so
+// that the loss of a rack or a data centre needs no scan of all VMs for most
+// upstreams.
+const candidatesPerUpstream = 5
+
 // connectionSharePercent is the share of an upstream's connection limit that
 // one of two carriers may open. The rest is headroom while views differ.
 const connectionSharePercent = 45
@@ -26,8 +31,8 @@
 type CarrierTable struct {
 	upstreams []string
 	index     map[string]int
-	members   []string // sorted
-	carriers  [][]scored
+	members   []string   // sorted
+	carriers  [][]scored // the best VMs of each upstream, best first; the first two are its carriers
 }
 
 // NewCarrierTable returns a table without members.
@@ -50,14 +55,23 @@
 	changed := make(map[int]bool)
 	old := t.members
 	t.members = next
+	gone := make(map[string]bool)
+	var kept []string
 	for _, m := range old {
-		if _, kept := slices.BinarySearch(next, m); !kept {
-			t.remove(m, changed)
+		if _, stays := slices.BinarySearch(next, m); stays {
+			kept = append(kept, m)
+			continue
 		}
+		gone[m] = true
 	}
+	if len(gone) > 0 {
+		t.remove(gone, kept, changed)
+	}
+	others := len(kept)
 	for _, m := range next {
 		if _, known := slices.BinarySearch(old, m); !known {
-			t.add(m, changed)
+			t.add(m, others, changed)
+			others++
 		}
 	}
 	out := make([]string, 0, len(changed))
@@ -68,37 +82,54 @@
 	return out
 }
 
-func (t *CarrierTable) add(member string, changed map[int]bool) {
+// add inserts a member. others is the number of members before it.
+func (t *CarrierTable) add(member string, others int, changed map[int]bool) {
 	for i, u := range t.upstreams {
-		if t.insert(i, scored{vm: member, score: score(u, member)}) {
+		whole := len(t.carriers[i]) == others
+		if t.insert(i, scored{vm: member, score: score(u, member)}, whole) {
 			changed[i] = true
 		}
 	}
 }
 
-// insert puts s into the carriers of upstream i if its score is high enough.
-func (t *CarrierTable) insert(i int, s scored) bool {
+// insert puts s into the candidates of upstream i if its score is high enough.
+// A VM below the last candidate goes in only if whole says that the list holds
+// every other VM; else one that is not listed may rank between. It reports
+// whether a carrier changed.
+func (t *CarrierTable) insert(i int, s scored, whole bool) bool {
 	list := t.carriers[i]
 	at, found := slices.BinarySearchFunc(list, s, compareScored)
-	if found || at >= carriersPerUpstream {
+	if found || at >= candidatesPerUpstream || at == len(list) && !whole {
 		return false
 	}
 	list = slices.Insert(list, at, s)
-	t.carriers[i] = list[:min(len(list), carriersPerUpstream)]
-	return true
+	t.carriers[i] = list[:min(len(list), candidatesPerUpstream)]
+	return at < carriersPerUpstream
 }
 
-func (t *CarrierTable) remove(member string, changed map[int]bool) {
-	for i := range t.carriers {
-		at := slices.IndexFunc(t.carriers[i], func(s scored) bool { return s.vm == member })
-		if at < 0 {
-			continue
+// remove drops the members that are gone and scans the remaining ones only for
+// upstreams that are left with too few candidates.
+func (t *CarrierTable) remove(gone map[string]bool, remaining []string, changed map[int]bool) {
+	for i, list := range t.carriers {
+		before := len(list)
+		for at, s := range list {
+			if gone[s.vm] && at < carriersPerUpstream {
+				changed[i] = true
+			}
 		}
-		t.carriers[i] = t.carriers[i][:0]
-		for _, m := range t.members {
-			t.insert(i, scored{vm: m, score: score(t.upstreams[i], m)})
+		list = slices.DeleteFunc(list, func(s scored) bool { return gone[s.vm] })
+		t.carriers[i] = list
+		if len(list) < before && len(list) < carriersPerUpstream {
+			t.scan(i, remaining)
 		}
-		changed[i] = true
+	}
+}
+
+// scan finds the candidates of upstream i among all members.
+func (t *CarrierTable) scan(i int, members []string) {
+	t.carriers[i] = t.carriers[i][:0]
+	for _, m := range members {
+		t.insert(i, scored{vm: m, score: score(t.upstreams[i], m)}, true)
 	}
 }
 
--- a/vm/carrier_query.go
+++ b/vm/carrier_query.go
@@ -3,7 +3,7 @@
 // Carrier returns the i-th carrier of an upstream, or "" if there is none.
 func (t *CarrierTable) Carrier(upstream string, i int) string {
 	n, ok := t.index[upstream]
-	if !ok || i >= len(t.carriers[n]) {
+	if !ok || i >= min(len(t.carriers[n]), carriersPerUpstream) {
 		return ""
 	}
 	return t.carriers[n][i].vm
