Count the answers of a flood by the time they are given

Cause: throughput counted only answers to requests that were sent in the counted window. The queue of patient work holds more than a window, so under a flood of patient work nearly all answers in the window, which are to earlier requests, were left out: patient throughput read 0 while the tier completed 300 patient queries a second.

Change: throughput and goodput count the complete answers that are given in the window. Refusals, latency, partial answers and bounds are counted as before.

--- a/experiment/flood.go
+++ b/experiment/flood.go
@@ -34,6 +34,7 @@
 	tier     *Tier
 	load     *TierLoad
 	capacity float64
+	finished rank.Table[int] // complete answers given in the window
 }
 
 // runFlood sends each rank at its share of capacity and counts the requests of
@@ -48,13 +49,18 @@
 	t.Loop.RunUntil(t.Loop.Now() + floodSettle)
 	f.load.Reset()
 	t.Loop.RunUntil(end)
+	for _, r := range rank.All() {
+		f.finished.Set(r, f.load.Result(r).Finished)
+	}
 	return f
 }
 
 // perSecond returns how many queries of a rank are answered whole per second
-// of the window.
+// of the window. It counts answers by the time at which they are given: the
+// queue of patient work holds more than a window, so most of its answers in the
+// window are to requests sent before.
 func (f *flood) perSecond(r rank.Rank) float64 {
-	return float64(f.load.Result(r).Complete) / float64(floodMs/clock.Second)
+	return float64(f.finished.At(r)) / float64(floodMs/clock.Second)
 }
 
 func (f *flood) goodput() float64 {
--- a/experiment/tier_load.go
+++ b/experiment/tier_load.go
@@ -21,6 +21,7 @@
 // RankResult sums up the answers of one rank over a measured window.
 type RankResult struct {
 	Sent     int // requests
+	Finished int // complete answers given in the window, also to requests sent before it
 	Complete int
 	Partial  int
 	Refused  int
@@ -98,6 +99,9 @@
 	t.pending[call] = func(cmd vm.Cmd) {
 		res.Open--
 		a := cmd.(vm.AnswerQueryCmd).Answer
+		if a.Outcome == vm.Complete {
+			l.results.Ref(r).Finished++
+		}
 		l.check(id, a)
 		res.record(a, t.Loop.Now()-start)
 	}
