Admit by throughput shares, mean waits and the time of a slow query

Changes: the target is half the mean service time that queries report, and at least 4 ms. The limit judges the mean wait of a rank, where one query counts for at most four targets. A waiting rank earns its floor's share of all started cost, and goes before the lending once it has a whole query. A query that waited starts only with twice the 95th percentile of the completion times left, or half of its own time if that is less. Services are visited in a fixed order when overload is noticed, because the order reached the commands.

--- a/admission/accessors.go
+++ b/admission/accessors.go
@@ -76,7 +76,7 @@
 				continue
 			}
 			due := queue.earliest().due
-			due = min(due, due-s.took.Ref(r).At(g.now)+1)
+			due = min(due, due-s.reserve(g.now, queue.earliest(), due)+1)
 			if !found || due < wake {
 				wake, found = due, true
 			}
--- a/admission/gate.go
+++ b/admission/gate.go
@@ -123,7 +123,7 @@
 func (g *Gate) start(now clock.Millis, s *service, q *query) Cmd {
 	q.running = true
 	q.started = now
-	s.start(q)
+	s.start(q, g.policy)
 	return AdmitCmd{ID: q.id, Deadline: effectiveDeadline(q, g.policy.Policy(q.rank)), WaitedMs: now - q.arrived}
 }
 
@@ -135,7 +135,7 @@
 	s := q.service
 	s.integrate(now, g.policy)
 	s.finish(now, q, m.TookMs)
-	changed := s.limit.observe(now, q, m.QueueMs, m.Overloaded)
+	changed := s.limit.observe(now, q, m)
 	g.release(q)
 	if !changed {
 		return nil
@@ -163,26 +163,22 @@
 
 // pump refuses queued queries that can no longer finish, then starts as many as fit.
 func (g *Gate) pump(now clock.Millis, s *service, cmds []Cmd) []Cmd {
-	for _, r := range rank.All() {
-		queue := s.queues.Ref(r)
-		for queue.len() > 0 && s.late(now, queue.earliest()) {
-			cmds = g.drop(now, queue.earliest(), TooLate, cmds)
-		}
-	}
 	for {
+		cmds = g.dropLate(now, s, cmds)
 		s.integrate(now, g.policy)
 		r := s.next(g.policy)
 		if r < 0 {
 			return cmds
 		}
 		queue := s.queues.Ref(rank.Rank(r))
-		q := queue.peek(now)
+		q := queue.peek(now, s.reserve(now, queue.oldest, queue.oldest.due))
 		if !s.fits(q) {
 			s.limit.markFull()
 			return cmds
 		}
 		// The preset may have changed while the query was queued.
-		if !s.canFinish(now, q, g.policy.Policy(q.rank)) {
+		due := effectiveDeadline(q, g.policy.Policy(q.rank))
+		if now+max(s.reserve(now, q, due), 1) > due {
 			cmds = g.drop(now, q, TooLate, cmds)
 			continue
 		}
@@ -191,6 +187,18 @@
 	}
 }
 
+// dropLate refuses queued queries that can no longer finish. A start can bring
+// a late one to the front, because the reserve depends on the query.
+func (g *Gate) dropLate(now clock.Millis, s *service, cmds []Cmd) []Cmd {
+	for _, r := range rank.All() {
+		queue := s.queues.Ref(r)
+		for queue.len() > 0 && s.late(now, queue.earliest()) {
+			cmds = g.drop(now, queue.earliest(), TooLate, cmds)
+		}
+	}
+	return cmds
+}
+
 func (g *Gate) newQuery() *query {
 	if n := len(g.free); n > 0 {
 		q := g.free[n-1]
--- a/admission/gate_test.go
+++ b/admission/gate_test.go
@@ -52,6 +52,8 @@
 		{"slow queries", []step{{9, admission.DoneMsg{ID: "a", TookMs: 800}}, {9, arrive("c", rank.Patient)}, {10, admission.DoneMsg{ID: "c", TookMs: 60_000}}, {10, admission.DoneMsg{ID: "b", TookMs: 60_000}}, {20, arrive("d", rank.Patient)}}, "+a +b +c -d:too_late"},
 		{"slow queries, forgotten after a second", []step{{9, admission.DoneMsg{ID: "a", TookMs: 60_000}}, {9, admission.DoneMsg{ID: "b", TookMs: 60_000}}, {1010, arrive("c", rank.Patient)}}, "+a +b +c"},
 		{"shorter deadline under a new preset", []step{{2, arrive("c", rank.Urgent)}, {3, admission.PolicyMsg{Preset: bigger}}, {30, done("a")}}, "+a +b -c:too_late"},
+		{"waited, with time for a slow query", []step{{2, arrive("c", rank.Urgent)}, {3, done("a")}, {4, arrive("d", rank.Urgent)}, {240, admission.DoneMsg{ID: "c", TookMs: 150}}}, "+a +b +c +d"},
+		{"waited, with time for a usual query only", []step{{2, arrive("c", rank.Urgent)}, {3, done("a")}, {4, arrive("d", rank.Urgent)}, {260, admission.DoneMsg{ID: "c", TookMs: 150}}}, "+a +b +c -d:too_late"},
 		{"full queue, newest patient", []step{
 			{2, arrive("c", rank.Patient)}, {2, arrive("d", rank.Patient)}, {2, arrive("e", rank.Patient)}, {2, arrive("f", rank.Patient)},
 		}, "+a +b -f:queue_full"},
--- a/admission/limit.go
+++ b/admission/limit.go
@@ -16,12 +16,19 @@
 	// minSamples keeps a verdict from resting on one or two queries.
 	minSamples = 4
 
-	costWeight = 0.05
+	costWeight  = 0.05
+	serveWeight = 0.05
+
+	// targetShare is the target wait as a share of the mean service time.
+	targetShare = 0.5
+
+	// maxWaits bounds the weight of one query that waited long, in targets.
+	maxWaits = 4
 )
 
 // limit adapts the number of concurrent sub-requests of one service.
 //
-// A verdict covers an interval. The limit falls if the median wait of some
+// A verdict covers an interval. The limit falls if the mean wait of some
 // rank was above the target: carriers serve ranks in order, so the wait shows
 // first in the least urgent rank that runs. Only queries admitted after the
 // last fall count, because older ones waited behind the load that the fall removed.
@@ -29,7 +36,8 @@
 	current     float64
 	most        float64
 	typicalCost float64
-	targetMs    clock.Millis
+	targetMs    clock.Millis // lowest target
+	serveMs     float64      // moving mean service time of sub-requests
 	intervalMs  clock.Millis
 
 	begin      clock.Millis // of the interval
@@ -37,8 +45,7 @@
 	full       bool // a query had to wait during the interval
 	peak       int  // highest running cost during the interval
 	samples    rank.Table[int]
-	above      rank.Table[int] // waits above the target
-	notLow     rank.Table[int] // waits above half the target
+	waits      rank.Table[float64] // sum of the waits, each at most maxWaits targets
 	total      int
 	overloaded int
 }
@@ -50,6 +57,13 @@
 	}
 }
 
+// target returns the wait above which the limit falls. With shorter waits than
+// about half a service time the connections run idle now and then, because the
+// length of services varies.
+func (l *limit) target() float64 {
+	return max(float64(l.targetMs), targetShare*l.serveMs)
+}
+
 func (l *limit) value() int { return int(l.current) }
 
 func (l *limit) markFull() { l.full = true }
@@ -60,9 +74,12 @@
 }
 
 // observe records the end of q and reports whether the limit changed.
-func (l *limit) observe(now clock.Millis, q *query, queueMs clock.Millis, overloaded bool) bool {
+func (l *limit) observe(now clock.Millis, q *query, m DoneMsg) bool {
+	if m.ServeMs > 0 {
+		l.serveMs += serveWeight * (float64(m.ServeMs) - l.serveMs)
+	}
 	if q.started > l.lastFall {
-		l.record(q.rank, queueMs, overloaded)
+		l.record(q.rank, m.QueueMs, m.Overloaded)
 	}
 	if now-l.begin < l.intervalMs || l.total < minSamples {
 		return false
@@ -81,12 +98,7 @@
 func (l *limit) record(r rank.Rank, queueMs clock.Millis, overloaded bool) {
 	l.total++
 	*l.samples.Ref(r)++
-	if queueMs > l.targetMs {
-		*l.above.Ref(r)++
-	}
-	if 2*queueMs > l.targetMs {
-		*l.notLow.Ref(r)++
-	}
+	*l.waits.Ref(r) += min(float64(queueMs), maxWaits*l.target())
 	if overloaded {
 		l.overloaded++
 	}
@@ -96,27 +108,28 @@
 	if float64(l.overloaded) > overloadedShare*float64(l.total) {
 		return true
 	}
-	return l.mostOf(&l.above)
+	return l.longestWait() > l.target()
 }
 
-// waitsLow reports whether the median wait of every rank is at most half the
+// waitsLow reports whether the mean wait of every rank is at most half the
 // target. Between the half and the whole target the limit stays as it is.
-func (l *limit) waitsLow() bool { return !l.mostOf(&l.notLow) }
+func (l *limit) waitsLow() bool { return 2*l.longestWait() <= l.target() }
 
-// mostOf reports whether counts holds most samples of some rank.
-func (l *limit) mostOf(counts *rank.Table[int]) bool {
+// longestWait returns the highest mean wait of the ranks.
+func (l *limit) longestWait() float64 {
+	longest := 0.0
 	for _, r := range rank.All() {
-		if l.samples.At(r) >= minSamples && 2*counts.At(r) > l.samples.At(r) {
-			return true
+		if n := l.samples.At(r); n >= minSamples {
+			longest = max(longest, l.waits.At(r)/float64(n))
 		}
 	}
-	return false
+	return longest
 }
 
 func (l *limit) reset(now clock.Millis) {
 	l.begin = now
 	l.full = false
 	l.peak = 0
-	l.samples, l.above, l.notLow = rank.Table[int]{}, rank.Table[int]{}, rank.Table[int]{}
+	l.samples, l.waits = rank.Table[int]{}, rank.Table[float64]{}
 	l.total, l.overloaded = 0, 0
 }
--- a/admission/message.go
+++ b/admission/message.go
@@ -24,6 +24,7 @@
 type DoneMsg struct {
 	ID         string
 	QueueMs    clock.Millis // mean queue wait of its sub-requests at the carriers
+	ServeMs    clock.Millis // mean time of its sub-requests without that wait; 0 if not known
 	TookMs     clock.Millis // time since admission
 	Overloaded bool         // some sub-request was shed or dropped under load
 }
--- a/admission/options.go
+++ b/admission/options.go
@@ -6,7 +6,8 @@
 )
 
 const (
-	// defaultTargetMs is about half the usual service time of a sub-request.
+	// defaultTargetMs is the target for services of unknown or short service
+	// time; a service of longer time gets a target in proportion.
 	defaultTargetMs   clock.Millis = 4
 	defaultIntervalMs clock.Millis = 100
 )
@@ -38,7 +39,7 @@
 // WithPolicy sets the preset that is in force at the start.
 func WithPolicy(p preset.Preset) Option { return func(c *config) { c.policy = p } }
 
-// WithTarget sets the carrier queue wait above which the limit falls.
+// WithTarget sets the carrier lowest mean queue wait at the carriers above which the limit falls.
 func WithTarget(ms clock.Millis) Option { return func(c *config) { c.targetMs = ms } }
 
 // WithInterval sets the time over which waits are judged.
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -34,11 +34,11 @@
 func (q *queue) earliest() *query { return q.byDue[0] }
 
 // peek returns the query to start next: the oldest, but the newest once the
-// oldest has waited for half its time. Under overload the oldest queries would
+// oldest has waited for half the time before it must start. Under overload the oldest queries would
 // finish too late, and serving them first would make all others late as well.
-func (q *queue) peek(now clock.Millis) *query {
+func (q *queue) peek(now, reserve clock.Millis) *query {
 	o := q.oldest
-	if o.rank != rank.Patient && 2*(now-o.arrived) > o.due-o.arrived {
+	if o.rank != rank.Patient && 2*(now-o.arrived) > o.due-reserve-o.arrived {
 		return q.newest
 	}
 	return o
--- a/admission/service.go
+++ b/admission/service.go
@@ -12,6 +12,16 @@
 	// time is more likely to waste capacity than to finish.
 	finishQuantile = 0.5
 
+	// A query that had to wait starts only while it has this many times the
+	// tail quantile of the completion times left: under overload the slowest of
+	// its sub-requests waits far longer than usual. It never needs more than
+	// half of its whole time, so that short deadlines are served as well.
+	tailQuantile = 0.95
+	tailFactor   = 2
+
+	// maxCredit bounds the admissions that a rank can save up, in queries.
+	maxCredit = 2
+
 	defaultRetryMs clock.Millis = 1000
 	minRetryMs     clock.Millis = 50
 	maxRetryMs     clock.Millis = 60 * clock.Second
@@ -31,6 +41,7 @@
 	count   rank.Table[int] // running queries by rank
 	queues  rank.Table[queue]
 	took    rank.Table[quantile.Window]
+	tail    rank.Table[quantile.Window]
 	drain   rank.Table[drain]
 	refused rank.Table[[reasonCount]int]
 
@@ -38,6 +49,11 @@
 	// floor is not a whole number of queries hold that floor on average.
 	balance    rank.Table[float64]
 	integrated clock.Millis
+
+	// credit is the cost that a waiting rank may start before the others. It
+	// earns its floor's share of all started cost, which gives it that share of
+	// the throughput even if its queries run longer than those of other ranks.
+	credit rank.Table[float64]
 }
 
 // drain measures the time between completions of one rank.
@@ -50,22 +66,38 @@
 	s := &service{name: sc.name, limit: newLimit(sc, cfg)}
 	for _, r := range rank.All() {
 		s.took.Set(r, quantile.NewWindow(finishQuantile))
+		s.tail.Set(r, quantile.NewWindow(tailQuantile))
 	}
 	return s
 }
 
-func (s *service) start(q *query) {
+func (s *service) start(q *query, p preset.Preset) {
+	s.earn(q, p)
 	s.total += q.cost
 	*s.running.Ref(q.rank) += q.cost
 	*s.count.Ref(q.rank)++
 	s.limit.started(s.total, q.cost)
 }
 
+// earn credits the waiting ranks for the start of q.
+func (s *service) earn(q *query, p preset.Preset) {
+	for _, r := range rank.All() {
+		if s.queues.Ref(r).len() == 0 && r != q.rank {
+			s.credit.Set(r, 0)
+			continue
+		}
+		gain := float64(q.cost) * p.Policy(r).FloorPercent / 100
+		s.credit.Set(r, min(s.credit.At(r)+gain, maxCredit*s.limit.typicalCost))
+	}
+	s.credit.Set(q.rank, max(s.credit.At(q.rank)-float64(q.cost), 0))
+}
+
 func (s *service) finish(now clock.Millis, q *query, took clock.Millis) {
 	s.total -= q.cost
 	*s.running.Ref(q.rank) -= q.cost
 	*s.count.Ref(q.rank)--
 	s.took.Ref(q.rank).Add(now, took)
+	s.tail.Ref(q.rank).Add(now, took)
 	d := s.drain.Ref(q.rank)
 	if d.last > 0 {
 		d.gapMs += gapWeight * (float64(now-d.last) - d.gapMs)
@@ -98,9 +130,10 @@
 }
 
 // next returns the rank to serve next, or -1 if nothing is queued. A rank
-// below its floor goes first; then capacity is lent, most urgent first.
+// below its floor goes first, then one with credit; then capacity is lent, most
+// urgent first.
 func (s *service) next(p preset.Preset) int {
-	lend := -1
+	lend, credited := -1, -1
 	for _, r := range rank.All() {
 		queue := s.queues.Ref(r)
 		if queue.len() == 0 {
@@ -109,10 +142,16 @@
 		if s.belowFloor(r, p) {
 			return int(r)
 		}
+		if credited < 0 && s.credit.At(r) >= s.limit.typicalCost {
+			credited = int(r)
+		}
 		if lend < 0 {
 			lend = int(r)
 		}
 	}
+	if credited >= 0 {
+		return credited
+	}
 	return lend
 }
 
@@ -131,9 +170,15 @@
 	return s.total == 0 || s.total+q.cost <= s.limit.value()
 }
 
-// late reports whether q can no longer finish by its deadline.
+// late reports whether the waiting query q can no longer finish by its deadline.
 func (s *service) late(now clock.Millis, q *query) bool {
-	return now >= q.due || now+s.took.Ref(q.rank).At(now) > q.due
+	return now >= q.due || now+s.reserve(now, q, q.due) > q.due
+}
+
+// reserve returns the time that a waiting query needs to run whole.
+func (s *service) reserve(now clock.Millis, q *query, due clock.Millis) clock.Millis {
+	need := min(tailFactor*s.tail.Ref(q.rank).At(now), (due-q.arrived)/2)
+	return max(need, s.took.Ref(q.rank).At(now))
 }
 
 func (s *service) canFinish(now clock.Millis, q *query, policy preset.RankPolicy) bool {
--- a/query/command.go
+++ b/query/command.go
@@ -60,5 +60,6 @@
 	Needed      int          // attempts needed: one per group
 	MaxQueueMs  clock.Millis // longest carrier queue wait in the replies
 	MeanQueueMs clock.Millis // mean carrier queue wait in the replies
+	MeanServeMs clock.Millis // mean time of the answered attempts without that wait
 	Overloaded  bool         // an attempt was shed or dropped under load
 }
--- a/query/finish.go
+++ b/query/finish.go
@@ -32,6 +32,7 @@
 		ID: q.ID, Outcome: Failed, Ran: q.ran(), Snapshot: q.version, Preset: q.Preset, Revision: q.Revision,
 		Rank: q.Rank, TookMs: now - q.startAt, Reason: reason, Attempts: q.attempts, Needed: len(q.parts),
 		MaxQueueMs: q.maxQueue, MeanQueueMs: q.sumQueue / clock.Millis(max(q.replies, 1)), Overloaded: q.overloaded,
+		MeanServeMs: q.sumServe / clock.Millis(max(q.served, 1)),
 	}
 	if q.merge == nil {
 		return a
--- a/query/model.go
+++ b/query/model.go
@@ -56,6 +56,8 @@
 	maxQueue   clock.Millis
 	sumQueue   clock.Millis
 	replies    int
+	sumServe   clock.Millis
+	served     int
 	overloaded bool // a carrier or an upstream dropped an attempt under load
 	ranYes     bool
 	ranMaybe   bool
--- a/query/reply.go
+++ b/query/reply.go
@@ -45,9 +45,9 @@
 	m.slots.remove(t.seq)
 	p.close(t.seq)
 	q.noteRan(r.Ran)
-	q.noteQueue(r)
 	// What the query waits for includes the way to the carrier.
 	r.ServiceMs = max(now-t.sentAt-r.QueueMs, 0)
+	q.noteQueue(r)
 	m.book.Observe(now, t.up, r)
 	switch {
 	case r.Status == attempt.OK:
@@ -75,6 +75,10 @@
 	q.maxQueue = max(q.maxQueue, r.QueueMs)
 	q.sumQueue += r.QueueMs
 	q.replies++
+	if r.Status == attempt.OK {
+		q.sumServe += r.ServiceMs
+		q.served++
+	}
 	q.overloaded = q.overloaded || r.Status == attempt.Shed || r.Status == attempt.NotSent
 }
 
--- a/vm/call.go
+++ b/vm/call.go
@@ -81,10 +81,10 @@
 
 // noticeOverload switches hedging off for services whose work has to queue.
 func (c *Core) noticeOverload() {
-	for name, s := range c.services {
-		if on := c.gate.Waiting(name) > 0; on != s.overloaded {
+	for _, s := range c.ordered {
+		if on := c.gate.Waiting(s.name) > 0; on != s.overloaded {
 			s.overloaded = on
-			c.push(query.OverloadMsg{Service: name, Overloaded: on})
+			c.push(query.OverloadMsg{Service: s.name, Overloaded: on})
 		}
 	}
 }
@@ -161,7 +161,7 @@
 	if cl == nil {
 		return
 	}
-	c.push(admission.DoneMsg{ID: a.ID, QueueMs: a.MeanQueueMs, TookMs: a.TookMs, Overloaded: a.Overloaded})
+	c.push(admission.DoneMsg{ID: a.ID, QueueMs: a.MeanQueueMs, ServeMs: a.MeanServeMs, TookMs: a.TookMs, Overloaded: a.Overloaded})
 	c.answerQuery(now, n, cl, QueryAnswer{
 		Outcome: Outcome(a.Outcome), Ran: a.Ran, Snapshot: a.Snapshot, Expected: a.Expected, Covered: a.Covered,
 		Missing: a.Missing, Rows: a.Rows, Reason: a.Reason, Attempts: a.Attempts, Needed: a.Needed,
--- a/vm/core.go
+++ b/vm/core.go
@@ -25,6 +25,7 @@
 	self     fleet.VM
 	routing  Routing
 	services map[string]*service
+	ordered  []*service // fixed order, so that runs repeat
 	ups      map[string]upstream.Upstream
 
 	gate     *admission.Gate
@@ -116,6 +117,7 @@
 			}
 		}
 		c.services[svc.Name] = s
+		c.ordered = append(c.ordered, s)
 	}
 	return all
 }
--- a/vm/status.go
+++ b/vm/status.go
@@ -112,7 +112,8 @@
 			Rank: r, Queries: t.Queries, Needed: t.Needed, Sent: t.Sent, Hedges: t.Hedges, Retries: t.Retries,
 		})
 	}
-	for name := range c.services {
+	for _, svc := range c.ordered {
+		name := svc.name
 		s.Limits[name] = c.gate.Limit(name)
 		for _, r := range rank.All() {
 			load := RankLoad{Service: name, Rank: r, Running: c.gate.Running(name, r), Queued: c.gate.Queued(name, r)}
