Choose the carrier by outstanding work and recent time

Cause: attempts alternated between the two carriers of an upstream by sequence number, so work waited at one carrier while connections of the other were idle.

Change: a VM keeps its outstanding attempts and the mean of queue wait and service time per carrier, and sends through the one with the lower product.

--- a/vm/core.go
+++ b/vm/core.go
@@ -36,6 +36,7 @@
 	book     *upstream.Book
 	ring     *timeline.Ring
 	carriers *CarrierTable
+	loads    carrierLoads
 
 	preset   preset.Preset
 	revision uint64
@@ -102,6 +103,7 @@
 		ids[i] = string(u.ID)
 	}
 	c.carriers = NewCarrierTable(ids)
+	c.loads = make(carrierLoads, len(ids))
 	return c
 }
 
--- a/vm/forward.go
+++ b/vm/forward.go
@@ -73,10 +73,16 @@
 		c.forwards.broken[peer] = now + avoidMs
 	}
 	for _, f := range lost {
-		c.deliver(now, attempt.Reply{ID: f.req.ID, Upstream: f.req.Upstream, Status: attempt.Failed})
+		c.endForward(now, f, attempt.Reply{ID: f.req.ID, Upstream: f.req.Upstream, Status: attempt.Failed})
 	}
 }
 
+// endForward ends a forward that its carrier did not answer.
+func (c *Core) endForward(now clock.Millis, f *forward, r attempt.Reply) {
+	c.attemptEnded(f.req.Upstream, f.to, r)
+	c.deliver(now, r)
+}
+
 // peerUnsent handles a message that never left. A forward is proven not run.
 func (c *Core) peerUnsent(now clock.Millis, m PeerUnsentMsg) {
 	fwd, ok := m.Body.(Forward)
@@ -85,7 +91,11 @@
 	}
 	c.forwards.broken[m.To] = now + avoidMs
 	f := c.forwards.remove(fwd.Request.ID)
-	if f == nil || c.reroute(now, f) {
+	if f == nil {
+		return
+	}
+	c.attemptEnded(f.req.Upstream, f.to, attempt.Reply{Status: attempt.NotCarrier})
+	if c.reroute(now, f) {
 		return
 	}
 	c.deliver(now, attempt.Reply{ID: f.req.ID, Upstream: f.req.Upstream, Status: attempt.NotCarrier, Ran: attempt.No})
@@ -102,6 +112,7 @@
 	}
 	delete(c.forwards.open, r.ID)
 	c.noticeLeaving(r)
+	c.attemptEnded(f.req.Upstream, f.to, r)
 	if r.Status == attempt.NotCarrier && r.Ran == attempt.No && c.reroute(now, f) {
 		return
 	}
@@ -111,6 +122,6 @@
 func (c *Core) expireForwards(now clock.Millis) {
 	late := c.forwards.takeWhere(func(f *forward) bool { return now > f.req.Deadline+forwardGrace })
 	for _, f := range late {
-		c.deliver(now, attempt.Reply{ID: f.req.ID, Upstream: f.req.Upstream, Status: attempt.TimedOut})
+		c.endForward(now, f, attempt.Reply{ID: f.req.ID, Upstream: f.req.Upstream, Status: attempt.TimedOut})
 	}
 }
--- a/vm/member.go
+++ b/vm/member.go
@@ -44,6 +44,8 @@
 		changed = c.carriers.upstreams
 	}
 	for _, id := range changed {
+		i := c.carriers.index[id]
+		c.loads.keep(i, c.carriers.carriers[i])
 		c.setConnections(id)
 	}
 	c.push(order.OwnersMsg{Live: ids})
--- a/vm/route.go
+++ b/vm/route.go
@@ -43,26 +43,35 @@
 	}
 }
 
-// route sends an attempt through a carrier of its upstream. With two live
-// carriers, attempts alternate between them.
+// route sends an attempt through a carrier of its upstream.
 func (c *Core) route(now clock.Millis, req attempt.Request) {
 	to := c.chooseCarrier(now, req)
 	switch to {
 	case "":
 		c.deliver(now, attempt.Reply{ID: req.ID, Upstream: req.Upstream, Status: attempt.NotCarrier, Ran: attempt.No})
 	case c.self.ID:
+		c.attemptSent(req.Upstream, to)
 		c.push(pool.EnqueueMsg{Request: req, From: c.self.ID})
 	default:
+		c.attemptSent(req.Upstream, to)
 		c.forwards.add(req, to, now)
 		c.sendPeer(now, to, Forward{Request: req})
 	}
 }
 
+// chooseCarrier returns the carrier through which the attempt should end first.
+// Alternation alone would leave connections of one carrier idle while work
+// waits at the other.
 func (c *Core) chooseCarrier(now clock.Millis, req attempt.Request) string {
 	if c.routing == RouteDirect {
 		return c.self.ID
 	}
 	first := int(req.ID.Seq & 1)
+	a := c.loadOf(req.Upstream, c.carriers.Carrier(req.Upstream, first))
+	b := c.loadOf(req.Upstream, c.carriers.Carrier(req.Upstream, 1-first))
+	if a != nil && b != nil && b.expectedMs() < a.expectedMs() {
+		first = 1 - first
+	}
 	to := c.carriers.Carrier(req.Upstream, first)
 	if to == "" || c.forwards.avoid(now, to) {
 		if other := c.carriers.Carrier(req.Upstream, 1-first); other != "" && !c.forwards.avoid(now, other) {
@@ -83,6 +92,7 @@
 		if to == "" || to == f.to || c.forwards.avoid(now, to) {
 			continue
 		}
+		c.attemptSent(f.req.Upstream, to)
 		if to == c.self.ID {
 			c.push(pool.EnqueueMsg{Request: f.req, From: c.self.ID})
 			return true
@@ -106,6 +116,7 @@
 
 func (c *Core) cancel(now clock.Millis, id attempt.ID, up string) {
 	if f := c.forwards.remove(id); f != nil {
+		c.attemptEnded(up, f.to, attempt.Reply{Status: attempt.Cancelled})
 		c.sendPeer(now, f.to, CancelForward{ID: id, Upstream: up})
 		return
 	}
@@ -134,5 +145,6 @@
 		c.sendPeer(now, to, Result{Reply: r})
 		return
 	}
+	c.attemptEnded(r.Upstream, to, r)
 	c.deliver(now, r)
 }
