Bound how long an attempt gives way to higher priorities

Cause: with connections fully used, the attempts of the lowest priorities of a rank waited until their deadline, and their queries ended partial.

Change: an attempt gives way for at most a quarter of its remaining time and is then served before the others of its rank. Priorities still decide what is shed from a full queue.

Tried and not kept: a turn in proportion to the priority.

--- a/pool/dispatch.go
+++ b/pool/dispatch.go
@@ -15,7 +15,7 @@
 		cmds = m.returnQueue(now, l, status, cmds)
 	}
 	for l.queue.size > 0 && l.room(now) {
-		it := l.queue.take(&m.cfg.shares)
+		it := l.queue.take(now, &m.cfg.shares)
 		cmds = append(cmds, m.dispatch(now, it))
 	}
 	if l.conns.trim(now, m.cfg.idleMs, l.keep()) {
--- a/pool/heap.go
+++ b/pool/heap.go
@@ -7,6 +7,7 @@
 	slotOrder = iota // service order while queued, end of the wait while running
 	slotWorst        // reverse service order while queued
 	slotDue          // deadline while queued
+	slotTurn         // end of giving way while queued
 	slotCount
 )
 
@@ -58,6 +59,13 @@
 
 func servedAfter(a, b *item) bool { return servedBefore(b, a) }
 
+func turnBefore(a, b *item) bool {
+	if a.turn != b.turn {
+		return a.turn < b.turn
+	}
+	return servedBefore(a, b)
+}
+
 func dueBefore(a, b *item) bool { return a.req.Deadline < b.req.Deadline }
 
 func endsBefore(a, b *item) bool { return a.ends < b.ends }
--- a/pool/model.go
+++ b/pool/model.go
@@ -89,7 +89,7 @@
 	}
 	it := m.newItem()
 	m.seq++
-	*it = item{req: msg.Request, from: msg.From, lane: l, seq: m.seq, enqueued: now}
+	*it = item{req: msg.Request, from: msg.From, lane: l, seq: m.seq, enqueued: now, turn: turnOf(now, msg.Request)}
 	m.attempts[msg.ID] = it
 	l.queue.add(it)
 	var cmds []Cmd
--- a/pool/model_test.go
+++ b/pool/model_test.go
@@ -125,6 +125,27 @@
 	}
 }
 
+// TestYield guards against an attempt of low priority that gives way to others
+// until its deadline while the connections are fully used.
+func TestYield(t *testing.T) {
+	m := pool.New(pool.WithUpstream(up, 1))
+	m.Update(0, request(1, rank.Urgent, 5, 1000))
+	m.Update(0, request(2, rank.Urgent, 0, 400))
+	last := uint64(1)
+	for i := range uint64(20) {
+		now := clock.Millis(10 * (i + 1))
+		m.Update(now-1, request(3+i, rank.Urgent, 9, now+1000))
+		last = dispatched(m.Update(now, reply(last, attempt.OK)))[0]
+		if last == 2 {
+			if now != 100 {
+				t.Errorf("dispatched after %d ms, want a quarter of 400", now)
+			}
+			return
+		}
+	}
+	t.Error("not dispatched within 200 ms")
+}
+
 // TestShares guards against a flood of one rank starving the others at a carrier.
 func TestShares(t *testing.T) {
 	m := pool.New(pool.WithUpstream(up, 1), pool.WithShares(rank.NewTable(0.5, 0.25, 0.1)))
--- a/pool/queue.go
+++ b/pool/queue.go
@@ -13,6 +13,7 @@
 	lane       *lane
 	seq        uint64
 	enqueued   clock.Millis
+	turn       clock.Millis // from then on it no longer gives way to higher priorities
 	dispatched clock.Millis
 	ends       clock.Millis // when a running attempt is given up or its slot is freed
 	running    bool
@@ -22,11 +23,22 @@
 	index      [slotCount]int
 }
 
+// yieldShare is the part of its remaining time, as a divisor, for which an
+// attempt gives way to higher priorities of its rank. Without a bound the lowest
+// priorities wait until their deadline while the connections are fully used,
+// and their queries end partial.
+const yieldShare = 4
+
+func turnOf(now clock.Millis, req attempt.Request) clock.Millis {
+	return now + max(req.Deadline-now, 0)/yieldShare
+}
+
 // rankQueue holds the waiting attempts of one rank.
 type rankQueue struct {
 	order itemHeap
 	worst itemHeap
 	due   itemHeap
+	turn  itemHeap
 }
 
 func newRankQueue() rankQueue {
@@ -34,6 +46,7 @@
 		order: itemHeap{slot: slotOrder, less: servedBefore},
 		worst: itemHeap{slot: slotWorst, less: servedAfter},
 		due:   itemHeap{slot: slotDue, less: dueBefore},
+		turn:  itemHeap{slot: slotTurn, less: turnBefore},
 	}
 }
 
@@ -43,12 +56,23 @@
 	q.order.add(it)
 	q.worst.add(it)
 	q.due.add(it)
+	q.turn.add(it)
 }
 
 func (q *rankQueue) remove(it *item) {
 	q.order.remove(it)
 	q.worst.remove(it)
 	q.due.remove(it)
+	q.turn.remove(it)
+}
+
+// next returns the attempt to serve next: the one of the highest priority, but
+// first those that have given way for long enough.
+func (q *rankQueue) next(now clock.Millis) *item {
+	if it := q.turn.top(); it.turn <= now {
+		return it
+	}
+	return q.order.top()
 }
 
 // maxCredit bounds the dispatches that a rank can save up.
@@ -81,7 +105,7 @@
 }
 
 // take removes the attempt to dispatch next. The queue must not be empty.
-func (q *queue) take(shares *rank.Table[float64]) *item {
+func (q *queue) take(now clock.Millis, shares *rank.Table[float64]) *item {
 	chosen := q.choose()
 	for _, r := range rank.All() {
 		if q.ranks.Ref(r).len() > 0 {
@@ -89,7 +113,7 @@
 		}
 	}
 	q.credit.Set(chosen, max(q.credit.At(chosen)-1, 0))
-	it := q.ranks.Ref(chosen).order.top()
+	it := q.ranks.Ref(chosen).next(now)
 	q.remove(it)
 	return it
 }
