--- a/admission/options.go
+++ b/admission/options.go
@@ -39,7 +39,7 @@
 // WithPolicy sets the preset that is in force at the start.
 func WithPolicy(p preset.Preset) Option { return func(c *config) { c.policy = p } }
 
-// WithTarget sets the carrier lowest mean queue wait at the carriers above which the limit falls.
+// WithTarget sets the lowest mean queue wait at the carriers above which the limit falls.
 func WithTarget(ms clock.Millis) Option { return func(c *config) { c.targetMs = ms } }
 
 // WithInterval sets the time over which waits are judged.
--- a/query/retry.go
+++ b/query/retry.go
@@ -13,7 +13,7 @@
 	// An attempt that found no budget asks again after tokenWaitMs. The wait
 	// doubles each time up to maxTokenWaitMs: thousands of parts without tokens
 	// that all ask every few milliseconds would take the whole processor.
-	tokenWaitMs, maxTokenWaitMs = 3, 1536
+	tokenWaitMs, maxTokenWaitMs = 3, 3 << 12
 	// With an empty budget a hedge waits this much longer, as a share of its
 	// delay, so that the slowest attempts get the remaining tokens.
 	scarceDelay = 1.0
