--- a/experiment/registry.go
+++ b/experiment/registry.go
@@ -14,12 +14,32 @@
 		{"replica-loss", "one replica lost in a quarter of the groups, against no retries", ReplicaLoss},
 		{"rollover", "new index versions and repartition under load, against no version choice", Rollover},
 		{"connections", "carriers against static shares of each upstream's connections", Connections},
+		{"stall", "a carrier that is paused for 10 s, against waiting for membership", Stall},
 		{"flood-patient", "patient work at five times capacity, against an open gate", FloodPatient},
 		{"flood-urgent", "urgent work at five times capacity, against an open gate", FloodUrgent},
+		{"orders", "100,000 orders with repeats and every fault, against one write per order", allOrders},
+		{"presets", "1,000 random histories of changes under faults, against unconditional writes", allPresets},
+		{"spread", "time until a change is in force, against no eager spreading", func(seed uint64) Report { return Spread(seed) }},
+		{"control", "control traffic, processor time and memory by fleet size", wallControl},
 		{"fanout", "sub-requests wasted under five times overload, against an open gate", Fanout},
+		{"capacity", "cost of each kind of work by size, extrapolated to the two-year size", wallCapacity},
 	}
 }
 
+// Sizes of the runs that the design page asks for.
+const (
+	ordersCount      = 100_000
+	presetsHistories = 1000
+)
+
+func allOrders(seed uint64) Report  { return Orders(seed, ordersCount) }
+func allPresets(seed uint64) Report { return Presets(seed, presetsHistories) }
+
+// wallControl and wallCapacity measure processor time with the monotonic clock.
+// It is the only figure that differs between runs of one seed, besides memory.
+func wallControl(seed uint64) Report  { return Control(seed, nanoseconds) }
+func wallCapacity(seed uint64) Report { return Capacity(seed, nanoseconds) }
+
 // Find returns the experiment with the given name.
 func Find(name string) (Entry, bool) {
 	for _, e := range All() {
--- a/fleet/gossip.go
+++ b/fleet/gossip.go
@@ -8,12 +8,16 @@
 )
 
 const (
-	newsBytes                = 900 // of updates and reports on one message
-	updateBytes              = 56  // estimate of one update or report
-	burstFanout              = 4
-	burstRounds              = 3
-	burstEvery  clock.Millis = 200
-	sampleTries              = 4 // per wanted member
+	newsBytes                  = 900 // of updates and reports on one message
+	updateBytes                = 56  // estimate of one update or report
+	burstFanout                = 4
+	defaultBursts              = 3 // with the fan-out, 12 messages: misses one VM in 160,000 on average
+	burstEvery    clock.Millis = 200
+	// A rack of upstreams that drains at once must fit in one burst, or its last reports come too late.
+	rumourReports = 64
+	// Bounds the traffic after a mass change; the comparison of digests repairs what is dropped.
+	maxQueued   = 128
+	sampleTries = 4 // per wanted member
 )
 
 // gossiping is the state of dissemination. Each change is put on a number of
@@ -22,7 +26,8 @@
 type gossiping struct {
 	members queue
 	reports queue
-	bursts  int // rounds left
+	muted   bool // changes are taken over without being spread
+	bursts  int  // rounds left
 	next    clock.Millis
 }
 
@@ -42,6 +47,10 @@
 		it.sent = 0
 		return
 	}
+	if len(q.items) == maxQueued {
+		delete(q.index, q.items[0].key)
+		q.items = q.items[1:]
+	}
 	it := &item{key: key}
 	q.index[key] = it
 	q.items = append(q.items, it)
@@ -75,12 +84,16 @@
 		msg.updates = append(msg.updates, mem.VM)
 	}
 	room := newsBytes / updateBytes
-	for _, id := range m.gossip.reports.take(room/2, m.transmissions()) {
+	reports := room / 2
+	if k == kindRumour {
+		reports = rumourReports
+	}
+	for _, id := range m.gossip.reports.take(reports, m.transmissions()) {
 		if r, ok := m.reports.table[upstream.ID(id)]; ok {
 			msg.reports = append(msg.reports, m.outgoing(r))
 		}
 	}
-	for _, id := range m.gossip.members.take(room-len(msg.reports), m.transmissions()) {
+	for _, id := range m.gossip.members.take(max(room-len(msg.reports), room/2), m.transmissions()) {
 		if mem := m.byID[id]; mem != nil && mem != m.self {
 			msg.updates = append(msg.updates, mem.VM)
 		}
@@ -93,7 +106,7 @@
 	if m.gossip.bursts == 0 {
 		m.gossip.next = max(m.gossip.next, now)
 	}
-	m.gossip.bursts = burstRounds
+	m.gossip.bursts = m.cfg.bursts
 }
 
 func (m *Model) burstDue(now clock.Millis) {
@@ -102,6 +115,9 @@
 	}
 	m.gossip.bursts--
 	m.gossip.next = now + burstEvery
+	if len(m.gossip.reports.items) > rumourReports {
+		m.gossip.bursts = max(m.gossip.bursts, 1) // not all reports fit in the messages of one burst
+	}
 	for _, mem := range m.sample(burstFanout, nil) {
 		if m.stopping {
 			m.ping(now, mem.ID, ping{purpose: forStop})
--- /dev/null
+++ b/fleet/place_test.go
@@ -0,0 +1,102 @@
+package fleet_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/experiment"
+	"lentillink.example/lentillink/fleet"
+	"lentillink.example/lentillink/vm"
+)
+
+// carriersOf returns the carriers of the upstreams as one VM chooses them from
+// its live members.
+func carriersOf(n *experiment.Node, upstreams []string) [][]string {
+	var live []string
+	for _, v := range n.Model.Live() {
+		live = append(live, v.ID)
+	}
+	table := vm.NewCarrierTable(upstreams)
+	table.SetMembers(live)
+	out := make([][]string, len(upstreams))
+	for i, u := range upstreams {
+		out[i] = []string{table.Carrier(u, 0), table.Carrier(u, 1)}
+	}
+	return out
+}
+
+// TestPlacement guards against VMs that disagree on a choice, and against
+// choices that move although their member stayed.
+func TestPlacement(t *testing.T) {
+	f := joined(t, 7)
+	gone := f.Nodes[8]
+	var upstreams []string
+	for i := range 900 {
+		upstreams = append(upstreams, fmt.Sprintf("search/group-%d/a", i))
+	}
+	before := carriersOf(f.Nodes[0], upstreams)
+	other := carriersOf(f.Nodes[5], upstreams)
+	count := make(map[string]int)
+	for i, u := range upstreams {
+		if got := other[i]; !slices.Equal(got, before[i]) || got[0] == got[1] {
+			t.Fatalf("carriers of %s: %v and %v", u, before[i], got)
+		}
+		count[before[i][0]]++
+	}
+	for id, n := range count {
+		if n < 60 || n > 150 {
+			t.Errorf("%s is first carrier of %d of 900 upstreams, want about 100", id, n)
+		}
+	}
+	f.Deliver(gone, fleet.StopMsg{})
+	f.RunFor(3 * clock.Second)
+	after := carriersOf(f.Nodes[0], upstreams)
+	for i, u := range upstreams {
+		if slices.Contains(after[i], gone.VM.ID) {
+			t.Errorf("%s is carried by a VM that left", u)
+		}
+		if !slices.Contains(before[i], gone.VM.ID) && !slices.Equal(after[i], before[i]) {
+			t.Errorf("carriers of %s moved from %v to %v", u, before[i], after[i])
+		}
+	}
+}
+
+// TestWatchers guards against watchers that share a data centre or differ between VMs.
+func TestWatchers(t *testing.T) {
+	f := experiment.NewFleet(8, 27)
+	f.StartAll(clock.Second)
+	f.RunFor(40 * clock.Second)
+	want := f.Nodes[0].Model.Watchers()
+	centres := make(map[string]bool)
+	for _, id := range want {
+		centres[f.ByID[id].VM.DataCentre] = true
+	}
+	if len(want) != 3 || len(centres) != 3 {
+		t.Errorf("watchers %v in %d data centres, want 3 in 3", want, len(centres))
+	}
+	for _, n := range f.Nodes {
+		if got := n.Model.Watchers(); !slices.Equal(got, want) {
+			t.Errorf("%s has watchers %v, want %v", n.VM.ID, got, want)
+		}
+	}
+}
+
+// TestModelIsDeterministic guards against a history that depends on map order.
+func TestModelIsDeterministic(t *testing.T) {
+	run := func() [2]int {
+		f := joined(t, 9)
+		f.LossPercent = 20
+		f.RunFor(clock.Minute)
+		var sum [2]int
+		for _, n := range f.Nodes {
+			sum[0] += n.Sent
+			sum[1] += n.SentBytes
+		}
+		return sum
+	}
+	if a, b := run(), run(); a != b {
+		t.Errorf("the same seed sent %v and %v", a, b)
+	}
+}
--- a/fleet/query.go
+++ b/fleet/query.go
@@ -21,11 +21,22 @@
 
 // Live returns the members that are alive, including this VM unless it is stopping, ordered by identifier.
 func (m *Model) Live() []VM {
-	list := make([]VM, len(m.eligible))
-	for i, mem := range m.eligible {
+	order := slices.Clone(m.eligible)
+	slices.SortFunc(order, func(a, b *member) int { return cmp.Compare(a.ID, b.ID) })
+	list := make([]VM, len(order))
+	for i, mem := range order {
 		list[i] = mem.VM
 	}
-	return sortVMs(list)
+	return list
+}
+
+// LiveCount returns the number of live members.
+func (m *Model) LiveCount() int { return len(m.eligible) }
+
+// IsLive reports whether a member is alive.
+func (m *Model) IsLive(id string) bool {
+	mem := m.byID[id]
+	return mem != nil && mem.State == Alive
 }
 
 // Members returns all known members, including dead ones, ordered by identifier.
@@ -34,37 +45,10 @@
 	for _, mem := range m.byID {
 		list = append(list, mem.VM)
 	}
-	return sortVMs(list)
-}
-
-func sortVMs(list []VM) []VM {
 	slices.SortFunc(list, func(a, b VM) int { return cmp.Compare(a.ID, b.ID) })
 	return list
 }
 
-// Generation changes whenever the result of Live, Carriers or Owner may change.
-func (m *Model) Generation() uint64 { return m.generation }
-
-// Carriers returns the n members that own the connections to an upstream,
-// best first. It scans all members; cache the result by Generation.
-func (m *Model) Carriers(upstream string, n int) []string {
-	best := m.top(upstream, n)
-	ids := make([]string, len(best))
-	for i, c := range best {
-		ids[i] = c.mem.ID
-	}
-	return ids
-}
-
-// Owner returns the member that owns key, or "" if no member is alive.
-func (m *Model) Owner(key string) string {
-	best := m.top(key, 1)
-	if len(best) == 0 {
-		return ""
-	}
-	return best[0].mem.ID
-}
-
 // Watchers returns the members that watch the record in the store.
 func (m *Model) Watchers() []string { return slices.Clone(m.watchers) }
 
--- a/vm/core.go
+++ b/vm/core.go
@@ -38,17 +38,20 @@
 	carriers *CarrierTable
 	loads    carrierLoads
 
-	preset   preset.Preset
-	revision uint64
-	calls    map[uint64]*call
-	openID   map[string]uint64 // open order id to its call
-	forwards *forwards
-	rng      *rand.Rand
-	stopping bool
-	live     int
-	orderSeq uint64
-	nextPoll clock.Millis
-	polled   map[upstream.ID]bool // polls without an answer
+	preset    preset.Preset
+	revision  uint64
+	calls     map[uint64]*call
+	openID    map[string]uint64 // open order id to its call
+	forwards  *forwards
+	rng       *rand.Rand
+	stopping  bool
+	live      int
+	orderSeq  uint64
+	nextPoll  clock.Millis
+	stallMs   clock.Millis
+	nextStall clock.Millis
+	polled    map[upstream.ID]bool // polls without an answer
+	sawGone   map[upstream.ID]bool // load endpoints that said leaving, or failed while leaving
 
 	inner []any // messages between the machines, in order
 	cmds  []Cmd
@@ -81,11 +84,12 @@
 func New(opts ...Option) *Core {
 	cfg := newConfig(opts)
 	c := &Core{
-		self: cfg.self, routing: cfg.routing,
+		self: cfg.self, routing: cfg.routing, stallMs: cfg.stallMs,
 		services: make(map[string]*service), ups: make(map[string]upstream.Upstream),
 		ring:  timeline.NewRing(cfg.self.ID, cfg.ringEvents),
 		calls: make(map[uint64]*call), openID: make(map[string]uint64), forwards: newForwards(),
 		rng: rand.New(rand.NewPCG(cfg.seed, cfg.self.Incarnation)), polled: make(map[upstream.ID]bool),
+		sawGone: make(map[upstream.ID]bool),
 	}
 	all := c.addServices(cfg.services)
 	c.book = upstream.New(upstream.WithUpstreams(all), upstream.WithSeed(cfg.seed))
--- a/vm/forward.go
+++ b/vm/forward.go
@@ -20,21 +20,23 @@
 type forward struct {
 	req      attempt.Request
 	to       string
+	sentAt   clock.Millis
 	rerouted bool
 }
 
 // forwards tracks the attempts at other VMs.
 type forwards struct {
-	open   map[attempt.ID]*forward
-	broken map[string]clock.Millis // until when a VM is avoided
+	open    map[attempt.ID]*forward
+	broken  map[string]clock.Millis // until when a VM is avoided
+	heardAt map[string]clock.Millis // when a VM last sent something
 }
 
 func newForwards() *forwards {
-	return &forwards{open: make(map[attempt.ID]*forward), broken: make(map[string]clock.Millis)}
+	return &forwards{open: make(map[attempt.ID]*forward), broken: make(map[string]clock.Millis), heardAt: make(map[string]clock.Millis)}
 }
 
-func (fs *forwards) add(req attempt.Request, to string, _ clock.Millis) *forward {
-	f := &forward{req: req, to: to}
+func (fs *forwards) add(req attempt.Request, to string, now clock.Millis) *forward {
+	f := &forward{req: req, to: to, sentAt: now}
 	fs.open[req.ID] = f
 	return f
 }
@@ -90,10 +92,11 @@
 		return
 	}
 	c.forwards.broken[m.To] = now + avoidMs
-	f := c.forwards.remove(fwd.Request.ID)
-	if f == nil {
+	f := c.forwards.open[fwd.Request.ID]
+	if f == nil || f.to != m.To { // the report is doubled: the attempt is at another carrier by now
 		return
 	}
+	delete(c.forwards.open, fwd.Request.ID)
 	c.attemptEnded(f.req.Upstream, f.to, attempt.Reply{Status: attempt.NotCarrier})
 	if c.reroute(now, f) {
 		return
@@ -101,11 +104,13 @@
 	c.deliver(now, attempt.Reply{ID: f.req.ID, Upstream: f.req.Upstream, Status: attempt.NotCarrier, Ran: attempt.No})
 }
 
-// resultReceived accepts a result only from the VM that was asked.
+// resultReceived accepts a result only from the VM that was asked. After a
+// rerouted forward, a doubled answer of the first carrier does not prove that
+// the second carrier has not run an order, so it is dropped.
 func (c *Core) resultReceived(now clock.Millis, from string, r attempt.Reply) {
 	f := c.forwards.open[r.ID]
 	if f == nil || f.to != from {
-		if r.Status != attempt.Cancelled {
+		if r.Status != attempt.Cancelled && r.ID.Seq&orderSeqBit == 0 {
 			c.deliver(now, r) // the machine that sent it counts and drops a late reply
 		}
 		return
--- a/vm/handle.go
+++ b/vm/handle.go
@@ -1,6 +1,8 @@
 package vm
 
 import (
+	"fmt"
+
 	"lentillink.example/lentillink/admission"
 	"lentillink.example/lentillink/attempt"
 	"lentillink.example/lentillink/clock"
@@ -37,6 +39,11 @@
 		c.push(fleet.RosterMsg{VMs: m.VMs})
 	case RecordMsg:
 		c.push(fleet.RecordMsg{Record: m.Record})
+	case SwitchedMsg:
+		c.event(now, timeline.Event{
+			Kind: timeline.PresetSwitched, Revision: m.Change.Revision,
+			Detail: fmt.Sprintf("%s by %s: %s (change %s)", m.Change.InForce, m.Change.Author, m.Change.Reason, m.Change.ChangeID),
+		})
 	case PeerMsg:
 		c.ring.Observe(now, m.Stamp)
 		c.fromPeer(now, m)
@@ -71,6 +78,7 @@
 	if due(c.fleet) {
 		c.push(fleet.TickMsg{})
 	}
+	c.checkStalls(now)
 	if now >= c.nextPoll {
 		c.nextPoll = now + pollInterval
 		c.pollUpstreams()
@@ -92,15 +100,26 @@
 
 // loadReported uses only what is binding: that the upstream leaves or takes
 // work again, and which snapshots it holds. Health and load figures lag.
+//
+// An endpoint that never said leaving cannot say that the upstream is back: it
+// may lag or mislead. Then only the expiry of the report ends the drain.
 func (c *Core) loadReported(now clock.Millis, m LoadMsg) {
 	delete(c.polled, m.Upstream)
-	if !m.OK {
+	leaving := c.fleet.Leaving(m.Upstream)
+	switch {
+	case !m.OK:
+		c.sawGone[m.Upstream] = leaving
 		return
+	case m.Load.Leaving:
+		c.sawGone[m.Upstream] = true
+		if !leaving {
+			c.push(fleet.LeavingMsg{Upstream: m.Upstream, Leaving: true})
+		}
+	case leaving && c.sawGone[m.Upstream]:
+		c.push(fleet.LeavingMsg{Upstream: m.Upstream, Leaving: false})
+		delete(c.sawGone, m.Upstream)
 	}
 	c.book.LearnHeld(now, m.Upstream, m.Load.Held)
-	if m.Load.Leaving != c.fleet.Leaving(m.Upstream) {
-		c.push(fleet.LeavingMsg{Upstream: m.Upstream, Leaving: m.Load.Leaving})
-	}
 }
 
 func (c *Core) noticeLeaving(r attempt.Reply) {
