--- a/vm/core.go
+++ b/vm/core.go
@@ -25,6 +25,7 @@
 	self     fleet.VM
 	routing  Routing
 	services map[string]*service
+	ordered  []*service // fixed order, so that runs repeat
 	ups      map[string]upstream.Upstream
 
 	gate     *admission.Gate
@@ -35,6 +36,7 @@
 	book     *upstream.Book
 	ring     *timeline.Ring
 	carriers *CarrierTable
+	loads    carrierLoads
 
 	preset    preset.Preset
 	revision  uint64
@@ -105,6 +107,7 @@
 		ids[i] = string(u.ID)
 	}
 	c.carriers = NewCarrierTable(ids)
+	c.loads = make(carrierLoads, len(ids))
 	return c
 }
 
@@ -120,6 +123,7 @@
 			}
 		}
 		c.services[svc.Name] = s
+		c.ordered = append(c.ordered, s)
 	}
 	return all
 }
--- a/vm/forward.go
+++ b/vm/forward.go
@@ -75,10 +75,16 @@
 		c.forwards.broken[peer] = now + avoidMs
 	}
 	for _, f := range lost {
-		c.deliver(now, attempt.Reply{ID: f.req.ID, Upstream: f.req.Upstream, Status: attempt.Failed})
+		c.endForward(now, f, attempt.Reply{ID: f.req.ID, Upstream: f.req.Upstream, Status: attempt.Failed})
 	}
 }
 
+// endForward ends a forward that its carrier did not answer.
+func (c *Core) endForward(now clock.Millis, f *forward, r attempt.Reply) {
+	c.attemptEnded(f.req.Upstream, f.to, r)
+	c.deliver(now, r)
+}
+
 // peerUnsent handles a message that never left. A forward is proven not run.
 func (c *Core) peerUnsent(now clock.Millis, m PeerUnsentMsg) {
 	fwd, ok := m.Body.(Forward)
@@ -91,6 +97,7 @@
 		return
 	}
 	delete(c.forwards.open, fwd.Request.ID)
+	c.attemptEnded(f.req.Upstream, f.to, attempt.Reply{Status: attempt.NotCarrier})
 	if c.reroute(now, f) {
 		return
 	}
@@ -110,6 +117,7 @@
 	}
 	delete(c.forwards.open, r.ID)
 	c.noticeLeaving(r)
+	c.attemptEnded(f.req.Upstream, f.to, r)
 	if r.Status == attempt.NotCarrier && r.Ran == attempt.No && c.reroute(now, f) {
 		return
 	}
@@ -119,6 +127,6 @@
 func (c *Core) expireForwards(now clock.Millis) {
 	late := c.forwards.takeWhere(func(f *forward) bool { return now > f.req.Deadline+forwardGrace })
 	for _, f := range late {
-		c.deliver(now, attempt.Reply{ID: f.req.ID, Upstream: f.req.Upstream, Status: attempt.TimedOut})
+		c.endForward(now, f, attempt.Reply{ID: f.req.ID, Upstream: f.req.Upstream, Status: attempt.TimedOut})
 	}
 }
--- a/vm/stall.go
+++ b/vm/stall.go
@@ -45,7 +45,7 @@
 		return silent[f.to] && f.req.Kind == attempt.Query
 	})
 	for _, f := range lost {
-		c.deliver(now, attempt.Reply{ID: f.req.ID, Upstream: f.req.Upstream, Status: attempt.Failed})
+		c.endForward(now, f, attempt.Reply{ID: f.req.ID, Upstream: f.req.Upstream, Status: attempt.Failed})
 	}
 }
 
