Send an order again when no carrier took it

A VM that has just started knows few members and forwards an order to two VMs that do not carry its upstream. Both prove with not_carrier that nothing was sent, but provesNotRun did not know that status: the order ended unknown and its claim stayed, so that a repeat got already_submitted.

Change: not_carrier proves that an attempt was not run, as documented on the status.

Conclusion: such an order goes to the next replica, or is refused as not run and its claim released.

--- a/order/send.go
+++ b/order/send.go
@@ -122,7 +122,7 @@
 		return false
 	}
 	switch r.Status {
-	case attempt.VersionGone, attempt.Shed, attempt.Leaving, attempt.NotSent, attempt.Refused, attempt.Cancelled:
+	case attempt.VersionGone, attempt.Shed, attempt.Leaving, attempt.NotSent, attempt.Refused, attempt.Cancelled, attempt.NotCarrier:
 		return true
 	default:
 		return false
