Add runnable examples of a query, an order and an embedded VM

Change: examples/query and examples/order use a demo fleet; examples/library embeds entry.VM with a store and a VM list in memory. A test runs each.

--- /dev/null
+++ b/examples/library/store.go
@@ -0,0 +1,66 @@
+package main
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"lentillink.example/lentillink/roster"
+	"lentillink.example/lentillink/store"
+)
+
+// memory implements store.Store for one process. Entry VMs use no leases, so
+// those methods are left to the embedded nil interface.
+type memory struct {
+	store.Store
+	mu       sync.Mutex
+	entries  map[string]store.Entry
+	revision uint64
+}
+
+// Get reads a key.
+func (m *memory) Get(_ context.Context, key string) (store.Entry, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.entries[key], nil
+}
+
+// Swap writes value if the key's revision equals expect.
+func (m *memory) Swap(_ context.Context, key string, value []byte, expect uint64) (store.Entry, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.entries[key].Revision != expect {
+		return store.Entry{}, store.NewError("swap", store.KindConflict, nil)
+	}
+	m.revision++
+	m.entries[key] = store.Entry{Key: key, Value: value, Revision: m.revision}
+	return m.entries[key], nil
+}
+
+// Delete removes a key if its revision equals expect.
+func (m *memory) Delete(_ context.Context, key string, expect uint64) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.entries[key].Revision != expect {
+		return store.NewError("delete", store.KindConflict, nil)
+	}
+	delete(m.entries, key)
+	return nil
+}
+
+// Watch waits until the key's revision exceeds after.
+func (m *memory) Watch(ctx context.Context, key string, after uint64) (store.Entry, error) {
+	for ctx.Err() == nil {
+		if e, _ := m.Get(ctx, key); e.Revision > after {
+			return e, nil
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return store.Entry{}, store.NewError("watch", store.KindUnavailable, ctx.Err())
+}
+
+// fixed implements roster.List.
+type fixed []roster.VM
+
+// VMs returns the list.
+func (f fixed) VMs(context.Context) ([]roster.VM, error) { return f, nil }
--- /dev/null
+++ b/examples/order/main_test.go
@@ -0,0 +1,20 @@
+package main
+
+import (
+	"context"
+	"strings"
+	"testing"
+)
+
+// TestRun guards against an example that no longer does what it shows.
+func TestRun(t *testing.T) {
+	var out strings.Builder
+	if err := run(context.WithoutCancel(t.Context()), &out); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"already_submitted: ran", "the upstreams ran 1 order 1 time"} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("got %q, want %q in it", out.String(), want)
+		}
+	}
+}
