Add a bench of one entry VM with hedging off and on

Change: lentillink bench runs one VM and 2 stand-in replicas of each of 40 shards in one process, sends queries closed-loop and compares two presets that differ only in hedging, in three interleaved rounds. The logic is in demo/bench, among the packages that may use real time.

--- a/cmd/lentillink/command_test.go
+++ b/cmd/lentillink/command_test.go
@@ -141,6 +141,9 @@
 		{"config example --number 10", 2, []string{"10"}, false},
 		{"experiment list", 0, []string{"straggler", "rollover"}, false},
 		{"experiment nowhere", 2, []string{"nowhere"}, false},
+		{"bench --seconds 1 --shards 4 --connections 2 --json --plot " + filepath.Join(dir, "bench.png"), 0, []string{"p99_ratio"}, true},
+		{"bench --shards 0", 2, []string{"--shards"}, false},
+		{"bench --plot x.gif", 2, []string{"--plot"}, false},
 		{"--help", 0, []string{"timeline", "GO_FLAGS_COMPLETION"}, false},
 		{"timeline --help", 0, []string{"--request"}, false},
 	} {
--- a/cmd/lentillink/commands.go
+++ b/cmd/lentillink/commands.go
@@ -20,6 +20,9 @@
 	add(p, "order", "Submit one order", "Repeating an order with the same --id is safe. Exits with 4 unless the order was done.", &orderCommand{})
 	add(p, "status", "Show every VM", "Shows readiness, preset, load and avoided upstreams of every VM.", &statusCommand{})
 	add(p, "timeline", "Show what happened on all VMs", "Merges the events of all VMs in the order of cause and effect.", &timelineCommand{})
+	add(p, "bench", "Measure one entry VM",
+		"Runs one entry VM and the stand-in upstreams of many shards in this process, and compares queries with hedging off and on.",
+		&benchCommand{})
 	add(p, "experiment", "Run a seeded experiment", "Prints each figure beside its baseline and its bound. Exits with 1 if a bound is missed.", &experimentCommand{})
 	addConfig(p)
 	addPreset(p)
--- /dev/null
+++ b/demo/bench/bench.go
@@ -0,0 +1,167 @@
+package bench
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"runtime"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/go-kit/log"
+
+	"lentillink.example/lentillink/demo"
+	"lentillink.example/lentillink/entry"
+	"lentillink.example/lentillink/preset"
+	"lentillink.example/lentillink/standin"
+)
+
+const (
+	// rounds interleaves the variants, so that a change of the machine's load
+	// meets both.
+	rounds = 3
+	// maxLatencyUs and the digits bound the histograms.
+	maxLatencyUs  = 60_000_000
+	latencyDigits = 3
+	switchLimitMs = 4000
+)
+
+// Variant is the result with hedging off or on.
+type Variant struct {
+	Name             string  `json:"name"`
+	Queries          int64   `json:"queries"`
+	Incomplete       int64   `json:"incomplete"` // answers that are not complete
+	QueriesPerSecond float64 `json:"queries_per_second"`
+	P50Ms            float64 `json:"p50_ms"`
+	P99Ms            float64 `json:"p99_ms"`
+	// AllocsPerQuery counts the whole process: callers, VM and upstreams.
+	AllocsPerQuery float64 `json:"allocs_per_query"`
+	// ExtraAttemptsPercent is relative to the attempts that the queries needed.
+	ExtraAttemptsPercent float64 `json:"extra_attempts_percent"`
+
+	latency      *hdrhistogram.Histogram // microseconds
+	took         time.Duration
+	allocs       uint64
+	sent, needed int
+}
+
+// Result compares the variants.
+type Result struct {
+	Off      Variant `json:"hedging_off"`
+	On       Variant `json:"hedging_on"`
+	P50Ratio float64 `json:"p50_ratio"` // on against off
+	P99Ratio float64 `json:"p99_ratio"`
+}
+
+// Run starts the VM and its upstreams, and measures both variants.
+func Run(ctx context.Context, o Options) (res Result, err error) {
+	cfg, err := o.settings()
+	if err != nil {
+		return res, err
+	}
+	f, err := demo.StartConfig(ctx, demo.FleetConfig{
+		Settings: cfg, VMs: 1, Logger: log.NewNopLogger(),
+		Standins: []standin.DeploymentOption{standin.WithUpstreamOptions(standin.WithSlowShare(slowShare, slowFactor))},
+		Entry:    []entry.Option{entry.WithInitialRecord(record())},
+	})
+	if err != nil {
+		return res, err
+	}
+	defer func() { err = errors.Join(err, f.Close()) }()
+	res.Off, res.On = newVariant(hedgingOff), newVariant(hedgingOn)
+	b := &bench{fleet: f, options: o}
+	warm := newVariant(hedgingOff)
+	if err := b.measure(ctx, &warm, time.Second); err != nil { // opens connections
+		return res, err
+	}
+	for range rounds {
+		for _, v := range []*Variant{&res.Off, &res.On} {
+			if err := b.round(ctx, v); err != nil {
+				return res, err
+			}
+		}
+	}
+	res.Off.finish()
+	res.On.finish()
+	res.P50Ratio, res.P99Ratio = res.On.P50Ms/res.Off.P50Ms, res.On.P99Ms/res.Off.P99Ms
+	return res, nil
+}
+
+func newVariant(name string) Variant {
+	return Variant{Name: name, latency: hdrhistogram.New(1, maxLatencyUs, latencyDigits)}
+}
+
+func (v *Variant) finish() {
+	n := float64(max(v.Queries, 1))
+	v.QueriesPerSecond = float64(v.Queries) / v.took.Seconds()
+	v.P50Ms = float64(v.latency.ValueAtQuantile(50)) / 1000
+	v.P99Ms = float64(v.latency.ValueAtQuantile(99)) / 1000
+	v.AllocsPerQuery = float64(v.allocs) / n
+	v.ExtraAttemptsPercent = 100 * float64(v.sent-v.needed) / float64(max(v.needed, 1))
+}
+
+// bench is one measurement in progress.
+type bench struct {
+	fleet   *demo.Fleet
+	options Options
+	changes int
+}
+
+func (b *bench) round(ctx context.Context, v *Variant) error {
+	b.changes++
+	doc, err := b.fleet.Caller(0).Change(preset.Change{
+		ID: fmt.Sprintf("bench-%d", b.changes), Author: "bench", Reason: "next variant", SwitchTo: v.Name,
+	})
+	if err != nil {
+		return err
+	}
+	if doc.Accepted != preset.Accepted {
+		return fmt.Errorf("preset %s: %s", v.Name, doc.Error)
+	}
+	if _, err := demo.AwaitRevision(b.fleet, doc.Revision, switchLimitMs); err != nil {
+		return err
+	}
+	return b.measure(ctx, v, b.options.Duration/rounds)
+}
+
+// measure sends queries for a time and adds to v.
+func (b *bench) measure(ctx context.Context, v *Variant, d time.Duration) error {
+	sent, needed, err := b.attempts()
+	if err != nil {
+		return err
+	}
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	ctx, cancel := context.WithTimeout(ctx, d)
+	defer cancel()
+	begin := time.Now()
+	results := make(chan worker, b.options.Connections)
+	var wait sync.WaitGroup
+	for i := range b.options.Connections {
+		wait.Go(func() { results <- b.send(ctx, i) })
+	}
+	wait.Wait()
+	v.took += time.Since(begin)
+	runtime.ReadMemStats(&after)
+	v.allocs += after.Mallocs - before.Mallocs
+	close(results)
+	for w := range results {
+		v.latency.Merge(w.latency)
+		v.Queries += w.latency.TotalCount()
+		v.Incomplete += w.incomplete
+		err = errors.Join(err, w.err)
+	}
+	sentAfter, neededAfter, statusErr := b.attempts()
+	v.sent, v.needed = v.sent+sentAfter-sent, v.needed+neededAfter-needed
+	return errors.Join(err, statusErr)
+}
+
+// attempts returns the VM's totals of attempts sent and needed.
+func (b *bench) attempts() (sent, needed int, err error) {
+	s, err := b.fleet.Caller(0).Status()
+	for _, t := range s.Totals {
+		sent, needed = sent+t.Sent, needed+t.Needed
+	}
+	return sent, needed, err
+}
