--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -1,13 +1,16 @@
 package entry_test
 
 import (
+	"net/url"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"lentillink.example/lentillink/attempt"
 	"lentillink.example/lentillink/entry"
 	"lentillink.example/lentillink/fleet"
+	"lentillink.example/lentillink/timeline"
 	"lentillink.example/lentillink/upstream"
 )
 
@@ -114,3 +117,36 @@
 		t.Errorf("Run: %v, want nil", err)
 	}
 }
+
+// TestRefusedWhileStopping guards against a late request that is dropped or
+// run, and against a refusal by admission that the time line does not show
+// under the caller's id.
+func TestRefusedWhileStopping(t *testing.T) {
+	t.Parallel()
+	f := start(t, 1, entry.WithBalancerWait(5000))
+	end := make(chan error, 1)
+	go func() { end <- f.Stop(0) }()
+	until(t, "not ready", func() bool { return !f.Caller(0).Ready() })
+	before := received(f, "")
+	q, o := newQuery(), newOrder()
+	a, err := f.Caller(0).Query(q)
+	if err != nil || a.Outcome != "refused" || a.Ran != attempt.No || a.RetryAfterMs == 0 {
+		t.Errorf("query: got %+v, %v, want refused, ran: no", a, err)
+	}
+	oa, err := f.Caller(0).Order(o)
+	if err != nil || oa.Outcome != "refused" || oa.Ran != attempt.No {
+		t.Errorf("order: got %+v, %v, want refused, ran: no", oa, err)
+	}
+	for _, id := range []string{q.ID, o.ID} {
+		doc, err := f.Caller(0).Events(url.Values{"request": {id}, "kind": {string(timeline.Refused)}})
+		if err != nil || len(doc.Events) != 1 || doc.Events[0].Detail != "draining" {
+			t.Errorf("%s: the time line shows %+v, %v, want one refusal: draining", id, doc.Events, err)
+		}
+	}
+	if got := received(f, ""); got != before {
+		t.Errorf("upstreams received %d attempts for refused requests", got-before)
+	}
+	if err := <-end; err != nil {
+		t.Errorf("Run: %v, want nil", err)
+	}
+}
