--- a/entry/perform.go
+++ b/entry/perform.go
@@ -5,7 +5,6 @@
 	"errors"
 	"time"
 
-	"lentillink.example/lentillink/attempt"
 	"lentillink.example/lentillink/clock"
 	"lentillink.example/lentillink/store"
 	"lentillink.example/lentillink/upstream"
@@ -23,7 +22,7 @@
 		v.metrics.order(m.Answer)
 		v.answer(m.Call, m)
 	case vm.DispatchCmd:
-		go v.dispatch(io, m.Request)
+		v.startAttempt(io, m.Request)
 	case vm.AbortCmd:
 		go v.abort(io, m)
 	case vm.ConnectionsCmd:
@@ -55,10 +54,6 @@
 	v.mesh.Send(m.To, m.Address, m.Stamp, m.Body)
 }
 
-func (v *VM) dispatch(io context.Context, req attempt.Request) {
-	v.post(vm.ReplyMsg{Reply: v.upstreams.Send(io, req)})
-}
-
 // abort asks the upstream to stop. The reply to the attempt itself ends it.
 func (v *VM) abort(io context.Context, m vm.AbortCmd) {
 	if err := v.upstreams.Cancel(io, upstream.ID(m.Upstream), m.ID); err != nil {
--- a/entry/vm.go
+++ b/entry/vm.go
@@ -10,6 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/valyala/fasthttp"
 
+	"lentillink.example/lentillink/attempt"
 	"lentillink.example/lentillink/clock"
 	"lentillink.example/lentillink/fleet"
 	"lentillink.example/lentillink/peer"
@@ -49,6 +50,7 @@
 	stopped chan struct{} // closed when the event loop has ended
 	calls   atomic.Uint64
 	told    *questions
+	work    chan attempt.Request       // to idle attempt workers
 	groups  map[string]map[string]bool // names of the groups of each service
 
 	waiters  map[uint64]chan<- vm.Cmd // owned by the event loop
@@ -75,7 +77,7 @@
 		settings: s, clock: clock.System{}, logger: log.NewNopLogger(), registry: prometheus.NewRegistry(),
 		drainLimit: defaultDrainLimit, balancerWait: defaultBalancerWait, initial: preset.Default(),
 		inbox: make(chan item, inboxLen), asks: make(chan ask), stopped: make(chan struct{}),
-		told: newQuestions(), groups: groupsOf(s), waiters: make(map[uint64]chan<- vm.Cmd),
+		told: newQuestions(), work: make(chan attempt.Request), groups: groupsOf(s), waiters: make(map[uint64]chan<- vm.Cmd),
 	}
 	for _, opt := range opts {
 		opt(v)
