--- a/entry/vm.go
+++ b/entry/vm.go
@@ -103,7 +103,8 @@
 }
 
 // Run serves until ctx ends, then drains: requests in flight are finished,
-// new ones are refused as not run. It returns nil after a complete drain.
+// new ones are refused as not run. It returns nil after a complete drain, and
+// at the drain limit if only writes that wait for the store are left.
 func (v *VM) Run(ctx context.Context) error {
 	listeners, err := v.listen()
 	if err != nil {
