Make error texts say what to do next

Trying the commands as a newcomer: a refused connection did not say that no VM runs there, config validate printed each problem twice, an unknown fault target did not show the form of a valid one, and preset explain did not say of what a partial answer covers a share.

The texts now say so.

go test ./cmd/... ./preset ./standin passes; lentillink demo passes.

--- a/cmd/lentillink/config.go
+++ b/cmd/lentillink/config.go
@@ -22,6 +22,9 @@
 			for _, p := range refused.Problems() {
 				fmt.Println(p)
 			}
+			if len(refused.Problems()) > 0 {
+				return &exitError{code: exitUsage}
+			}
 		}
 		return &exitError{code: exitUsage, err: err}
 	}
--- a/cmd/lentillink/main.go
+++ b/cmd/lentillink/main.go
@@ -9,6 +9,7 @@
 import (
 	"errors"
 	"fmt"
+	"net"
 	"os"
 
 	"github.com/jessevdk/go-flags"
@@ -57,12 +58,22 @@
 		if text := exit.Error(); text != "" {
 			fmt.Fprintln(os.Stderr, "lentillink:", text)
 		}
+		hint(err)
 		return exit.code
 	}
 	fmt.Fprintln(os.Stderr, "lentillink:", err)
+	hint(err)
 	return exitFailed
 }
 
+// hint says what to check when no VM could be reached.
+func hint(err error) {
+	var dial *net.OpError
+	if errors.As(err, &dial) && dial.Op == "dial" {
+		fmt.Fprintln(os.Stderr, "Is lentillinkd running at this address? --vm or LENTILLINK_VM names another VM.")
+	}
+}
+
 func reportUsage(err *flags.Error) int {
 	if err.Type == flags.ErrHelp {
 		fmt.Println(err.Message)
--- a/preset/explain.go
+++ b/preset/explain.go
@@ -55,11 +55,11 @@
 func explainCoverage(r rank.Rank, percent float64) string {
 	switch percent {
 	case 0:
-		return fmt.Sprintf("A partial %s answer is returned whatever it covers.", r)
+		return fmt.Sprintf("A partial %s answer is returned if it covers any key at all.", r)
 	case 100:
-		return fmt.Sprintf("A partial %s answer is never returned: it covers everything or fails.", r)
+		return fmt.Sprintf("A partial %s answer is never returned: the answer covers every key, or the query fails.", r)
 	}
-	return fmt.Sprintf("A partial %s answer is returned if it covers at least %g%%; below that it fails.", r, percent)
+	return fmt.Sprintf("A partial %s answer is returned if it covers at least %g%% of the keys; below that the query fails.", r, percent)
 }
 
 func explainOutage(rule OutageRule) string {
--- a/standin/deployment.go
+++ b/standin/deployment.go
@@ -212,7 +212,7 @@
 		}
 	}
 	if len(out) == 0 {
-		err := fmt.Errorf("target %q is not store, vm_list, or a service, group or upstream by its path", path)
+		err := fmt.Errorf("target %q is not store, vm_list, or a service, group or upstream such as search, search/planner-01 or search/planner-01/a", path)
 		return nil, &Error{op: "inject", kind: KindUnknownTarget, err: err}
 	}
 	return out, nil
