Split lost orders by cause in the orders experiment

Cause: one figure covered killed holders and lost attempts. Change: the report counts holder killed before the send, after the send, and attempt lost with the holder alive; the bound on unexplained losses stays.

--- a/experiment/orders.go
+++ b/experiment/orders.go
@@ -65,6 +65,9 @@
 	report.AtMost("store writes per order", "writes", base.writesPerOrder, value.writesPerOrder, maxWritesPerOrder)
 	report.AtMost("store writes per order, no faults", "writes", calmBase.writesPerOrder, calmValue.writesPerOrder, maxWritesPerOrder)
 	report.Note("lost, holder killed or attempt lost", "orders", float64(base.lost), float64(value.lost))
+	for _, c := range lossCauses {
+		report.Note("lost, "+string(c), "orders", float64(base.lostBy[c]), float64(value.lostBy[c]))
+	}
 	report.Note("run once", "orders", float64(base.run), float64(value.run))
 	report.Note("submissions", "count", float64(base.submissions), float64(value.submissions))
 	report.Note("added latency p50, no faults", "ms", calmBase.p50, calmValue.p50)
--- a/experiment/orders_check.go
+++ b/experiment/orders_check.go
@@ -35,6 +35,7 @@
 	uncertain  map[string]bool // ids of which an attempt or its reply was lost
 	claimed    map[order.Hash]clock.Millis
 	tokens     map[order.Hash]bool
+	sentUnder  map[order.Hash]bool // tokens under which an attempt was sent
 	broken     map[orderRule]int
 	firstSends []clock.Millis // time from submission to first send
 }
@@ -56,7 +57,8 @@
 	return &orderChecker{
 		runs: make(map[string]int), uncertain: make(map[string]bool),
 		claimed: make(map[order.Hash]clock.Millis), tokens: make(map[order.Hash]bool),
-		broken: make(map[orderRule]int),
+		sentUnder: make(map[order.Hash]bool),
+		broken:    make(map[orderRule]int),
 	}
 }
 
@@ -92,7 +94,9 @@
 		c.firstSends = append(c.firstSends, now-s.at)
 	}
 	s.sends++
-	if !c.tokens[cmd.Token.Hash()] {
+	token := cmd.Token.Hash()
+	c.sentUnder[token] = true
+	if !c.tokens[token] {
 		c.broken[ruleUnclaimed]++
 	}
 	if s.runs > 0 {
--- a/experiment/orders_claims.go
+++ b/experiment/orders_claims.go
@@ -33,18 +33,41 @@
 	}
 }
 
-// claimsOfDead returns the ids whose claim is held by a killed VM. Nobody else
-// may release such a claim, because its holder may have sent the order.
-func (r *ordersRun) claimsOfDead() map[order.Hash]bool {
-	tokens := make(map[order.Hash]bool)
+// lossCause says why an order was never run and its id is blocked.
+type lossCause string
+
+const (
+	lossBeforeSend lossCause = "holder killed before the send"
+	lossAfterSend  lossCause = "holder killed after the send"
+	lossAttempt    lossCause = "attempt or its reply lost, holder alive"
+	// A lost attempt of a later or earlier submission, and callers that gave up.
+	lossReleased lossCause = "attempt lost, claim released, caller gave up"
+)
+
+var lossCauses = []lossCause{lossBeforeSend, lossAfterSend, lossAttempt, lossReleased}
+
+// losses returns the cause for each id whose blocked state is explained. Nobody
+// else may release the claim of a killed holder, because the holder may have sent.
+func (r *ordersRun) losses() map[order.Hash]lossCause {
+	dead := make(map[order.Hash]bool)
 	for _, vm := range r.dead {
 		for seq := range vm.submits {
-			tokens[order.Token{VM: vm.name, Incarnation: vm.incarnation, Seq: seq + 1}.Hash()] = true
+			dead[order.Token{VM: vm.name, Incarnation: vm.incarnation, Seq: seq + 1}.Hash()] = true
 		}
 	}
-	stuck := make(map[order.Hash]bool)
+	causes := make(map[order.Hash]lossCause)
+	for id := range r.check.uncertain {
+		causes[order.HashOf(id)] = lossReleased
+	}
 	for id, c := range r.finalClaims() {
-		stuck[id] = tokens[c.Token]
+		switch {
+		case dead[c.Token] && !r.check.sentUnder[c.Token]:
+			causes[id] = lossBeforeSend
+		case dead[c.Token]:
+			causes[id] = lossAfterSend
+		case causes[id] != "":
+			causes[id] = lossAttempt
+		}
 	}
-	return stuck
+	return causes
 }
--- a/experiment/orders_run.go
+++ b/experiment/orders_run.go
@@ -33,6 +33,7 @@
 	broken          map[orderRule]int
 	run             int
 	lost            int // never run, and an attempt was lost or the claim's holder was killed
+	lostBy          map[lossCause]int
 	lostUnexplained int
 	submissions     int
 	writesPerOrder  float64
@@ -104,14 +105,17 @@
 		broken: r.check.broken, submissions: len(r.check.subs), faults: r.faultSummary(),
 		writesPerOrder: float64(r.store.writes) / float64(r.cfg.orders),
 	}
-	stuck := r.claimsOfDead()
+	res.lostBy = make(map[lossCause]int)
+	losses := r.losses()
 	for i := range r.callers {
 		id := r.callers[i].id
+		cause := losses[order.HashOf(id)]
 		switch {
 		case r.check.runs[id] > 0:
 			res.run++
-		case r.check.uncertain[id], stuck[order.HashOf(id)]:
+		case cause != "":
 			res.lost++
+			res.lostBy[cause]++
 		default:
 			res.lostUnexplained++
 		}
