Drop queued claims of holders that are gone

Cause: an owner wrote the queued claims of a VM that had died meanwhile. Nobody may release such a claim, so its id was blocked although nothing was sent.

Change: an owner drops queued claims of VMs that left its view, and of older incarnations when a newer one asks.

--- a/order/model.go
+++ b/order/model.go
@@ -123,6 +123,7 @@
 	}
 	for i := range m.parts {
 		p := &m.parts[i]
+		p.dropClaims(func(t Token) bool { return t.VM != m.cfg.self && !slices.Contains(m.live, t.VM) })
 		if m.ranked[i][0] != m.cfg.self && p.phase == phaseIdle && len(p.queue) == 0 {
 			p.init(i)
 		}
--- a/order/model_test.go
+++ b/order/model_test.go
@@ -194,3 +194,39 @@
 		t.Errorf("got events %v, want %v", r.storeEvents, want)
 	}
 }
+
+// TestDeadHolder guards against a claim that is written for a holder that is
+// gone, which blocks its id although nothing was sent.
+func TestDeadHolder(t *testing.T) {
+	tests := []struct {
+		name  string
+		learn func(r *rig, id string)
+		runs  int
+	}{
+		{"not told", func(*rig, string) {}, 0},
+		{"left the view", func(r *rig, _ string) { r.deliver("owner", order.OwnersMsg{Live: []string{"owner"}}) }, 1},
+		{"new incarnation asks", func(r *rig, id string) {
+			r.boot("entry")
+			r.submit("entry", id)
+		}, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := newRig(func(string) string { return faultNone })
+			all := ids(start, 3)
+			r.submit("entry", all[0])
+			r.runUntil(start + 20)
+			r.submit("entry", all[1]) // waits for the next write
+			r.runUntil(start + 30)
+			r.vms["entry"].dead = true
+			tt.learn(r, all[2])
+			r.runUntil(start + 3*clock.Second)
+			r.submit("other", all[1])
+			r.runUntil(start + clock.Minute)
+			checkSafety(t, r)
+			if got := r.runs[all[1]]; got != tt.runs {
+				t.Errorf("got %d runs, want %d", got, tt.runs)
+			}
+		})
+	}
+}
--- a/order/owner.go
+++ b/order/owner.go
@@ -11,6 +11,9 @@
 func (m *Model) enqueue(now clock.Millis, msg ClaimMsg) {
 	p := &m.parts[msg.ID.Partition()]
 	key := opKey{msg.Op, msg.Token}
+	if msg.Op == OpClaim {
+		p.dropClaims(func(t Token) bool { return t.VM == msg.Token.VM && t.Incarnation < msg.Token.Incarnation })
+	}
 	if p.queued[key] != nil || msg.Op == OpClaim && p.queued[opKey{OpRelease, msg.Token}] != nil {
 		return
 	}
@@ -32,6 +35,19 @@
 	m.advance(now, p)
 }
 
+// dropClaims removes queued claims of holders that are gone, so that no claim is
+// written that nobody can send or release. A claim that may be in the store
+// stays queued; a holder that lives after all asks again.
+func (p *partition) dropClaims(gone func(Token) bool) {
+	p.queue = slices.DeleteFunc(p.queue, func(op *operation) bool {
+		drop := op.msg.Op == OpClaim && !op.unsure && gone(op.msg.Token)
+		if drop {
+			delete(p.queued, opKey{OpClaim, op.msg.Token})
+		}
+		return drop
+	})
+}
+
 // drop removes a queued operation. An operation of the batch in flight stays.
 func (p *partition) drop(key opKey) {
 	op := p.queued[key]
