--- a/order/model_test.go
+++ b/order/model_test.go
@@ -119,12 +119,13 @@
 // a claim that is dropped while its id is still accepted.
 func TestSegmentsAreDropped(t *testing.T) {
 	r := newRig(func(string) string { return faultNone })
+	gap := clock.Second
 	submit := func(hours clock.Millis) []string {
 		r.runUntil(start + hours*clock.Hour)
 		all := ids(r.now, 12)
 		for _, id := range all {
 			r.submit("entry", id)
-			r.runUntil(r.now + clock.Second)
+			r.runUntil(r.now + gap)
 		}
 		return all
 	}
@@ -134,7 +135,14 @@
 		t.Fatalf("got %d records, want sealed segments", first)
 	}
 	kept := submit(12)
+	gap = 20
 	submit(25)
+	r.runUntil(r.now + clock.Second)
+	for i := 4; i < len(r.writes); i++ {
+		if got := r.writes[i] - r.writes[i-4]; got < 300 {
+			t.Errorf("got 5 writes and deletes within %d ms, want at least 300 ms", got)
+		}
+	}
 	r.boot("owner")
 	for _, id := range kept {
 		c := r.submit("other", id)
@@ -194,3 +202,39 @@
 		t.Errorf("got events %v, want %v", r.storeEvents, want)
 	}
 }
+
+// TestDeadHolder guards against a claim that is written for a holder that is
+// gone, which blocks its id although nothing was sent.
+func TestDeadHolder(t *testing.T) {
+	tests := []struct {
+		name  string
+		learn func(r *rig, id string)
+		runs  int
+	}{
+		{"not told", func(*rig, string) {}, 0},
+		{"left the view", func(r *rig, _ string) { r.deliver("owner", order.OwnersMsg{Live: []string{"owner"}}) }, 1},
+		{"new incarnation asks", func(r *rig, id string) {
+			r.boot("entry")
+			r.submit("entry", id)
+		}, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := newRig(func(string) string { return faultNone })
+			all := ids(start, 3)
+			r.submit("entry", all[0])
+			r.runUntil(start + 20)
+			r.submit("entry", all[1]) // waits for the next write
+			r.runUntil(start + 30)
+			r.vms["entry"].dead = true
+			tt.learn(r, all[2])
+			r.runUntil(start + 3*clock.Second)
+			r.submit("other", all[1])
+			r.runUntil(start + clock.Minute)
+			checkSafety(t, r)
+			if got := r.runs[all[1]]; got != tt.runs {
+				t.Errorf("got %d runs, want %d", got, tt.runs)
+			}
+		})
+	}
+}
