Hand the connections of an upstream over between carriers

Cause: a new carrier opened its full 45% as soon as its own view changed, while the former carrier still held 45%.

Change: a VM that becomes a carrier starts with half the headroom (5% of the limit, at least one connection) and gets its share after 4 s, or once every former carrier that lost the upstream is known to be dead. A VM that has just started knows no former carrier and waits the 4 s. A VM that answers that it does not carry an upstream is not asked again for it for 1 s. A new carrier counts as four times slower than the slowest known one until it replies. The load of a Tier goes to ready VMs only, as the balancer of the platform sends it.

--- /dev/null
+++ b/experiment/handover_test.go
@@ -0,0 +1,80 @@
+package experiment_test
+
+import (
+	"testing"
+
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/experiment"
+	"lentillink.example/lentillink/rank"
+)
+
+// TestHandover guards against connections beyond the limit of an upstream, and
+// against queries that fail, while carriers change under load.
+func TestHandover(t *testing.T) {
+	const step = 8 * clock.Second
+	tests := []struct {
+		name  string
+		share float64 // load of each rank as a share of capacity
+		run   func(*experiment.Tier, func(clock.Millis))
+	}{
+		{"planned stop and join", 0.2, func(tier *experiment.Tier, wait func(clock.Millis)) {
+			for _, id := range []string{"vm-2", "vm-5"} {
+				tier.Stop(id, func(clock.Millis) {})
+				wait(step)
+				tier.Replace(id)
+				wait(step)
+			}
+		}},
+		{"death and quick return", 0.2, func(tier *experiment.Tier, wait func(clock.Millis)) {
+			tier.Kill("vm-3")
+			wait(clock.Second)
+			tier.Replace("vm-3")
+			wait(step)
+		}},
+		{"death and join", 0.2, func(tier *experiment.Tier, wait func(clock.Millis)) {
+			tier.Kill("vm-4")
+			wait(2 * step)
+			tier.Replace("vm-4")
+			wait(step)
+		}},
+		// Where both carriers of an upstream change, its group keeps 20 of 36
+		// connections for a while, so the load must lie below 55%.
+		{"two at once", 0.15, func(tier *experiment.Tier, wait func(clock.Millis)) {
+			tier.Stop("vm-1", func(clock.Millis) {})
+			tier.Kill("vm-7")
+			wait(2 * step)
+			tier.Replace("vm-1")
+			tier.Replace("vm-7")
+			wait(step)
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			cfg := experiment.DefaultTier(1)
+			tier := experiment.NewTier(cfg)
+			load := experiment.NewTierLoad(tier, 1)
+			begin := tier.Loop.Now()
+			end := begin + 40*clock.Second
+			for _, r := range rank.All() {
+				load.Send(r, tt.share*tier.Capacity(), end)
+			}
+			peak := tier.WatchConnections(end)
+			wait := func(d clock.Millis) { tier.Loop.RunUntil(tier.Loop.Now() + d) }
+			wait(2 * clock.Second)
+			tt.run(tier, wait)
+			tier.Loop.RunUntil(end + clock.Minute)
+			if peak.Open > cfg.Connections {
+				t.Errorf("%d connections to %s after %d ms, want at most %d", peak.Open, peak.Upstream, peak.At, cfg.Connections)
+			}
+			for _, r := range rank.All() {
+				got := load.Result(r)
+				if got.Failed+got.Partial+got.Refused > 0 || got.Complete == 0 {
+					t.Errorf("%s: %d sent, %d complete, %d failed, %d partial, %d refused",
+						r, got.Sent, got.Complete, got.Failed, got.Partial, got.Refused)
+				}
+				t.Logf("%s: %d sent, %d complete, %d open, p99 %.0f ms", r, got.Sent, got.Complete, got.Open, got.P99())
+			}
+		})
+	}
+}
--- /dev/null
+++ b/experiment/tier_connections.go
@@ -0,0 +1,41 @@
+package experiment
+
+import "lentillink.example/lentillink/clock"
+
+// OpenConnections returns the connections of all live VMs to an upstream. Those
+// of a VM that ended are closed.
+func (t *Tier) OpenConnections(upstream string) int {
+	open := 0
+	for _, n := range t.nodes {
+		if !n.dead {
+			open += n.core.OpenConnections(upstream)
+		}
+	}
+	return open
+}
+
+// WatchConnections looks at every upstream each millisecond until end and keeps
+// the highest number of open connections to one of them.
+func (t *Tier) WatchConnections(end clock.Millis) *Peak {
+	p := &Peak{}
+	var look func()
+	look = func() {
+		for _, id := range t.ids {
+			if n := t.OpenConnections(id); n > p.Open {
+				p.Open, p.Upstream, p.At = n, id, t.Loop.Now()-tierStart
+			}
+		}
+		if t.Loop.Now() < end {
+			t.Loop.After(1, look)
+		}
+	}
+	look()
+	return p
+}
+
+// Peak is the highest number of connections that were open to one upstream.
+type Peak struct {
+	Open     int
+	Upstream string
+	At       clock.Millis // since the start of the tier
+}
--- a/experiment/tier_load.go
+++ b/experiment/tier_load.go
@@ -88,10 +88,21 @@
 	schedule()
 }
 
+// choose returns the next VM that is ready, as the balancer of the platform does.
+func (l *TierLoad) choose() *tierNode {
+	for range l.entries {
+		n := l.entries[l.next%len(l.entries)]
+		l.next++
+		if ready, _ := n.core.Ready(); ready && !n.dead {
+			return n
+		}
+	}
+	return l.entries[l.next%len(l.entries)]
+}
+
 func (l *TierLoad) query(r rank.Rank) {
 	t := l.tier
-	n := l.entries[l.next%len(l.entries)]
-	l.next++
+	n := l.choose()
 	t.calls++
 	call, start, res := t.calls, t.Loop.Now(), l.results.Ref(r)
 	id := fmt.Sprintf("q%d", call)
--- a/vm/carrier_load.go
+++ b/vm/carrier_load.go
@@ -1,6 +1,18 @@
 package vm
 
-import "lentillink.example/lentillink/attempt"
+import (
+	"lentillink.example/lentillink/attempt"
+	"lentillink.example/lentillink/clock"
+)
+
+const (
+	// newCarrierFactor: a new carrier counts as this many times slower than the
+	// slowest known one until it replies, because it starts with few connections.
+	newCarrierFactor = 4
+	// refusedMs is how long a VM that did not carry the upstream is not asked
+	// again. The views of the two VMs agree within this time.
+	refusedMs = clock.Second
+)
 
 // carrierWeight is the weight of a new sample in the mean time at a carrier.
 const carrierWeight = 0.25
@@ -11,6 +23,7 @@
 	vm          string
 	outstanding int
 	meanMs      float64 // moving mean of queue wait and service
+	refusedTill clock.Millis
 }
 
 // carrierLoads holds the loads by upstream, in the order of the carrier table.
@@ -32,12 +45,20 @@
 		if l := ls.find(i, s.vm); l != nil {
 			next = append(next, *l)
 		} else {
-			next = append(next, carrierLoad{vm: s.vm})
+			next = append(next, carrierLoad{vm: s.vm, meanMs: newCarrierFactor * ls.slowest(i)})
 		}
 	}
 	ls[i] = next
 }
 
+func (ls carrierLoads) slowest(i int) float64 {
+	ms := 0.0
+	for _, l := range ls[i] {
+		ms = max(ms, l.meanMs)
+	}
+	return ms
+}
+
 // expectedMs weighs the outstanding attempts by their time. The other VMs'
 // attempts show only in the time, so both are needed.
 func (l *carrierLoad) expectedMs() float64 { return float64(l.outstanding+1) * max(l.meanMs, 1) }
@@ -50,12 +71,15 @@
 }
 
 // attemptEnded counts the end of an attempt through a carrier.
-func (c *Core) attemptEnded(up, carrier string, r attempt.Reply) {
+func (c *Core) attemptEnded(now clock.Millis, up, carrier string, r attempt.Reply) {
 	l := c.loadOf(up, carrier)
 	if l == nil {
 		return
 	}
 	l.outstanding = max(l.outstanding-1, 0)
+	if r.Status == attempt.NotCarrier {
+		l.refusedTill = now + refusedMs
+	}
 	if r.Status != attempt.OK {
 		return
 	}
--- a/vm/core.go
+++ b/vm/core.go
@@ -28,15 +28,16 @@
 	ordered  []*service // fixed order, so that runs repeat
 	ups      map[string]upstream.Upstream
 
-	gate     *admission.Gate
-	queries  *query.Model
-	pool     *pool.Model
-	orders   *order.Model
-	fleet    *fleet.Model
-	book     *upstream.Book
-	ring     *timeline.Ring
-	carriers *CarrierTable
-	loads    carrierLoads
+	gate      *admission.Gate
+	queries   *query.Model
+	pool      *pool.Model
+	orders    *order.Model
+	fleet     *fleet.Model
+	book      *upstream.Book
+	ring      *timeline.Ring
+	carriers  *CarrierTable
+	loads     carrierLoads
+	handovers handovers
 
 	preset    preset.Preset
 	revision  uint64
@@ -108,6 +109,7 @@
 	}
 	c.carriers = NewCarrierTable(ids)
 	c.loads = make(carrierLoads, len(ids))
+	c.handovers.open = make(map[string]handover)
 	return c
 }
 
--- a/vm/forward.go
+++ b/vm/forward.go
@@ -81,7 +81,7 @@
 
 // endForward ends a forward that its carrier did not answer.
 func (c *Core) endForward(now clock.Millis, f *forward, r attempt.Reply) {
-	c.attemptEnded(f.req.Upstream, f.to, r)
+	c.attemptEnded(now, f.req.Upstream, f.to, r)
 	c.deliver(now, r)
 }
 
@@ -97,7 +97,7 @@
 		return
 	}
 	delete(c.forwards.open, fwd.Request.ID)
-	c.attemptEnded(f.req.Upstream, f.to, attempt.Reply{Status: attempt.NotCarrier})
+	c.attemptEnded(now, f.req.Upstream, f.to, attempt.Reply{Status: attempt.NotCarrier})
 	if c.reroute(now, f) {
 		return
 	}
@@ -117,7 +117,7 @@
 	}
 	delete(c.forwards.open, r.ID)
 	c.noticeLeaving(r)
-	c.attemptEnded(f.req.Upstream, f.to, r)
+	c.attemptEnded(now, f.req.Upstream, f.to, r)
 	if r.Status == attempt.NotCarrier && r.Ran == attempt.No && c.reroute(now, f) {
 		return
 	}
--- a/vm/handle.go
+++ b/vm/handle.go
@@ -79,6 +79,7 @@
 		c.push(fleet.TickMsg{})
 	}
 	c.checkStalls(now)
+	c.endHandovers(now)
 	if now >= c.nextPoll {
 		c.nextPoll = now + pollInterval
 		c.pollUpstreams()
--- a/vm/member.go
+++ b/vm/member.go
@@ -20,7 +20,7 @@
 		case fleet.SendCmd:
 			c.emit(SendPeerCmd{To: m.To, Address: m.Address, Stamp: c.ring.Stamp(), Body: Fleet{Payload: m.Payload}})
 		case fleet.LiveCmd:
-			c.liveChanged(m.VMs)
+			c.liveChanged(now, m.VMs)
 		case fleet.RecordCmd:
 			c.recordInForce(m.Record)
 		case fleet.UpstreamCmd:
@@ -33,7 +33,7 @@
 	}
 }
 
-func (c *Core) liveChanged(vms []fleet.VM) {
+func (c *Core) liveChanged(now clock.Millis, vms []fleet.VM) {
 	ids := make([]string, len(vms))
 	for i, v := range vms {
 		ids[i] = v.ID
@@ -45,6 +45,7 @@
 	}
 	for _, id := range changed {
 		i := c.carriers.index[id]
+		c.beginHandover(now, id, c.loads[i])
 		c.loads.keep(i, c.carriers.carriers[i])
 		c.setConnections(id)
 	}
@@ -53,6 +54,9 @@
 
 func (c *Core) setConnections(id string) {
 	limit := c.carriers.Limit(id, c.self.ID, c.ups[id].Connections)
+	if _, open := c.handovers.open[id]; open {
+		limit = min(limit, max(1, c.ups[id].Connections*handoverPercent/100))
+	}
 	if c.routing == RouteDirect {
 		limit = max(1, c.ups[id].Connections/max(c.live, 1))
 	}
--- a/vm/route.go
+++ b/vm/route.go
@@ -73,14 +73,21 @@
 		first = 1 - first
 	}
 	to := c.carriers.Carrier(req.Upstream, first)
-	if to == "" || c.forwards.avoid(now, to) {
-		if other := c.carriers.Carrier(req.Upstream, 1-first); other != "" && !c.forwards.avoid(now, other) {
+	if to == "" || c.avoid(now, req.Upstream, to) {
+		if other := c.carriers.Carrier(req.Upstream, 1-first); other != "" && !c.avoid(now, req.Upstream, other) {
 			return other
 		}
 	}
 	return to
 }
 
+// avoid reports whether a carrier cannot be reached or has just refused an
+// attempt on the upstream.
+func (c *Core) avoid(now clock.Millis, up, carrier string) bool {
+	l := c.loadOf(up, carrier)
+	return c.forwards.avoid(now, carrier) || (l != nil && now < l.refusedTill)
+}
+
 // reroute tries the other carrier after a carrier gave up the upstream's
 // connections. Nothing was sent, so no retry budget is spent.
 func (c *Core) reroute(now clock.Millis, f *forward) bool {
@@ -116,7 +123,7 @@
 
 func (c *Core) cancel(now clock.Millis, id attempt.ID, up string) {
 	if f := c.forwards.remove(id); f != nil {
-		c.attemptEnded(up, f.to, attempt.Reply{Status: attempt.Cancelled})
+		c.attemptEnded(now, up, f.to, attempt.Reply{Status: attempt.Cancelled})
 		c.sendPeer(now, f.to, CancelForward{ID: id, Upstream: up})
 		return
 	}
@@ -145,6 +152,6 @@
 		c.sendPeer(now, to, Result{Reply: r})
 		return
 	}
-	c.attemptEnded(r.Upstream, to, r)
+	c.attemptEnded(now, r.Upstream, to, r)
 	c.deliver(now, r)
 }
--- a/vm/status.go
+++ b/vm/status.go
@@ -16,6 +16,9 @@
 // NextWake returns when the core wants a TickMsg.
 func (c *Core) NextWake() (clock.Millis, bool) {
 	wake := c.nextPoll
+	if c.handovers.next > 0 {
+		wake = min(wake, c.handovers.next)
+	}
 	for _, m := range []interface{ NextWake() (clock.Millis, bool) }{c.gate, c.queries, c.pool, c.orders, c.fleet} {
 		if at, ok := m.NextWake(); ok {
 			wake = min(wake, at)
@@ -27,6 +30,9 @@
 	return wake, true
 }
 
+// OpenConnections returns the connections of this VM to an upstream, busy and idle.
+func (c *Core) OpenConnections(id string) int { return c.pool.Open(id) }
+
 // Ready reports whether the balancer may send requests, and why not.
 func (c *Core) Ready() (bool, string) {
 	switch {
