--- a/experiment/flood.go
+++ b/experiment/flood.go
@@ -79,13 +79,9 @@
 	return f.capacity * p.Policy(r).FloorPercent / 100
 }
 
-// runBoth runs the shares with the gate and with an open gate. The two tiers
-// share nothing, so they run at the same time.
+// runBoth runs the shares with the gate and with an open gate.
 func runBoth(cfg TierConfig, shares rank.Table[float64]) (on, off *flood) {
-	done := make(chan *flood)
-	go func() { done <- runFlood(openGate(cfg), shares) }()
-	on = runFlood(cfg, shares)
-	return on, <-done
+	return runFlood(cfg, shares), runFlood(openGate(cfg), shares)
 }
 
 // drain lets every open request end and counts those that are still open.
