Measure the loss of a rack, a data centre and a region

lentillink experiment failures kills a rack and a data centre, splits one region off while the preset changes, and measures the time until all VMs agree and the traffic meanwhile. A test runs it at 100 VMs and bounds reverts and the time of the change.

--- a/experiment/fleet_test.go
+++ b/experiment/fleet_test.go
@@ -37,6 +37,9 @@
 // TestControl guards against control traffic, memory and store calls that grow with the fleet.
 func TestControl(t *testing.T) { check(t, experiment.Control(1, nil, sizes()...)) }
 
+// TestFailures guards against a revert or a late change while regions are split.
+func TestFailures(t *testing.T) { check(t, experiment.Failures(1, 100)) }
+
 // sizes leaves the largest fleet to the command: it takes a minute of processor time.
 func sizes() []int {
 	if testing.Short() {
--- a/experiment/registry.go
+++ b/experiment/registry.go
@@ -21,6 +21,7 @@
 		{"spread", "time until a change is in force, against no eager spreading", func(seed uint64) Report { return Spread(seed) }},
 		{"control", "control traffic, processor time and memory by fleet size", wallControl},
 		{"fanout", "sub-requests wasted under five times overload, against an open gate", Fanout},
+		{"failures", "time to agree after the loss of a rack, a data centre and links between regions", func(seed uint64) Report { return Failures(seed) }},
 		{"capacity", "cost of each kind of work by size, extrapolated to the two-year size", wallCapacity},
 	}
 }
