--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -129,7 +129,6 @@
 	doc := f.Standins.Settings().Document()
 	doc.VM = id
 	doc.DataCentre = fmt.Sprintf("dc-%d", len(f.vms)%dataCentres+1)
-	doc.Seeds = nil
 	doc.Addresses = settings.Addresses{Callers: callers, Admin: callers, Peers: peers}
 	return settings.New(doc)
 }
--- a/entry/answer.go
+++ b/entry/answer.go
@@ -92,6 +92,12 @@
 // others are answered with 503.
 var overloadReasons = map[string]bool{"queue_full": true, "displaced": true, "too_late": true, "busy": true}
 
+// badRequestReasons are refusals that the same request meets again for ever.
+var badRequestReasons = map[string]bool{
+	vm.ReasonUnknownService: true, string(order.ReasonBadID): true,
+	string(order.ReasonTooOld): true, string(order.ReasonTooNew): true,
+}
+
 func queryStatus(a vm.QueryAnswer) int {
 	switch a.Outcome {
 	case vm.Complete:
@@ -123,7 +129,7 @@
 	switch {
 	case overloadReasons[reason]:
 		return fasthttp.StatusTooManyRequests
-	case reason == vm.ReasonUnknownService || reason == string(order.ReasonBadID):
+	case badRequestReasons[reason]:
 		return fasthttp.StatusBadRequest
 	}
 	return fasthttp.StatusServiceUnavailable
--- a/entry/operator.go
+++ b/entry/operator.go
@@ -78,6 +78,9 @@
 	f := timeline.Filter{
 		Request: stringArg(r, "request"), Upstream: stringArg(r, "upstream"), Kind: timeline.Kind(stringArg(r, "kind")),
 	}
+	if f.Kind != "" && !slices.Contains(timeline.Kinds(), f.Kind) {
+		return f, invalid("kind", "%q is not one of %v", f.Kind, timeline.Kinds())
+	}
 	var err error
 	if f.Revision, err = uintArg(r, "revision"); err != nil {
 		return f, err
--- a/entry/vm.go
+++ b/entry/vm.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"sync/atomic"
 
@@ -90,7 +91,7 @@
 		v.seed = uint64(now)
 	}
 	v.self = fleet.VM{
-		ID: s.VM(), Address: s.Addresses().Peers, DataCentre: s.DataCentre(), Incarnation: uint64(now),
+		ID: s.VM(), Address: s.Addresses().Peers, DataCentre: s.DataCentre(), Incarnation: newIncarnation(now),
 	}
 	v.core = vm.New(
 		vm.WithSelf(v.self), vm.WithSeed(v.seed), vm.WithServices(s.Services()...),
@@ -102,6 +103,15 @@
 	return v, nil
 }
 
+// incarnationBits is the random part of an incarnation. Two processes of one VM
+// that start in the same millisecond must not share attempt identifiers or tokens.
+const incarnationBits = 16
+
+// newIncarnation returns a number that rises with the start time.
+func newIncarnation(now clock.Millis) uint64 {
+	return uint64(now)<<incarnationBits | rand.Uint64N(1<<incarnationBits)
+}
+
 // Run serves until ctx ends, then drains: requests in flight are finished,
 // new ones are refused as not run. It returns nil after a complete drain, and
 // at the drain limit if only writes that wait for the store are left.
--- a/settings/check.go
+++ b/settings/check.go
@@ -35,12 +35,6 @@
 	c.address("addresses.admin", doc.Addresses.Admin, doc.Addresses.Callers)
 	c.address("store", doc.Store, "")
 	c.address("vm_list", doc.VMList, "")
-	seen := make(map[string]string)
-	for i, seed := range doc.Seeds {
-		path := fmt.Sprintf("seeds[%d]", i)
-		c.address(path, seed, doc.Addresses.Peers)
-		c.unique(seen, path, seed)
-	}
 	c.timeouts(&doc.Timeouts)
 	c.number("limits.request_body_bytes", int64(doc.Limits.RequestBodyBytes), 1, MaxRequestBodyBytes)
 	c.number("limits.ring_events", int64(doc.Limits.RingEvents), MinRingEvents, MaxRingEvents)
--- a/settings/document.go
+++ b/settings/document.go
@@ -9,7 +9,6 @@
 	Addresses  Addresses `json:"addresses"`
 	Store      string    `json:"store"`
 	VMList     string    `json:"vm_list"`
-	Seeds      []string  `json:"seeds"`
 	Services   []Service `json:"services"`
 	Timeouts   Timeouts  `json:"timeouts"`
 	Limits     Limits    `json:"limits"`
--- a/settings/example.go
+++ b/settings/example.go
@@ -14,7 +14,6 @@
 	vmListPort      = 1
 	vmPorts         = 10 // three ports for each VM
 	upstreamPorts   = 100
-	exampleSeeds    = 3
 )
 
 // ExampleVMs is the number of VMs that an example has addresses for.
@@ -82,9 +81,6 @@
 	doc.Addresses = Addresses{Callers: e.vmAddress(e.vm, 0), Peers: e.vmAddress(e.vm, 1), Admin: e.vmAddress(e.vm, 2)}
 	doc.Store = e.address(storePort)
 	doc.VMList = e.address(vmListPort)
-	for n := 1; n <= exampleSeeds; n++ {
-		doc.Seeds = append(doc.Seeds, e.vmAddress(n, 1))
-	}
 	e.next = upstreamPorts
 	for _, s := range shapes {
 		doc.Services = append(doc.Services, e.service(s))
--- a/timeline/event.go
+++ b/timeline/event.go
@@ -34,6 +34,15 @@
 	DrainFinished   Kind = "drain_finished"
 )
 
+// Kinds returns every kind of event.
+func Kinds() []Kind {
+	return []Kind{
+		Admitted, Queued, Refused, Answered, Hedged, Retried, BudgetExhausted, VersionRestart, GroupMissing,
+		ReplyDropped, ClaimWritten, ClaimRefused, ClaimReleased, StoreFailed, PresetApplied, PresetSwitched,
+		VMJoined, VMSuspected, VMLeft, VMFailed, UpstreamLeaving, UpstreamBack, LimitChanged, DrainStarted, DrainFinished,
+	}
+}
+
 // Event is one thing that happened on one VM. Machines leave Stamp and VM
 // empty; the core fills them in.
 type Event struct {
--- a/vm/call.go
+++ b/vm/call.go
@@ -1,6 +1,7 @@
 package vm
 
 import (
+	"fmt"
 	"strconv"
 
 	"lentillink.example/lentillink/admission"
@@ -71,7 +72,7 @@
 	for _, cmd := range cmds {
 		switch m := cmd.(type) {
 		case admission.AdmitCmd:
-			c.admitted(m)
+			c.admitted(now, m)
 		case admission.RefuseCmd:
 			c.refused(now, m)
 		case admission.EventCmd:
@@ -91,12 +92,19 @@
 	}
 }
 
-func (c *Core) admitted(m admission.AdmitCmd) {
+// admitted starts a request. Only work that had to wait makes an event: the
+// rest would fill the ring.
+func (c *Core) admitted(now clock.Millis, m admission.AdmitCmd) {
 	n, cl := c.lookup(m.ID)
 	if cl == nil {
 		return
 	}
 	cl.running = true
+	if m.WaitedMs > 0 {
+		c.event(now, timeline.Event{
+			Kind: timeline.Admitted, Request: m.ID, Rank: cl.rank.String(), Detail: fmt.Sprintf("waited %d ms", m.WaitedMs),
+		})
+	}
 	// Work that waited runs under the preset that is in force now.
 	cl.preset, cl.rev = c.preset.Name, c.revision
 	if cl.isOrder {
--- a/vm/core.go
+++ b/vm/core.go
@@ -46,6 +46,7 @@
 	forwards  *forwards
 	rng       *rand.Rand
 	stopping  bool
+	drained   bool // the end of the drain was recorded
 	live      int
 	orderSeq  uint64
 	nextPoll  clock.Millis
--- a/vm/handle.go
+++ b/vm/handle.go
@@ -79,6 +79,10 @@
 		c.push(fleet.TickMsg{})
 	}
 	c.checkStalls(now)
+	if c.stopping && !c.drained && c.Drained(now) {
+		c.drained = true
+		c.event(now, timeline.Event{Kind: timeline.DrainFinished})
+	}
 	c.endHandovers(now)
 	if now >= c.nextPoll {
 		c.nextPoll = now + pollInterval
