Let faults of one kind overlap in the fault matrix

Change: effects on the VM list, the load reports, lost answers and links are kept in chains; each fault removes only its own. A lost answer also strikes after the fault's time if no write came before.

--- a/experiment/matrix_cell.go
+++ b/experiment/matrix_cell.go
@@ -145,7 +145,6 @@
 		name: name, opts: opts, strikes: strikes, rng: rand.New(rand.NewPCG(own, 301)),
 		heldBack: make(map[string]bool), replies: make(map[uint32]int), stopping: make(map[string]int),
 	}
-	c.faults.init()
 	cfg := TierConfig{
 		Seed: own, VMs: 7, Groups: 4, Replicas: 2, Connections: 10, MedianMs: 30, Record: matrixRecord(), OrderGroups: 2,
 	}
@@ -285,5 +284,9 @@
 		c.loseNext, c.lostKey = false, r.Key
 		return true
 	}
-	return c.faults.loseAnswer != nil && c.faults.loseAnswer()
+	lost := false
+	for _, lose := range c.faults.loseAnswer {
+		lost = (*lose)() || lost
+	}
+	return lost
 }
--- a/experiment/matrix_fault_upstream.go
+++ b/experiment/matrix_fault_upstream.go
@@ -136,15 +136,15 @@
 func upstreamLying(c *cell, s *strike, m moment) func() {
 	id, up := c.target(s, m)
 	up.SlowFactor, up.Workers, up.ShedAbove = 6, 4, 2
-	c.faults.load = func(of upstream.ID, load upstream.Load) upstream.Load {
+	heal := c.faults.load.add(func(of upstream.ID, load upstream.Load) upstream.Load {
 		if string(of) == id {
 			s.effects++
 			load = upstream.Load{Healthy: true, Held: []uint64{1, 99}}
 		}
 		return load
-	}
+	})
 	return func() {
 		up.SlowFactor, up.Workers, up.ShedAbove = 1, 0, 0
-		c.faults.load = nil
+		heal()
 	}
 }
--- a/experiment/matrix_fault_vm.go
+++ b/experiment/matrix_fault_vm.go
@@ -38,15 +38,17 @@
 	return func() { st.SlowMs = 0 }
 }
 
+// storeAnswerLost loses answers to writes, at least one even if it comes after the fault's time.
 func storeAnswerLost(c *cell, s *strike, _ moment) func() {
-	c.faults.loseAnswer = func() bool {
-		lost := s.effects == 0 || c.rng.IntN(2) == 0
+	healed := false
+	c.faults.loseAnswer.add(func() bool {
+		lost := s.effects == 0 || !healed && c.rng.IntN(2) == 0
 		if lost {
 			s.effects++
 		}
 		return lost
-	}
-	return func() { c.faults.loseAnswer = nil }
+	})
+	return func() { healed = true }
 }
 
 // leaseLapsed pauses a claim owner or a watcher past every timeout.
@@ -118,23 +120,21 @@
 		if both {
 			cut = append(cut, [2]string{peer, s.vm})
 		}
-		for _, way := range cut {
-			c.faults.cut[way] = &s.effects
-		}
-		return func() {
-			for _, way := range cut {
-				delete(c.faults.cut, way)
+		return c.faults.cut.add(func(from, to string) bool {
+			lost := slices.Contains(cut, [2]string{from, to})
+			if lost {
+				s.effects++
 			}
-		}
+			return lost
+		})
 	}
 }
 
 func (c *cell) lagging(s *strike, change func([]fleet.VM) []fleet.VM) func() {
-	c.faults.roster = func(_ string, list []fleet.VM) []fleet.VM {
+	return c.faults.roster.add(func(list []fleet.VM) []fleet.VM {
 		s.effects++
 		return change(slices.Clone(list))
-	}
-	return func() { c.faults.roster = nil }
+	})
 }
 
 // rosterStale shows the list of before, while a VM is replaced.
--- a/experiment/matrix_hooks.go
+++ b/experiment/matrix_hooks.go
@@ -1,6 +1,8 @@
 package experiment
 
 import (
+	"slices"
+
 	"lentillink.example/lentillink/attempt"
 	"lentillink.example/lentillink/clock"
 	"lentillink.example/lentillink/fleet"
@@ -9,19 +11,31 @@
 	"lentillink.example/lentillink/vm"
 )
 
+// chain holds the effects of all faults that are switched on at once.
+type chain[F any] []*F
+
+// add switches an effect on and returns what switches it off.
+func (c *chain[F]) add(f F) func() {
+	own := &f
+	*c = append(*c, own)
+	return func() {
+		*c = slices.DeleteFunc(*c, func(other *F) bool { return other == own })
+	}
+}
+
 // faultState is what the faults have switched on. The zero values are healthy.
 type faultState struct {
 	reply      func(attempt.Request, attempt.Reply, func(attempt.Reply))
-	load       func(upstream.ID, upstream.Load) upstream.Load
-	roster     func(string, []fleet.VM) []fleet.VM
-	loseAnswer func() bool
-	cut        map[[2]string]*int // messages dropped, by direction
+	load       chain[func(upstream.ID, upstream.Load) upstream.Load]
+	roster     chain[func([]fleet.VM) []fleet.VM]
+	loseAnswer chain[func() bool]
+	cut        chain[func(from, to string) bool]
 	seen       []func(string, vm.Cmd)
 }
 
-func (f *faultState) init() { f.cut = make(map[[2]string]*int) }
-
-func (c *cell) before(id string, msg vm.Msg) { c.observe(moment{vm: id, msg: msg}) }
+func (c *cell) before(id string, msg vm.Msg) {
+	c.observe(moment{vm: id, msg: msg})
+}
 
 func (c *cell) after(id string, core *vm.Core) {
 	if c.tier != nil {
@@ -58,25 +72,25 @@
 }
 
 func (c *cell) loadReport(id upstream.ID, load upstream.Load) upstream.Load {
-	if c.faults.load != nil {
-		return c.faults.load(id, load)
+	for _, change := range c.faults.load {
+		load = (*change)(id, load)
 	}
 	return load
 }
 
-func (c *cell) roster(id string, list []fleet.VM) []fleet.VM {
-	if c.faults.roster != nil {
-		return c.faults.roster(id, list)
+func (c *cell) roster(_ string, list []fleet.VM) []fleet.VM {
+	for _, change := range c.faults.roster {
+		list = (*change)(list)
 	}
 	return list
 }
 
 func (c *cell) cut(from, to string) bool {
-	dropped := c.faults.cut[[2]string{from, to}]
-	if dropped != nil {
-		*dropped++
+	cut := false
+	for _, drops := range c.faults.cut {
+		cut = (*drops)(from, to) || cut
 	}
-	return dropped != nil
+	return cut
 }
 
 // stop begins the planned stop of a VM and replaces it once it has drained.
