--- a/experiment/matrix_step.go
+++ b/experiment/matrix_step.go
@@ -56,11 +56,12 @@
 	}
 }
 
-// burst sends more queries to one VM than it may run at once.
+// burst sends more queries to one VM than it may run at once. They are patient,
+// so that their deadline lets all of them run.
 func burst(c *cell) {
 	n := c.tier.nodes[c.rng.IntN(len(c.tier.nodes))]
 	for range 400 {
-		c.load.send(n, &request{rank: rank.Ordinary})
+		c.load.send(n, &request{rank: rank.Patient})
 	}
 }
 
