Keep a new VM out of service until it has joined

A replaced VM read the record from the store before it had the VM list or heard from a peer. It was ready, took itself for the only carrier of every upstream, and sent work to an upstream that had been leaving for 3.6 s.

Change: fleet.Model is ready once a peer's table was received, the VM list names nobody else, or 3 s have passed without a peer.

--- a/experiment/matrix_test.go
+++ b/experiment/matrix_test.go
@@ -70,3 +70,24 @@
 		}
 	}
 }
+
+// Guards against failures that the matrix has found, each at its seed and cell.
+func TestMatrixRegressions(t *testing.T) {
+	tests := map[string]struct {
+		seed uint64
+		cell string
+	}{
+		"order unknown though no carrier took it":     {2, "vm-stopped/claim-write"},
+		"replaced VM sends to a leaving upstream":     {5, "store-answer-lost/query-replies-in+upstream-leaving/carrier-change"},
+		"planned stop with more queries than it runs": {4, "vm-stopped/query-queued"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			got, err := experiment.RunCell(tt.seed, tt.cell, experiment.CellOptions{})
+			if err != nil || !got.OK() {
+				t.Errorf("seed %d cell %s: %v %v %s", tt.seed, tt.cell, err, got.Violations, got.Problem)
+			}
+		})
+	}
+}
--- a/fleet/model.go
+++ b/fleet/model.go
@@ -85,7 +85,7 @@
 	case PeerMsg:
 		m.receive(now, msg)
 	case RosterMsg:
-		m.sync.hints = msg.VMs[:min(len(msg.VMs), maxMembers)]
+		m.sync.hints, m.sync.roster = msg.VMs[:min(len(msg.VMs), maxMembers)], true
 	case RecordMsg:
 		m.adopt(now, msg.Record, blob{})
 	case StoreMsg:
--- a/fleet/query.go
+++ b/fleet/query.go
@@ -68,8 +68,8 @@
 // Watchers returns the members that watch the record in the store.
 func (m *Model) Watchers() []string { return slices.Clone(m.watchers) }
 
-// Ready reports whether this VM has a record and is not stopping.
-func (m *Model) Ready() bool { return m.record.Revision > 0 && !m.stopping }
+// Ready reports whether this VM has a record, has joined its peers and is not stopping.
+func (m *Model) Ready() bool { return m.record.Revision > 0 && m.sync.settled && !m.stopping }
 
 // Record returns the record in force; its revision is 0 if there is none yet.
 func (m *Model) Record() preset.Record { return m.record }
--- /dev/null
+++ b/fleet/ready_test.go
@@ -0,0 +1,79 @@
+package fleet_test
+
+import (
+	"testing"
+
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/fleet"
+	"lentillink.example/lentillink/preset"
+	"lentillink.example/lentillink/store"
+)
+
+// readyAfter returns how long a model that can read the store takes to be
+// ready. The peer answers if it is not nil.
+func readyAfter(t *testing.T, roster []fleet.VM, peer *fleet.Model) clock.Millis {
+	t.Helper()
+	const start = clock.Millis(1_700_000_000_000)
+	value, err := preset.Encode(preset.Default())
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := fleet.New(fleet.WithSelf(fleet.VM{ID: "vm-1", Address: "a:1", Incarnation: 2}), fleet.WithSeed(1))
+	for now := start; now < start+10*clock.Second; now += 10 {
+		inbox := []fleet.Msg{fleet.RosterMsg{VMs: roster}, fleet.TickMsg{}}
+		for ; len(inbox) > 0; inbox = inbox[1:] {
+			for _, cmd := range m.Update(now, inbox[0]) {
+				switch c := cmd.(type) {
+				case fleet.StoreCmd:
+					if c.Request.Op == store.OpGet {
+						entry := store.Entry{Key: c.Request.Key, Value: value, Revision: 1}
+						inbox = append(inbox, fleet.StoreMsg{Reply: store.Reply{Tag: c.Request.Tag, Op: c.Request.Op, Entry: entry}})
+					}
+				case fleet.SendCmd:
+					inbox = append(inbox, answers(now, peer, c)...)
+				}
+			}
+		}
+		if m.Ready() {
+			return now - start
+		}
+	}
+	return 10 * clock.Second
+}
+
+func answers(now clock.Millis, peer *fleet.Model, c fleet.SendCmd) []fleet.Msg {
+	var list []fleet.Msg
+	if peer == nil {
+		return nil
+	}
+	for _, cmd := range peer.Update(now, fleet.PeerMsg{From: "vm-1", Payload: c.Payload}) {
+		if s, ok := cmd.(fleet.SendCmd); ok && s.To == "vm-1" {
+			list = append(list, fleet.PeerMsg{From: "vm-2", Payload: s.Payload})
+		}
+	}
+	return list
+}
+
+// Guards against a new VM that has read the record but heard from no peer, and
+// so takes requests as if it were alone and sends them to leaving upstreams.
+func TestNewVMIsNotReadyBeforeItHasJoined(t *testing.T) {
+	two := []fleet.VM{{ID: "vm-1", Address: "a:1"}, {ID: "vm-2", Address: "b:1"}}
+	peer := fleet.New(fleet.WithSelf(fleet.VM{ID: "vm-2", Address: "b:1", Incarnation: 1}), fleet.WithSeed(2))
+	tests := map[string]struct {
+		roster      []fleet.VM
+		peer        *fleet.Model
+		least, most clock.Millis
+	}{
+		"peer silent":   {roster: two, least: 3 * clock.Second, most: 4 * clock.Second},
+		"peer answers":  {roster: two, peer: peer, most: 3*clock.Second - 1},
+		"nobody else":   {roster: two[:1], most: 3*clock.Second - 1},
+		"no list known": {least: 0, most: 4 * clock.Second},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			if got := readyAfter(t, tt.roster, tt.peer); got < tt.least || got > tt.most {
+				t.Errorf("ready after %d ms, want %d to %d", got, tt.least, tt.most)
+			}
+		})
+	}
+}
--- a/fleet/sync.go
+++ b/fleet/sync.go
@@ -1,10 +1,17 @@
 package fleet
 
-import "lentillink.example/lentillink/clock"
+import (
+	"slices"
+
+	"lentillink.example/lentillink/clock"
+)
 
 const (
-	syncEvery      clock.Millis = 10 * clock.Second
-	joinEvery      clock.Millis = clock.Second
+	syncEvery clock.Millis = 10 * clock.Second
+	joinEvery clock.Millis = clock.Second
+	// A VM that reaches no peer serves alone after this time. Before, it does
+	// not know which upstreams leave and who carries them.
+	joinWithin     clock.Millis = 3 * clock.Second
 	contactEvery   clock.Millis = 5 * clock.Second
 	joinContacts                = 3
 	maxStatePages               = 8
@@ -20,12 +27,15 @@
 	hints     []VM
 	addresses map[string]string // of hints that were contacted and senders that are not members
 	joined    bool              // a peer's table was received
+	settled   bool              // joined, or there is nobody to join
+	roster    bool              // the VM list was received
 	next      clock.Millis
 	contact   clock.Millis
 }
 
 func (m *Model) syncDue(now clock.Millis) {
 	s := &m.sync
+	s.settled = s.settled || s.joined || s.roster && m.alone() || now >= m.store.began+joinWithin
 	if now >= s.next {
 		if s.joined {
 			s.next = now + syncEvery/2 + m.jitter(syncEvery)
@@ -40,6 +50,12 @@
 	}
 }
 
+// alone reports whether neither the VM list nor any message names another VM.
+func (m *Model) alone() bool {
+	others := slices.ContainsFunc(m.sync.hints, func(v VM) bool { return v.ID != m.self.ID })
+	return !others && len(m.members) == 0
+}
+
 func (m *Model) beginSync() {
 	if !m.sync.joined {
 		for range joinContacts {
