--- /dev/null
+++ b/experiment/orders_interval.go
@@ -0,0 +1,41 @@
+package experiment
+
+import (
+	"fmt"
+
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/order"
+)
+
+// Runs of OrderInterval last long enough that a low rate has a p99; high rates
+// have enough orders sooner.
+const (
+	intervalRunSeconds = 60
+	intervalOrders     = 10000
+)
+
+var (
+	orderIntervals = []clock.Millis{25, 50, 100, 200}
+	orderRates     = []int{10, 100, 1000}
+)
+
+// OrderInterval measures the wait between two writes of one partition: writes
+// of the fleet and added latency by rate of orders, without faults. The
+// baseline writes each claim at once.
+func OrderInterval(seed uint64) Report {
+	report := Report{Name: "order-interval", Seed: seed}
+	for _, rate := range orderRates {
+		cfg := ordersConfig{seed: seed, orders: min(rate*intervalRunSeconds, intervalOrders), perSec: rate, options: unbatched()}
+		base := runOrders(cfg)
+		for _, d := range orderIntervals {
+			cfg.options = []order.Option{order.WithWriteInterval(d)}
+			value := runOrders(cfg)
+			name := func(figure string) string { return fmt.Sprintf("%d orders/s, %d ms: %s", rate, d, figure) }
+			report.Note(name("fleet writes"), "writes/s", base.writesPerOrder*float64(rate), value.writesPerOrder*float64(rate))
+			report.Note(name("writes per order"), "writes", base.writesPerOrder, value.writesPerOrder)
+			report.Note(name("added p50"), "ms", base.p50, value.p50)
+			report.Note(name("added p99"), "ms", base.p99, value.p99)
+		}
+	}
+	return report
+}
--- a/experiment/registry.go
+++ b/experiment/registry.go
@@ -17,6 +17,7 @@
 		{"flood-patient", "patient work at five times capacity, against an open gate", FloodPatient},
 		{"flood-urgent", "urgent work at five times capacity, against an open gate", FloodUrgent},
 		{"orders", "100,000 orders with repeats and every fault, against one write per order", allOrders},
+		{"order-interval", "writes and added latency by write interval and rate, against one write per order", OrderInterval},
 		{"presets", "1,000 random histories of changes under faults, against unconditional writes", allPresets},
 		{"spread", "time until a change is in force, against no eager spreading", func(seed uint64) Report { return Spread(seed) }},
 		{"control", "control traffic, processor time and memory by fleet size", wallControl},
