Rank only the first owners of each partition

Cause: every change of the live list sorted all VMs for each of 16 partitions and hashed both sides of each comparison.

Change: the eight heaviest VMs are kept per partition, each hashed once. A claim cannot reach more within its deadline.

--- a/order/model.go
+++ b/order/model.go
@@ -130,19 +130,44 @@
 	}
 }
 
-// rankOwners orders the live VMs of each partition by rendezvous hashing. A VM
-// that knows of no live VM owns every partition itself.
+// rankedOwners is how many VMs are kept per partition. A claim asks each twice,
+// 300 ms apart, so that more are not reached within the longest usual deadline.
+const rankedOwners = 8
+
+// weighted is a VM with its rendezvous weight for one partition.
+type weighted struct {
+	vm     string
+	weight uint64
+}
+
+// heavierFirst sorts higher weights first.
+func heavierFirst(a, b weighted) int {
+	return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.vm, b.vm))
+}
+
+// rankOwners finds the first live VMs of each partition by rendezvous hashing. A
+// VM that knows of no live VM owns every partition itself.
 func (m *Model) rankOwners() {
+	live := m.live
+	if len(live) == 0 {
+		live = []string{m.cfg.self}
+	}
+	best := make([]weighted, 0, rankedOwners+1)
 	for i := range m.ranked {
-		vms := slices.Clone(m.live)
-		if len(vms) == 0 {
-			vms = []string{m.cfg.self}
-		}
 		key := string(rune('a'+i)) + "/"
-		slices.SortFunc(vms, func(a, b string) int {
-			return cmp.Or(cmp.Compare(xxhash.Sum64String(key+b), xxhash.Sum64String(key+a)), cmp.Compare(a, b))
-		})
-		m.ranked[i] = vms
+		best = best[:0]
+		for _, vm := range live {
+			w := weighted{vm: vm, weight: xxhash.Sum64String(key + vm)}
+			at, _ := slices.BinarySearchFunc(best, w, heavierFirst)
+			if at < rankedOwners {
+				best = slices.Insert(best, at, w)
+				best = best[:min(len(best), rankedOwners)]
+			}
+		}
+		m.ranked[i] = make([]string, len(best))
+		for n, w := range best {
+			m.ranked[i][n] = w.vm
+		}
 	}
 }
 
