--- a/cmd/lentillink/preset.go
+++ b/cmd/lentillink/preset.go
@@ -13,8 +13,12 @@
 	"lentillink.example/lentillink/preset"
 )
 
-// confirmInterval is how often the VMs are asked whether a change is in force.
-const confirmInterval = 50 * time.Millisecond
+// The VMs are asked whether a change is in force after confirmInterval, and
+// then less and less often, because each question reaches every VM.
+const (
+	confirmInterval    = 50 * time.Millisecond
+	maxConfirmInterval = 800 * time.Millisecond
+)
 
 type presetListCommand struct {
 	vmFlags
@@ -231,6 +235,7 @@
 // confirm waits until the revision is in force on every VM that answers.
 func (f *changeFlags) confirm(client *caller.Client, revision uint64, start time.Time) error {
 	shown := -1
+	wait := confirmInterval
 	for {
 		doc, err := client.FleetStatus()
 		if err != nil {
@@ -259,6 +264,7 @@
 			fmt.Fprintf(os.Stderr, "in force on %d VMs, waiting for %d\n", confirmed, len(missing))
 			shown = confirmed
 		}
-		time.Sleep(confirmInterval)
+		time.Sleep(wait)
+		wait = min(2*wait, maxConfirmInterval)
 	}
 }
