Share the printing and the common fields of answers

The answers to queries and orders repeated six fields, and the two commands repeated the lines that print them.

--- /dev/null
+++ b/cmd/lentillink/answer.go
@@ -0,0 +1,42 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"text/tabwriter"
+
+	"lentillink.example/lentillink/attempt"
+	"lentillink.example/lentillink/entry"
+)
+
+// checkJSON refuses an argument that is not valid JSON.
+func checkJSON(name, value string) error {
+	if !json.Valid([]byte(value)) {
+		return &exitError{code: exitUsage, err: fmt.Errorf("%s: %q is not valid JSON", name, value)}
+	}
+	return nil
+}
+
+// printOutcome prints how a request ended.
+func printOutcome(tw *tabwriter.Writer, id, outcome string, ran attempt.Ran) {
+	pair(tw, "id", id)
+	pair(tw, "outcome", outcome)
+	pair(tw, "ran", ran)
+}
+
+// printOrigin prints where an answer was made, and why it is not whole.
+func printOrigin(tw *tabwriter.Writer, o entry.Origin) {
+	pair(tw, "preset", fmt.Sprintf("%s, revision %d", o.Preset, o.Revision))
+	pair(tw, "vm", o.VM)
+	pair(tw, "took", fmt.Sprintf("%d ms", o.TookMs))
+	if o.Reason != "" {
+		pair(tw, "reason", o.Reason)
+	}
+	if o.RetryAfterMs > 0 {
+		pair(tw, "retry after", fmt.Sprintf("%d ms", o.RetryAfterMs))
+	}
+}
+
+func pair(tw *tabwriter.Writer, name string, value any) {
+	_, _ = fmt.Fprintf(tw, "%s\t%v\n", name, value)
+}
--- a/entry/answer.go
+++ b/entry/answer.go
@@ -19,34 +19,35 @@
 	Missing  []coverage.Range `json:"missing"`
 }
 
+// Origin says under which preset and on which VM an answer was made, and why
+// it is not whole.
+type Origin struct {
+	Preset       string       `json:"preset"`
+	Revision     uint64       `json:"revision"`
+	VM           string       `json:"vm"`
+	TookMs       clock.Millis `json:"took_ms"`
+	Reason       string       `json:"reason,omitempty"`
+	RetryAfterMs clock.Millis `json:"retry_after_ms,omitempty"`
+}
+
 // QueryDocument is the answer to POST /v1/query.
 type QueryDocument struct {
-	ID           string           `json:"id"`
-	Outcome      string           `json:"outcome"`
-	Ran          attempt.Ran      `json:"ran"`
-	Snapshot     uint64           `json:"snapshot"`
-	Coverage     CoverageDocument `json:"coverage"`
-	Rows         []coverage.Row   `json:"rows"`
-	Preset       string           `json:"preset"`
-	Revision     uint64           `json:"revision"`
-	VM           string           `json:"vm"`
-	TookMs       clock.Millis     `json:"took_ms"`
-	Reason       string           `json:"reason,omitempty"`
-	RetryAfterMs clock.Millis     `json:"retry_after_ms,omitempty"`
+	ID       string           `json:"id"`
+	Outcome  string           `json:"outcome"`
+	Ran      attempt.Ran      `json:"ran"`
+	Snapshot uint64           `json:"snapshot"`
+	Coverage CoverageDocument `json:"coverage"`
+	Rows     []coverage.Row   `json:"rows"`
+	Origin
 }
 
 // OrderDocument is the answer to POST /v1/order.
 type OrderDocument struct {
-	ID           string          `json:"id"`
-	Outcome      string          `json:"outcome"`
-	Ran          attempt.Ran     `json:"ran"`
-	Body         json.RawMessage `json:"body,omitempty"`
-	Preset       string          `json:"preset"`
-	Revision     uint64          `json:"revision"`
-	VM           string          `json:"vm"`
-	TookMs       clock.Millis    `json:"took_ms"`
-	Reason       string          `json:"reason,omitempty"`
-	RetryAfterMs clock.Millis    `json:"retry_after_ms,omitempty"`
+	ID      string          `json:"id"`
+	Outcome string          `json:"outcome"`
+	Ran     attempt.Ran     `json:"ran"`
+	Body    json.RawMessage `json:"body,omitempty"`
+	Origin
 }
 
 // ErrorDocument is the answer to a request that cannot be accepted.
@@ -60,8 +61,11 @@
 	doc := QueryDocument{
 		ID: a.ID, Outcome: string(a.Outcome), Ran: a.Ran, Snapshot: a.Snapshot,
 		Coverage: CoverageDocument{Expected: a.Expected, Covered: a.Covered, Missing: a.Missing},
-		Rows:     a.Rows, Preset: a.Preset, Revision: a.Revision, VM: v.self.ID, TookMs: a.TookMs,
-		Reason: a.Reason, RetryAfterMs: a.RetryAfterMs,
+		Rows:     a.Rows,
+		Origin: Origin{
+			Preset: a.Preset, Revision: a.Revision, VM: v.self.ID, TookMs: a.TookMs,
+			Reason: a.Reason, RetryAfterMs: a.RetryAfterMs,
+		},
 	}
 	// Callers read lists without checking for null.
 	if doc.Rows == nil {
@@ -75,8 +79,11 @@
 
 func (v *VM) orderDocument(a vm.OrderAnswer) OrderDocument {
 	doc := OrderDocument{
-		ID: a.ID, Outcome: string(a.Outcome), Ran: a.Ran, Preset: a.Preset, Revision: a.Revision,
-		VM: v.self.ID, TookMs: a.TookMs, Reason: a.Reason, RetryAfterMs: a.RetryAfterMs,
+		ID: a.ID, Outcome: string(a.Outcome), Ran: a.Ran,
+		Origin: Origin{
+			Preset: a.Preset, Revision: a.Revision, VM: v.self.ID, TookMs: a.TookMs,
+			Reason: a.Reason, RetryAfterMs: a.RetryAfterMs,
+		},
 	}
 	switch {
 	case len(a.Body) == 0:
