Send no hedges for a rank whose preset grants none

Each rank starts with a full burst of tokens, and a rank keeps its tokens when a preset with a budget of 0% comes into force.

Change: a query whose policy has no hedge budget is never hedged, so that 'preset explain' says what happens.

--- a/query/retry.go
+++ b/query/retry.go
@@ -43,6 +43,11 @@
 	if p.settled || p.hedges >= maxHedges || p.tries >= maxTries || p.nOpen >= maxOpen {
 		return
 	}
+	// Tokens from the start or from an earlier preset must not be spent by a
+	// rank that its preset grants no hedges.
+	if q.Policy.HedgeBudgetPercent <= 0 {
+		return
+	}
 	if q.service.overloaded {
 		m.wake(now+m.book.HedgeDelay(now, t.up), timerHedge, q, g, seq)
 		return
--- a/query/retry_test.go
+++ b/query/retry_test.go
@@ -6,6 +6,7 @@
 	"lentillink.example/lentillink/attempt"
 	"lentillink.example/lentillink/clock"
 	"lentillink.example/lentillink/query"
+	"lentillink.example/lentillink/timeline"
 )
 
 // TestTokenWait guards against attempts without a retry token that ask again
@@ -83,3 +84,19 @@
 		})
 	}
 }
+
+// TestNoHedgesWithoutBudget guards against a rank that spends the tokens of the
+// start although its preset grants it no hedges.
+func TestNoHedgesWithoutBudget(t *testing.T) {
+	for _, tc := range []struct {
+		percent float64
+		want    int
+	}{{percent: 0, want: 0}, {percent: 5, want: 1}} {
+		r := newRig(1, 1)
+		r.start(tc.percent, 5)
+		r.tick(100)
+		if got := r.events[timeline.Hedged]; min(got, 1) != tc.want {
+			t.Errorf("hedges with a budget of %g%% = %d, want %d", tc.percent, got, tc.want)
+		}
+	}
+}
