Remove a count that nothing reads and a variable that is never set

Tier counted sub-requests per VM without a reader, and answerPeer passed a zero stamp through a variable. Behaviour is unchanged.

go test ./entry and go test ./experiment -run 'Stall|MatrixRepeats|Regressions' pass; vet and lint are clean.

--- a/entry/question.go
+++ b/entry/question.go
@@ -60,7 +60,6 @@
 func (v *VM) answerPeer(from string, q vm.Ask) {
 	var doc any
 	var address string
-	var stamp clock.Stamp
 	err := v.view(func(core *vm.Core, now clock.Millis) {
 		address = core.Address(from)
 		doc = answerFor(core, now, q)
@@ -72,7 +71,7 @@
 	if err != nil {
 		return
 	}
-	v.mesh.Send(from, address, stamp, vm.Told{ID: q.ID, Payload: payload})
+	v.mesh.Send(from, address, clock.Stamp{}, vm.Told{ID: q.ID, Payload: payload})
 }
 
 func answerFor(core *vm.Core, now clock.Millis, q vm.Ask) any {
--- a/experiment/tier.go
+++ b/experiment/tier.go
@@ -61,7 +61,6 @@
 	rng     *rand.Rand
 	calls   uint64
 	pending map[uint64]func(vm.Cmd) // callers that wait
-	sent    map[string]int          // sub-requests that reached an upstream, by request kind
 }
 
 // tierNode is one VM of a Tier.
@@ -84,7 +83,7 @@
 	loop := NewLoop(tierStart)
 	t := &Tier{
 		Loop: loop, Config: cfg, Upstreams: make(map[string]*Upstream), byID: make(map[string]*tierNode),
-		rng: rand.New(rand.NewPCG(cfg.Seed, 77)), pending: make(map[uint64]func(vm.Cmd)), sent: make(map[string]int),
+		rng: rand.New(rand.NewPCG(cfg.Seed, 77)), pending: make(map[uint64]func(vm.Cmd)),
 	}
 	t.Store = newTierStore(loop, rand.New(rand.NewPCG(cfg.Seed, 78)))
 	services := t.services()
@@ -250,7 +249,6 @@
 		delay += tierOpenMs
 	}
 	t.Loop.After(delay, func() {
-		t.sent[m.Request.ID.VM]++
 		t.Upstreams[m.Request.Upstream].Serve(m.Request, func(r attempt.Reply) {
 			t.Config.Hooks.reply(t.Loop, m.Request, r, func(r attempt.Reply) {
 				if n.life == life {
