--- /dev/null
+++ b/catalog/query.go
@@ -0,0 +1,27 @@
+package catalog
+
+import "lentillink.example/lentillink/clock"
+
+// NextWake returns when the model wants a TickMsg, if it waits for one.
+func (m *Model) NextWake() (clock.Millis, bool) {
+	at, ok := clock.Millis(0), false
+	if m.phase == phaseIdle {
+		at, ok = m.nextCall, true
+	}
+	if m.lost {
+		return at, ok
+	}
+	for _, due := range m.missing {
+		due = max(due, m.holdUntil)
+		if !ok || due < at {
+			at, ok = due, true
+		}
+	}
+	return at, ok
+}
+
+// Reached reports whether the last call to the store was answered.
+func (m *Model) Reached() bool { return m.everHeard && !m.lost }
+
+// Revision returns the revision up to which changes are known.
+func (m *Model) Revision() uint64 { return m.revision }
--- a/cmd/lentillinkd/main.go
+++ b/cmd/lentillinkd/main.go
@@ -28,7 +28,8 @@
 )
 
 type options struct {
-	Settings     string       `long:"settings" short:"s" required:"true" value-name:"FILE" description:"JSON settings of this VM; see lentillink config example"`
+	Settings     string       `long:"settings" short:"s" env:"LENTILLINK_SETTINGS" required:"true" value-name:"FILE" description:"JSON settings of this VM; see lentillink config example"`
+	Gateway      bool         `long:"gateway" description:"forward requests by the operators' configuration in the platform's store"`
 	DrainLimitMs clock.Millis `long:"drain-limit-ms" default:"30000" description:"longest planned stop, in milliseconds"`
 }
 
@@ -44,6 +45,9 @@
 		return exitUsage
 	}
 	logger := log.NewLogfmtLogger(log.NewSyncWriter(os.Stderr))
+	if opts.Gateway {
+		return runGateway(opts.Settings)
+	}
 	s, err := settings.Load(opts.Settings)
 	if err != nil {
 		_ = logger.Log("event", "settings_refused", "file", opts.Settings, "err", err)
--- /dev/null
+++ b/exchange/dialer.go
@@ -0,0 +1,5 @@
+package exchange
+
+import "lentillink.example/lentillink/socket"
+
+var dialer = socket.Dialer()
--- /dev/null
+++ b/exchange/error.go
@@ -0,0 +1,48 @@
+package exchange
+
+import "fmt"
+
+// Kind says how an exchange failed.
+type Kind uint8
+
+// KindNotSent and KindDial prove that no byte of the request left.
+const (
+	KindNotSent Kind = iota // the connection was closed before the first byte
+	KindDial                // no connection could be opened
+	KindBroken              // the connection broke before a reply began
+	KindCut                 // the reply ended early
+	KindForeign             // the reply belongs to another request
+	KindInvalid             // the bytes are no reply
+)
+
+var kindNames = [...]string{"not_sent", "dial", "broken", "cut", "foreign", "invalid"}
+
+// String returns the name of k.
+func (k Kind) String() string {
+	if int(k) < len(kindNames) {
+		return kindNames[k]
+	}
+	return "unknown"
+}
+
+// Sent reports whether a byte of the request may have left.
+func (k Kind) Sent() bool { return k > KindDial }
+
+// Error reports an exchange without a whole reply.
+type Error struct {
+	op   string
+	kind Kind
+	err  error
+}
+
+// Op returns the operation that failed.
+func (e *Error) Op() string { return e.op }
+
+// Kind returns the class of the failure.
+func (e *Error) Kind() Kind { return e.kind }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.err }
+
+// Error formats the operation, the kind and the cause.
+func (e *Error) Error() string { return fmt.Sprintf("exchange %s: %s: %v", e.op, e.kind, e.err) }
--- /dev/null
+++ b/exchange/options.go
@@ -0,0 +1,18 @@
+package exchange
+
+import "lentillink.example/lentillink/clock"
+
+// Option configures a Client.
+type Option func(*Client)
+
+// WithHeaders names the headers that are exchanged with upstreams.
+func WithHeaders(h Headers) Option { return func(c *Client) { c.headers = h } }
+
+// WithConnectTimeout bounds the opening of a connection.
+func WithConnectTimeout(d clock.Millis) Option { return func(c *Client) { c.connectTimeout = d } }
+
+// WithReplyBytes bounds the body of a reply.
+func WithReplyBytes(n int) Option { return func(c *Client) { c.replyBytes = n } }
+
+// WithClock sets the clock that measures idle times.
+func WithClock(cl clock.Clock) Option { return func(c *Client) { c.clock = cl } }
--- /dev/null
+++ b/exchange/request.go
@@ -0,0 +1,72 @@
+package exchange
+
+import (
+	"strconv"
+
+	"github.com/valyala/fasthttp"
+
+	"lentillink.example/lentillink/clock"
+)
+
+// Headers names the headers that upstreams and this VM exchange.
+type Headers struct {
+	RequestID      string // echoed in the reply
+	DeadlineMs     string // how long the upstream may work
+	ExpectInstance string // the upstream that is meant
+	Receipt        string // proves who answered which request
+	NotRun         string // present if the request was not run
+}
+
+// Request is what is forwarded. It does not change, so that several attempts
+// can share it.
+type Request struct {
+	id   string
+	head []byte // request line and headers, without the final empty line
+	body []byte
+	bare bool // the reply has no body
+}
+
+// Field is one header.
+type Field struct{ Name, Value string }
+
+// NewRequest returns a request. The URI is sent as it is given. fields must
+// hold neither headers of one connection nor those that this VM sets itself.
+func NewRequest(h Headers, method, uri, host, id string, fields []Field, body []byte) *Request {
+	var head fasthttp.RequestHeader
+	head.DisableNormalizing()
+	head.SetNoDefaultContentType(true)
+	head.SetMethod(method)
+	head.SetRequestURI(uri)
+	head.SetHost(host)
+	for _, f := range fields {
+		head.Add(f.Name, f.Value)
+	}
+	head.Set(h.RequestID, id)
+	if len(body) > 0 || method == fasthttp.MethodPost || method == fasthttp.MethodPut || method == fasthttp.MethodPatch {
+		head.SetContentLength(len(body))
+	}
+	raw := head.Header()
+	const emptyLine = 2
+	raw = raw[:len(raw)-emptyLine]
+	return &Request{
+		id: id, head: append([]byte(nil), raw...), body: body, bare: method == fasthttp.MethodHead,
+	}
+}
+
+// appendTo appends the request as it is sent to one upstream.
+func (r *Request) appendTo(b []byte, h Headers, instance string, left clock.Millis) []byte {
+	b = append(b, r.head...)
+	b = appendField(b, h.ExpectInstance, instance)
+	b = append(b, h.DeadlineMs...)
+	b = append(b, ": "...)
+	b = strconv.AppendInt(b, int64(left), 10)
+	b = append(b, "\r\n\r\n"...)
+	return append(b, r.body...)
+}
+
+func appendField(b []byte, name, value string) []byte {
+	b = append(b, name...)
+	b = append(b, ": "...)
+	b = append(b, value...)
+	return append(b, "\r\n"...)
+}
--- /dev/null
+++ b/gateway/front.go
@@ -0,0 +1,213 @@
+package gateway
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/exchange"
+	"lentillink.example/lentillink/relay"
+)
+
+const (
+	statusMisdirected = http.StatusMisdirectedRequest
+
+	// Bounds that hold while no configuration states narrower ones.
+	maxHeaderBytes    = 64 << 10
+	maxBodyBytes      = 8 << 20
+	readHeaderTimeout = 10 * time.Second
+	readBodyTimeout   = 30 * time.Second
+	idleTimeout       = 60 * time.Second
+)
+
+// newFront returns the server for callers. It is net/http's, because fasthttp
+// does not notice a caller that leaves while its request runs.
+func (g *Gateway) newFront() *http.Server {
+	return &http.Server{
+		Handler: http.HandlerFunc(g.serveCaller), MaxHeaderBytes: maxHeaderBytes,
+		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, ErrorLog: quietLog(),
+	}
+}
+
+// newBalancer returns the server for the balancer's question.
+func (g *Gateway) newBalancer() *http.Server {
+	return &http.Server{
+		Handler: http.HandlerFunc(g.serveReady), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, ErrorLog: quietLog(),
+	}
+}
+
+func (g *Gateway) serveReady(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case r.URL.Path != g.readyPath:
+		w.WriteHeader(http.StatusNotFound)
+	case g.ready.Load():
+		w.WriteHeader(http.StatusOK)
+	default:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+func (g *Gateway) serveCaller(w http.ResponseWriter, r *http.Request) {
+	g.inFlight.Add(1)
+	defer g.inFlight.Add(-1)
+	if g.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	body, status := g.readBody(w, r)
+	if status != 0 {
+		w.Header().Set("Connection", "close") // the rest of the request is not read
+		refuse(w, status, 0)
+		return
+	}
+	id := r.Header.Get(g.headers.RequestID)
+	uri := r.RequestURI
+	if !strings.HasPrefix(uri, "/") {
+		uri = r.URL.RequestURI()
+	}
+	left, err := deadlineOf(r.Header.Get(g.headers.DeadlineMs))
+	if id == "" || err != nil {
+		refuse(w, http.StatusBadRequest, 0)
+		return
+	}
+	c := &call{answer: make(chan relay.Answer, 1)}
+	c.request = exchange.NewRequest(g.headers.Headers, r.Method, uri, r.Host, id, g.forwarded(r.Header), body)
+	n := g.calls.Add(1)
+	g.post(item{call: c, relay: relay.ArriveMsg{ID: n, Name: id, Host: r.Host, Path: uri, LeftMs: left}})
+	select {
+	case a := <-c.answer:
+		g.write(w, id, a)
+	case <-r.Context().Done():
+		g.post(item{relay: relay.GoneMsg{ID: n}})
+	case <-g.stopped:
+		panic(http.ErrAbortHandler) // a closed connection promises nothing
+	}
+}
+
+// readBody reads the whole body. A status other than 0 refuses the request.
+func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request) ([]byte, int) {
+	limit := int64(maxBodyBytes)
+	if t := g.table.Load(); t != nil {
+		if n := t.Limits().BodyBytes; n > 0 {
+			limit = int64(n)
+		}
+		if n := t.Limits().HeaderBytes; n > 0 && headerBytes(r) > n {
+			return nil, http.StatusRequestHeaderFieldsTooLarge
+		}
+	}
+	if r.ContentLength > limit {
+		return nil, http.StatusRequestEntityTooLarge
+	}
+	if r.ContentLength == 0 {
+		return nil, 0
+	}
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(readBodyTimeout))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, http.StatusRequestEntityTooLarge
+	case err != nil:
+		return nil, http.StatusBadRequest
+	}
+	return body, 0
+}
+
+func headerBytes(r *http.Request) int {
+	n := len(r.Method) + len(r.RequestURI) + len(r.Host)
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + len(": \r\n")
+		}
+	}
+	return n
+}
+
+// deadlineOf reads how long the caller waits; 0 means that it does not say.
+func deadlineOf(value string) (clock.Millis, error) {
+	if value == "" {
+		return 0, nil
+	}
+	n, err := strconv.ParseInt(value, 10, 64)
+	if err != nil {
+		return 0, err
+	}
+	return clock.Millis(max(n, 1)), nil
+}
+
+// forwarded returns the headers that are passed on as they are.
+func (g *Gateway) forwarded(h http.Header) []exchange.Field {
+	dropped := make(map[string]bool)
+	for _, line := range h["Connection"] {
+		for _, name := range strings.Split(line, ",") {
+			dropped[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
+		}
+	}
+	var out []exchange.Field
+	for name, values := range h {
+		if dropped[name] || exchange.ConnectionOnly(name) || g.own(name) {
+			continue
+		}
+		for _, v := range values {
+			out = append(out, exchange.Field{Name: name, Value: v})
+		}
+	}
+	return out
+}
+
+// own reports whether this VM sets the header itself.
+func (g *Gateway) own(name string) bool {
+	h := g.headers.Headers
+	return name == h.RequestID || name == h.DeadlineMs || name == h.ExpectInstance || name == "Expect"
+}
+
+// statusOf maps outcomes to statuses. 503 promises that the request did not run.
+var statusOf = map[relay.Outcome]int{
+	relay.Refused:  http.StatusServiceUnavailable,
+	relay.NotReady: http.StatusServiceUnavailable,
+	relay.Failed:   http.StatusBadGateway,
+	relay.TimedOut: http.StatusGatewayTimeout,
+	relay.NoRoute:  http.StatusNotFound,
+}
+
+func (g *Gateway) write(w http.ResponseWriter, id string, a relay.Answer) {
+	h := w.Header()
+	h[g.headers.RequestID] = []string{id}
+	switch a.Outcome {
+	case relay.Relayed:
+		fields, _ := a.Reply.Carried.([]exchange.Field)
+		h["Content-Type"] = nil // net/http must not guess one
+		for _, f := range fields {
+			name := http.CanonicalHeaderKey(f.Name)
+			if name == g.headers.RequestID {
+				continue
+			}
+			h[name] = append(h[name], f.Value)
+		}
+		h.Set("Content-Length", strconv.Itoa(len(a.Reply.Body)))
+		w.WriteHeader(a.Reply.Status)
+		_, _ = w.Write(a.Reply.Body)
+	case relay.Gathered:
+		h["Content-Type"] = nil
+		h[g.headers.Receipts] = []string{strings.Join(a.Receipts, ", ")}
+		h[g.headers.Missing] = []string{strconv.Itoa(a.Missing)}
+		h.Set("Content-Length", strconv.Itoa(len(a.Body)))
+		w.WriteHeader(http.StatusOK)
+		_, _ = w.Write(a.Body)
+	default:
+		refuse(w, statusOf[a.Outcome], a.RetryAfterMs)
+	}
+}
+
+func refuse(w http.ResponseWriter, status int, retryAfter clock.Millis) {
+	w.Header()["Content-Type"] = nil
+	if retryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Duration().Seconds(), 'f', 3, 64))
+	}
+	w.Header().Set("Content-Length", "0")
+	w.WriteHeader(status)
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,144 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync/atomic"
+
+	"github.com/go-kit/log"
+
+	"lentillink.example/lentillink/catalog"
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/exchange"
+	"lentillink.example/lentillink/relay"
+	"lentillink.example/lentillink/route"
+	"lentillink.example/lentillink/socket"
+	"lentillink.example/lentillink/store"
+)
+
+// inboxLen bounds the messages that wait for the event loop.
+const inboxLen = 1 << 12
+
+// Gateway runs one VM.
+type Gateway struct {
+	feed         store.Feed
+	translator   Translator
+	headers      Headers
+	callersAddr  string
+	readyAddr    string
+	readyPath    string
+	logger       log.Logger
+	clock        clock.Clock
+	grace        clock.Millis
+	seed         uint64
+	relayOptions []relay.Option
+
+	core     *relay.Model
+	catalogs []*catalog.Model
+	client   *exchange.Client
+	inbox    chan item
+	stopped  chan struct{} // closed when the event loop has ended
+	ready    atomic.Bool
+	stopping atomic.Bool
+	table    atomic.Pointer[route.Table]
+	calls    atomic.Uint64
+	inFlight atomic.Int64 // requests that are read and not answered
+	ends     chan error
+
+	waiters map[uint64]*call // owned by the event loop
+}
+
+// item is a message for the event loop: for the relay, or for one catalog.
+type item struct {
+	relay   relay.Msg
+	call    *call // of an ArriveMsg
+	catalog catalog.Msg
+	prefix  int // which catalog
+	result  *exchange.Result
+}
+
+// call is a request of a caller that waits for its answer.
+type call struct {
+	request *exchange.Request
+	answer  chan relay.Answer
+}
+
+// New returns a Gateway.
+func New(opts ...Option) *Gateway {
+	g := &Gateway{
+		logger: log.NewNopLogger(), clock: clock.NewSteady(), grace: defaultGraceMs, readyPath: "/ready",
+		inbox: make(chan item, inboxLen), stopped: make(chan struct{}), ends: make(chan error, endsLen),
+		waiters: make(map[uint64]*call),
+	}
+	for _, opt := range opts {
+		opt(g)
+	}
+	g.core = relay.New(append([]relay.Option{relay.WithSeed(g.seed)}, g.relayOptions...)...)
+	for i := range g.translator.Prefixes() {
+		g.catalogs = append(g.catalogs, catalog.New(g.seed+uint64(i)))
+	}
+	g.client = exchange.New(func(r exchange.Result) { g.post(item{result: &r}) },
+		exchange.WithHeaders(g.headers.Headers), exchange.WithClock(g.clock))
+	return g
+}
+
+// endsLen holds the ends of all long-lived goroutines.
+const endsLen = 16
+
+// Run serves until ctx ends, then stops as planned: it is not ready, answers
+// what it has read, and closes each connection after its answer.
+func (g *Gateway) Run(ctx context.Context) error {
+	callers, err := socket.ListenConfig().Listen(ctx, "tcp", g.callersAddr)
+	if err != nil {
+		return &Error{op: "callers", kind: KindListen, err: err}
+	}
+	ready, err := socket.ListenConfig().Listen(ctx, "tcp", g.readyAddr)
+	if err != nil {
+		return errors.Join(&Error{op: "ready", kind: KindListen, err: err}, callers.Close())
+	}
+	// Input and output outlive ctx, because a planned stop finishes what is in flight.
+	io, stopIO := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopIO()
+	front, balancer := g.newFront(), g.newBalancer()
+	go func() { g.ends <- serve(front, callers) }()
+	go func() { g.ends <- serve(balancer, ready) }()
+	go func() { g.ends <- g.client.Run(io) }()
+	loopEnd := make(chan error, 1)
+	go func() { loopEnd <- g.loop(io) }()
+	_ = g.logger.Log("event", "started", "callers", g.callersAddr, "ready", g.readyAddr)
+
+	var first error
+	running := 3
+	select {
+	case <-ctx.Done():
+		g.stop(front)
+	case first = <-g.ends:
+		running--
+	}
+	_ = front.Close()
+	_ = balancer.Close()
+	stopIO()
+	first = errors.Join(first, <-loopEnd)
+	for range running {
+		first = errors.Join(first, <-g.ends)
+	}
+	_ = g.logger.Log("event", "stopped", "err", first)
+	return first
+}
+
+func serve(s *http.Server, lis net.Listener) error {
+	if err := s.Serve(lis); !errors.Is(err, http.ErrServerClosed) {
+		return &Error{op: "accept", kind: KindServe, err: err}
+	}
+	return nil
+}
+
+// post hands a message to the event loop. It is dropped once the loop has ended.
+func (g *Gateway) post(it item) {
+	select {
+	case g.inbox <- it:
+	case <-g.stopped:
+	}
+}
--- /dev/null
+++ b/gateway/loop.go
@@ -0,0 +1,219 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"lentillink.example/lentillink/catalog"
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/exchange"
+	"lentillink.example/lentillink/relay"
+	"lentillink.example/lentillink/store"
+)
+
+// batchLen is how many waiting messages the loop handles before it looks at
+// its timer again.
+const batchLen = 64
+
+// idleWakeMs is how often an idle loop looks at the clock, to notice that the
+// VM was suspended.
+const idleWakeMs = clock.Second
+
+// loop owns the state machines. It ends with io.
+func (g *Gateway) loop(io context.Context) error {
+	defer close(g.stopped)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		timer.Reset(g.nextWake().Duration())
+		select {
+		case it := <-g.inbox:
+			g.accept(io, it)
+			g.acceptWaiting(io)
+		case <-timer.C:
+			g.tick(io)
+		case <-io.Done():
+			return nil
+		}
+	}
+}
+
+func (g *Gateway) acceptWaiting(io context.Context) {
+	for range batchLen {
+		select {
+		case it := <-g.inbox:
+			g.accept(io, it)
+		default:
+			return
+		}
+	}
+}
+
+func (g *Gateway) accept(io context.Context, it item) {
+	switch {
+	case it.catalog != nil:
+		g.stepCatalog(io, it.prefix, it.catalog)
+	case it.result != nil:
+		g.step(resultMsg(*it.result))
+	case it.call != nil:
+		arrive := it.relay.(relay.ArriveMsg)
+		g.waiters[arrive.ID] = it.call
+		g.step(arrive)
+	default:
+		g.step(it.relay)
+		if gone, ok := it.relay.(relay.GoneMsg); ok {
+			delete(g.waiters, gone.ID)
+		}
+	}
+}
+
+// resultMsg turns the end of an exchange into a message.
+func resultMsg(r exchange.Result) relay.Msg {
+	if r.Err != nil {
+		return relay.FailMsg{Attempt: r.Attempt, NotSent: !r.Err.Kind().Sent(), Cause: r.Err.Kind().String()}
+	}
+	rep := r.Reply
+	return relay.ReplyMsg{Attempt: r.Attempt, Reply: relay.Reply{
+		Status: rep.Status, Receipt: rep.Receipt, Body: rep.Body, NotRun: rep.NotRun,
+		Misled: rep.Status == statusMisdirected, Leaving: rep.Closing, Carried: rep.Fields,
+	}}
+}
+
+func (g *Gateway) tick(io context.Context) {
+	now := g.clock.Now()
+	for i, c := range g.catalogs {
+		if at, ok := c.NextWake(); ok && at <= now {
+			g.stepCatalog(io, i, catalog.TickMsg{})
+		}
+	}
+	if at, ok := g.core.NextWake(); ok && at <= now {
+		g.step(relay.TickMsg{})
+	}
+}
+
+// nextWake returns how long the loop may wait.
+func (g *Gateway) nextWake() clock.Millis {
+	now := g.clock.Now()
+	wait := idleWakeMs
+	if at, ok := g.core.NextWake(); ok {
+		wait = min(wait, at-now)
+	}
+	for _, c := range g.catalogs {
+		if at, ok := c.NextWake(); ok {
+			wait = min(wait, at-now)
+		}
+	}
+	return max(wait, 0)
+}
+
+// step updates the relay and performs its commands.
+func (g *Gateway) step(msg relay.Msg) {
+	for _, cmd := range g.core.Update(g.clock.Now(), msg) {
+		g.perform(cmd)
+	}
+}
+
+func (g *Gateway) perform(cmd relay.Cmd) {
+	switch c := cmd.(type) {
+	case relay.SendCmd:
+		w := g.waiters[c.Request]
+		if w == nil {
+			g.post(item{relay: relay.FailMsg{Attempt: c.Attempt, NotSent: true, Cause: "no_request"}})
+			return
+		}
+		g.client.Send(exchange.Call{
+			Attempt: c.Attempt, Upstream: c.Upstream, Address: c.Address, Request: w.request,
+			LeftMs: c.LeftMs, Fresh: c.Fresh, WithHead: !c.Gather,
+		})
+	case relay.CancelCmd:
+		g.client.Cancel(c.Attempt)
+	case relay.AnswerCmd:
+		if w := g.waiters[c.ID]; w != nil {
+			delete(g.waiters, c.ID)
+			w.answer <- c.Answer
+		}
+	case relay.ConnectCmd:
+		g.client.Connect(c.Upstream, c.Address)
+	case relay.ForgetCmd:
+		g.client.Forget(c.Upstream)
+	case relay.EventCmd:
+		g.logEvent(c.Event)
+	}
+}
+
+// stepCatalog updates one catalog and performs its commands.
+func (g *Gateway) stepCatalog(io context.Context, prefix int, msg catalog.Msg) {
+	for _, cmd := range g.catalogs[prefix].Update(g.clock.Now(), msg) {
+		switch c := cmd.(type) {
+		case catalog.ListCmd:
+			go func() { g.list(io, prefix) }()
+		case catalog.FollowCmd:
+			go func() { g.follow(io, prefix, c) }()
+		case catalog.PutCmd:
+			g.put(c.Item)
+		case catalog.DropCmd:
+			if id, ok := g.translator.Upstream(c.Key); ok {
+				g.step(relay.RemovedMsg{ID: id})
+			}
+		case catalog.ContactCmd:
+			_ = g.logger.Log("event", "store_contact", "prefix", g.translator.Prefixes()[prefix], "reached", c.Reached, "cause", c.Kind)
+		}
+	}
+	if !g.stopping.Load() {
+		g.ready.Store(g.core.Ready())
+	}
+}
+
+// put applies an item. One that cannot be decoded names no upstream, and
+// leaves the configuration as it is.
+func (g *Gateway) put(it store.Item) {
+	change, err := g.translator.Translate(it)
+	if err != nil {
+		_ = g.logger.Log("event", "item_skipped", "key", it.Key, "revision", it.Revision, "err", err)
+		if id, ok := g.translator.Upstream(it.Key); ok {
+			g.step(relay.RemovedMsg{ID: id})
+		}
+		return
+	}
+	switch {
+	case change.Table != nil:
+		g.step(relay.TableMsg{Table: change.Table})
+		if t := g.table.Load(); t == nil || t.Version() < change.Table.Version() {
+			g.table.Store(change.Table)
+		}
+	case change.Upstream != nil:
+		g.step(relay.UpstreamMsg{Upstream: *change.Upstream})
+	}
+}
+
+func (g *Gateway) list(ctx context.Context, prefix int) {
+	batch, err := g.feed.List(ctx, g.translator.Prefixes()[prefix])
+	if err != nil {
+		g.post(item{catalog: failedMsg(err), prefix: prefix})
+		return
+	}
+	g.post(item{catalog: catalog.ListedMsg{Batch: batch}, prefix: prefix})
+}
+
+func (g *Gateway) follow(ctx context.Context, prefix int, c catalog.FollowCmd) {
+	batch, err := g.feed.Follow(ctx, g.translator.Prefixes()[prefix], c.After, c.WaitMs)
+	if err != nil {
+		g.post(item{catalog: failedMsg(err), prefix: prefix})
+		return
+	}
+	g.post(item{catalog: catalog.FollowedMsg{Batch: batch}, prefix: prefix})
+}
+
+func failedMsg(err error) catalog.FailedMsg {
+	var serr *store.Error
+	if errors.As(err, &serr) {
+		return catalog.FailedMsg{Kind: serr.Kind()}
+	}
+	return catalog.FailedMsg{Kind: store.KindUnknown}
+}
+
+func (g *Gateway) logEvent(ev relay.Event) {
+	_ = g.logger.Log("event", ev.Kind, "request", ev.Request, "route", ev.Route, "upstream", ev.Upstream,
+		"version", ev.Version, "age_ms", int64(ev.AgeMs), "detail", ev.Detail)
+}
--- /dev/null
+++ b/gateway/options.go
@@ -0,0 +1,42 @@
+package gateway
+
+import (
+	"github.com/go-kit/log"
+
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/relay"
+	"lentillink.example/lentillink/store"
+)
+
+// Option configures a Gateway.
+type Option func(*Gateway)
+
+// WithFeed sets the store that is followed, and how its items are decoded.
+func WithFeed(f store.Feed, t Translator) Option {
+	return func(g *Gateway) { g.feed, g.translator = f, t }
+}
+
+// WithHeaders names the headers.
+func WithHeaders(h Headers) Option { return func(g *Gateway) { g.headers = h } }
+
+// WithAddresses sets where callers and the balancer connect.
+func WithAddresses(callers, ready string) Option {
+	return func(g *Gateway) { g.callersAddr, g.readyAddr = callers, ready }
+}
+
+// WithReadyPath sets the path of the balancer's question.
+func WithReadyPath(path string) Option { return func(g *Gateway) { g.readyPath = path } }
+
+// WithLogger sets where decisions are logged.
+func WithLogger(l log.Logger) Option { return func(g *Gateway) { g.logger = l } }
+
+// WithGrace sets the time between the order to stop and the kill.
+func WithGrace(d clock.Millis) Option { return func(g *Gateway) { g.grace = d } }
+
+// WithSeed seeds the random choices.
+func WithSeed(seed uint64) Option { return func(g *Gateway) { g.seed = seed } }
+
+// WithRelay passes options to the state machine.
+func WithRelay(opts ...relay.Option) Option {
+	return func(g *Gateway) { g.relayOptions = append(g.relayOptions, opts...) }
+}
--- /dev/null
+++ b/gateway/translator.go
@@ -0,0 +1,31 @@
+package gateway
+
+import (
+	"lentillink.example/lentillink/exchange"
+	"lentillink.example/lentillink/relay"
+	"lentillink.example/lentillink/route"
+	"lentillink.example/lentillink/store"
+)
+
+// Headers names the headers that callers, upstreams and this VM exchange.
+type Headers struct {
+	exchange.Headers
+	Receipts string // of a gathered answer: the receipts of its parts
+	Missing  string // of a gathered answer: how many shards are left out
+}
+
+// Change is what an item of the store means. At most one field is set.
+type Change struct {
+	Table    *route.Table
+	Upstream *relay.Upstream
+}
+
+// Translator decodes items of the store.
+type Translator interface {
+	// Prefixes returns the prefixes to follow.
+	Prefixes() []string
+	// Translate decodes an item. The zero Change means that the item is of no concern.
+	Translate(it store.Item) (Change, error)
+	// Upstream returns the upstream that a key names.
+	Upstream(key string) (string, bool)
+}
--- a/httpcall/host.go
+++ b/httpcall/host.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"lentillink.example/lentillink/socket"
 )
 
 // Defaults of the options.
@@ -95,7 +97,7 @@
 	if err := h.reserve(ctx); err != nil {
 		return nil, err
 	}
-	nc, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	nc, err := socket.Dialer().DialContext(ctx, "tcp", address)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.dialing--
--- /dev/null
+++ b/relay/arrive.go
@@ -0,0 +1,146 @@
+package relay
+
+import (
+	"lentillink.example/lentillink/clock"
+)
+
+const (
+	// callerReserveMs is the part of a route's target that the way from the
+	// caller and back takes: two crossings of up to 3 ms, and as much again for
+	// opening the connection.
+	callerReserveMs clock.Millis = 10
+
+	// dueReserveMs is kept from a caller's own limit, so that the final answer
+	// arrives before the caller gives up.
+	dueReserveMs clock.Millis = 15
+
+	// defaultTimeoutMs is used if neither the caller nor the route states a limit.
+	defaultTimeoutMs clock.Millis = 10 * clock.Second
+
+	// returningMs is how much of a caller's time must be spent for it to count
+	// as one that was here before.
+	returningMs clock.Millis = 10
+)
+
+func (m *Model) arrive(now clock.Millis, msg ArriveMsg) {
+	if m.table == nil {
+		m.reject(msg, Answer{Outcome: NotReady, Reason: "no_configuration", RetryAfterMs: m.comeBack(clock.Second, msg.LeftMs)})
+		return
+	}
+	rt, ok := m.table.Match(msg.Host, msg.Path)
+	if !ok {
+		m.reject(msg, Answer{Outcome: NoRoute, Reason: "no_route", Version: m.table.Version()})
+		return
+	}
+	r := &request{id: msg.ID, name: msg.Name, route: rt, version: m.table.Version(), arrived: now}
+	timeout := rt.TimeoutMs
+	if timeout <= 0 {
+		timeout = defaultTimeoutMs
+	}
+	left := msg.LeftMs
+	if left <= 0 {
+		left = timeout
+	}
+	spent := m.stats(rt).spent(left)
+	r.returning = spent >= returningMs
+	r.due = now + min(timeout, max(left-dueReserveMs, 1))
+	if m.stopAt > 0 {
+		r.due = min(r.due, max(m.stopAt, now+1))
+	}
+	r.answerAt = min(now+max(rt.TargetMs-spent-callerReserveMs, 0), r.due)
+	for _, name := range m.servicesOf(r) {
+		s := m.service(name)
+		s.budget.need(now)
+		r.parts = append(r.parts, &part{req: r, service: s})
+	}
+	r.unresolved = len(r.parts)
+	if wait, full := m.tooLate(now, r); full {
+		m.reject(msg, Answer{
+			Outcome: Refused, Reason: "full", Route: rt.Name, Version: r.version, RetryAfterMs: m.comeBack(wait, left),
+		})
+		return
+	}
+	m.requests[r.id] = r
+	for _, p := range r.parts {
+		m.place(now, p)
+	}
+	m.advance(now, r)
+}
+
+// servicesOf returns the services whose parts the answer needs.
+func (m *Model) servicesOf(r *request) []string {
+	switch {
+	case r.gathers():
+		return r.route.Gather
+	case len(r.route.Split) > 0:
+		return []string{m.splitter.Next(r.route)}
+	default:
+		return []string{r.route.Service}
+	}
+}
+
+// reject answers a request that never becomes part of the state.
+func (m *Model) reject(msg ArriveMsg, a Answer) {
+	m.emit(EventCmd{Event: Event{
+		Kind: "request_" + a.Outcome.String(), Request: msg.Name, Route: a.Route, Version: a.Version,
+		Detail: a.Reason, AgeMs: a.RetryAfterMs,
+	}})
+	m.emit(AnswerCmd{ID: msg.ID, Answer: a})
+}
+
+// comeBack returns a time after which a refused caller should return, spread so
+// that refused callers do not return together. Callers honour at most a third
+// of the time that they have left.
+func (m *Model) comeBack(wait, left clock.Millis) clock.Millis {
+	const least = 20 // a shorter wait returns to the same queue
+	wait = max(wait, least)
+	wait += clock.Millis(m.rng.Int64N(int64(wait)))
+	if left > 0 {
+		wait = min(wait, max(left/3, 1))
+	}
+	return wait
+}
+
+// tooLate reports whether so many parts would have to wait beyond the time at
+// which the answer is worth having that the request is better refused at once.
+// A caller that was refused before is let in while it can be answered at all.
+// It also returns how long the wait is beyond that time.
+func (m *Model) tooLate(now clock.Millis, r *request) (clock.Millis, bool) {
+	limit := r.answerAt
+	if r.returning {
+		limit = r.due
+	}
+	late, longest := 0, clock.Millis(0)
+	for _, p := range r.parts {
+		if end := now + m.expected(now, p); end > limit {
+			late++
+			longest = max(longest, end-limit)
+		}
+	}
+	return longest, len(r.parts)-late < r.least()
+}
+
+// expected estimates how long a part takes from now, its wait included.
+func (m *Model) expected(now clock.Millis, p *part) clock.Millis {
+	typical := m.stats(p.req.route).typical
+	lanes, open := 0, 0
+	fastest := maxSlow
+	for _, u := range p.service.upstreams {
+		if !u.usable() {
+			continue
+		}
+		n := m.lanes(u)
+		lanes += n
+		open += min(len(u.open), n)
+		fastest = min(fastest, u.slowness(now))
+	}
+	if lanes == 0 {
+		return 0 // place decides; there is no queue to wait in
+	}
+	ahead := p.service.ahead(p.req.route.Priority)
+	wait := 0.0
+	if open+ahead >= lanes {
+		wait = typical * fastest * float64(open+ahead-lanes+1) / float64(lanes)
+	}
+	return clock.Millis(wait + typical*fastest)
+}
--- /dev/null
+++ b/relay/choose.go
@@ -0,0 +1,58 @@
+package relay
+
+import "lentillink.example/lentillink/clock"
+
+const (
+	// crossMs is how much sooner an upstream in another data centre must be
+	// expected to answer to be chosen. Its bytes are paid for by the kilobyte.
+	crossMs = 8.0
+
+	// openFactor is the share of a typical latency by which each attempt of this
+	// VM that is already open delays the next.
+	openFactor = 0.5
+)
+
+// choose returns the upstream that is expected to answer a part first, nil if
+// none can take it now. any reports whether some upstream could take it later.
+func (m *Model) choose(now clock.Millis, p *part, hedge bool) (best *upstream, any bool) {
+	typical := m.stats(p.req.route).typical
+	bestScore := 0.0
+	var avoided *upstream
+	for _, u := range p.service.upstreams {
+		if !u.usable() || p.triedUpstream(u) {
+			continue
+		}
+		any = true
+		if len(u.open) >= m.lanes(u) {
+			continue
+		}
+		if now < u.avoidUntil {
+			if avoided == nil || u.avoidUntil < avoided.avoidUntil {
+				avoided = u
+			}
+			continue
+		}
+		if s := m.score(now, u, typical); best == nil || s < bestScore {
+			best, bestScore = u, s
+		}
+	}
+	if best == nil && !hedge && avoided != nil && (len(avoided.open) == 0 || avoided.failures == 0) {
+		// Nothing better is left: one attempt at a time finds out whether it is back.
+		best = avoided
+	}
+	return best, any
+}
+
+// score is the expected latency of the next attempt at u, in milliseconds.
+func (m *Model) score(now clock.Millis, u *upstream, typical float64) float64 {
+	score := typical * u.slowness(now) * (1 + openFactor*float64(len(u.open)))
+	score += float64(u.overdue(now))
+	if u.overdue(now) > 0 {
+		score += typical
+	}
+	if u.info.DataCentre != m.cfg.dataCentre {
+		score += crossMs
+	}
+	// Spreads equal choices, so that VMs do not all prefer the same upstream.
+	return score + m.rng.Float64()*0.1*typical
+}
--- /dev/null
+++ b/relay/finish.go
@@ -0,0 +1,106 @@
+package relay
+
+import "lentillink.example/lentillink/clock"
+
+// lingerMs is how long attempts go on after the answer. Most end by then, and
+// their connections are kept; an upstream must not work for a caller that left
+// half a second ago.
+const lingerMs clock.Millis = 250
+
+// noUpstreamMs is the time to come back that is stated when a service has no
+// upstream: a restart takes seconds.
+const noUpstreamMs clock.Millis = 300
+
+// advance answers a request once its answer is due, and looks after it otherwise.
+func (m *Model) advance(now clock.Millis, r *request) {
+	if m.requests[r.id] != r {
+		return
+	}
+	if r.answered {
+		m.release(now, r)
+		return
+	}
+	switch {
+	case r.unresolved == 0:
+		m.finish(now, r)
+	case r.done+r.unresolved < r.least():
+		m.finish(now, r) // the parts that are missing decide
+	case r.gathers() && now >= r.answerAt && r.done >= r.least():
+		m.finish(now, r) // waiting for more makes it late
+	case now >= r.due:
+		m.finish(now, r)
+	default:
+		m.hedge(now, r)
+		if r.gathers() && now < r.answerAt {
+			m.wake(r, r.answerAt)
+		}
+		m.wake(r, r.due)
+	}
+}
+
+// finish sends the final answer.
+func (m *Model) finish(now clock.Millis, r *request) {
+	a := m.answer(now, r)
+	a.Route, a.Version, a.TookMs, a.Late = r.route.Name, r.version, now-r.arrived, now > r.answerAt
+	r.answered, r.answeredAt = true, now
+	m.emit(AnswerCmd{ID: r.id, Answer: a})
+	if a.Outcome > Gathered || a.Missing > 0 || a.Late {
+		m.event("answer_"+a.Outcome.String(), r, nil, a.Reason, a.TookMs)
+	}
+	m.release(now, r)
+}
+
+func (m *Model) answer(now clock.Millis, r *request) Answer {
+	if r.done >= r.least() {
+		if r.gathers() {
+			return gathered(r)
+		}
+		return Answer{Outcome: Relayed, Reply: *r.parts[0].reply}
+	}
+	late := now >= r.due
+	switch {
+	case !r.ran() && r.open == 0:
+		a := Answer{Outcome: Refused, Reason: "no_upstream", RetryAfterMs: m.comeBack(noUpstreamMs, r.due-now)}
+		if late {
+			a.Reason = "waited_too_long"
+		}
+		return a
+	case !r.gathers() && r.parts[0].last != nil && r.open == 0:
+		return Answer{Outcome: Relayed, Reply: *r.parts[0].last, Reason: "upstream_failed"}
+	case late:
+		return Answer{Outcome: TimedOut, Reason: "timeout"}
+	default:
+		return Answer{Outcome: Failed, Reason: "upstreams_failed"}
+	}
+}
+
+// release forgets an answered request once its attempts have ended, and ends
+// those of requests that may repeat when they have lingered.
+func (m *Model) release(now clock.Millis, r *request) {
+	if r.open == 0 {
+		delete(m.requests, r.id)
+		return
+	}
+	end := r.answeredAt + lingerMs
+	if now < end {
+		m.wake(r, end)
+		return
+	}
+	if !r.route.Idempotent && !m.expired(now, r) {
+		// Work that must not repeat is left to finish within its own time.
+		m.wake(r, r.due+lingerMs)
+		return
+	}
+	for _, p := range r.parts {
+		for len(p.open) > 0 {
+			a := p.open[0]
+			m.end(a)
+			a.upstream.failed(now)
+			m.emit(CancelCmd{Attempt: a.id})
+			m.pump(now, p.service)
+		}
+	}
+	delete(m.requests, r.id)
+}
+
+func (m *Model) expired(now clock.Millis, r *request) bool { return now >= r.due+lingerMs }
--- /dev/null
+++ b/relay/gather.go
@@ -0,0 +1,64 @@
+package relay
+
+import (
+	"bytes"
+	"container/heap"
+)
+
+// recordBytes is the length of a record. A shorter remainder is no record.
+const recordBytes = 16
+
+// gathered merges the parts that are in.
+func gathered(r *request) Answer {
+	a := Answer{Outcome: Gathered, Missing: len(r.parts) - r.done}
+	bodies := make([][]byte, 0, r.done)
+	for _, p := range r.parts {
+		if p.reply != nil {
+			a.Receipts = append(a.Receipts, p.reply.Receipt)
+			bodies = append(bodies, p.reply.Body)
+		}
+	}
+	a.Body = Greatest(r.route.Top, bodies)
+	return a
+}
+
+// Greatest returns the n greatest records of all bodies, greatest first. Equal
+// records all count.
+func Greatest(n int, bodies [][]byte) []byte {
+	kept := make(recordHeap, 0, n)
+	for _, b := range bodies {
+		for ; len(b) >= recordBytes; b = b[recordBytes:] {
+			rec := b[:recordBytes]
+			switch {
+			case len(kept) < n:
+				heap.Push(&kept, rec)
+			case n > 0 && bytes.Compare(rec, kept[0]) > 0:
+				kept[0] = rec
+				heap.Fix(&kept, 0)
+			}
+		}
+	}
+	out := make([]byte, len(kept)*recordBytes)
+	for i := len(kept) - 1; i >= 0; i-- {
+		copy(out[i*recordBytes:], heap.Pop(&kept).([]byte))
+	}
+	return out
+}
+
+// recordHeap has the least record on top.
+type recordHeap [][]byte
+
+func (h recordHeap) Len() int           { return len(h) }
+func (h recordHeap) Less(i, j int) bool { return bytes.Compare(h[i], h[j]) < 0 }
+func (h recordHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+
+// Push implements heap.Interface.
+func (h *recordHeap) Push(x any) { *h = append(*h, x.([]byte)) }
+
+// Pop implements heap.Interface.
+func (h *recordHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return last
+}
--- /dev/null
+++ b/relay/message.go
@@ -0,0 +1,64 @@
+package relay
+
+import (
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/route"
+)
+
+// Msg is an input of a Model.
+type Msg interface{ relayMsg() }
+
+// TableMsg puts a version of the configuration in force. An older version
+// than the one in force is ignored.
+type TableMsg struct{ Table *route.Table }
+
+// UpstreamMsg reports what an upstream says of itself.
+type UpstreamMsg struct{ Upstream Upstream }
+
+// RemovedMsg reports that an upstream is gone.
+type RemovedMsg struct{ ID string }
+
+// ArriveMsg brings a request that was read whole. ID is unique on this VM.
+type ArriveMsg struct {
+	ID     uint64
+	Name   string // the caller's identifier, for events
+	Host   string
+	Path   string       // with its query string
+	LeftMs clock.Millis // how long the caller waits; 0 if it does not say
+}
+
+// ReplyMsg brings the whole reply to an attempt.
+type ReplyMsg struct {
+	Attempt uint64
+	Reply   Reply
+}
+
+// FailMsg reports that an attempt ended without a whole reply.
+type FailMsg struct {
+	Attempt uint64
+	NotSent bool   // no byte of the request left, so it did not run
+	Cause   string // for events
+}
+
+// GoneMsg reports that the caller has left.
+type GoneMsg struct{ ID uint64 }
+
+// FleetMsg tells how many VMs share the upstreams.
+type FleetMsg struct{ VMs int }
+
+// StopMsg makes every request end by a time, because the VM stops then.
+type StopMsg struct{ Due clock.Millis }
+
+// TickMsg lets time pass.
+type TickMsg struct{}
+
+func (TableMsg) relayMsg()    {}
+func (UpstreamMsg) relayMsg() {}
+func (RemovedMsg) relayMsg()  {}
+func (ArriveMsg) relayMsg()   {}
+func (ReplyMsg) relayMsg()    {}
+func (FailMsg) relayMsg()     {}
+func (GoneMsg) relayMsg()     {}
+func (FleetMsg) relayMsg()    {}
+func (StopMsg) relayMsg()     {}
+func (TickMsg) relayMsg()     {}
--- /dev/null
+++ b/relay/model.go
@@ -0,0 +1,159 @@
+package relay
+
+import (
+	"math/rand/v2"
+
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/route"
+)
+
+// Model is the state of one VM.
+type Model struct {
+	cfg       config
+	rng       *rand.Rand
+	table     *route.Table
+	splitter  *route.Splitter
+	services  map[string]*service
+	upstreams map[string]*upstream
+	routes    map[string]*stats
+	requests  map[uint64]*request
+	attempts  map[uint64]*attempt
+	timers    timers
+	vms       int
+	nextID    uint64
+	stopAt    clock.Millis // 0 while the VM is not stopping
+	cmds      []Cmd
+}
+
+// New returns a Model that knows no configuration.
+func New(opts ...Option) *Model {
+	cfg := newConfig(opts)
+	return &Model{
+		cfg: cfg, rng: rand.New(rand.NewPCG(cfg.seed, cfg.seed)), vms: cfg.vms,
+		splitter: route.NewSplitter(), services: make(map[string]*service), upstreams: make(map[string]*upstream),
+		routes: make(map[string]*stats), requests: make(map[uint64]*request), attempts: make(map[uint64]*attempt),
+	}
+}
+
+// Update applies msg at now and returns the commands that follow from it. The
+// slice is valid until the next call.
+func (m *Model) Update(now clock.Millis, msg Msg) []Cmd {
+	clear(m.cmds)
+	m.cmds = m.cmds[:0]
+	switch t := msg.(type) {
+	case TableMsg:
+		m.setTable(t.Table)
+	case UpstreamMsg:
+		m.setUpstream(now, t.Upstream)
+	case RemovedMsg:
+		m.removeUpstream(now, t.ID)
+	case ArriveMsg:
+		m.arrive(now, t)
+	case ReplyMsg:
+		m.replied(now, t)
+	case FailMsg:
+		m.attemptFailed(now, t)
+	case GoneMsg:
+		m.callerGone(now, t.ID)
+	case FleetMsg:
+		m.vms = max(t.VMs, 1)
+	case StopMsg:
+		m.stop(t.Due)
+	case TickMsg:
+	}
+	m.runTimers(now)
+	return m.cmds
+}
+
+// stop shortens the time of every request to what is left of this VM's.
+func (m *Model) stop(due clock.Millis) {
+	m.stopAt = due
+	for _, r := range m.requests {
+		if r.due > due {
+			r.due = due
+			m.wake(r, due)
+		}
+	}
+}
+
+func (m *Model) emit(c Cmd) { m.cmds = append(m.cmds, c) }
+
+func (m *Model) event(kind string, r *request, u *upstream, detail string, age clock.Millis) {
+	ev := Event{Kind: kind, Detail: detail, AgeMs: age}
+	if r != nil {
+		ev.Request, ev.Route, ev.Version = r.name, r.route.Name, r.version
+	}
+	if u != nil {
+		ev.Upstream = u.info.ID
+	}
+	m.emit(EventCmd{Event: ev})
+}
+
+func (m *Model) setTable(t *route.Table) {
+	if m.table != nil && t.Version() <= m.table.Version() {
+		return
+	}
+	m.table = t
+	m.splitter.Keep(t)
+	for _, s := range m.services {
+		s.configure(t)
+	}
+	m.emit(EventCmd{Event: Event{Kind: "config_in_force", Version: t.Version()}})
+}
+
+// setUpstream takes over a report. Reports that are older than the last one of
+// the same start, or of an earlier start, change nothing: reports can arrive
+// late, and a leaving upstream never takes new work again.
+func (m *Model) setUpstream(now clock.Millis, info Upstream) {
+	u := m.upstreams[info.ID]
+	if u != nil {
+		old := u.info
+		if info.Born < old.Born || info.Born == old.Born && info.Sequence < old.Sequence {
+			return
+		}
+		restarted := info.Born > old.Born
+		if !restarted && old.Leaving {
+			info.Leaving = true
+		}
+		if restarted || old.Address != info.Address || old.Service != info.Service {
+			m.detach(now, u)
+			u = nil
+		}
+	}
+	if u == nil {
+		u = &upstream{service: m.service(info.Service), window: maxWindow}
+		m.upstreams[info.ID] = u
+		u.service.upstreams = append(u.service.upstreams, u)
+	}
+	if info.Leaving && !u.info.Leaving {
+		m.emit(EventCmd{Event: Event{Kind: "upstream_leaving", Upstream: info.ID, Detail: info.Service}})
+	}
+	u.info = info
+	u.coldUntil = now + info.ColdMs
+	if u.usable() {
+		m.emit(ConnectCmd{Upstream: info.ID, Address: info.Address})
+		m.pump(now, u.service)
+	}
+}
+
+func (m *Model) removeUpstream(now clock.Millis, id string) {
+	if u := m.upstreams[id]; u != nil {
+		delete(m.upstreams, id)
+		m.detach(now, u)
+		m.emit(EventCmd{Event: Event{Kind: "upstream_removed", Upstream: id, Detail: u.service.name}})
+	}
+}
+
+// detach takes an upstream out of its service. Attempts that it is running go on.
+func (m *Model) detach(now clock.Millis, u *upstream) {
+	u.removed = true
+	list := u.service.upstreams
+	for i, o := range list {
+		if o == u {
+			u.service.upstreams = append(list[:i], list[i+1:]...)
+			break
+		}
+	}
+	m.emit(ForgetCmd{Upstream: u.info.ID})
+	m.pump(now, u.service)
+}
--- /dev/null
+++ b/relay/options.go
@@ -0,0 +1,45 @@
+package relay
+
+import "lentillink.example/lentillink/clock"
+
+// Defaults of the options.
+const (
+	defaultBudgetRatio                 = 0.2
+	defaultBudgetWindowMs clock.Millis = 10 * clock.Second
+	defaultVMs                         = 9 // the users run 7 to 9 entry VMs
+)
+
+type config struct {
+	seed           uint64
+	dataCentre     string
+	vms            int
+	budgetRatio    float64
+	budgetWindowMs clock.Millis
+	budgetExtra    float64
+}
+
+// Option configures a Model.
+type Option func(*config)
+
+// WithSeed seeds the spread of waiting times.
+func WithSeed(seed uint64) Option { return func(c *config) { c.seed = seed } }
+
+// WithDataCentre names the data centre of this VM.
+func WithDataCentre(name string) Option { return func(c *config) { c.dataCentre = name } }
+
+// WithVMs sets how many VMs share the upstreams until a FleetMsg tells.
+func WithVMs(n int) Option { return func(c *config) { c.vms = n } }
+
+// WithBudget bounds the extra attempts of a service over all VMs: ratio of its
+// requests, plus extra, in any window.
+func WithBudget(ratio, extra float64, windowMs clock.Millis) Option {
+	return func(c *config) { c.budgetRatio, c.budgetExtra, c.budgetWindowMs = ratio, extra, windowMs }
+}
+
+func newConfig(opts []Option) config {
+	c := config{vms: defaultVMs, budgetRatio: defaultBudgetRatio, budgetWindowMs: defaultBudgetWindowMs}
+	for _, opt := range opts {
+		opt(&c)
+	}
+	return c
+}
--- /dev/null
+++ b/relay/query.go
@@ -0,0 +1,44 @@
+package relay
+
+import "lentillink.example/lentillink/clock"
+
+// NextWake returns when the model wants a TickMsg.
+func (m *Model) NextWake() (clock.Millis, bool) {
+	if len(m.timers) == 0 {
+		return 0, false
+	}
+	return m.timers[0].at, true
+}
+
+// Ready reports whether a configuration is in force and some upstream is known.
+func (m *Model) Ready() bool { return m.table != nil && len(m.upstreams) > 0 }
+
+// Version returns the version of the configuration in force, 0 for none.
+func (m *Model) Version() uint64 {
+	if m.table == nil {
+		return 0
+	}
+	return m.table.Version()
+}
+
+// Unanswered returns how many requests wait for their answer.
+func (m *Model) Unanswered() int {
+	n := 0
+	for _, r := range m.requests {
+		if !r.answered {
+			n++
+		}
+	}
+	return n
+}
+
+// Due returns the time by which every open request is answered.
+func (m *Model) Due() clock.Millis {
+	var due clock.Millis
+	for _, r := range m.requests {
+		if !r.answered {
+			due = max(due, r.due)
+		}
+	}
+	return due
+}
--- /dev/null
+++ b/relay/timer.go
@@ -0,0 +1,51 @@
+package relay
+
+import (
+	"container/heap"
+
+	"lentillink.example/lentillink/clock"
+)
+
+// timer is a hint to look at one request; the request itself says what is due.
+type timer struct {
+	at  clock.Millis
+	req *request
+}
+
+type timers []timer
+
+func (h timers) Len() int           { return len(h) }
+func (h timers) Less(i, j int) bool { return h[i].at < h[j].at }
+func (h timers) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+
+// Push implements heap.Interface.
+func (h *timers) Push(x any) { *h = append(*h, x.(timer)) }
+
+// Pop implements heap.Interface.
+func (h *timers) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	old[len(old)-1] = timer{}
+	*h = old[:len(old)-1]
+	return last
+}
+
+// wake makes advance look at r at a time, unless it looks earlier anyway.
+func (m *Model) wake(r *request, at clock.Millis) {
+	if r.wakeAt != 0 && r.wakeAt <= at {
+		return
+	}
+	r.wakeAt = at
+	heap.Push(&m.timers, timer{at: at, req: r})
+}
+
+func (m *Model) runTimers(now clock.Millis) {
+	for len(m.timers) > 0 && m.timers[0].at <= now {
+		t := heap.Pop(&m.timers).(timer)
+		if t.req.wakeAt != t.at || m.requests[t.req.id] != t.req {
+			continue
+		}
+		t.req.wakeAt = 0
+		m.advance(now, t.req)
+	}
+}
--- /dev/null
+++ b/route/split.go
@@ -0,0 +1,49 @@
+package route
+
+// Splitter spreads the requests of split routes over their services in the
+// proportion of the weights. It is a smooth weighted round robin: any run of
+// requests stays within one request of its shares, which a random choice does
+// not promise for short runs.
+type Splitter struct {
+	credits map[string][]float64 // by route name
+}
+
+// NewSplitter returns a Splitter without history.
+func NewSplitter() *Splitter { return &Splitter{credits: make(map[string][]float64)} }
+
+// Next returns the service of the next request on r.
+func (s *Splitter) Next(r *Route) string {
+	credits := s.credits[r.Name]
+	if len(credits) != len(r.Split) {
+		credits = make([]float64, len(r.Split))
+		s.credits[r.Name] = credits
+	}
+	total, best := 0.0, -1
+	for i, share := range r.Split {
+		if share.Weight <= 0 {
+			continue
+		}
+		credits[i] += share.Weight
+		total += share.Weight
+		if best < 0 || credits[i] > credits[best] {
+			best = i
+		}
+	}
+	if best < 0 {
+		return ""
+	}
+	credits[best] -= total
+	return r.Split[best].Service
+}
+
+// Keep forgets the history of routes that t no longer splits.
+func (s *Splitter) Keep(t *Table) {
+	kept := make(map[string][]float64, len(s.credits))
+	for i := range t.config.Routes {
+		r := &t.config.Routes[i]
+		if c := s.credits[r.Name]; len(c) == len(r.Split) && len(c) > 0 {
+			kept[r.Name] = c
+		}
+	}
+	s.credits = kept
+}
--- /dev/null
+++ b/route/table.go
@@ -0,0 +1,75 @@
+package route
+
+import (
+	"strings"
+)
+
+// Table finds the route of a request. It does not change.
+type Table struct {
+	config   Config
+	hosts    map[string]map[string]*Route // by host, then by prefix
+	services map[string]Service
+}
+
+// NewTable returns the index of cfg. The caller must not change cfg afterwards.
+func NewTable(cfg Config) *Table {
+	t := &Table{config: cfg, hosts: make(map[string]map[string]*Route), services: make(map[string]Service)}
+	for i := range cfg.Routes {
+		r := &cfg.Routes[i]
+		host := normalHost(r.Host)
+		if t.hosts[host] == nil {
+			t.hosts[host] = make(map[string]*Route)
+		}
+		t.hosts[host][r.Prefix] = r
+	}
+	for _, s := range cfg.Services {
+		t.services[s.Name] = s
+	}
+	return t
+}
+
+// Version returns the version of the configuration.
+func (t *Table) Version() uint64 { return t.config.Version }
+
+// Limits returns the limits for callers.
+func (t *Table) Limits() Limits { return t.config.Limits }
+
+// Routes returns the number of routes.
+func (t *Table) Routes() int { return len(t.config.Routes) }
+
+// Service returns the service with the given name.
+func (t *Table) Service(name string) (Service, bool) {
+	s, ok := t.services[name]
+	return s, ok
+}
+
+// Match returns the route with the longest prefix of path for host. The path
+// is compared as it was sent, without its query string. Each step shortens the
+// path by one segment, so the cost does not grow with the number of routes.
+func (t *Table) Match(host, path string) (*Route, bool) {
+	prefixes := t.hosts[normalHost(host)]
+	if prefixes == nil {
+		return nil, false
+	}
+	if i := strings.IndexByte(path, '?'); i >= 0 {
+		path = path[:i]
+	}
+	for {
+		i := strings.LastIndexByte(path, '/')
+		if i < 0 {
+			return nil, false
+		}
+		if r, ok := prefixes[path[:i+1]]; ok {
+			return r, true
+		}
+		path = path[:i]
+	}
+}
+
+// normalHost drops the port and the case of a host.
+func normalHost(host string) string {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && strings.IndexByte(host[i:], ']') < 0 {
+		host = host[:i]
+	}
+	return strings.ToLower(host)
+}
--- a/settings/bind.go
+++ b/settings/bind.go
@@ -88,6 +88,15 @@
 		b.refuse(path, "is %s, want a whole number", typeName(v))
 		return
 	}
+	if dst.CanFloat() {
+		x, err := strconv.ParseFloat(num.String(), dst.Type().Bits())
+		if err != nil {
+			b.refuse(path, "is %s, want a number", num)
+			return
+		}
+		dst.SetFloat(x)
+		return
+	}
 	if dst.CanUint() {
 		n, err := strconv.ParseUint(num.String(), 10, dst.Type().Bits())
 		if err != nil {
--- /dev/null
+++ b/settings/gateway.go
@@ -0,0 +1,102 @@
+package settings
+
+import (
+	"os"
+	"reflect"
+
+	"github.com/gravitational/trace"
+
+	"lentillink.example/lentillink/clock"
+)
+
+// Gateway are the settings of a VM that forwards requests by the operators'
+// configuration, which it reads from the platform's store.
+type Gateway struct {
+	VM           string       `json:"vm"`
+	DataCentre   string       `json:"data_centre"`
+	Callers      string       `json:"callers"` // address for requests of callers
+	Ready        string       `json:"ready"`   // address for the balancer's question
+	Metrics      string       `json:"metrics"` // address for metrics and status, may be empty
+	Store        string       `json:"store"`   // address of the platform's store
+	GraceSeconds int64        `json:"grace_s"` // time between the order to stop and the kill
+	Retry        RetryBudget  `json:"retry_budget"`
+	MemoryMB     int64        `json:"memory_mb"` // limit of the process
+	ExpectedVMs  int          `json:"expected_vms"`
+	DrainMs      clock.Millis `json:"drain_ms"` // within it a leaving upstream gets no new work
+}
+
+// RetryBudget bounds the attempts beyond the first one, over all VMs: Ratio of
+// the requests of a service, plus Extra, in any window.
+type RetryBudget struct {
+	Ratio         float64 `json:"ratio"`
+	Extra         float64 `json:"extra"`
+	WindowSeconds int64   `json:"window_s"`
+}
+
+// Bounds and defaults of the fields of Gateway.
+const (
+	maxGraceSeconds  = 600
+	maxWindowSeconds = 600
+	minMemoryMB      = 32
+	maxMemoryMB      = 1 << 20
+	maxVMs           = 10_000
+
+	defaultGraceSeconds = 6
+	defaultMemoryMB     = 284 // the users' smallest VMs of today
+	defaultExpectedVMs  = 9   // the users run 7 to 9 entry VMs
+	defaultDrainMs      = 3 * clock.Second
+)
+
+// LoadGateway reads and checks a file. Its errors are of type *Error.
+func LoadGateway(path string) (*Gateway, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, &Error{op: "load", kind: KindRead, err: trace.ConvertSystemError(err)}
+	}
+	return DecodeGateway(data)
+}
+
+// DecodeGateway checks a JSON document. Its errors are of type *Error.
+func DecodeGateway(data []byte) (*Gateway, error) {
+	v, err := parse(data)
+	if err != nil {
+		return nil, &Error{op: "decode", kind: KindSyntax, err: err}
+	}
+	g := &Gateway{
+		GraceSeconds: defaultGraceSeconds, MemoryMB: defaultMemoryMB, ExpectedVMs: defaultExpectedVMs,
+		DrainMs: defaultDrainMs,
+		Retry:   RetryBudget{Ratio: 0.2, WindowSeconds: 10}, // the users' bounds of today
+	}
+	b := &binder{refused: make(map[string]bool)}
+	b.bind("", v, reflect.ValueOf(g).Elem())
+	if !b.refused["(document)"] {
+		c := checker{binder: b, addresses: make(map[string]string)}
+		c.gateway(g)
+	}
+	if len(b.problems) > 0 {
+		return nil, &Error{op: "check", kind: KindInvalid, problems: b.problems}
+	}
+	return g, nil
+}
+
+func (c *checker) gateway(g *Gateway) {
+	c.name("vm", g.VM)
+	c.name("data_centre", g.DataCentre)
+	c.address("callers", g.Callers, "")
+	c.address("ready", g.Ready, "")
+	if g.Metrics != "" {
+		c.address("metrics", g.Metrics, "")
+	}
+	c.address("store", g.Store, "")
+	c.number("grace_s", g.GraceSeconds, 1, maxGraceSeconds)
+	c.number("retry_budget.window_s", g.Retry.WindowSeconds, 1, maxWindowSeconds)
+	c.number("memory_mb", g.MemoryMB, minMemoryMB, maxMemoryMB)
+	c.number("expected_vms", int64(g.ExpectedVMs), 1, maxVMs)
+	c.number("drain_ms", int64(g.DrainMs), 1, int64(MaxTimeoutMs))
+	if g.Retry.Ratio < 0 || g.Retry.Ratio > 1 {
+		c.refuse("retry_budget.ratio", "is %v, want a number from 0 to 1", g.Retry.Ratio)
+	}
+	if g.Retry.Extra < 0 {
+		c.refuse("retry_budget.extra", "is %v, want a number that is not negative", g.Retry.Extra)
+	}
+}
