--- a/cmd/lentillinkd/gateway.go
+++ b/cmd/lentillinkd/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"os"
 	"os/signal"
@@ -37,21 +38,46 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	signal.Ignore(syscall.SIGPIPE)
+	// Registered before anything else can take time: the default action of SIGHUP ends the process.
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
 	logger = log.With(logger, "vm", s.VM, "data_centre", s.DataCentre)
 	st := platform.NewStore(s.Store)
 	defer st.Close()
 	g := gateway.New(
 		gateway.WithFeed(st, platform.Translator{}), gateway.WithHeaders(platform.Headers()),
 		gateway.WithAddresses(s.Callers, s.Ready), gateway.WithReadyPath(platform.ReadyPath),
-		gateway.WithLogger(logger), gateway.WithGrace(clock.Millis(s.GraceSeconds)*clock.Second), gateway.WithSeed(rand.Uint64()),
-		gateway.WithRelay(
-			relay.WithDataCentre(s.DataCentre), relay.WithVMs(s.ExpectedVMs),
-			relay.WithBudget(s.Retry.Ratio, s.Retry.Extra, clock.Millis(s.Retry.WindowSeconds)*clock.Second),
-		),
+		gateway.WithLogger(logger), gateway.WithLimits(reloadable(s)), gateway.WithSeed(rand.Uint64()),
+		gateway.WithRelay(relay.WithDataCentre(s.DataCentre), relay.WithVMs(s.ExpectedVMs)),
 	)
-	if err := g.Run(ctx); err != nil {
+	followEnd := make(chan error, 1)
+	follow, stopFollow := context.WithCancel(ctx)
+	go func() {
+		followEnd <- settings.Follow(follow, path, hup, func(next *settings.Gateway) {
+			_ = logger.Log("event", "settings_reloaded", "restart_needed", restartNeeded(s, next))
+			st.SetAddress(next.Store)
+			g.Reload(reloadable(next))
+		}, func(err error) { _ = logger.Log("event", "settings_refused", "file", path, "err", err) })
+	}()
+	err = g.Run(ctx)
+	stopFollow()
+	if err = errors.Join(err, <-followEnd); err != nil {
 		_ = logger.Log("event", "failed", "err", err)
 		return exitFailed
 	}
 	return 0
 }
+
+// reloadable returns the settings that apply while the VM runs.
+func reloadable(s *settings.Gateway) gateway.Limits {
+	return gateway.Limits{
+		Grace:  clock.Millis(s.GraceSeconds) * clock.Second,
+		Budget: relay.BudgetMsg{Ratio: s.Retry.Ratio, Extra: s.Retry.Extra, WindowMs: clock.Millis(s.Retry.WindowSeconds) * clock.Second},
+	}
+}
+
+// restartNeeded reports whether settings differ that are read only at the start.
+func restartNeeded(a, b *settings.Gateway) bool {
+	return a.VM != b.VM || a.DataCentre != b.DataCentre || a.Callers != b.Callers || a.Ready != b.Ready ||
+		a.ExpectedVMs != b.ExpectedVMs || a.MemoryMB != b.MemoryMB
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -31,7 +31,7 @@
 	readyPath    string
 	logger       log.Logger
 	clock        clock.Clock
-	grace        clock.Millis
+	limits       Limits // at the start
 	seed         uint64
 	relayOptions []relay.Option
 
@@ -42,6 +42,7 @@
 	stopped  chan struct{} // closed when the event loop has ended
 	ready    atomic.Bool
 	stopping atomic.Bool
+	graceMs  atomic.Int64
 	table    atomic.Pointer[route.Table]
 	calls    atomic.Uint64
 	inFlight atomic.Int64 // requests that are read and not answered
@@ -68,14 +69,15 @@
 // New returns a Gateway.
 func New(opts ...Option) *Gateway {
 	g := &Gateway{
-		logger: log.NewNopLogger(), clock: clock.NewSteady(), grace: defaultGraceMs, readyPath: "/ready",
+		logger: log.NewNopLogger(), clock: clock.NewSteady(), limits: Limits{Grace: defaultGraceMs}, readyPath: "/ready",
 		inbox: make(chan item, inboxLen), stopped: make(chan struct{}), ends: make(chan error, endsLen),
 		waiters: make(map[uint64]*call),
 	}
 	for _, opt := range opts {
 		opt(g)
 	}
-	g.core = relay.New(append([]relay.Option{relay.WithSeed(g.seed)}, g.relayOptions...)...)
+	g.graceMs.Store(int64(g.limits.Grace))
+	g.core = relay.New(append([]relay.Option{relay.WithSeed(g.seed), relay.WithBudget(g.limits.Budget)}, g.relayOptions...)...)
 	for i := range g.translator.Prefixes() {
 		g.catalogs = append(g.catalogs, catalog.New(g.seed+uint64(i)))
 	}
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -3,7 +3,6 @@
 import (
 	"github.com/go-kit/log"
 
-	"lentillink.example/lentillink/clock"
 	"lentillink.example/lentillink/relay"
 	"lentillink.example/lentillink/store"
 )
@@ -30,8 +29,8 @@
 // WithLogger sets where decisions are logged.
 func WithLogger(l log.Logger) Option { return func(g *Gateway) { g.logger = l } }
 
-// WithGrace sets the time between the order to stop and the kill.
-func WithGrace(d clock.Millis) Option { return func(g *Gateway) { g.grace = d } }
+// WithLimits sets the limits that can change while the VM runs.
+func WithLimits(l Limits) Option { return func(g *Gateway) { g.limits = l } }
 
 // WithSeed seeds the random choices.
 func WithSeed(seed uint64) Option { return func(g *Gateway) { g.seed = seed } }
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -29,11 +29,11 @@
 // stop finishes what callers have sent. It returns when nothing is left, or
 // shortly before the process would be killed.
 func (g *Gateway) stop(front *http.Server) {
-	begin := g.clock.Now()
-	end := begin + max(g.grace-graceReserveMs, 0)
+	begin, grace := g.clock.Now(), clock.Millis(g.graceMs.Load())
+	end := begin + max(grace-graceReserveMs, 0)
 	g.stopping.Store(true)
 	g.ready.Store(false)
-	_ = g.logger.Log("event", "stopping", "grace_ms", int64(g.grace))
+	_ = g.logger.Log("event", "stopping", "grace_ms", int64(grace))
 	g.post(item{relay: relay.StopMsg{Due: end}})
 	idleSince := clock.Millis(0)
 	for {
@@ -42,7 +42,7 @@
 		if now >= end+graceReserveMs/2 {
 			return
 		}
-		if now-begin < min(outOfRotationMs, g.grace/2) {
+		if now-begin < min(outOfRotationMs, grace/2) {
 			continue
 		}
 		if g.inFlight.Load() > 0 {
--- a/relay/budget.go
+++ b/relay/budget.go
@@ -20,10 +20,8 @@
 // window. Its bound is proportional to the VM's own requests, so the sum over
 // any number of VMs, evenly loaded or not, stays within the fleet's ratio.
 type budget struct {
-	ratio    float64
-	windowMs clock.Millis
-	extra    float64 // allowed without any request, for the whole fleet
-	buckets  []bucket
+	bound   BudgetMsg
+	buckets []bucket
 }
 
 type bucket struct {
@@ -32,11 +30,16 @@
 	extra  int
 }
 
-func newBudget(cfg config) budget {
-	return budget{
-		ratio: cfg.budgetRatio, windowMs: cfg.budgetWindowMs, extra: cfg.budgetExtra,
-		buckets: make([]bucket, cfg.budgetWindowMs/bucketMs+1),
+func newBudget(bound BudgetMsg) budget {
+	return budget{bound: bound, buckets: make([]bucket, bound.WindowMs/bucketMs+1)}
+}
+
+// setBound changes the bound. What was spent is forgotten only if the window changes.
+func (b *budget) setBound(bound BudgetMsg) {
+	if bound.WindowMs != b.bound.WindowMs {
+		*b = newBudget(bound)
 	}
+	b.bound = bound
 }
 
 func (b *budget) at(now clock.Millis) *bucket {
@@ -64,6 +67,6 @@
 			extra += k.extra
 		}
 	}
-	bound := b.ratio*float64(needed) + b.extra/float64(max(vms, 1))
+	bound := b.bound.Ratio*float64(needed) + b.bound.Extra/float64(max(vms, 1))
 	return share*budgetShare*bound - float64(extra)
 }
--- a/relay/message.go
+++ b/relay/message.go
@@ -46,6 +46,14 @@
 // FleetMsg tells how many VMs share the upstreams.
 type FleetMsg struct{ VMs int }
 
+// BudgetMsg bounds the attempts beyond the first one of each service over all
+// VMs: Ratio of its requests, plus Extra, in any window.
+type BudgetMsg struct {
+	Ratio    float64
+	Extra    float64
+	WindowMs clock.Millis
+}
+
 // StopMsg makes every request end by a time, because the VM stops then.
 type StopMsg struct{ Due clock.Millis }
 
@@ -60,5 +68,6 @@
 func (FailMsg) relayMsg()     {}
 func (GoneMsg) relayMsg()     {}
 func (FleetMsg) relayMsg()    {}
+func (BudgetMsg) relayMsg()   {}
 func (StopMsg) relayMsg()     {}
 func (TickMsg) relayMsg()     {}
--- a/relay/model.go
+++ b/relay/model.go
@@ -20,6 +20,7 @@
 	attempts  map[uint64]*attempt
 	timers    timers
 	vms       int
+	bound     BudgetMsg
 	nextID    uint64
 	stopAt    clock.Millis // 0 while the VM is not stopping
 	cmds      []Cmd
@@ -29,7 +30,7 @@
 func New(opts ...Option) *Model {
 	cfg := newConfig(opts)
 	return &Model{
-		cfg: cfg, rng: rand.New(rand.NewPCG(cfg.seed, cfg.seed)), vms: cfg.vms,
+		cfg: cfg, rng: rand.New(rand.NewPCG(cfg.seed, cfg.seed)), vms: cfg.vms, bound: cfg.budget,
 		splitter: route.NewSplitter(), services: make(map[string]*service), upstreams: make(map[string]*upstream),
 		routes: make(map[string]*stats), requests: make(map[uint64]*request), attempts: make(map[uint64]*attempt),
 	}
@@ -57,6 +58,8 @@
 		m.callerGone(now, t.ID)
 	case FleetMsg:
 		m.vms = max(t.VMs, 1)
+	case BudgetMsg:
+		m.setBudget(t)
 	case StopMsg:
 		m.stop(t.Due)
 	case TickMsg:
@@ -65,6 +68,16 @@
 	return m.cmds
 }
 
+func (m *Model) setBudget(b BudgetMsg) {
+	if b.WindowMs <= 0 {
+		return
+	}
+	m.bound = b
+	for _, s := range m.services {
+		s.budget.setBound(b)
+	}
+}
+
 // stop shortens the time of every request to what is left of this VM's.
 func (m *Model) stop(due clock.Millis) {
 	m.stopAt = due
--- a/relay/options.go
+++ b/relay/options.go
@@ -10,12 +10,10 @@
 )
 
 type config struct {
-	seed           uint64
-	dataCentre     string
-	vms            int
-	budgetRatio    float64
-	budgetWindowMs clock.Millis
-	budgetExtra    float64
+	seed       uint64
+	dataCentre string
+	vms        int
+	budget     BudgetMsg
 }
 
 // Option configures a Model.
@@ -30,14 +28,17 @@
 // WithVMs sets how many VMs share the upstreams until a FleetMsg tells.
 func WithVMs(n int) Option { return func(c *config) { c.vms = n } }
 
-// WithBudget bounds the extra attempts of a service over all VMs: ratio of its
-// requests, plus extra, in any window.
-func WithBudget(ratio, extra float64, windowMs clock.Millis) Option {
-	return func(c *config) { c.budgetRatio, c.budgetExtra, c.budgetWindowMs = ratio, extra, windowMs }
+// WithBudget bounds the extra attempts of each service until a BudgetMsg tells.
+func WithBudget(b BudgetMsg) Option {
+	return func(c *config) {
+		if b.WindowMs > 0 {
+			c.budget = b
+		}
+	}
 }
 
 func newConfig(opts []Option) config {
-	c := config{vms: defaultVMs, budgetRatio: defaultBudgetRatio, budgetWindowMs: defaultBudgetWindowMs}
+	c := config{vms: defaultVMs, budget: BudgetMsg{Ratio: defaultBudgetRatio, WindowMs: defaultBudgetWindowMs}}
 	for _, opt := range opts {
 		opt(&c)
 	}
--- a/relay/service.go
+++ b/relay/service.go
@@ -43,8 +43,7 @@
 func (m *Model) service(name string) *service {
 	s := m.services[name]
 	if s == nil {
-		s = &service{name: name}
-		s.budget = newBudget(m.cfg)
+		s = &service{name: name, budget: newBudget(m.bound)}
 		m.services[name] = s
 		if m.table != nil {
 			s.configure(m.table)
--- /dev/null
+++ b/settings/follow.go
@@ -0,0 +1,52 @@
+package settings
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"lentillink.example/lentillink/clock"
+)
+
+// FollowEveryMs is how often the settings file is looked at without a signal.
+// The platform may change the file silently.
+const FollowEveryMs = 2 * clock.Second
+
+// Follow calls apply after each change of a settings file, until ctx ends. A
+// value on again makes it look at once. A file that cannot be used leaves the
+// settings as they are and is passed to refuse once.
+func Follow(ctx context.Context, path string, again <-chan os.Signal, apply func(*Gateway), refuse func(error)) error {
+	last, _ := os.ReadFile(path) // a file that cannot be read counts as changed once it can be
+	ticker := time.NewTicker(FollowEveryMs.Duration())
+	defer ticker.Stop()
+	for {
+		signalled := false
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-again:
+			signalled = true
+		case <-ticker.C:
+		}
+		data, err := os.ReadFile(path)
+		if err != nil {
+			if signalled {
+				refuse(&Error{op: "load", kind: KindRead, err: trace.ConvertSystemError(err)})
+			}
+			continue
+		}
+		if bytes.Equal(data, last) && !signalled {
+			continue
+		}
+		last = data
+		g, err := DecodeGateway(data)
+		if err != nil {
+			refuse(err)
+			continue
+		}
+		apply(g)
+	}
+}
