--- /dev/null
+++ b/catalog/model_test.go
@@ -0,0 +1,177 @@
+package catalog_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"lentillink.example/lentillink/catalog"
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/store"
+)
+
+// rig drives a model and keeps what it reported.
+type rig struct {
+	t    *testing.T
+	m    *catalog.Model
+	now  clock.Millis
+	seen []string
+}
+
+func newRig(t *testing.T) *rig {
+	r := &rig{t: t, m: catalog.New(1), now: 1000}
+	r.update(catalog.TickMsg{})
+	return r
+}
+
+func (r *rig) update(msg catalog.Msg) {
+	for _, c := range r.m.Update(r.now, msg) {
+		switch c := c.(type) {
+		case catalog.ListCmd:
+			r.seen = append(r.seen, "list")
+		case catalog.FollowCmd:
+			r.seen = append(r.seen, fmt.Sprintf("follow %d", c.After))
+		case catalog.PutCmd:
+			r.seen = append(r.seen, "put "+c.Item.Key)
+		case catalog.DropCmd:
+			r.seen = append(r.seen, "drop "+c.Key)
+		case catalog.ContactCmd:
+			r.seen = append(r.seen, fmt.Sprintf("reached %v", c.Reached))
+		}
+	}
+}
+
+// pass lets time pass to an absolute time, with a tick at each wake.
+func (r *rig) pass(to clock.Millis) {
+	for {
+		at, ok := r.m.NextWake()
+		if !ok || at > to {
+			break
+		}
+		r.now = max(r.now, at)
+		r.update(catalog.TickMsg{})
+		if again, ok := r.m.NextWake(); ok && again <= r.now {
+			r.t.Fatalf("wakes again at %d, at or before %d: got a busy loop", again, r.now)
+		}
+	}
+	r.now = to
+}
+
+func (r *rig) want(want ...string) {
+	r.t.Helper()
+	if got := strings.Join(r.seen, ", "); got != strings.Join(want, ", ") {
+		r.t.Errorf("at %d: got %s, want %s", r.now, got, strings.Join(want, ", "))
+	}
+	r.seen = nil
+}
+
+func batch(revision uint64, items ...store.Item) store.Batch {
+	return store.Batch{Revision: revision, Items: items}
+}
+
+func item(key string, revision uint64) store.Item { return store.Item{Key: key, Revision: revision} }
+func gone(key string, revision uint64) store.Item {
+	return store.Item{Key: key, Revision: revision, Removed: true}
+}
+
+// TestFollow guards against events that are lost between two watches, and
+// against a call for each event of a busy moment.
+func TestFollow(t *testing.T) {
+	r := newRig(t)
+	r.want("list")
+	r.update(catalog.ListedMsg{Batch: batch(10, item("a", 4), item("b", 9))})
+	r.want("reached true", "put a", "put b", "follow 10")
+	r.now += 3000
+	r.update(catalog.FollowedMsg{Batch: batch(12, item("a", 12), gone("b", 11))})
+	r.want("put a", "drop b")
+	r.pass(r.now + 300)
+	r.want()
+	r.pass(r.now + 100)
+	r.want("follow 12")
+	r.update(catalog.FollowedMsg{Batch: batch(12, item("a", 12))})
+	r.want()
+}
+
+// TestHistoryGone guards against a change that no watch reports: a whole read
+// follows at once.
+func TestHistoryGone(t *testing.T) {
+	r := newRig(t)
+	r.update(catalog.ListedMsg{Batch: batch(10, item("a", 4))})
+	r.now += 5000
+	r.seen = nil
+	r.update(catalog.FailedMsg{Kind: store.KindConflict})
+	r.want("list")
+	r.update(catalog.ListedMsg{Batch: batch(40, item("a", 33))})
+	r.want("put a", "follow 40")
+}
+
+// TestLapsedDuringOutage guards against upstreams that are dropped because
+// their entries lapsed while the store was away: they are written again.
+func TestLapsedDuringOutage(t *testing.T) {
+	r := newRig(t)
+	r.update(catalog.ListedMsg{Batch: batch(10, item("a", 4), item("b", 5), item("c", 6))})
+	r.now = 10_000
+	r.seen = nil
+	r.update(catalog.FailedMsg{Kind: store.KindUnavailable})
+	r.want("reached false")
+	r.pass(11_000)
+	r.update(catalog.FailedMsg{Kind: store.KindUnavailable})
+	r.pass(14_000)
+	r.seen = nil
+	r.update(catalog.ListedMsg{Batch: batch(50, item("c", 6))})
+	r.want("reached true", "follow 50")
+	r.pass(15_000)
+	r.update(catalog.FollowedMsg{Batch: batch(52, item("a", 52))})
+	r.pass(16_400)
+	r.want("put a", "follow 52")
+	r.update(catalog.FollowedMsg{Batch: batch(53)})
+	r.pass(16_600)
+	r.want("drop b")
+}
+
+// TestRetries guards against calls without a pause while the store refuses:
+// refused calls have their price too.
+func TestRetries(t *testing.T) {
+	r := newRig(t)
+	calls := 0
+	for r.now < 11_000 {
+		r.seen = nil
+		r.update(catalog.FailedMsg{Kind: store.KindUnavailable})
+		for {
+			at, ok := r.m.NextWake()
+			if !ok {
+				break
+			}
+			r.pass(at)
+		}
+		calls++
+	}
+	if got, want := calls, 25; got > want {
+		t.Errorf("got %d calls in 10 s of outage, want at most %d", got, want)
+	}
+	if got, want := calls, 9; got < want {
+		t.Errorf("got %d calls in 10 s of outage, want at least %d", got, want)
+	}
+}
+
+// TestRelist guards against a watch that is silent for good.
+func TestRelist(t *testing.T) {
+	r := newRig(t)
+	r.update(catalog.ListedMsg{Batch: batch(10)})
+	lists := 0
+	for r.now < 100_000 {
+		r.seen = nil
+		r.now += 20_000
+		r.update(catalog.FollowedMsg{Batch: batch(10)})
+		r.pass(r.now + 500)
+		for _, s := range r.seen {
+			if s == "list" {
+				lists++
+				r.update(catalog.ListedMsg{Batch: batch(10)})
+			}
+		}
+	}
+	if lists < 2 {
+		t.Errorf("got %d whole reads in 100 s, want 2 or more", lists)
+	}
+}
--- a/cmd/lentillinkd/gateway.go
+++ b/cmd/lentillinkd/gateway.go
@@ -46,9 +46,10 @@
 	defer st.Close()
 	g := gateway.New(
 		gateway.WithFeed(st, platform.Translator{}), gateway.WithHeaders(platform.Headers()),
+		gateway.WithLeases(st), gateway.WithSelf(relay.VM{ID: s.VM, Address: s.Peers, DataCentre: s.DataCentre}),
 		gateway.WithAddresses(s.Callers, s.Ready), gateway.WithReadyPath(platform.ReadyPath),
 		gateway.WithLogger(logger), gateway.WithLimits(reloadable(s)), gateway.WithSeed(rand.Uint64()),
-		gateway.WithRelay(relay.WithDataCentre(s.DataCentre), relay.WithVMs(s.ExpectedVMs)),
+		gateway.WithRelay(relay.WithVMs(s.ExpectedVMs)),
 	)
 	followEnd := make(chan error, 1)
 	follow, stopFollow := context.WithCancel(ctx)
@@ -78,6 +79,6 @@
 
 // restartNeeded reports whether settings differ that are read only at the start.
 func restartNeeded(a, b *settings.Gateway) bool {
-	return a.VM != b.VM || a.DataCentre != b.DataCentre || a.Callers != b.Callers || a.Ready != b.Ready ||
+	return a.VM != b.VM || a.DataCentre != b.DataCentre || a.Callers != b.Callers || a.Ready != b.Ready || a.Peers != b.Peers ||
 		a.ExpectedVMs != b.ExpectedVMs || a.MemoryMB != b.MemoryMB
 }
--- a/exchange/request.go
+++ b/exchange/request.go
@@ -53,6 +53,15 @@
 	}
 }
 
+// Handed returns a request that another VM has prepared with NewRequest.
+func Handed(id string, head, body []byte) *Request { return &Request{id: id, head: head, body: body} }
+
+// Head returns the request line and the headers. The caller must not change it.
+func (r *Request) Head() []byte { return r.head }
+
+// Body returns the body. The caller must not change it.
+func (r *Request) Body() []byte { return r.body }
+
 // appendTo appends the request as it is sent to one upstream.
 func (r *Request) appendTo(b []byte, h Headers, instance string, left clock.Millis) []byte {
 	b = append(b, r.head...)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -12,7 +12,9 @@
 	"lentillink.example/lentillink/catalog"
 	"lentillink.example/lentillink/clock"
 	"lentillink.example/lentillink/exchange"
+	"lentillink.example/lentillink/peer"
 	"lentillink.example/lentillink/relay"
+	"lentillink.example/lentillink/roster"
 	"lentillink.example/lentillink/route"
 	"lentillink.example/lentillink/socket"
 	"lentillink.example/lentillink/store"
@@ -25,6 +27,8 @@
 type Gateway struct {
 	feed         store.Feed
 	translator   Translator
+	leases       store.Leases
+	self         relay.VM
 	headers      Headers
 	callersAddr  string
 	readyAddr    string
@@ -37,6 +41,8 @@
 
 	core     *relay.Model
 	catalogs []*catalog.Model
+	register *roster.Registrar
+	mesh     *peer.Mesh
 	client   *exchange.Client
 	inbox    chan item
 	stopped  chan struct{} // closed when the event loop has ended
@@ -48,7 +54,9 @@
 	inFlight atomic.Int64 // requests that are read and not answered
 	ends     chan error
 
-	waiters map[uint64]*call // owned by the event loop
+	waiters map[uint64]*call     // owned by the event loop
+	handed  map[handedKey]uint64 // requests of other VMs, owned by the event loop
+	vms     map[string]relay.VM  // owned by the event loop
 }
 
 // item is a message for the event loop: for the relay, or for one catalog.
@@ -56,6 +64,8 @@
 	relay   relay.Msg
 	call    *call // of an ArriveMsg
 	catalog catalog.Msg
+	roster  roster.RegistrarMsg
+	peer    *peerMsg
 	prefix  int // which catalog
 	result  *exchange.Result
 }
@@ -64,6 +74,7 @@
 type call struct {
 	request *exchange.Request
 	answer  chan relay.Answer
+	handed  *handedKey // set for a request of another VM, which has no channel
 }
 
 // New returns a Gateway.
@@ -71,13 +82,15 @@
 	g := &Gateway{
 		logger: log.NewNopLogger(), clock: clock.NewSteady(), limits: Limits{Grace: defaultGraceMs}, readyPath: "/ready",
 		inbox: make(chan item, inboxLen), stopped: make(chan struct{}), ends: make(chan error, endsLen),
-		waiters: make(map[uint64]*call),
+		waiters: make(map[uint64]*call), handed: make(map[handedKey]uint64), vms: make(map[string]relay.VM),
 	}
 	for _, opt := range opts {
 		opt(g)
 	}
 	g.graceMs.Store(int64(g.limits.Grace))
-	g.core = relay.New(append([]relay.Option{relay.WithSeed(g.seed), relay.WithBudget(g.limits.Budget)}, g.relayOptions...)...)
+	g.core = relay.New(append([]relay.Option{relay.WithSeed(g.seed), relay.WithSelf(g.self.ID, g.self.DataCentre), relay.WithBudget(g.limits.Budget)}, g.relayOptions...)...)
+	g.register = roster.NewRegistrar(g.seed)
+	g.mesh = peer.New(g.self.ID, g.seed, meshHandler{g})
 	for i := range g.translator.Prefixes() {
 		g.catalogs = append(g.catalogs, catalog.New(g.seed+uint64(i)))
 	}
@@ -100,6 +113,10 @@
 	if err != nil {
 		return errors.Join(&Error{op: "ready", kind: KindListen, err: err}, callers.Close())
 	}
+	peers, err := socket.ListenConfig().Listen(ctx, "tcp", g.self.Address)
+	if err != nil {
+		return errors.Join(&Error{op: "peers", kind: KindListen, err: err}, callers.Close(), ready.Close())
+	}
 	// Input and output outlive ctx, because a planned stop finishes what is in flight.
 	io, stopIO := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopIO()
@@ -107,12 +124,13 @@
 	go func() { g.ends <- serve(front, callers) }()
 	go func() { g.ends <- serve(balancer, ready) }()
 	go func() { g.ends <- g.client.Run(io) }()
+	go func() { g.ends <- g.mesh.Run(io, peers) }()
 	loopEnd := make(chan error, 1)
 	go func() { loopEnd <- g.loop(io) }()
 	_ = g.logger.Log("event", "started", "callers", g.callersAddr, "ready", g.readyAddr)
 
 	var first error
-	running := 3
+	running := 4
 	select {
 	case <-ctx.Done():
 		g.stop(front)
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -9,6 +9,7 @@
 	"lentillink.example/lentillink/clock"
 	"lentillink.example/lentillink/exchange"
 	"lentillink.example/lentillink/relay"
+	"lentillink.example/lentillink/roster"
 	"lentillink.example/lentillink/store"
 )
 
@@ -54,6 +55,10 @@
 	switch {
 	case it.catalog != nil:
 		g.stepCatalog(io, it.prefix, it.catalog)
+	case it.peer != nil:
+		g.acceptPeer(it.peer)
+	case it.roster != nil:
+		g.stepRegister(io, it.roster)
 	case it.result != nil:
 		g.step(resultMsg(*it.result))
 	case it.call != nil:
@@ -63,7 +68,7 @@
 	default:
 		g.step(it.relay)
 		if gone, ok := it.relay.(relay.GoneMsg); ok {
-			delete(g.waiters, gone.ID)
+			g.forgetCall(gone.ID)
 		}
 	}
 }
@@ -90,6 +95,9 @@
 	if at, ok := g.core.NextWake(); ok && at <= now {
 		g.step(relay.TickMsg{})
 	}
+	if at, ok := g.register.NextWake(); ok && at <= now {
+		g.stepRegister(io, roster.TickMsg{})
+	}
 }
 
 // nextWake returns how long the loop may wait.
@@ -99,6 +107,9 @@
 	if at, ok := g.core.NextWake(); ok {
 		wait = min(wait, at-now)
 	}
+	if at, ok := g.register.NextWake(); ok {
+		wait = min(wait, at-now)
+	}
 	for _, c := range g.catalogs {
 		if at, ok := c.NextWake(); ok {
 			wait = min(wait, at-now)
@@ -129,10 +140,21 @@
 	case relay.CancelCmd:
 		g.client.Cancel(c.Attempt)
 	case relay.AnswerCmd:
-		if w := g.waiters[c.ID]; w != nil {
-			delete(g.waiters, c.ID)
-			w.answer <- c.Answer
+		g.answer(c)
+	case relay.ReportCmd:
+		if w := g.waiters[c.ID]; w != nil && w.handed != nil {
+			g.tell(w.handed.from, "", relay.HandBack{ID: w.handed.id, Answer: c.Answer, More: true})
+		}
+	case relay.TakenCmd:
+		if w := g.waiters[c.ID]; w != nil && w.handed != nil {
+			g.tell(w.handed.from, "", relay.Taken{ID: w.handed.id})
 		}
+	case relay.HandCmd:
+		w := g.waiters[c.Request]
+		c.HandOver.Head, c.HandOver.Body = w.request.Head(), w.request.Body()
+		g.tell(c.To, c.Address, c.HandOver)
+	case relay.WithdrawCmd:
+		g.tell(c.To, "", relay.Withdraw{ID: c.ID})
 	case relay.ConnectCmd:
 		g.client.Connect(c.Upstream, c.Address)
 	case relay.ForgetCmd:
@@ -142,6 +164,20 @@
 	}
 }
 
+// answer passes an answer to the caller, or to the VM that handed the request over.
+func (g *Gateway) answer(c relay.AnswerCmd) {
+	w := g.waiters[c.ID]
+	if w == nil {
+		return
+	}
+	g.forgetCall(c.ID)
+	if w.handed != nil {
+		g.tell(w.handed.from, "", relay.HandBack{ID: w.handed.id, Answer: c.Answer})
+		return
+	}
+	w.answer <- c.Answer
+}
+
 // stepCatalog updates one catalog and performs its commands.
 func (g *Gateway) stepCatalog(io context.Context, prefix int, msg catalog.Msg) {
 	for _, cmd := range g.catalogs[prefix].Update(g.clock.Now(), msg) {
@@ -156,12 +192,18 @@
 			if id, ok := g.translator.Upstream(c.Key); ok {
 				g.step(relay.RemovedMsg{ID: id})
 			}
+			if id, ok := g.translator.VM(c.Key); ok {
+				g.setVM(id, nil)
+			}
 		case catalog.ContactCmd:
 			_ = g.logger.Log("event", "store_contact", "prefix", g.translator.Prefixes()[prefix], "reached", c.Reached, "cause", c.Kind)
 		}
 	}
-	if !g.stopping.Load() {
-		g.ready.Store(g.core.Ready())
+	if g.stopping.Load() {
+		return
+	}
+	if ready := g.core.Ready(); ready != g.ready.Swap(ready) && ready {
+		g.stepRegister(io, roster.ReadyMsg{})
 	}
 }
 
@@ -182,6 +224,10 @@
 		if t := g.table.Load(); t == nil || t.Version() < change.Table.Version() {
 			g.table.Store(change.Table)
 		}
+	case change.VM != nil:
+		if id, ok := g.translator.VM(it.Key); ok && id == change.VM.ID {
+			g.setVM(id, change.VM)
+		}
 	case change.Upstream != nil:
 		g.step(relay.UpstreamMsg{Upstream: *change.Upstream})
 	}
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -18,6 +18,12 @@
 // WithHeaders names the headers.
 func WithHeaders(h Headers) Option { return func(g *Gateway) { g.headers = h } }
 
+// WithLeases sets where the entry of this VM is kept.
+func WithLeases(l store.Leases) Option { return func(g *Gateway) { g.leases = l } }
+
+// WithSelf names this VM. Its address is the one for other VMs.
+func WithSelf(v relay.VM) Option { return func(g *Gateway) { g.self = v } }
+
 // WithAddresses sets where callers and the balancer connect.
 func WithAddresses(callers, ready string) Option {
 	return func(g *Gateway) { g.callersAddr, g.readyAddr = callers, ready }
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -6,6 +6,7 @@
 
 	"lentillink.example/lentillink/clock"
 	"lentillink.example/lentillink/relay"
+	"lentillink.example/lentillink/roster"
 )
 
 const (
@@ -34,6 +35,7 @@
 	g.stopping.Store(true)
 	g.ready.Store(false)
 	_ = g.logger.Log("event", "stopping", "grace_ms", int64(grace))
+	g.post(item{roster: roster.LeaveMsg{}})
 	g.post(item{relay: relay.StopMsg{Due: end}})
 	idleSince := clock.Millis(0)
 	for {
--- a/gateway/translator.go
+++ b/gateway/translator.go
@@ -18,6 +18,7 @@
 type Change struct {
 	Table    *route.Table
 	Upstream *relay.Upstream
+	VM       *relay.VM
 }
 
 // Translator decodes items of the store.
@@ -28,4 +29,7 @@
 	Translate(it store.Item) (Change, error)
 	// Upstream returns the upstream that a key names.
 	Upstream(key string) (string, bool)
+	// VM returns the VM that a key names, and VMKey the key of a VM's entry.
+	VM(key string) (string, bool)
+	VMKey(id string) string
 }
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -8,6 +8,7 @@
 	"lentillink.example/lentillink/coverage"
 	"lentillink.example/lentillink/peer/peerpb"
 	"lentillink.example/lentillink/rank"
+	"lentillink.example/lentillink/relay"
 	"lentillink.example/lentillink/vm"
 )
 
@@ -32,6 +33,14 @@
 		}}
 	case vm.Ask:
 		env.Body = &peerpb.Envelope_Ask{Ask: &peerpb.Ask{Id: b.ID, Kind: uint32(b.Kind), Payload: b.Payload}}
+	case relay.HandOver:
+		env.Body = &peerpb.Envelope_HandOver{HandOver: encodeHandOver(b)}
+	case relay.Taken:
+		env.Body = &peerpb.Envelope_Taken{Taken: &peerpb.Taken{Id: b.ID}}
+	case relay.HandBack:
+		env.Body = &peerpb.Envelope_HandBack{HandBack: encodeHandBack(b)}
+	case relay.Withdraw:
+		env.Body = &peerpb.Envelope_Withdraw{Withdraw: &peerpb.Withdraw{Id: b.ID}}
 	case vm.Told:
 		env.Body = &peerpb.Envelope_Told{Told: &peerpb.Told{Id: b.ID, Payload: b.Payload}}
 	}
@@ -60,6 +69,15 @@
 		return vm.Claimed{Msg: msg}, stamp, err
 	case *peerpb.Envelope_Ask:
 		return vm.Ask{ID: b.Ask.GetId(), Kind: vm.AskKind(b.Ask.GetKind()), Payload: b.Ask.GetPayload()}, stamp, nil
+	case *peerpb.Envelope_HandOver:
+		return decodeHandOver(b.HandOver), stamp, nil
+	case *peerpb.Envelope_Taken:
+		return relay.Taken{ID: b.Taken.GetId()}, stamp, nil
+	case *peerpb.Envelope_HandBack:
+		back, err := decodeHandBack(b.HandBack)
+		return back, stamp, err
+	case *peerpb.Envelope_Withdraw:
+		return relay.Withdraw{ID: b.Withdraw.GetId()}, stamp, nil
 	case *peerpb.Envelope_Told:
 		return vm.Told{ID: b.Told.GetId(), Payload: b.Told.GetPayload()}, stamp, nil
 	}
--- /dev/null
+++ b/peer/handover.go
@@ -0,0 +1,45 @@
+package peer
+
+import (
+	"errors"
+
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/peer/peerpb"
+	"lentillink.example/lentillink/relay"
+)
+
+func encodeHandOver(h relay.HandOver) *peerpb.HandOver {
+	return &peerpb.HandOver{
+		Id: h.ID, Version: h.Version, Name: h.Name, Host: h.Host, Path: h.Path, Head: h.Head, Body: h.Body,
+		LeftMs: int64(h.LeftMs), AnswerInMs: int64(h.AnswerInMs), Returning: h.Returning,
+		Services: h.Services,
+	}
+}
+
+func decodeHandOver(h *peerpb.HandOver) relay.HandOver {
+	return relay.HandOver{
+		ID: h.GetId(), Version: h.GetVersion(), Name: h.GetName(), Host: h.GetHost(), Path: h.GetPath(),
+		Head: h.GetHead(), Body: h.GetBody(),
+		LeftMs: clock.Millis(h.GetLeftMs()), AnswerInMs: clock.Millis(h.GetAnswerInMs()), Returning: h.GetReturning(),
+		Services: h.GetServices(),
+	}
+}
+
+func encodeHandBack(h relay.HandBack) *peerpb.HandBack {
+	a := h.Answer
+	return &peerpb.HandBack{
+		Id: h.ID, Outcome: uint32(a.Outcome), Body: a.Body, Receipts: a.Receipts, Missing: uint32(a.Missing),
+		Reason: a.Reason, RetryAfterMs: int64(a.RetryAfterMs), Version: a.Version, More: h.More,
+	}
+}
+
+func decodeHandBack(h *peerpb.HandBack) (relay.HandBack, error) {
+	outcome := relay.Outcome(h.GetOutcome())
+	if h.GetOutcome() > uint32(relay.NotReady) || outcome == relay.Relayed {
+		return relay.HandBack{}, wrap("decode", KindDecode, errors.New("outcome of a gathered answer is unknown"))
+	}
+	return relay.HandBack{ID: h.GetId(), More: h.GetMore(), Answer: relay.Answer{
+		Outcome: outcome, Body: h.GetBody(), Receipts: h.GetReceipts(), Missing: int(h.GetMissing()),
+		Reason: h.GetReason(), RetryAfterMs: clock.Millis(h.GetRetryAfterMs()), Version: h.GetVersion(),
+	}}, nil
+}
--- a/peer/options.go
+++ b/peer/options.go
@@ -4,6 +4,7 @@
 	"net"
 
 	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/socket"
 )
 
 // Option configures a Mesh.
@@ -28,5 +29,7 @@
 }
 
 func dialTCP(address string, timeout clock.Millis) (net.Conn, error) {
-	return net.DialTimeout("tcp", address, timeout.Duration())
+	d := socket.Dialer()
+	d.Timeout = timeout.Duration()
+	return d.Dial("tcp", address)
 }
--- a/relay/arrive.go
+++ b/relay/arrive.go
@@ -2,6 +2,7 @@
 
 import (
 	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/route"
 )
 
 const (
@@ -26,6 +27,9 @@
 )
 
 func (m *Model) arrive(now clock.Millis, msg ArriveMsg) {
+	if msg.Handed != nil && !m.confirm(msg) {
+		return
+	}
 	if m.table == nil {
 		m.reject(msg, Answer{Outcome: NotReady, Reason: "no_configuration", RetryAfterMs: m.comeBack(clock.Second, msg.LeftMs)})
 		return
@@ -35,7 +39,41 @@
 		m.reject(msg, Answer{Outcome: NoRoute, Reason: "no_route", Version: m.table.Version()})
 		return
 	}
-	r := &request{id: msg.ID, name: msg.Name, route: rt, version: m.table.Version(), arrived: now}
+	r := m.newRequest(now, rt, msg)
+	m.addParts(r, msg.Handed)
+	for _, p := range r.parts {
+		if !r.gathers() || msg.Handed != nil {
+			p.service.budget.need(now)
+		}
+	}
+	if wait, full := m.tooLate(now, r); full {
+		m.reject(msg, Answer{
+			Outcome: Refused, Reason: "full", Route: rt.Name, Version: r.version, RetryAfterMs: m.comeBack(wait, r.due-now),
+		})
+		return
+	}
+	m.requests[r.id] = r
+	if r.gathers() && msg.Handed == nil {
+		r.parts = m.distribute(now, r)
+		for _, p := range r.parts {
+			p.service.budget.need(now)
+		}
+	}
+	for _, p := range r.parts {
+		m.place(now, p)
+	}
+	m.advance(now, r)
+}
+
+// newRequest works out until when a request may be answered.
+func (m *Model) newRequest(now clock.Millis, rt *route.Route, msg ArriveMsg) *request {
+	r := &request{id: msg.ID, name: msg.Name, route: rt, version: m.table.Version(), arrived: now, host: msg.Host, path: msg.Path}
+	if h := msg.Handed; h != nil {
+		r.carried = true
+		r.due, r.returning = now+h.LeftMs, h.Returning
+		r.answerAt = min(now+h.AnswerInMs, r.due)
+		return r
+	}
 	timeout := rt.TimeoutMs
 	if timeout <= 0 {
 		timeout = defaultTimeoutMs
@@ -55,23 +93,19 @@
 		reserve += connectReserveMs
 	}
 	r.answerAt = min(now+max(rt.TargetMs-spent-reserve, 0), r.due)
-	for _, name := range m.servicesOf(r) {
-		s := m.service(name)
-		s.budget.need(now)
-		r.parts = append(r.parts, &part{req: r, service: s})
-	}
-	r.unresolved = len(r.parts)
-	if wait, full := m.tooLate(now, r); full {
-		m.reject(msg, Answer{
-			Outcome: Refused, Reason: "full", Route: rt.Name, Version: r.version, RetryAfterMs: m.comeBack(wait, left),
-		})
-		return
+	return r
+}
+
+// addParts gives a request one part for each service that its answer needs.
+func (m *Model) addParts(r *request, h *HandOver) {
+	names := m.servicesOf(r)
+	if h != nil {
+		names = h.Services
 	}
-	m.requests[r.id] = r
-	for _, p := range r.parts {
-		m.place(now, p)
+	for _, name := range names {
+		r.parts = append(r.parts, &part{req: r, service: m.service(name)})
 	}
-	m.advance(now, r)
+	r.shards, r.unresolved = len(r.parts), len(r.parts)
 }
 
 // servicesOf returns the services whose parts the answer needs.
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -5,11 +5,17 @@
 const (
 	// crossMs is how much sooner an upstream in another data centre must be
 	// expected to answer to be chosen. Its bytes are paid for by the kilobyte.
-	crossMs = 8.0
+	// crossFactor gives the same for long work, as a share of the typical latency.
+	crossMs     = 8.0
+	crossFactor = 0.4
 
-	// openFactor is the share of a typical latency by which each attempt of this
-	// VM that is already open delays the next.
-	openFactor = 0.5
+	// openFactor is the share of a typical latency by which an attempt that is
+	// already open delays the next while the upstream has free slots.
+	openFactor = 0.15
+
+	// sharedFactor is the same at an upstream that other VMs use too: one open
+	// attempt of this VM stands for several.
+	sharedFactor = 0.5
 )
 
 // choose returns the upstream that is expected to answer a part first, nil if
@@ -45,13 +51,18 @@
 
 // score is the expected latency of the next attempt at u, in milliseconds.
 func (m *Model) score(now clock.Millis, u *upstream, typical float64) float64 {
-	score := typical * u.slowness(now) * (1 + openFactor*float64(len(u.open)))
+	busy := sharedFactor * float64(len(u.open))
+	if slots := u.info.Slots; u.service.carried && m.listed && m.carries && slots > 0 {
+		queued := max(len(u.open)+1-slots, 0)
+		busy = openFactor*float64(len(u.open)) + float64(queued)/float64(slots)
+	}
+	score := typical * u.slowness(now) * (1 + busy)
 	score += float64(u.overdue(now))
 	if u.overdue(now) > 0 {
 		score += typical
 	}
 	if u.info.DataCentre != m.cfg.dataCentre {
-		score += crossMs
+		score += max(crossMs, crossFactor*typical)
 	}
 	// Spreads equal choices, so that VMs do not all prefer the same upstream.
 	return score + m.rng.Float64()*0.1*typical
--- a/relay/command.go
+++ b/relay/command.go
@@ -26,6 +26,30 @@
 	Answer Answer
 }
 
+// HandCmd hands parts of a request over to a carrier.
+type HandCmd struct {
+	Request  uint64
+	To       string
+	Address  string
+	HandOver HandOver
+}
+
+// ReportCmd hands back what a carrier has when the answer becomes late. An
+// AnswerCmd follows.
+type ReportCmd struct {
+	ID     uint64
+	Answer Answer
+}
+
+// TakenCmd confirms a request of another VM.
+type TakenCmd struct{ ID uint64 }
+
+// WithdrawCmd tells a carrier that nobody waits for an answer.
+type WithdrawCmd struct {
+	To string
+	ID uint64
+}
+
 // ConnectCmd asks for a warm connection to an upstream.
 type ConnectCmd struct{ Upstream, Address string }
 
@@ -35,12 +59,16 @@
 // EventCmd records a decision.
 type EventCmd struct{ Event Event }
 
-func (SendCmd) relayCmd()    {}
-func (CancelCmd) relayCmd()  {}
-func (AnswerCmd) relayCmd()  {}
-func (ConnectCmd) relayCmd() {}
-func (ForgetCmd) relayCmd()  {}
-func (EventCmd) relayCmd()   {}
+func (SendCmd) relayCmd()     {}
+func (CancelCmd) relayCmd()   {}
+func (AnswerCmd) relayCmd()   {}
+func (HandCmd) relayCmd()     {}
+func (ReportCmd) relayCmd()   {}
+func (TakenCmd) relayCmd()    {}
+func (WithdrawCmd) relayCmd() {}
+func (ConnectCmd) relayCmd()  {}
+func (ForgetCmd) relayCmd()   {}
+func (EventCmd) relayCmd()    {}
 
 // Event is one decision with the inputs that led to it.
 type Event struct {
--- a/relay/finish.go
+++ b/relay/finish.go
@@ -25,12 +25,16 @@
 		m.finish(now, r)
 	case r.done+r.unresolved < r.least():
 		m.finish(now, r) // the parts that are missing decide
-	case r.gathers() && now >= r.answerAt && r.done >= r.least():
+	case r.carried && now >= r.answerAt && !r.reported:
+		m.report(r)
+		m.advance(now, r)
+	case !r.carried && r.gathers() && now >= r.answerAt && r.done >= r.least():
 		m.finish(now, r) // waiting for more makes it late
 	case now >= r.due:
 		m.finish(now, r)
 	default:
 		m.hedge(now, r)
+		m.watchCarriers(now, r)
 		if r.gathers() && now < r.answerAt {
 			m.wake(r, r.answerAt)
 		}
@@ -38,11 +42,26 @@
 	}
 }
 
+// report hands back what is in when the answer becomes late. The VM that handed
+// the request over knows whether that is enough, and that the carrier is alive.
+func (m *Model) report(r *request) {
+	r.reported = true
+	a := gathered(r)
+	a.Version = r.version
+	m.emit(ReportCmd{ID: r.id, Answer: a})
+}
+
 // finish sends the final answer.
 func (m *Model) finish(now clock.Millis, r *request) {
 	a := m.answer(now, r)
 	a.Route, a.Version, a.TookMs, a.Late = r.route.Name, r.version, now-r.arrived, now > r.answerAt
+	m.conclude(now, r, a)
+}
+
+// conclude gives the final answer to the caller.
+func (m *Model) conclude(now clock.Millis, r *request, a Answer) {
 	r.answered, r.answeredAt = true, now
+	m.withdrawGroups(r)
 	m.emit(AnswerCmd{ID: r.id, Answer: a})
 	if a.Outcome > Gathered || a.Missing > 0 || a.Late {
 		m.event("answer_"+a.Outcome.String(), r, nil, a.Reason, a.TookMs)
@@ -60,7 +79,7 @@
 	late := now >= r.due
 	switch {
 	case !r.ran() && r.open == 0:
-		a := Answer{Outcome: Refused, Reason: "no_upstream", RetryAfterMs: m.comeBack(noUpstreamMs, r.due-now)}
+		a := Answer{Outcome: Refused, Reason: "no_upstream", RetryAfterMs: m.comeBack(max(noUpstreamMs, r.refusedMs), r.due-now)}
 		if late {
 			a.Reason = "waited_too_long"
 		}
--- a/relay/gather.go
+++ b/relay/gather.go
@@ -8,9 +8,9 @@
 // recordBytes is the length of a record. A shorter remainder is no record.
 const recordBytes = 16
 
-// gathered merges the parts that are in.
+// gathered merges the parts that are in, and what carriers have merged.
 func gathered(r *request) Answer {
-	a := Answer{Outcome: Gathered, Missing: len(r.parts) - r.done}
+	a := Answer{Outcome: Gathered, Missing: r.shards - r.done}
 	bodies := make([][]byte, 0, r.done)
 	for _, p := range r.parts {
 		if p.reply != nil {
@@ -18,6 +18,10 @@
 			bodies = append(bodies, p.reply.Body)
 		}
 	}
+	for _, g := range r.groups {
+		a.Receipts = append(a.Receipts, g.answer.Receipts...)
+		bodies = append(bodies, g.answer.Body)
+	}
 	a.Body = Greatest(r.route.Top, bodies)
 	return a
 }
--- /dev/null
+++ b/relay/handover.go
@@ -0,0 +1,266 @@
+package relay
+
+import (
+	"lentillink.example/lentillink/clock"
+)
+
+// HandOver asks a carrier to gather some parts of a request. A carrier sees all
+// work of the upstreams in its data centre, so it knows which of them are free,
+// and one message crosses data centres where each part would.
+type HandOver struct {
+	ID         uint64 // of the group at the VM that hands it over
+	Version    uint64 // the carrier must know this version of the configuration
+	Name       string
+	Host       string
+	Path       string
+	Services   []string // the shards to gather, of one version of the configuration
+	Head       []byte   // request line and headers as upstreams get them; filled in by the runtime
+	Body       []byte
+	LeftMs     clock.Millis
+	AnswerInMs clock.Millis // when the answer becomes late
+	Returning  bool
+}
+
+// Taken confirms a HandOver at once.
+type Taken struct{ ID uint64 }
+
+// HandBack answers a HandOver. The answer names no missing shards: those that
+// have no receipt are missing. With More, a later HandBack replaces it.
+type HandBack struct {
+	ID     uint64
+	Answer Answer
+	More   bool
+}
+
+// Withdraw ends a HandOver whose answer nobody waits for.
+type Withdraw struct{ ID uint64 }
+
+// PeerBody marks messages between VMs.
+func (HandOver) PeerBody() {}
+
+// PeerBody marks messages between VMs.
+func (Taken) PeerBody() {}
+
+// PeerBody marks messages between VMs.
+func (HandBack) PeerBody() {}
+
+// PeerBody marks messages between VMs.
+func (Withdraw) PeerBody() {}
+
+const (
+	// takenMs is how long a carrier may take to confirm. The way there and back
+	// takes 2 ms between the users' data centres, and 4 ms more for the first
+	// message, which opens the connection.
+	takenMs clock.Millis = 15
+
+	// silenceMs is how long a carrier may send nothing while an answer is late.
+	silenceMs clock.Millis = 25
+
+	// hopMs is kept from the time to the answer for the way back, and crossHopMs
+	// if it crosses data centres.
+	hopMs      clock.Millis = 1
+	crossHopMs clock.Millis = 2
+
+	// Time for which a carrier is avoided after it failed. It doubles.
+	firstCarrierAvoidMs clock.Millis = 500
+	maxCarrierAvoidMs                = 8 * clock.Second
+)
+
+// group is the parts of one request that a carrier gathers.
+type group struct {
+	id       uint64
+	req      *request
+	carrier  *peerVM
+	parts    []*part
+	sentAt   clock.Millis
+	taken    bool
+	ended    bool
+	reported bool
+	answer   Answer // the last one
+}
+
+// hand gives parts of a request to a carrier.
+func (m *Model) hand(now clock.Millis, r *request, c *peerVM, parts []*part) {
+	m.nextID++
+	g := &group{id: m.nextID, req: r, carrier: c, parts: parts, sentAt: now}
+	r.groups = append(r.groups, g)
+	m.groups[g.id] = g
+	c.open[g.id] = g
+	hop := hopMs
+	if c.info.DataCentre != m.cfg.dataCentre {
+		hop = crossHopMs
+	}
+	names := make([]string, len(parts))
+	for i, p := range parts {
+		names[i] = p.service.name
+	}
+	m.emit(HandCmd{Request: r.id, To: c.info.ID, Address: c.info.Address, HandOver: HandOver{
+		ID: g.id, Version: r.version, Name: r.name, Host: r.host, Path: r.path, Services: names,
+		LeftMs: max(r.due-now-hop, 1), AnswerInMs: max(r.answerAt-now-hop, 0), Returning: r.returning,
+	}})
+	m.wake(r, now+takenMs)
+}
+
+// handedBack takes a carrier's answer.
+func (m *Model) handedBack(now clock.Millis, msg HandBackMsg) {
+	g := m.groupAt(msg.From, msg.HandBack.ID)
+	if g == nil {
+		return
+	}
+	g.taken, g.reported = true, true
+	g.carrier.heardAt = now
+	a, r := msg.HandBack.Answer, g.req
+	switch a.Outcome {
+	case Gathered:
+		g.carrier.failures = 0
+		r.done += len(a.Receipts) - len(g.answer.Receipts)
+		r.unresolved -= len(a.Receipts) - len(g.answer.Receipts)
+		g.answer = a
+		if !msg.HandBack.More {
+			r.unresolved -= len(g.parts) - len(a.Receipts)
+			m.endGroup(g)
+		}
+		m.advance(now, r)
+	case Refused, Failed, TimedOut:
+		r.unresolved -= len(g.parts) - len(g.answer.Receipts)
+		r.refusedMs = max(r.refusedMs, a.RetryAfterMs)
+		r.begun = r.begun || a.Outcome != Refused
+		if len(g.answer.Receipts) == 0 {
+			g.answer.Outcome = a.Outcome
+		}
+		m.endGroup(g)
+		m.advance(now, r)
+	default:
+		// The carrier has not begun: it stops, or its configuration is another.
+		m.event("carrier_not_ready", r, nil, g.carrier.info.ID+" "+a.Reason, now-g.sentAt)
+		g.carrier.failed(now)
+		m.takeBack(now, g, false)
+	}
+}
+
+// groupAt returns an open group of a carrier.
+func (m *Model) groupAt(vm string, id uint64) *group {
+	g := m.groups[id]
+	if g == nil || g.carrier.info.ID != vm {
+		return nil
+	}
+	return g
+}
+
+func (m *Model) taken(now clock.Millis, msg TakenMsg) {
+	if g := m.groupAt(msg.From, msg.ID); g != nil {
+		g.taken = true
+		g.carrier.heardAt = now
+	}
+}
+
+// endGroup ends the tie to a carrier. Its answer, if any, stays with the request.
+func (m *Model) endGroup(g *group) {
+	g.ended = true
+	delete(m.groups, g.id)
+	delete(g.carrier.open, g.id)
+}
+
+// withdrawGroups ends all open groups of a request.
+func (m *Model) withdrawGroups(r *request) {
+	for _, g := range r.groups {
+		if !g.ended {
+			m.emit(WithdrawCmd{To: g.carrier.info.ID, ID: g.id})
+			m.endGroup(g)
+		}
+	}
+}
+
+// watchCarriers takes groups back from carriers that seem lost.
+func (m *Model) watchCarriers(now clock.Millis, r *request) {
+	for _, g := range r.groups {
+		if g.ended {
+			continue
+		}
+		// A carrier reports when the answer becomes late, whatever it has by then.
+		silentAt := max(r.answerAt, g.carrier.heardAt, g.sentAt) + silenceMs
+		switch {
+		case g.reported:
+		case !g.taken && now >= g.sentAt+takenMs:
+			m.carrierLost(now, g, "not_taken")
+		case !g.taken:
+			m.wake(r, g.sentAt+takenMs)
+		case now >= silentAt:
+			m.carrierLost(now, g, "silent")
+		default:
+			m.wake(r, silentAt)
+		}
+	}
+}
+
+// carrierLost takes a group back from a carrier that seems lost.
+func (m *Model) carrierLost(now clock.Millis, g *group, cause string) {
+	m.event("carrier_lost", g.req, nil, g.carrier.info.ID+" "+cause, now-g.sentAt)
+	g.carrier.failed(now)
+	m.emit(WithdrawCmd{To: g.carrier.info.ID, ID: g.id})
+	m.takeBack(now, g, true)
+}
+
+// takeBack gathers the parts of a group here. If the carrier may have begun,
+// each part counts as sent once, for the budget and for the number of attempts.
+func (m *Model) takeBack(now clock.Millis, g *group, begun bool) {
+	r := g.req
+	m.endGroup(g)
+	if r.answered || len(g.answer.Receipts) > 0 {
+		// What it has given stays; the shards that it did not name are missing.
+		r.unresolved -= len(g.parts) - len(g.answer.Receipts)
+		m.advance(now, r)
+		return
+	}
+	for _, p := range g.parts {
+		r.parts = append(r.parts, p)
+		if begun {
+			p.arrivals, p.mayRun = 1, 1
+			m.retry(now, p)
+			continue
+		}
+		p.service.budget.need(now)
+		m.place(now, p)
+	}
+	m.advance(now, r)
+}
+
+// unhanded takes back a group whose HandOver never left this VM.
+func (m *Model) unhanded(now clock.Millis, msg UnhandedMsg) {
+	if g := m.groupAt(msg.To, msg.ID); g != nil {
+		m.event("carrier_lost", g.req, nil, g.carrier.info.ID+" unreachable", now-g.sentAt)
+		g.carrier.failed(now)
+		m.takeBack(now, g, false)
+	}
+}
+
+// peerDown takes back what a VM worked on when its connection broke.
+func (m *Model) peerDown(now clock.Millis, vm string) {
+	c := m.peers[vm]
+	if c == nil || len(c.open) == 0 {
+		return
+	}
+	c.failed(now)
+	for _, g := range c.sorted() {
+		m.event("carrier_lost", g.req, nil, c.info.ID+" connection_broke", now-g.sentAt)
+		m.takeBack(now, g, true)
+	}
+}
+
+// confirm tells the VM that handed a request over whether this one takes it.
+func (m *Model) confirm(msg ArriveMsg) bool {
+	reason := ""
+	switch {
+	case m.table == nil || m.table.Version() < msg.Handed.Version:
+		reason = "older_configuration"
+	case m.stopAt > 0:
+		reason = "stopping"
+	}
+	if reason != "" {
+		m.emit(AnswerCmd{ID: msg.ID, Answer: Answer{Outcome: NotReady, Reason: reason}})
+		return false
+	}
+	m.carries = true
+	m.emit(TakenCmd{ID: msg.ID})
+	return true
+}
--- a/relay/message.go
+++ b/relay/message.go
@@ -28,6 +28,9 @@
 
 	// Connected says that the caller opened its connection for this request.
 	Connected bool
+
+	// Handed is set for a request of another VM.
+	Handed *HandOver
 }
 
 // ReplyMsg brings the whole reply to an attempt.
@@ -46,8 +49,29 @@
 // GoneMsg reports that the caller has left.
 type GoneMsg struct{ ID uint64 }
 
-// FleetMsg tells how many VMs share the upstreams.
-type FleetMsg struct{ VMs int }
+// FleetMsg lists the VMs that share the upstreams, this one included.
+type FleetMsg struct{ VMs []VM }
+
+// TakenMsg brings a carrier's confirmation.
+type TakenMsg struct {
+	From string
+	ID   uint64
+}
+
+// HandBackMsg brings a carrier's answer.
+type HandBackMsg struct {
+	From     string
+	HandBack HandBack
+}
+
+// UnhandedMsg reports that a HandOver certainly never left this VM.
+type UnhandedMsg struct {
+	To string
+	ID uint64
+}
+
+// PeerDownMsg reports that the connection to a VM broke.
+type PeerDownMsg struct{ VM string }
 
 // BudgetMsg bounds the attempts beyond the first one of each service over all
 // VMs: Ratio of its requests, plus Extra, in any window.
@@ -71,6 +95,10 @@
 func (FailMsg) relayMsg()     {}
 func (GoneMsg) relayMsg()     {}
 func (FleetMsg) relayMsg()    {}
+func (TakenMsg) relayMsg()    {}
+func (HandBackMsg) relayMsg() {}
+func (UnhandedMsg) relayMsg() {}
+func (PeerDownMsg) relayMsg() {}
 func (BudgetMsg) relayMsg()   {}
 func (StopMsg) relayMsg()     {}
 func (TickMsg) relayMsg()     {}
--- a/relay/model.go
+++ b/relay/model.go
@@ -19,6 +19,12 @@
 	requests  map[uint64]*request
 	attempts  map[uint64]*attempt
 	timers    timers
+	peers     map[string]*peerVM // the VMs of the fleet
+	vmIDs     []string           // their names, sorted
+	listed    bool               // this VM is one of them
+	groups    map[uint64]*group  // parts that carriers gather for this VM
+	turn      int
+	carries   bool // this VM was a carrier at the last choice
 	vms       int
 	bound     BudgetMsg
 	nextID    uint64
@@ -33,6 +39,7 @@
 		cfg: cfg, rng: rand.New(rand.NewPCG(cfg.seed, cfg.seed)), vms: cfg.vms, bound: cfg.budget,
 		splitter: route.NewSplitter(), services: make(map[string]*service), upstreams: make(map[string]*upstream),
 		routes: make(map[string]*stats), requests: make(map[uint64]*request), attempts: make(map[uint64]*attempt),
+		peers: make(map[string]*peerVM), groups: make(map[uint64]*group),
 	}
 }
 
@@ -57,7 +64,15 @@
 	case GoneMsg:
 		m.callerGone(now, t.ID)
 	case FleetMsg:
-		m.vms = max(t.VMs, 1)
+		m.setFleet(now, t.VMs)
+	case TakenMsg:
+		m.taken(now, t)
+	case HandBackMsg:
+		m.handedBack(now, t)
+	case UnhandedMsg:
+		m.unhanded(now, t)
+	case PeerDownMsg:
+		m.peerDown(now, t.VM)
 	case BudgetMsg:
 		m.setBudget(t)
 	case StopMsg:
@@ -110,6 +125,7 @@
 	m.splitter.Keep(t)
 	for _, s := range m.services {
 		s.configure(t)
+		s.carried = t.Shard(s.name)
 	}
 	m.emit(EventCmd{Event: Event{Kind: "config_in_force", Version: t.Version()}})
 }
@@ -142,6 +158,7 @@
 		m.emit(EventCmd{Event: Event{Kind: "upstream_leaving", Upstream: info.ID, Detail: info.Service}})
 	}
 	u.info = info
+	u.service.centres = nil
 	u.coldUntil = now + info.ColdMs
 	if u.usable() {
 		m.emit(ConnectCmd{Upstream: info.ID, Address: info.Address})
@@ -160,6 +177,7 @@
 // detach takes an upstream out of its service. Attempts that it is running go on.
 func (m *Model) detach(now clock.Millis, u *upstream) {
 	u.removed = true
+	u.service.centres = nil
 	list := u.service.upstreams
 	for i, o := range list {
 		if o == u {
--- a/relay/options.go
+++ b/relay/options.go
@@ -11,6 +11,7 @@
 
 type config struct {
 	seed       uint64
+	self       string
 	dataCentre string
 	vms        int
 	budget     BudgetMsg
@@ -22,8 +23,10 @@
 // WithSeed seeds the spread of waiting times.
 func WithSeed(seed uint64) Option { return func(c *config) { c.seed = seed } }
 
-// WithDataCentre names the data centre of this VM.
-func WithDataCentre(name string) Option { return func(c *config) { c.dataCentre = name } }
+// WithSelf names this VM and its data centre.
+func WithSelf(id, dataCentre string) Option {
+	return func(c *config) { c.self, c.dataCentre = id, dataCentre }
+}
 
 // WithVMs sets how many VMs share the upstreams until a FleetMsg tells.
 func WithVMs(n int) Option { return func(c *config) { c.vms = n } }
--- a/relay/reply.go
+++ b/relay/reply.go
@@ -120,5 +120,6 @@
 	}
 	m.event("caller_gone", r, nil, "", now-r.arrived)
 	r.answered, r.answeredAt = true, now
+	m.withdrawGroups(r)
 	m.release(now, r)
 }
--- a/relay/request.go
+++ b/relay/request.go
@@ -17,13 +17,21 @@
 	due        clock.Millis // final answer: the caller or the route waits no longer
 	answerAt   clock.Millis // an answer after this is late
 	returning  bool         // the caller was here before
-	parts      []*part
-	done       int // parts with a reply
-	unresolved int // parts that may still get one
+	parts      []*part      // that are gathered here
+	done       int          // parts with a reply
+	unresolved int          // parts that may still get one
 	answered   bool
 	answeredAt clock.Millis
 	gone       bool // the caller has left
-	open       int  // attempts that have not ended
+	host       string
+	path       string
+	shards     int          // parts that the whole answer has
+	groups     []*group     // parts that carriers gather
+	carried    bool         // gathered here for another VM
+	reported   bool         // what was in when the answer became late was handed back
+	refusedMs  clock.Millis // longest time to come back that a carrier stated
+	begun      bool         // a carrier may have begun
+	open       int          // attempts that have not ended
 	wakeAt     clock.Millis
 }
 
@@ -63,11 +71,22 @@
 	}
 	// The tolerance keeps 0.9 x 10 from becoming 10 by rounding.
 	const tolerance = 1e-9
-	return max(int(math.Ceil(r.route.MinShare*float64(len(r.parts))-tolerance)), 1)
+	if r.carried {
+		return 1 // the VM that handed it over decides
+	}
+	return max(int(math.Ceil(r.route.MinShare*float64(r.shards)-tolerance)), 1)
 }
 
 // ran reports whether some attempt may have run.
 func (r *request) ran() bool {
+	if r.begun {
+		return true
+	}
+	for _, g := range r.groups {
+		if g.taken && g.answer.Outcome != Refused {
+			return true
+		}
+	}
 	for _, p := range r.parts {
 		if p.mayRun > 0 {
 			return true
--- a/relay/service.go
+++ b/relay/service.go
@@ -9,12 +9,19 @@
 	// maxWindow bounds the attempts that one VM has open at one upstream.
 	maxWindow = 16
 
-	// connectionShare leaves a part of the connections that an upstream accepts
-	// to VMs that start or leave.
-	connectionShare = 0.95
+	// Shares of the connections that an upstream accepts. Its carriers divide
+	// the larger one, all other VMs the smaller one, which they need when a
+	// carrier is lost. The rest is left for VMs that start or leave.
+	carrierConnections = 0.7
+	otherConnections   = 0.25
 
-	// slotShare bounds a VM's open attempts at an upstream as a multiple of its
-	// slots, so that work waits here, where it is ordered by rank, and not there.
+	// queuedPerUpstream is how many attempts beyond its slots a carrier has open
+	// at an upstream: one is there when a slot becomes free. Other work waits
+	// here, where it is ordered by rank.
+	queuedPerUpstream = 1
+
+	// slotShare bounds a VM's open attempts at an upstream that other VMs use
+	// too, as a multiple of its slots.
 	slotShare = 2
 )
 
@@ -25,16 +32,33 @@
 	waiting   []*part
 	budget    budget
 	maxConns  int
+	carried   bool     // it is a shard, whose work carriers do
+	centres   []string // data centres that hold upstreams; nil if not known
 }
 
 // lanes returns how many attempts this VM may have open at u.
 func (m *Model) lanes(u *upstream) int {
-	n := int(u.window)
-	if most := u.service.maxConns; most > 0 {
-		n = min(n, int(float64(most)*connectionShare)/max(m.vms, 1))
-	}
-	if u.info.Slots > 0 {
-		n = min(n, u.info.Slots*slotShare)
+	n, most := int(u.window), float64(u.service.maxConns)
+	slots := u.info.Slots
+	switch {
+	case u.service.carried && m.listed && m.carries:
+		if slots > 0 {
+			n = min(n, slots+queuedPerUpstream)
+		}
+		if most > 0 {
+			n = min(n, int(most*carrierConnections)/max(len(m.centres(u.service)), 1))
+		}
+	case u.service.carried && m.listed:
+		if most > 0 {
+			n = min(n, int(most*otherConnections)/max(m.vms, 1))
+		}
+	default:
+		if slots > 0 {
+			n = min(n, slots*slotShare)
+		}
+		if most > 0 {
+			n = min(n, int(most*(carrierConnections+otherConnections))/max(m.vms, 1))
+		}
 	}
 	return max(n, 1)
 }
@@ -47,6 +71,7 @@
 		m.services[name] = s
 		if m.table != nil {
 			s.configure(m.table)
+			s.carried = m.table.Shard(name)
 		}
 	}
 	return s
--- a/route/table.go
+++ b/route/table.go
@@ -9,11 +9,12 @@
 	config   Config
 	hosts    map[string]map[string]*Route // by host, then by prefix
 	services map[string]Service
+	shards   map[string]bool
 }
 
 // NewTable returns the index of cfg. The caller must not change cfg afterwards.
 func NewTable(cfg Config) *Table {
-	t := &Table{config: cfg, hosts: make(map[string]map[string]*Route), services: make(map[string]Service)}
+	t := &Table{config: cfg, hosts: make(map[string]map[string]*Route), services: make(map[string]Service), shards: make(map[string]bool)}
 	for i := range cfg.Routes {
 		r := &cfg.Routes[i]
 		host := normalHost(r.Host)
@@ -21,6 +22,9 @@
 			t.hosts[host] = make(map[string]*Route)
 		}
 		t.hosts[host][r.Prefix] = r
+		for _, shard := range r.Gather {
+			t.shards[shard] = true
+		}
 	}
 	for _, s := range cfg.Services {
 		t.services[s.Name] = s
@@ -37,6 +41,9 @@
 // Routes returns the number of routes.
 func (t *Table) Routes() int { return len(t.config.Routes) }
 
+// Shard reports whether some route gathers parts from a service.
+func (t *Table) Shard(name string) bool { return t.shards[name] }
+
 // Service returns the service with the given name.
 func (t *Table) Service(name string) (Service, bool) {
 	s, ok := t.services[name]
--- /dev/null
+++ b/route/table_test.go
@@ -0,0 +1,73 @@
+package route_test
+
+import (
+	"testing"
+
+	"lentillink.example/lentillink/route"
+)
+
+func table() *route.Table {
+	return route.NewTable(route.Config{Version: 3, Routes: []route.Route{
+		{Name: "root", Host: "a.example", Prefix: "/", Service: "s"},
+		{Name: "plots", Host: "a.example", Prefix: "/plots/", Service: "s"},
+		{Name: "deep", Host: "a.example", Prefix: "/plots/old/", Service: "s"},
+		{Name: "other", Host: "b.example", Prefix: "/plots/", Service: "s"},
+	}})
+}
+
+// TestMatch guards against a request that reaches a service to which no route sends it.
+func TestMatch(t *testing.T) {
+	tests := []struct {
+		name, host, path, want string
+	}{
+		{"longest prefix", "a.example", "/plots/old/7", "deep"},
+		{"prefix itself", "a.example", "/plots/", "plots"},
+		{"without the final slash", "a.example", "/plots", "root"},
+		{"similar segment", "a.example", "/plotsold/7", "root"},
+		{"query string is no path", "a.example", "/plots?x=/plots/old/", "root"},
+		{"port and case of the host", "A.Example:8080", "/plots/1", "plots"},
+		{"other host", "b.example", "/plots/1", "other"},
+		{"no route of the host", "b.example", "/", ""},
+		{"unknown host", "c.example", "/plots/1", ""},
+		{"no path", "a.example", "*", ""},
+		{"encoded slash is no separator", "b.example", "/plots%2F1", ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			got := ""
+			if r, ok := table().Match(tt.host, tt.path); ok {
+				got = r.Name
+			}
+			if got != tt.want {
+				t.Errorf("got %q, want %q", got, tt.want)
+			}
+		})
+	}
+}
+
+// TestSplit guards against shares that stray from their weights, also over few requests.
+func TestSplit(t *testing.T) {
+	r := route.Route{Name: "r", Split: []route.Share{{Service: "a", Weight: 3}, {Service: "b", Weight: 1}, {Service: "c", Weight: 0}}}
+	s := route.NewSplitter()
+	got := map[string]int{}
+	for n := 1; n <= 400; n++ {
+		got[s.Next(&r)]++
+		if want := 0.75 * float64(n); float64(got["a"]) < want-1 || float64(got["a"]) > want+1 {
+			t.Fatalf("after %d requests: got %d for a, want %.1f within 1", n, got["a"], want)
+		}
+	}
+	if got["c"] != 0 {
+		t.Errorf("weight 0: got %d requests, want 0", got["c"])
+	}
+}
+
+// TestSplitKeep guards against shares that start anew with each version of the configuration.
+func TestSplitKeep(t *testing.T) {
+	r := route.Route{Name: "r", Split: []route.Share{{Service: "a", Weight: 1}, {Service: "b", Weight: 1}}}
+	s := route.NewSplitter()
+	first := s.Next(&r)
+	s.Keep(route.NewTable(route.Config{Routes: []route.Route{r}}))
+	if got := s.Next(&r); got == first {
+		t.Errorf("got %q twice in a row, want the other service", got)
+	}
+}
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -16,6 +16,7 @@
 	DataCentre   string       `json:"data_centre"`
 	Callers      string       `json:"callers"` // address for requests of callers
 	Ready        string       `json:"ready"`   // address for the balancer's question
+	Peers        string       `json:"peers"`   // address for other VMs
 	Metrics      string       `json:"metrics"` // address for metrics and status, may be empty
 	Store        string       `json:"store"`   // address of the platform's store
 	GraceSeconds int64        `json:"grace_s"` // time between the order to stop and the kill
@@ -84,6 +85,7 @@
 	c.name("data_centre", g.DataCentre)
 	c.address("callers", g.Callers, "")
 	c.address("ready", g.Ready, "")
+	c.address("peers", g.Peers, "")
 	if g.Metrics != "" {
 		c.address("metrics", g.Metrics, "")
 	}
--- /dev/null
+++ b/store/lease.go
@@ -0,0 +1,20 @@
+package store
+
+import (
+	"context"
+
+	"lentillink.example/lentillink/clock"
+)
+
+// Leases writes keys that are removed when their lease ends. Its errors are of
+// type *Error; KindConflict means that the lease has ended.
+type Leases interface {
+	// Grant creates a lease.
+	Grant(ctx context.Context, ttl clock.Millis) (LeaseID, error)
+	// KeepAlive extends a lease.
+	KeepAlive(ctx context.Context, id LeaseID) error
+	// Revoke ends a lease and removes its keys.
+	Revoke(ctx context.Context, id LeaseID) error
+	// Put writes a key under a lease, whatever it held before.
+	Put(ctx context.Context, key string, value []byte, id LeaseID) error
+}
--- a/vm/peer.go
+++ b/vm/peer.go
@@ -7,7 +7,7 @@
 )
 
 // PeerBody is the content of a message between VMs.
-type PeerBody interface{ peerBody() }
+type PeerBody interface{ PeerBody() }
 
 // Forward asks the receiver, a carrier of the upstream, to run an attempt.
 type Forward struct{ Request attempt.Request }
@@ -30,12 +30,12 @@
 // Claimed answers a Claim.
 type Claimed struct{ Msg order.ClaimedMsg }
 
-func (Forward) peerBody()       {}
-func (Result) peerBody()        {}
-func (CancelForward) peerBody() {}
-func (Fleet) peerBody()         {}
-func (Claim) peerBody()         {}
-func (Claimed) peerBody()       {}
+func (Forward) PeerBody()       {}
+func (Result) PeerBody()        {}
+func (CancelForward) PeerBody() {}
+func (Fleet) PeerBody()         {}
+func (Claim) PeerBody()         {}
+func (Claimed) PeerBody()       {}
 
 // PeerMsg is a message from another VM.
 type PeerMsg struct {
@@ -85,5 +85,5 @@
 	Payload []byte
 }
 
-func (Ask) peerBody()  {}
-func (Told) peerBody() {}
+func (Ask) PeerBody()  {}
+func (Told) PeerBody() {}
