--- a/relay/choose.go
+++ b/relay/choose.go
@@ -4,9 +4,9 @@
 
 const (
 	// crossMs is how much sooner an upstream in another data centre must be
-	// expected to answer to be chosen. Its bytes are paid for by the kilobyte.
-	// crossFactor gives the same for long work, as a share of the typical latency.
-	crossMs     = 8.0
+	// expected to answer to be chosen, and crossFactor the same for long work, as a
+	// share of the typical latency. The users pay for bytes between data centres.
+	crossMs     = 20.0
 	crossFactor = 0.4
 
 	// openFactor is the share of a typical latency by which an attempt that is
