Choose the strongest VMs as carriers, and bound the upstreams of one request

Change: carriers are the VMs with the most processor time, up to 64 shards each; a request may go to as many upstreams of a shard as may run it, the same ones at the carrier and at the VM that takes the request back.

--- a/cmd/lentillinkd/gateway.go
+++ b/cmd/lentillinkd/gateway.go
@@ -20,6 +20,7 @@
 
 const (
 	bytesPerMB = 1 << 20
+	milli      = 1000
 
 	// memoryShare is the part of a VM's memory that the heap may take before the
 	// collector works harder; the rest is for stacks, buffers of sockets and the program.
@@ -46,7 +47,9 @@
 	defer st.Close()
 	g := gateway.New(
 		gateway.WithFeed(st, platform.Translator{}), gateway.WithHeaders(platform.Headers()),
-		gateway.WithLeases(st), gateway.WithSelf(relay.VM{ID: s.VM, Address: s.Peers, DataCentre: s.DataCentre}),
+		gateway.WithLeases(st), gateway.WithSelf(relay.VM{
+			ID: s.VM, Address: s.Peers, DataCentre: s.DataCentre, CPUMilli: int(s.CPUShare * milli),
+		}),
 		gateway.WithAddresses(s.Callers, s.Ready), gateway.WithReadyPath(platform.ReadyPath),
 		gateway.WithLogger(logger), gateway.WithLimits(reloadable(s)), gateway.WithSeed(rand.Uint64()),
 		gateway.WithRelay(relay.WithVMs(s.ExpectedVMs)),
--- a/relay/arrive.go
+++ b/relay/arrive.go
@@ -103,7 +103,11 @@
 		names = h.Services
 	}
 	for _, name := range names {
-		r.parts = append(r.parts, &part{req: r, service: m.service(name)})
+		p := &part{req: r, service: m.service(name)}
+		if h != nil {
+			p.centre = m.cfg.dataCentre
+		}
+		r.parts = append(r.parts, p)
 	}
 	r.shards, r.unresolved = len(r.parts), len(r.parts)
 }
--- a/relay/carrier.go
+++ b/relay/carrier.go
@@ -9,17 +9,24 @@
 	"lentillink.example/lentillink/clock"
 )
 
+// shardsPerCarrier bounds the shards that one VM gathers for a request. More are
+// divided among several VMs of the data centre, because small VMs take long to
+// send that many at once.
+const shardsPerCarrier = 64
+
 // VM is an entry VM of the fleet.
 type VM struct {
 	ID         string `json:"id"`
 	Address    string `json:"address"` // for other VMs
 	DataCentre string `json:"data_centre"`
+	CPUMilli   int    `json:"cpu_milli"` // thousandths of a core
 }
 
 // peerVM is what this VM knows of another one.
 type peerVM struct {
 	info       VM
 	open       map[uint64]*group // that it works on for this VM
+	hash       uint64            // rendezvous hash in its data centre
 	failures   int               // in a row
 	avoidUntil clock.Millis
 	heardAt    clock.Millis
@@ -52,7 +59,7 @@
 		listed = listed || v.ID == m.cfg.self
 		c := m.peers[v.ID]
 		if c == nil || c.info != v {
-			c = &peerVM{info: v, open: make(map[uint64]*group)}
+			c = &peerVM{info: v, open: make(map[uint64]*group), hash: xxhash.Sum64String(v.DataCentre + "\x00" + v.ID)}
 		}
 		known[v.ID] = c
 		m.vmIDs = append(m.vmIDs, v.ID)
@@ -82,10 +89,10 @@
 	return keys
 }
 
-// distribute gives each part of a request to the carrier of a data centre that
+// distribute gives each part of a request to a carrier of a data centre that
 // holds an upstream of its service, and returns the parts that stay here. The
-// carrier of a data centre is its VM with the highest rendezvous hash that is
-// not avoided, so that all VMs agree on it without a message.
+// carriers of a data centre are its strongest VMs that are not avoided, ordered
+// by rendezvous hash, so that all VMs agree on them without a message.
 func (m *Model) distribute(now clock.Millis, r *request) []*part {
 	if !m.listed || len(m.peers) < 2 {
 		return r.parts
@@ -103,18 +110,65 @@
 	}
 	r.parts = nil
 	for _, dc := range sortedKeys(byCentre) {
-		parts := byCentre[dc]
-		c := m.bestIn(now, dc)
-		if c == nil || c.info.ID == m.cfg.self {
-			m.carries = m.carries || c != nil
-			kept = append(kept, parts...)
-			continue
+		kept = append(kept, m.distributeIn(now, r, dc, byCentre[dc])...)
+	}
+	return kept
+}
+
+// distributeIn gives parts to the carriers of one data centre and returns those
+// that stay here.
+func (m *Model) distributeIn(now clock.Millis, r *request, dc string, parts []*part) []*part {
+	carriers := m.bestIn(now, dc, (len(parts)+shardsPerCarrier-1)/shardsPerCarrier)
+	if len(carriers) == 0 {
+		return parts
+	}
+	shares := make([][]*part, len(carriers))
+	for _, p := range parts {
+		p.centre = dc
+		i := 0
+		if len(carriers) > 1 {
+			i = int(xxhash.Sum64String(p.service.name) % uint64(len(carriers)))
+		}
+		shares[i] = append(shares[i], p)
+	}
+	var kept []*part
+	for i, c := range carriers {
+		switch {
+		case c.info.ID == m.cfg.self:
+			m.carries = true
+			kept = append(kept, shares[i]...)
+		case len(shares[i]) > 0:
+			m.hand(now, r, c, shares[i])
 		}
-		m.hand(now, r, c, parts)
 	}
 	return kept
 }
 
+// candidates returns the upstreams to which one request may go for a shard, in
+// an order on which all VMs agree: at most as many as may run it. A VM that
+// takes a part back from a lost carrier must not add another one.
+func (m *Model) candidates(p *part) []*upstream {
+	list := make([]*upstream, 0, len(p.service.upstreams))
+	for _, u := range p.service.upstreams {
+		if u.usable() {
+			list = append(list, u)
+		}
+	}
+	if p.centre == "" || len(list) <= max(p.req.route.MaxAttempts, 1) {
+		return list
+	}
+	slices.SortFunc(list, func(a, b *upstream) int {
+		if near := a.info.DataCentre == p.centre; near != (b.info.DataCentre == p.centre) {
+			if near {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(xxhash.Sum64String(p.req.name+a.info.ID), xxhash.Sum64String(p.req.name+b.info.ID))
+	})
+	return list[:max(p.req.route.MaxAttempts, 1)]
+}
+
 // centreOf returns the data centre whose carrier gathers a shard: this one if
 // it holds an upstream of it, otherwise those that do in turns. All shards of a
 // request take the same turn, so that few messages cross data centres.
@@ -144,17 +198,20 @@
 	return s.centres
 }
 
-func (m *Model) bestIn(now clock.Millis, dc string) *peerVM {
-	var best *peerVM
-	var bestScore uint64
+// bestIn returns up to n VMs of a data centre: the strongest, then those with
+// the highest rendezvous hash.
+func (m *Model) bestIn(now clock.Millis, dc string, n int) []*peerVM {
+	var list []*peerVM
 	for _, id := range m.vmIDs {
-		c := m.peers[id]
-		if c.info.DataCentre != dc || now < c.avoidUntil {
-			continue
-		}
-		if score := xxhash.Sum64String(dc + "\x00" + id); best == nil || score > bestScore {
-			best, bestScore = c, score
+		if c := m.peers[id]; c.info.DataCentre == dc && now >= c.avoidUntil {
+			list = append(list, c)
 		}
 	}
-	return best
+	slices.SortFunc(list, func(a, b *peerVM) int {
+		if a.info.CPUMilli != b.info.CPUMilli {
+			return cmp.Compare(b.info.CPUMilli, a.info.CPUMilli)
+		}
+		return cmp.Compare(b.hash, a.hash)
+	})
+	return list[:min(n, len(list))]
 }
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -24,8 +24,8 @@
 	typical := m.stats(p.req.route).typical
 	bestScore := 0.0
 	var avoided *upstream
-	for _, u := range p.service.upstreams {
-		if !u.usable() || p.triedUpstream(u) {
+	for _, u := range m.candidates(p) {
+		if p.triedUpstream(u) {
 			continue
 		}
 		any = true
--- a/relay/request.go
+++ b/relay/request.go
@@ -39,7 +39,8 @@
 type part struct {
 	req      *request
 	service  *service
-	resolved bool // has a reply, or never will
+	centre   string // data centre whose carrier gathers it, if any
+	resolved bool   // has a reply, or never will
 	reply    *Reply
 	last     *Reply // the last reply that was no success
 	tried    []*upstream
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -23,7 +23,8 @@
 	Retry        RetryBudget  `json:"retry_budget"`
 	MemoryMB     int64        `json:"memory_mb"` // limit of the process
 	ExpectedVMs  int          `json:"expected_vms"`
-	DrainMs      clock.Millis `json:"drain_ms"` // within it a leaving upstream gets no new work
+	CPUShare     float64      `json:"cpu_share"` // cores that the VM may use
+	DrainMs      clock.Millis `json:"drain_ms"`  // within it a leaving upstream gets no new work
 }
 
 // RetryBudget bounds the attempts beyond the first one, over all VMs: Ratio of
@@ -41,6 +42,7 @@
 	minMemoryMB      = 32
 	maxMemoryMB      = 1 << 20
 	maxVMs           = 10_000
+	maxCPUShare      = 1024
 
 	defaultGraceSeconds = 6
 	defaultMemoryMB     = 284 // the users' smallest VMs of today
@@ -94,6 +96,9 @@
 	c.number("retry_budget.window_s", g.Retry.WindowSeconds, 1, maxWindowSeconds)
 	c.number("memory_mb", g.MemoryMB, minMemoryMB, maxMemoryMB)
 	c.number("expected_vms", int64(g.ExpectedVMs), 1, maxVMs)
+	if g.CPUShare < 0 || g.CPUShare > maxCPUShare {
+		c.refuse("cpu_share", "is %v, want a number of cores from 0 to %d", g.CPUShare, maxCPUShare)
+	}
 	c.number("drain_ms", int64(g.DrainMs), 1, int64(MaxTimeoutMs))
 	if g.Retry.Ratio < 0 || g.Retry.Ratio > 1 {
 		c.refuse("retry_budget.ratio", "is %v, want a number from 0 to 1", g.Retry.Ratio)
