Avoid slow upstreams for as long as a pause lasts, and make fewer store calls

Slowness: after one slow reply an upstream is avoided for 250 ms, which outlasts a pause, and twice as long each time it is slow again; one that was slow twice in a row is tried again only by requests with time for a hedge.

--- a/catalog/message.go
+++ b/catalog/message.go
@@ -32,8 +32,9 @@
 // Cmd is an output of a Model.
 type Cmd interface{ catalogCmd() }
 
-// ListCmd reads everything.
-type ListCmd struct{}
+// ListCmd reads everything. A stale read may be seconds old and costs a tenth;
+// the watch that follows starts from its revision, so nothing is missed.
+type ListCmd struct{ Stale bool }
 
 // FollowCmd waits for changes.
 type FollowCmd struct {
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -183,7 +183,7 @@
 	for _, cmd := range g.catalogs[prefix].Update(g.clock.Now(), msg) {
 		switch c := cmd.(type) {
 		case catalog.ListCmd:
-			go func() { g.list(io, prefix) }()
+			go func() { g.list(io, prefix, c.Stale) }()
 		case catalog.FollowCmd:
 			go func() { g.follow(io, prefix, c) }()
 		case catalog.PutCmd:
@@ -233,8 +233,8 @@
 	}
 }
 
-func (g *Gateway) list(ctx context.Context, prefix int) {
-	batch, err := g.feed.List(ctx, g.translator.Prefixes()[prefix])
+func (g *Gateway) list(ctx context.Context, prefix int, stale bool) {
+	batch, err := g.feed.List(ctx, g.translator.Prefixes()[prefix], stale)
 	if err != nil {
 		g.post(item{catalog: failedMsg(err), prefix: prefix})
 		return
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -23,6 +23,7 @@
 func (m *Model) choose(now clock.Millis, p *part, hedge bool) (best *upstream, any bool) {
 	typical := m.stats(p.req.route).typical
 	bestScore := 0.0
+	mayProbe := !hedge && p.req.route.Idempotent && !p.req.probing && float64(p.req.answerAt-now) >= probeSlack*typical
 	var avoided *upstream
 	for _, u := range m.candidates(p) {
 		if p.triedUpstream(u) {
@@ -38,6 +39,10 @@
 			}
 			continue
 		}
+		if mayProbe && u.probeDue(now) && m.near(u) {
+			p.req.probing = true
+			return u, true
+		}
 		if s := m.score(now, u, typical); best == nil || s < bestScore {
 			best, bestScore = u, s
 		}
@@ -49,6 +54,9 @@
 	return best, any
 }
 
+// near reports whether an upstream is in this VM's data centre.
+func (m *Model) near(u *upstream) bool { return u.info.DataCentre == m.cfg.dataCentre }
+
 // score is the expected latency of the next attempt at u, in milliseconds.
 func (m *Model) score(now clock.Millis, u *upstream, typical float64) float64 {
 	busy := sharedFactor * float64(len(u.open))
@@ -61,7 +69,7 @@
 	if u.overdue(now) > 0 {
 		score += typical
 	}
-	if u.info.DataCentre != m.cfg.dataCentre {
+	if !m.near(u) {
 		score += max(crossMs, crossFactor*typical)
 	}
 	// Spreads equal choices, so that VMs do not all prefer the same upstream.
--- a/relay/model.go
+++ b/relay/model.go
@@ -150,7 +150,7 @@
 		}
 	}
 	if u == nil {
-		u = &upstream{service: m.service(info.Service), window: maxWindow}
+		u = &upstream{service: m.service(info.Service), window: maxWindow, speed: 1}
 		m.upstreams[info.ID] = u
 		u.service.upstreams = append(u.service.upstreams, u)
 	}
--- a/relay/request.go
+++ b/relay/request.go
@@ -27,6 +27,7 @@
 	path       string
 	shards     int          // parts that the whole answer has
 	groups     []*group     // parts that carriers gather
+	probing    bool         // has tried an upstream that was slow
 	carried    bool         // gathered here for another VM
 	reported   bool         // what was in when the answer became late was handed back
 	refusedMs  clock.Millis // longest time to come back that a carrier stated
--- a/relay/upstream.go
+++ b/relay/upstream.go
@@ -1,8 +1,6 @@
 package relay
 
 import (
-	"math"
-
 	"lentillink.example/lentillink/clock"
 )
 
@@ -20,12 +18,24 @@
 }
 
 const (
-	// slowWeight is the weight of one sample in an upstream's slowness.
-	slowWeight = 0.25
+	// speedWeight is the weight of one sample in an upstream's speed.
+	speedWeight = 0.1
+
+	// slowFrom is the multiple of the typical latency from which a reply counts
+	// as slow. One in fifty replies is slower by the spread of work alone.
+	slowFrom = 2.2
+
+	// An upstream that was slow is avoided for firstHoldMs, which outlasts a pause
+	// of the users' upstreams, and twice as long each time it is slow again.
+	firstHoldMs clock.Millis = 250
+	maxHoldMs   clock.Millis = 4000
 
-	// slowHalfLifeMs is how fast a slowness that is not measured again is
-	// forgotten, so that a recovered upstream is tried again within seconds.
-	slowHalfLifeMs clock.Millis = 2000
+	// confirmedHoldMs is the hold from which only requests with time for a hedge
+	// try an upstream again: it was slow twice in a row, so it is no pause.
+	confirmedHoldMs clock.Millis = 500
+
+	// probeSlack is how many typical latencies are time for a hedge.
+	probeSlack = 5
 
 	// maxSlow bounds one sample of slowness.
 	maxSlow = 20.0
@@ -45,9 +55,11 @@
 type upstream struct {
 	info       Upstream
 	service    *service
-	open       []*attempt // unanswered, oldest first
-	slow       float64    // recent latency as a multiple of the typical one
-	slowAt     clock.Millis
+	open       []*attempt   // unanswered, oldest first
+	speed      float64      // latency of replies that were not slow, as a multiple of the typical one
+	slow       float64      // the same of the last slow reply
+	hold       clock.Millis // how long it is avoided after that; 0 if the last reply was not slow
+	heldUntil  clock.Millis
 	window     float64 // attempts that it takes at once without shedding
 	failures   int     // in a row
 	avoidUntil clock.Millis
@@ -58,8 +70,11 @@
 // slowness returns the expected latency as a multiple of the typical one.
 func (u *upstream) slowness(now clock.Millis) float64 {
 	s := 1.0
-	if u.slow > 0 {
-		s = 1 + (u.slow-1)*math.Exp2(-float64(now-u.slowAt)/float64(slowHalfLifeMs))
+	if u.speed > 0 {
+		s = u.speed
+	}
+	if now < u.heldUntil || u.hold >= confirmedHoldMs {
+		s = max(s, u.slow)
 	}
 	if now < u.coldUntil {
 		s = max(s, coldFactor)
@@ -67,14 +82,28 @@
 	return max(s, 0.5)
 }
 
+// probeDue reports whether an upstream that was slow several times should be
+// tried again. Only requests with time for a hedge try it, one upstream each,
+// because with many shards nearly every request would meet a slow one otherwise.
+func (u *upstream) probeDue(now clock.Millis) bool {
+	return u.hold >= confirmedHoldMs && now >= u.heldUntil && len(u.open) == 0
+}
+
 // measured records the latency of a reply as a multiple of the typical one.
 func (u *upstream) measured(now clock.Millis, ratio float64) {
-	current := u.slowness(now)
-	u.slow = current + slowWeight*(min(ratio, maxSlow)-current)
-	u.slowAt = now
 	u.failures = 0
 	u.avoidUntil = min(u.avoidUntil, now)
 	u.window = min(u.window+1/max(u.window, 1), maxWindow)
+	if ratio < slowFrom {
+		u.hold, u.heldUntil = 0, min(u.heldUntil, now)
+		u.speed += speedWeight * (ratio - u.speed)
+		return
+	}
+	u.slow = min(ratio, maxSlow)
+	if now >= u.heldUntil {
+		u.hold = min(max(2*u.hold, firstHoldMs), maxHoldMs)
+	}
+	u.heldUntil = now + u.hold
 }
 
 // failed notes an attempt without a reply.
--- a/roster/registrar.go
+++ b/roster/registrar.go
@@ -10,10 +10,10 @@
 const (
 	// LeaseMs is how long the entry of a VM that is lost stays in the list. VMs
 	// notice the loss of a peer by their connections, much sooner.
-	LeaseMs = 8 * clock.Second
+	LeaseMs = 15 * clock.Second
 
 	// keepMs leaves time for two renewals that fail.
-	keepMs clock.Millis = 2500
+	keepMs = 5 * clock.Second
 
 	// Backoff of calls that fail.
 	firstRetryMs clock.Millis = 300
--- a/store/feed.go
+++ b/store/feed.go
@@ -25,8 +25,8 @@
 // are of type *Error; KindConflict from Follow means that the history since
 // after is no longer available, so that a new List is needed.
 type Feed interface {
-	// List returns every item below prefix, from the store's current state.
-	List(ctx context.Context, prefix string) (Batch, error)
+	// List returns every item below prefix. A stale list is cheaper and may be seconds old.
+	List(ctx context.Context, prefix string, stale bool) (Batch, error)
 	// Follow waits up to wait for changes after a revision. The batch is empty if there was none.
 	Follow(ctx context.Context, prefix string, after uint64, wait clock.Millis) (Batch, error)
 }
