--- a/relay/carrier.go
+++ b/relay/carrier.go
@@ -29,6 +29,7 @@
 	hash       uint64            // rendezvous hash in its data centre
 	failures   int               // in a row
 	avoidUntil clock.Millis
+	lag        float64 // of its reports at the target, in milliseconds; 0 if not known
 	heardAt    clock.Millis
 }
 
@@ -69,6 +70,11 @@
 	m.peers = known
 	m.listed = listed
 	m.vms = max(len(vms), 1)
+	for _, id := range sortedKeys(m.upstreams) {
+		if u := m.upstreams[id]; u.usable() {
+			m.warm(now, u)
+		}
+	}
 	for _, id := range sortedKeys(old) {
 		if c := old[id]; known[id] != c {
 			for _, g := range c.sorted() {
@@ -80,6 +86,35 @@
 	}
 }
 
+// warm opens a connection to an upstream before it is needed. Only carriers do
+// so for shards: an upstream accepts fewer connections than there may be VMs.
+func (m *Model) warm(now clock.Millis, u *upstream) {
+	if u.service.carried {
+		if !m.listed || !m.isCarrier(now) {
+			return
+		}
+	} else if int(float64(u.service.maxConns)*(carrierConnections+otherConnections)) < m.vms {
+		return
+	}
+	m.emit(ConnectCmd{Upstream: u.info.ID, Address: u.info.Address})
+}
+
+// isCarrier reports whether this VM is among the carriers of its data centre.
+func (m *Model) isCarrier(now clock.Millis) bool {
+	near := 0
+	for _, s := range m.services {
+		if s.carried && slices.Contains(m.centres(s), m.cfg.dataCentre) {
+			near++
+		}
+	}
+	for _, c := range m.bestIn(now, m.cfg.dataCentre, (near+shardsPerCarrier-1)/shardsPerCarrier) {
+		if c.info.ID == m.cfg.self {
+			return true
+		}
+	}
+	return false
+}
+
 func sortedKeys[T any](table map[string]T) []string {
 	keys := make([]string, 0, len(table))
 	for k := range table {
--- a/relay/handover.go
+++ b/relay/handover.go
@@ -56,10 +56,15 @@
 	// silenceMs is how long a carrier may send nothing while an answer is late.
 	silenceMs clock.Millis = 25
 
-	// hopMs is kept from the time to the answer for the way back, and crossHopMs
-	// if it crosses data centres.
-	hopMs      clock.Millis = 1
-	crossHopMs clock.Millis = 2
+	// hopMs is kept from the time to the answer for the way back from a carrier
+	// whose reports have not been timed, and maxHopMs from that of any other.
+	hopMs    clock.Millis = 2
+	maxHopMs clock.Millis = 12
+
+	// Weights of one sample in the lag of a carrier's reports. A report that comes
+	// after the target makes the whole answer late, so lag is learned fast.
+	lagRise = 0.3
+	lagFall = 0.03
 
 	// Time for which a carrier is avoided after it failed. It doubles.
 	firstCarrierAvoidMs clock.Millis = 500
@@ -76,7 +81,25 @@
 	taken    bool
 	ended    bool
 	reported bool
-	answer   Answer // the last one
+	hop      clock.Millis // kept from the time to the answer
+	answer   Answer       // the last one
+}
+
+// hop returns how much sooner than the answer a carrier should report.
+func (c *peerVM) hop() clock.Millis {
+	if c.lag == 0 {
+		return hopMs
+	}
+	return min(clock.Millis(c.lag)+1, maxHopMs)
+}
+
+// timed records how long after its time a report arrived.
+func (c *peerVM) timed(lag clock.Millis) {
+	sample, weight := float64(max(lag, 1)), lagFall
+	if sample > c.lag {
+		weight = lagRise
+	}
+	c.lag += weight * (sample - c.lag)
 }
 
 // hand gives parts of a request to a carrier.
@@ -86,17 +109,14 @@
 	r.groups = append(r.groups, g)
 	m.groups[g.id] = g
 	c.open[g.id] = g
-	hop := hopMs
-	if c.info.DataCentre != m.cfg.dataCentre {
-		hop = crossHopMs
-	}
+	g.hop = c.hop()
 	names := make([]string, len(parts))
 	for i, p := range parts {
 		names[i] = p.service.name
 	}
 	m.emit(HandCmd{Request: r.id, To: c.info.ID, Address: c.info.Address, HandOver: HandOver{
 		ID: g.id, Version: r.version, Name: r.name, Host: r.host, Path: r.path, Services: names,
-		LeftMs: max(r.due-now-hop, 1), AnswerInMs: max(r.answerAt-now-hop, 0), Returning: r.returning,
+		LeftMs: max(r.due-now-g.hop, 1), AnswerInMs: max(r.answerAt-now-g.hop, 0), Returning: r.returning,
 	}})
 	m.wake(r, now+takenMs)
 }
@@ -107,6 +127,9 @@
 	if g == nil {
 		return
 	}
+	if msg.HandBack.More && !g.reported {
+		g.carrier.timed(now - (g.req.answerAt - g.hop))
+	}
 	g.taken, g.reported = true, true
 	g.carrier.heardAt = now
 	a, r := msg.HandBack.Answer, g.req
--- a/relay/model.go
+++ b/relay/model.go
@@ -161,7 +161,7 @@
 	u.service.centres = nil
 	u.coldUntil = now + info.ColdMs
 	if u.usable() {
-		m.emit(ConnectCmd{Upstream: info.ID, Address: info.Address})
+		m.warm(now, u)
 		m.pump(now, u.service)
 	}
 }
