Log in the background with bounded volume, and serve metrics

Lines wait in a buffer of 2,048 and are written at 200 a second after a burst; the rest is dropped and counted in a line of its own. Counters and histograms are served on the metrics address of the settings.

--- a/cmd/lentillinkd/gateway.go
+++ b/cmd/lentillinkd/gateway.go
@@ -29,12 +29,18 @@
 
 // runGateway runs a VM that forwards requests. It returns the exit code.
 func runGateway(path string) int {
-	logger := log.NewLogfmtLogger(log.NewSyncWriter(os.Stdout))
 	s, err := settings.LoadGateway(path)
 	if err != nil {
-		_ = logger.Log("event", "settings_refused", "file", path, "err", err)
+		_ = log.NewLogfmtLogger(os.Stdout).Log("event", "settings_refused", "file", path, "err", err)
 		return exitUsage
 	}
+	out := gateway.NewLogWriter(os.Stdout)
+	logger := log.NewLogfmtLogger(out)
+	logEnd := make(chan error, 1)
+	logCtx, stopLog := context.WithCancel(context.Background())
+	go func() { logEnd <- out.Run(logCtx) }()
+	// Nothing can be logged about a failure of the log itself.
+	defer func() { stopLog(); <-logEnd }()
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMB) * bytesPerMB))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
@@ -50,7 +56,7 @@
 		gateway.WithLeases(st), gateway.WithSelf(relay.VM{
 			ID: s.VM, Address: s.Peers, DataCentre: s.DataCentre, CPUMilli: int(s.CPUShare * milli),
 		}),
-		gateway.WithAddresses(s.Callers, s.Ready), gateway.WithReadyPath(platform.ReadyPath),
+		gateway.WithAddresses(s.Callers, s.Ready), gateway.WithReadyPath(platform.ReadyPath), gateway.WithMetrics(s.Metrics),
 		gateway.WithLogger(logger), gateway.WithLimits(reloadable(s)), gateway.WithSeed(rand.Uint64()),
 		gateway.WithRelay(relay.WithVMs(s.ExpectedVMs)),
 	)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -32,6 +32,7 @@
 	headers      Headers
 	callersAddr  string
 	readyAddr    string
+	metricsAddr  string
 	readyPath    string
 	logger       log.Logger
 	clock        clock.Clock
@@ -43,6 +44,7 @@
 	catalogs []*catalog.Model
 	register *roster.Registrar
 	mesh     *peer.Mesh
+	metrics  *metrics
 	client   *exchange.Client
 	inbox    chan item
 	stopped  chan struct{} // closed when the event loop has ended
@@ -89,6 +91,7 @@
 	}
 	g.graceMs.Store(int64(g.limits.Grace))
 	g.core = relay.New(append([]relay.Option{relay.WithSeed(g.seed), relay.WithSelf(g.self.ID, g.self.DataCentre), relay.WithBudget(g.limits.Budget)}, g.relayOptions...)...)
+	g.metrics = newMetrics()
 	g.register = roster.NewRegistrar(g.seed)
 	g.mesh = peer.New(g.self.ID, g.seed, meshHandler{g})
 	for i := range g.translator.Prefixes() {
@@ -105,40 +108,38 @@
 // Run serves until ctx ends, then stops as planned: it is not ready, answers
 // what it has read, and closes each connection after its answer.
 func (g *Gateway) Run(ctx context.Context) error {
-	callers, err := socket.ListenConfig().Listen(ctx, "tcp", g.callersAddr)
+	lis, err := g.listen(ctx)
 	if err != nil {
-		return &Error{op: "callers", kind: KindListen, err: err}
-	}
-	ready, err := socket.ListenConfig().Listen(ctx, "tcp", g.readyAddr)
-	if err != nil {
-		return errors.Join(&Error{op: "ready", kind: KindListen, err: err}, callers.Close())
-	}
-	peers, err := socket.ListenConfig().Listen(ctx, "tcp", g.self.Address)
-	if err != nil {
-		return errors.Join(&Error{op: "peers", kind: KindListen, err: err}, callers.Close(), ready.Close())
+		return err
 	}
 	// Input and output outlive ctx, because a planned stop finishes what is in flight.
 	io, stopIO := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopIO()
-	front, balancer := g.newFront(), g.newBalancer()
-	go func() { g.ends <- serve(front, callers) }()
-	go func() { g.ends <- serve(balancer, ready) }()
+	front := g.newFront()
+	servers := []*http.Server{front, g.newBalancer(), g.newAdmin()}
+	running := 2
+	for i, s := range servers {
+		if lis.http[i] != nil {
+			running++
+			go func() { g.ends <- serve(s, lis.http[i]) }()
+		}
+	}
 	go func() { g.ends <- g.client.Run(io) }()
-	go func() { g.ends <- g.mesh.Run(io, peers) }()
+	go func() { g.ends <- g.mesh.Run(io, lis.peers) }()
 	loopEnd := make(chan error, 1)
 	go func() { loopEnd <- g.loop(io) }()
 	_ = g.logger.Log("event", "started", "callers", g.callersAddr, "ready", g.readyAddr)
 
 	var first error
-	running := 4
 	select {
 	case <-ctx.Done():
 		g.stop(front)
 	case first = <-g.ends:
 		running--
 	}
-	_ = front.Close()
-	_ = balancer.Close()
+	for _, s := range servers {
+		first = errors.Join(first, s.Close())
+	}
 	stopIO()
 	first = errors.Join(first, <-loopEnd)
 	for range running {
@@ -148,6 +149,41 @@
 	return first
 }
 
+// listeners are the addresses that are open. The one for metrics may be nil.
+type listeners struct {
+	http  [3]net.Listener // callers, balancer, metrics
+	peers net.Listener
+}
+
+func (g *Gateway) listen(ctx context.Context) (*listeners, error) {
+	l := &listeners{}
+	open := func(op, address string, dst *net.Listener) error {
+		lis, err := socket.ListenConfig().Listen(ctx, "tcp", address)
+		if err != nil {
+			return &Error{op: op, kind: KindListen, err: err}
+		}
+		*dst = lis
+		return nil
+	}
+	err := errors.Join(
+		open("callers", g.callersAddr, &l.http[0]),
+		open("ready", g.readyAddr, &l.http[1]),
+		open("peers", g.self.Address, &l.peers),
+	)
+	if g.metricsAddr != "" {
+		err = errors.Join(err, open("metrics", g.metricsAddr, &l.http[2]))
+	}
+	if err == nil {
+		return l, nil
+	}
+	for _, lis := range append(l.http[:], l.peers) {
+		if lis != nil {
+			err = errors.Join(err, lis.Close())
+		}
+	}
+	return nil, err
+}
+
 func serve(s *http.Server, lis net.Listener) error {
 	if err := s.Serve(lis); !errors.Is(err, http.ErrServerClosed) {
 		return &Error{op: "accept", kind: KindServe, err: err}
--- /dev/null
+++ b/gateway/logwriter.go
@@ -0,0 +1,96 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// logLines is how many lines may wait for the output. More are dropped and
+	// counted, so that a slow output never holds up a request.
+	logLines = 2048
+
+	// linesPerSecond bounds the lines that are written, after a burst of logLines.
+	linesPerSecond = 200
+
+	// logReportEvery is how often dropped lines are reported.
+	logReportEvery = time.Second
+)
+
+// LogWriter writes log lines in the background. Its Write never blocks.
+type LogWriter struct {
+	out     io.Writer
+	lines   chan []byte
+	dropped atomic.Int64
+}
+
+// NewLogWriter returns a LogWriter. Lines are written once Run is called.
+func NewLogWriter(out io.Writer) *LogWriter {
+	return &LogWriter{out: out, lines: make(chan []byte, logLines)}
+}
+
+// Write queues one line, or drops and counts it.
+func (l *LogWriter) Write(p []byte) (int, error) {
+	select {
+	case l.lines <- append([]byte(nil), p...):
+	default:
+		l.dropped.Add(1)
+	}
+	return len(p), nil
+}
+
+// Dropped returns how many lines were dropped and not yet reported.
+func (l *LogWriter) Dropped() int64 { return l.dropped.Load() }
+
+// Run writes lines until ctx ends, then writes what waits.
+func (l *LogWriter) Run(ctx context.Context) error {
+	ticker := time.NewTicker(logReportEvery)
+	defer ticker.Stop()
+	allowed := logLines
+	for {
+		var lines chan []byte
+		if allowed > 0 {
+			lines = l.lines
+		}
+		select {
+		case line := <-lines:
+			allowed--
+			if _, err := l.out.Write(line); err != nil {
+				return err
+			}
+		case <-ticker.C:
+			allowed = min(allowed+linesPerSecond, logLines)
+			if err := l.report(); err != nil {
+				return err
+			}
+		case <-ctx.Done():
+			return l.flush()
+		}
+	}
+}
+
+// report writes how many lines were dropped since the last report.
+func (l *LogWriter) report() error {
+	n := l.dropped.Swap(0)
+	if n == 0 {
+		return nil
+	}
+	_, err := fmt.Fprintf(l.out, "event=log_lines_dropped count=%d\n", n)
+	return err
+}
+
+func (l *LogWriter) flush() error {
+	for {
+		select {
+		case line := <-l.lines:
+			if _, err := l.out.Write(line); err != nil {
+				return err
+			}
+		default:
+			return l.report()
+		}
+	}
+}
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -128,6 +128,7 @@
 func (g *Gateway) perform(cmd relay.Cmd) {
 	switch c := cmd.(type) {
 	case relay.SendCmd:
+		g.metrics.sent.Inc()
 		w := g.waiters[c.Request]
 		if w == nil {
 			g.post(item{relay: relay.FailMsg{Attempt: c.Attempt, NotSent: true, Cause: "no_request"}})
@@ -150,6 +151,7 @@
 			g.tell(w.handed.from, "", relay.Taken{ID: w.handed.id})
 		}
 	case relay.HandCmd:
+		g.metrics.handed.Inc()
 		w := g.waiters[c.Request]
 		c.HandOver.Head, c.HandOver.Body = w.request.Head(), w.request.Body()
 		g.tell(c.To, c.Address, c.HandOver)
@@ -175,6 +177,7 @@
 		g.tell(w.handed.from, "", relay.HandBack{ID: w.handed.id, Answer: c.Answer})
 		return
 	}
+	g.metrics.answered(c.Answer)
 	w.answer <- c.Answer
 }
 
@@ -260,6 +263,7 @@
 }
 
 func (g *Gateway) logEvent(ev relay.Event) {
+	g.metrics.events.WithLabelValues(ev.Kind).Inc()
 	_ = g.logger.Log("event", ev.Kind, "request", ev.Request, "route", ev.Route, "upstream", ev.Upstream,
 		"version", ev.Version, "age_ms", int64(ev.AgeMs), "detail", ev.Detail)
 }
--- /dev/null
+++ b/gateway/metrics.go
@@ -0,0 +1,90 @@
+package gateway
+
+import (
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"lentillink.example/lentillink/relay"
+)
+
+// latencyBuckets are in seconds, around the users' targets of 50 ms to 1.2 s.
+var latencyBuckets = []float64{0.005, 0.01, 0.02, 0.03, 0.04, 0.05, 0.075, 0.1, 0.15, 0.25, 0.5, 1, 2, 4}
+
+// metrics holds the collectors. Every label has a small closed set of values.
+type metrics struct {
+	registry *prometheus.Registry
+	requests *prometheus.CounterVec
+	late     prometheus.Counter
+	missing  prometheus.Counter
+	seconds  *prometheus.HistogramVec
+	events   *prometheus.CounterVec
+	sent     prometheus.Counter
+	handed   prometheus.Counter
+	version  prometheus.Gauge
+	ready    prometheus.Gauge
+}
+
+func newMetrics() *metrics {
+	m := &metrics{
+		registry: prometheus.NewRegistry(),
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: "lentillink", Subsystem: "gateway", Name: "requests_total", Help: "Requests answered, by outcome.",
+		}, []string{"outcome"}),
+		seconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: "lentillink", Subsystem: "gateway", Name: "request_duration_seconds",
+			Help: "Time from the end of the request to its answer, by outcome.", Buckets: latencyBuckets,
+		}, []string{"outcome"}),
+		events: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: "lentillink", Subsystem: "gateway", Name: "events_total", Help: "Decisions, by kind.",
+		}, []string{"kind"}),
+	}
+	counter := func(name, help string) prometheus.Counter {
+		c := prometheus.NewCounter(prometheus.CounterOpts{Namespace: "lentillink", Subsystem: "gateway", Name: name, Help: help})
+		m.registry.MustRegister(c)
+		return c
+	}
+	gauge := func(name, help string) prometheus.Gauge {
+		g := prometheus.NewGauge(prometheus.GaugeOpts{Namespace: "lentillink", Subsystem: "gateway", Name: name, Help: help})
+		m.registry.MustRegister(g)
+		return g
+	}
+	m.registry.MustRegister(m.requests, m.seconds, m.events)
+	m.late = counter("late_answers_total", "Answers after the target of their route.")
+	m.missing = counter("missing_parts_total", "Shards that were left out of gathered answers.")
+	m.sent = counter("attempts_total", "Attempts sent to upstreams.")
+	m.handed = counter("handovers_total", "Groups of shards handed over to carriers.")
+	m.version = gauge("config_version", "Version of the configuration in force.")
+	m.ready = gauge("ready", "1 if the VM is ready for the balancer.")
+	return m
+}
+
+func (m *metrics) answered(a relay.Answer) {
+	outcome := a.Outcome.String()
+	m.requests.WithLabelValues(outcome).Inc()
+	m.seconds.WithLabelValues(outcome).Observe(a.TookMs.Duration().Seconds())
+	m.missing.Add(float64(a.Missing))
+	if a.Late {
+		m.late.Inc()
+	}
+}
+
+// newAdmin returns the server of metrics and status.
+func (g *Gateway) newAdmin() *http.Server {
+	mux := http.NewServeMux()
+	scrape := promhttp.HandlerFor(g.metrics.registry, promhttp.HandlerOpts{})
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, r *http.Request) {
+		version, ready := uint64(0), 0.0
+		if t := g.table.Load(); t != nil {
+			version = t.Version()
+		}
+		if g.ready.Load() {
+			ready = 1
+		}
+		g.metrics.version.Set(float64(version))
+		g.metrics.ready.Set(ready)
+		scrape.ServeHTTP(w, r)
+	})
+	return &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, ErrorLog: quietLog()}
+}
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -29,6 +29,9 @@
 	return func(g *Gateway) { g.callersAddr, g.readyAddr = callers, ready }
 }
 
+// WithMetrics sets the address that serves /metrics; none if it is empty.
+func WithMetrics(address string) Option { return func(g *Gateway) { g.metricsAddr = address } }
+
 // WithReadyPath sets the path of the balancer's question.
 func WithReadyPath(path string) Option { return func(g *Gateway) { g.readyPath = path } }
 
