--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -36,7 +36,8 @@
 	readyPath    string
 	logger       log.Logger
 	clock        clock.Clock
-	limits       Limits // at the start
+	limits       Limits     // at the start
+	listeners    *listeners // nil to listen on the addresses
 	seed         uint64
 	relayOptions []relay.Option
 
@@ -156,6 +157,9 @@
 }
 
 func (g *Gateway) listen(ctx context.Context) (*listeners, error) {
+	if g.listeners != nil {
+		return g.listeners, nil
+	}
 	l := &listeners{}
 	open := func(op, address string, dst *net.Listener) error {
 		lis, err := socket.ListenConfig().Listen(ctx, "tcp", address)
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"net"
+
 	"github.com/go-kit/log"
 
 	"lentillink.example/lentillink/relay"
@@ -29,6 +31,13 @@
 	return func(g *Gateway) { g.callersAddr, g.readyAddr = callers, ready }
 }
 
+// WithListeners makes the VM use open listeners instead of its addresses.
+func WithListeners(callers, ready, peers net.Listener) Option {
+	return func(g *Gateway) {
+		g.listeners = &listeners{http: [3]net.Listener{callers, ready, nil}, peers: peers}
+	}
+}
+
 // WithMetrics sets the address that serves /metrics; none if it is empty.
 func WithMetrics(address string) Option { return func(g *Gateway) { g.metricsAddr = address } }
 
