Admit a query once, where it arrives, by what carriers expect

Cause, from a replay of twice what the upstreams can do (relay.TestLoads): 841 of 2,607 ordinary queries failed after some carrier had refused its part while the others ran, and one was refused as not run although it had: the entry VM had not yet heard the other carrier's confirmation.

Change: carriers tell with each answer how long a request of the route would take; the entry VM refuses by that before anything is sent, with a margin for all but the most urgent work, and carriers refuse only what cannot be answered at all. A group that may have begun counts as run until the carrier says that it has not. Ordinary work keeps to the slots of an upstream, urgent work has one lane more; what is late already gives way to what is not. A pause does not count as a long wait.

--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -144,7 +144,7 @@
 		g.answer(c)
 	case relay.ReportCmd:
 		if w := g.waiters[c.ID]; w != nil && w.handed != nil {
-			g.tell(w.handed.from, "", relay.HandBack{ID: w.handed.id, Answer: c.Answer, More: true})
+			g.tell(w.handed.from, "", relay.HandBack{ID: w.handed.id, Answer: c.Answer, More: true, ExpectedMs: c.ExpectedMs})
 		}
 	case relay.TakenCmd:
 		if w := g.waiters[c.ID]; w != nil && w.handed != nil {
@@ -174,7 +174,7 @@
 	}
 	g.forgetCall(c.ID)
 	if w.handed != nil {
-		g.tell(w.handed.from, "", relay.HandBack{ID: w.handed.id, Answer: c.Answer})
+		g.tell(w.handed.from, "", relay.HandBack{ID: w.handed.id, Answer: c.Answer, ExpectedMs: c.ExpectedMs})
 		return
 	}
 	g.metrics.answered(c.Answer)
--- a/peer/handover.go
+++ b/peer/handover.go
@@ -29,7 +29,7 @@
 	a := h.Answer
 	return &peerpb.HandBack{
 		Id: h.ID, Outcome: uint32(a.Outcome), Body: a.Body, Receipts: a.Receipts, Missing: uint32(a.Missing),
-		Reason: a.Reason, RetryAfterMs: int64(a.RetryAfterMs), Version: a.Version, More: h.More,
+		Reason: a.Reason, RetryAfterMs: int64(a.RetryAfterMs), Version: a.Version, More: h.More, ExpectedMs: int64(h.ExpectedMs),
 	}
 }
 
@@ -38,7 +38,7 @@
 	if h.GetOutcome() > uint32(relay.NotReady) || outcome == relay.Relayed {
 		return relay.HandBack{}, wrap("decode", KindDecode, errors.New("outcome of a gathered answer is unknown"))
 	}
-	return relay.HandBack{ID: h.GetId(), More: h.GetMore(), Answer: relay.Answer{
+	return relay.HandBack{ID: h.GetId(), More: h.GetMore(), ExpectedMs: clock.Millis(h.GetExpectedMs()), Answer: relay.Answer{
 		Outcome: outcome, Body: h.GetBody(), Receipts: h.GetReceipts(), Missing: int(h.GetMissing()),
 		Reason: h.GetReason(), RetryAfterMs: clock.Millis(h.GetRetryAfterMs()), Version: h.GetVersion(),
 	}}, nil
--- a/relay/arrive.go
+++ b/relay/arrive.go
@@ -1,6 +1,9 @@
 package relay
 
 import (
+	"math"
+	"slices"
+
 	"lentillink.example/lentillink/clock"
 	"lentillink.example/lentillink/route"
 )
@@ -41,25 +44,27 @@
 	}
 	r := m.newRequest(now, rt, msg)
 	m.addParts(r, msg.Handed)
-	for _, p := range r.parts {
-		if !r.gathers() || msg.Handed != nil {
-			p.service.budget.need(now)
-		}
+	shares := []share{{parts: r.parts}}
+	if r.gathers() && msg.Handed == nil {
+		shares = m.distribute(now, r)
 	}
-	if wait, full := m.tooLate(now, r); full {
-		m.reject(msg, Answer{
+	if wait, full := m.tooLate(now, r, shares); full {
+		m.rejectExpecting(msg, Answer{
 			Outcome: Refused, Reason: "full", Route: rt.Name, Version: r.version, RetryAfterMs: m.comeBack(wait, r.due-now),
-		})
+		}, m.expectedFor(now, r))
 		return
 	}
 	m.requests[r.id] = r
-	if r.gathers() && msg.Handed == nil {
-		r.parts = m.distribute(now, r)
-		for _, p := range r.parts {
-			p.service.budget.need(now)
+	r.parts = nil
+	for _, s := range shares {
+		if s.carrier != nil {
+			m.hand(now, r, s.carrier, s.parts)
+			continue
 		}
+		r.parts = append(r.parts, s.parts...)
 	}
 	for _, p := range r.parts {
+		p.service.budget.need(now)
 		m.place(now, p)
 	}
 	m.advance(now, r)
@@ -125,12 +130,14 @@
 }
 
 // reject answers a request that never becomes part of the state.
-func (m *Model) reject(msg ArriveMsg, a Answer) {
+func (m *Model) reject(msg ArriveMsg, a Answer) { m.rejectExpecting(msg, a, 0) }
+
+func (m *Model) rejectExpecting(msg ArriveMsg, a Answer, expected clock.Millis) {
 	m.emit(EventCmd{Event: Event{
 		Kind: "request_" + a.Outcome.String(), Request: msg.Name, Route: a.Route, Version: a.Version,
 		Detail: a.Reason, AgeMs: a.RetryAfterMs,
 	}})
-	m.emit(AnswerCmd{ID: msg.ID, Answer: a})
+	m.emit(AnswerCmd{ID: msg.ID, Answer: a, ExpectedMs: expected})
 }
 
 // comeBack returns a time after which a refused caller should return, spread so
@@ -146,25 +153,58 @@
 	return wait
 }
 
+// admitShare is the part of the time to the target that a request may be
+// expected to take. Expectations are rough, and work that ends just after the
+// target has used the upstreams for nothing.
+const admitShare = 0.75
+
 // tooLate reports whether so many parts would have to wait beyond the time at
-// which the answer is worth having that the request is better refused at once.
-// A caller that was refused before is let in while it can be answered at all.
-// It also returns how long the wait is beyond that time.
-func (m *Model) tooLate(now clock.Millis, r *request) (clock.Millis, bool) {
-	limit := r.answerAt
-	if r.returning {
-		limit = r.due
+// which the answer is worth having that the request is better refused at once,
+// before anything has run. The most urgent requests, and callers that were
+// refused before, are let in while they can be answered in time at all. It also
+// returns how long the wait is beyond
+// that time.
+func (m *Model) tooLate(now clock.Millis, r *request, shares []share) (clock.Millis, bool) {
+	limit := now + clock.Millis(admitShare*float64(r.answerAt-now))
+	switch {
+	case r.carried:
+		limit = r.due // other carriers work on the rest already
+	case !r.gathers():
+		limit = r.due // one upstream: a late answer wastes no other part
+	case r.returning, r.route.Priority == 0:
+		limit = max(r.answerAt, now)
 	}
 	late, longest := 0, clock.Millis(0)
-	for _, p := range r.parts {
-		if end := now + m.expected(now, p); end > limit {
-			late++
-			longest = max(longest, end-limit)
+	for _, s := range shares {
+		for _, p := range s.parts {
+			wait := m.expected(now, p)
+			if s.carrier != nil {
+				wait = s.carrier.wait(now, r.route.Name)
+			}
+			if end := now + wait; end > limit {
+				late++
+				longest = max(longest, end-limit)
+			}
 		}
 	}
 	return longest, len(r.parts)-late < r.least()
 }
 
+// expectedFor returns how long the parts of a request would take from now if
+// another one like it came: the longest that the least share has to wait for.
+func (m *Model) expectedFor(now clock.Millis, r *request) clock.Millis {
+	waits := make([]clock.Millis, 0, len(r.parts))
+	for _, p := range r.parts {
+		waits = append(waits, m.expected(now, p))
+	}
+	if len(waits) == 0 {
+		return 0
+	}
+	slices.Sort(waits)
+	least := int(math.Ceil(r.route.MinShare * float64(len(waits))))
+	return waits[min(max(least-1, 0), len(waits)-1)]
+}
+
 // expected estimates how long a part takes from now, its wait included.
 func (m *Model) expected(now clock.Millis, p *part) clock.Millis {
 	typical := m.stats(p.req.route).typical
@@ -174,10 +214,10 @@
 		if !u.usable() {
 			continue
 		}
-		n := m.lanes(u)
+		n := m.lanes(u, p.req.route.Priority)
 		lanes += n
 		open += min(len(u.open), n)
-		fastest = min(fastest, u.slowness(now))
+		fastest = min(fastest, u.lasting())
 	}
 	if lanes == 0 {
 		return 0 // place decides; there is no queue to wait in
--- a/relay/carrier.go
+++ b/relay/carrier.go
@@ -31,6 +31,7 @@
 	avoidUntil clock.Millis
 	lag        float64 // of its reports at the target, in milliseconds; 0 if not known
 	heardAt    clock.Millis
+	expected   map[string]expectation // by route
 }
 
 func (c *peerVM) failed(now clock.Millis) {
@@ -60,7 +61,9 @@
 		listed = listed || v.ID == m.cfg.self
 		c := m.peers[v.ID]
 		if c == nil || c.info != v {
-			c = &peerVM{info: v, open: make(map[uint64]*group), hash: xxhash.Sum64String(v.DataCentre + "\x00" + v.ID)}
+			c = &peerVM{
+				info: v, open: make(map[uint64]*group), expected: make(map[string]expectation), hash: xxhash.Sum64String(v.DataCentre + "\x00" + v.ID),
+			}
 		}
 		known[v.ID] = c
 		m.vmIDs = append(m.vmIDs, v.ID)
@@ -124,59 +127,67 @@
 	return keys
 }
 
-// distribute gives each part of a request to a carrier of a data centre that
-// holds an upstream of its service, and returns the parts that stay here. The
-// carriers of a data centre are its strongest VMs that are not avoided, ordered
-// by rendezvous hash, so that all VMs agree on them without a message.
-func (m *Model) distribute(now clock.Millis, r *request) []*part {
+// share is the parts of a request that one VM gathers; carrier is nil for this VM.
+type share struct {
+	carrier *peerVM
+	parts   []*part
+}
+
+// distribute divides the parts of a request among the carriers of data centres
+// that hold an upstream of their service. The carriers of a data centre are its
+// strongest VMs that are not avoided, ordered by rendezvous hash, so that all
+// VMs agree on them without a message.
+func (m *Model) distribute(now clock.Millis, r *request) []share {
 	if !m.listed || len(m.peers) < 2 {
-		return r.parts
+		return []share{{parts: r.parts}}
 	}
 	m.carries = false
 	m.turn++
 	byCentre := make(map[string][]*part)
-	var kept []*part
+	var here share
 	for _, p := range r.parts {
 		if dc, ok := m.centreOf(p.service); ok {
 			byCentre[dc] = append(byCentre[dc], p)
 			continue
 		}
-		kept = append(kept, p)
+		here.parts = append(here.parts, p)
 	}
-	r.parts = nil
+	var shares []share
 	for _, dc := range sortedKeys(byCentre) {
-		kept = append(kept, m.distributeIn(now, r, dc, byCentre[dc])...)
+		for _, s := range m.divide(now, dc, byCentre[dc]) {
+			if s.carrier == nil {
+				here.parts = append(here.parts, s.parts...)
+			} else if len(s.parts) > 0 {
+				shares = append(shares, s)
+			}
+		}
 	}
-	return kept
+	return append(shares, here)
 }
 
-// distributeIn gives parts to the carriers of one data centre and returns those
-// that stay here.
-func (m *Model) distributeIn(now clock.Millis, r *request, dc string, parts []*part) []*part {
+// divide divides parts among the carriers of one data centre.
+func (m *Model) divide(now clock.Millis, dc string, parts []*part) []share {
 	carriers := m.bestIn(now, dc, (len(parts)+shardsPerCarrier-1)/shardsPerCarrier)
 	if len(carriers) == 0 {
-		return parts
+		return []share{{parts: parts}}
+	}
+	shares := make([]share, len(carriers))
+	for i, c := range carriers {
+		shares[i].carrier = c
+		if c.info.ID == m.cfg.self {
+			shares[i].carrier = nil
+			m.carries = true
+		}
 	}
-	shares := make([][]*part, len(carriers))
 	for _, p := range parts {
 		p.centre = dc
 		i := 0
 		if len(carriers) > 1 {
 			i = int(xxhash.Sum64String(p.service.name) % uint64(len(carriers)))
 		}
-		shares[i] = append(shares[i], p)
-	}
-	var kept []*part
-	for i, c := range carriers {
-		switch {
-		case c.info.ID == m.cfg.self:
-			m.carries = true
-			kept = append(kept, shares[i]...)
-		case len(shares[i]) > 0:
-			m.hand(now, r, c, shares[i])
-		}
+		shares[i].parts = append(shares[i].parts, p)
 	}
-	return kept
+	return shares
 }
 
 // candidates returns the upstreams to which one request may go for a shard, in
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -30,7 +30,7 @@
 			continue
 		}
 		any = true
-		if len(u.open) >= m.lanes(u) {
+		if len(u.open) >= m.lanes(u, p.req.route.Priority) {
 			continue
 		}
 		if now < u.avoidUntil {
--- a/relay/command.go
+++ b/relay/command.go
@@ -22,8 +22,9 @@
 
 // AnswerCmd answers a caller. Each request gets one, unless its caller has left.
 type AnswerCmd struct {
-	ID     uint64
-	Answer Answer
+	ID         uint64
+	Answer     Answer
+	ExpectedMs clock.Millis // for the VM that handed the request over
 }
 
 // HandCmd hands parts of a request over to a carrier.
@@ -37,8 +38,9 @@
 // ReportCmd hands back what a carrier has when the answer becomes late. An
 // AnswerCmd follows.
 type ReportCmd struct {
-	ID     uint64
-	Answer Answer
+	ID         uint64
+	Answer     Answer
+	ExpectedMs clock.Millis // for the VM that handed the request over
 }
 
 // TakenCmd confirms a request of another VM.
--- a/relay/finish.go
+++ b/relay/finish.go
@@ -26,7 +26,7 @@
 	case r.done+r.unresolved < r.least():
 		m.finish(now, r) // the parts that are missing decide
 	case r.carried && now >= r.answerAt && !r.reported:
-		m.report(r)
+		m.report(now, r)
 		m.advance(now, r)
 	case !r.carried && r.gathers() && now >= r.answerAt && r.done >= r.least():
 		m.finish(now, r) // waiting for more makes it late
@@ -44,11 +44,11 @@
 
 // report hands back what is in when the answer becomes late. The VM that handed
 // the request over knows whether that is enough, and that the carrier is alive.
-func (m *Model) report(r *request) {
+func (m *Model) report(now clock.Millis, r *request) {
 	r.reported = true
 	a := gathered(r)
 	a.Version = r.version
-	m.emit(ReportCmd{ID: r.id, Answer: a})
+	m.emit(ReportCmd{ID: r.id, Answer: a, ExpectedMs: m.expectedFor(now, r)})
 }
 
 // finish sends the final answer.
@@ -62,7 +62,11 @@
 func (m *Model) conclude(now clock.Millis, r *request, a Answer) {
 	r.answered, r.answeredAt = true, now
 	m.withdrawGroups(r)
-	m.emit(AnswerCmd{ID: r.id, Answer: a})
+	cmd := AnswerCmd{ID: r.id, Answer: a}
+	if r.carried {
+		cmd.ExpectedMs = m.expectedFor(now, r)
+	}
+	m.emit(cmd)
 	if a.Outcome > Gathered || a.Missing > 0 || a.Late {
 		m.event("answer_"+a.Outcome.String(), r, nil, a.Reason, a.TookMs)
 	}
--- a/relay/handover.go
+++ b/relay/handover.go
@@ -27,9 +27,10 @@
 // HandBack answers a HandOver. The answer names no missing shards: those that
 // have no receipt are missing. With More, a later HandBack replaces it.
 type HandBack struct {
-	ID     uint64
-	Answer Answer
-	More   bool
+	ID         uint64
+	Answer     Answer
+	More       bool
+	ExpectedMs clock.Millis // how long a request of this route would take there now
 }
 
 // Withdraw ends a HandOver whose answer nobody waits for.
@@ -80,6 +81,8 @@
 	sentAt   clock.Millis
 	taken    bool
 	ended    bool
+	began    bool // the carrier has gathered something
+	notBegun bool // the carrier states that it has not begun, or never got it
 	reported bool
 	hop      clock.Millis // kept from the time to the answer
 	answer   Answer       // the last one
@@ -102,6 +105,30 @@
 	c.lag += weight * (sample - c.lag)
 }
 
+// expect notes how long a request of a route would take at a carrier.
+func (c *peerVM) expect(now clock.Millis, route string, ms clock.Millis) {
+	c.expected[route] = expectation{ms: ms, at: now}
+}
+
+// expectation is how long a request of one route would take at a carrier.
+type expectation struct {
+	ms clock.Millis
+	at clock.Millis
+}
+
+// expectedMaxAgeMs is the age from which an expectation says nothing any more.
+const expectedMaxAgeMs clock.Millis = 300
+
+// wait returns how long a request of a route would take at a carrier from now.
+// The queue that it saw has become shorter since, at most by the time that passed.
+func (c *peerVM) wait(now clock.Millis, route string) clock.Millis {
+	e, ok := c.expected[route]
+	if age := now - e.at; ok && age < expectedMaxAgeMs {
+		return max(e.ms-age, 0)
+	}
+	return 0
+}
+
 // hand gives parts of a request to a carrier.
 func (m *Model) hand(now clock.Millis, r *request, c *peerVM, parts []*part) {
 	m.nextID++
@@ -132,10 +159,12 @@
 	}
 	g.taken, g.reported = true, true
 	g.carrier.heardAt = now
+	g.carrier.expect(now, g.req.route.Name, msg.HandBack.ExpectedMs)
 	a, r := msg.HandBack.Answer, g.req
 	switch a.Outcome {
 	case Gathered:
 		g.carrier.failures = 0
+		g.began = true
 		r.done += len(a.Receipts) - len(g.answer.Receipts)
 		r.unresolved -= len(a.Receipts) - len(g.answer.Receipts)
 		g.answer = a
@@ -148,9 +177,7 @@
 		r.unresolved -= len(g.parts) - len(g.answer.Receipts)
 		r.refusedMs = max(r.refusedMs, a.RetryAfterMs)
 		r.begun = r.begun || a.Outcome != Refused
-		if len(g.answer.Receipts) == 0 {
-			g.answer.Outcome = a.Outcome
-		}
+		g.notBegun = a.Outcome == Refused && !g.began
 		m.endGroup(g)
 		m.advance(now, r)
 	default:
@@ -229,6 +256,7 @@
 func (m *Model) takeBack(now clock.Millis, g *group, begun bool) {
 	r := g.req
 	m.endGroup(g)
+	g.notBegun = !begun
 	if r.answered || len(g.answer.Receipts) > 0 {
 		// What it has given stays; the shards that it did not name are missing.
 		r.unresolved -= len(g.parts) - len(g.answer.Receipts)
--- a/relay/request.go
+++ b/relay/request.go
@@ -85,8 +85,8 @@
 		return true
 	}
 	for _, g := range r.groups {
-		if g.taken && g.answer.Outcome != Refused {
-			return true
+		if !g.notBegun {
+			return true // also if the carrier has not confirmed: the message may be on its way
 		}
 	}
 	for _, p := range r.parts {
@@ -99,11 +99,13 @@
 
 // before reports whether p is served before q: by priority, then callers that
 // return, because they were refused once, then by who has less time left.
-func (p *part) before(q *part) bool {
+func (p *part) before(now clock.Millis, q *part) bool {
 	a, b := p.req, q.req
 	switch {
 	case a.route.Priority != b.route.Priority:
 		return a.route.Priority < b.route.Priority
+	case (now > a.answerAt) != (now > b.answerAt):
+		return now <= a.answerAt // what is late already gives way to what is not
 	case a.returning != b.returning:
 		return a.returning
 	case a.answerAt != b.answerAt:
--- a/relay/send.go
+++ b/relay/send.go
@@ -50,7 +50,7 @@
 // pump sends what waits for a service while lanes are free.
 func (m *Model) pump(now clock.Millis, s *service) {
 	for len(s.waiting) > 0 {
-		p := s.next()
+		p := s.next(now)
 		if p == nil {
 			return
 		}
--- a/relay/service.go
+++ b/relay/service.go
@@ -15,10 +15,11 @@
 	carrierConnections = 0.7
 	otherConnections   = 0.25
 
-	// queuedPerUpstream is how many attempts beyond its slots a carrier has open
-	// at an upstream: one is there when a slot becomes free. Other work waits
-	// here, where it is ordered by rank.
-	queuedPerUpstream = 1
+	// queued is how many attempts beyond its slots a carrier has open at an
+	// upstream, so that one is there when a slot becomes free, and urgentQueued the
+	// same for the most urgent work. The rest waits here, where it is ordered by rank.
+	queued       = 0
+	urgentQueued = 1
 
 	// slotShare bounds a VM's open attempts at an upstream that other VMs use
 	// too, as a multiple of its slots.
@@ -36,14 +37,19 @@
 	centres   []string // data centres that hold upstreams; nil if not known
 }
 
-// lanes returns how many attempts this VM may have open at u.
-func (m *Model) lanes(u *upstream) int {
+// lanes returns how many attempts this VM may have open at u when it sends work
+// of a priority.
+func (m *Model) lanes(u *upstream, priority int) int {
 	n, most := int(u.window), float64(u.service.maxConns)
 	slots := u.info.Slots
 	switch {
 	case u.service.carried && m.listed && m.carries:
 		if slots > 0 {
-			n = min(n, slots+queuedPerUpstream)
+			beyond := queued
+			if priority == 0 {
+				beyond = urgentQueued
+			}
+			n = min(n, slots+beyond)
 		}
 		if most > 0 {
 			n = min(n, int(most*carrierConnections)/max(len(m.centres(u.service)), 1))
@@ -98,7 +104,7 @@
 }
 
 // next removes and returns the part that is served first, nil if none waits.
-func (s *service) next() *part {
+func (s *service) next(now clock.Millis) *part {
 	best := -1
 	kept := s.waiting[:0]
 	for _, p := range s.waiting {
@@ -107,7 +113,7 @@
 			continue
 		}
 		kept = append(kept, p)
-		if i := len(kept) - 1; best < 0 || kept[i].before(kept[best]) {
+		if i := len(kept) - 1; best < 0 || kept[i].before(now, kept[best]) {
 			best = i
 		}
 	}
@@ -129,15 +135,4 @@
 	}
 }
 
-// openLanes returns the lanes of all upstreams that can take work.
-func (m *Model) openLanes(now clock.Millis, s *service) int {
-	n := 0
-	for _, u := range s.upstreams {
-		if u.usable() && now >= u.avoidUntil {
-			n += m.lanes(u)
-		}
-	}
-	return n
-}
-
 func (u *upstream) usable() bool { return !u.removed && !u.info.Leaving }
--- a/relay/upstream.go
+++ b/relay/upstream.go
@@ -82,6 +82,14 @@
 	return max(s, 0.5)
 }
 
+// lasting returns the slowness that is no pause, as a multiple of the typical latency.
+func (u *upstream) lasting() float64 {
+	if u.hold >= confirmedHoldMs {
+		return max(u.slow, u.speed)
+	}
+	return max(u.speed, 0.5)
+}
+
 // probeDue reports whether an upstream that was slow several times should be
 // tried again. Only requests with time for a hedge try it, one upstream each,
 // because with many shards nearly every request would meet a slow one otherwise.
