--- /dev/null
+++ b/peer/handover_test.go
@@ -0,0 +1,44 @@
+package peer_test
+
+import (
+	"reflect"
+	"testing"
+
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/peer"
+	"lentillink.example/lentillink/peer/peerpb"
+	"lentillink.example/lentillink/relay"
+	"lentillink.example/lentillink/vm"
+)
+
+// TestHandOverCodec guards against a field of a handed request that is lost on the way.
+func TestHandOverCodec(t *testing.T) {
+	bodies := []vm.PeerBody{
+		relay.HandOver{
+			ID: 1, Version: 2, Name: "r", Host: "h", Path: "/p", Services: []string{"a", "b"}, Head: []byte("GET"), Body: []byte("x"),
+			LeftMs: 3, AnswerInMs: 4, Returning: true,
+		},
+		relay.Taken{ID: 5},
+		relay.HandBack{ID: 6, More: true, ExpectedMs: 9, Answer: relay.Answer{
+			Outcome: relay.Gathered, Body: []byte("records"), Receipts: []string{"x", "y"}, Missing: 1, Version: 2,
+		}},
+		relay.HandBack{ID: 6, Answer: relay.Answer{Outcome: relay.Refused, Reason: "full", RetryAfterMs: 7}},
+		relay.Withdraw{ID: 8},
+	}
+	for _, want := range bodies {
+		got, _, err := peer.Decode(0, peer.Encode(0, clock.Stamp{}, want))
+		if err != nil || !reflect.DeepEqual(got, want) {
+			t.Errorf("got %+v, %v, want %+v", got, err, want)
+		}
+	}
+}
+
+// TestHandBackOutcome guards against an outcome that would be passed on as an answer.
+func TestHandBackOutcome(t *testing.T) {
+	for _, outcome := range []uint32{uint32(relay.Relayed), 99} {
+		env := &peerpb.Envelope{Body: &peerpb.Envelope_HandBack{HandBack: &peerpb.HandBack{Id: 1, Outcome: outcome}}}
+		if _, _, err := peer.Decode(0, env); err == nil {
+			t.Errorf("outcome %d: got no error, want one", outcome)
+		}
+	}
+}
--- /dev/null
+++ b/relay/model_test.go
@@ -0,0 +1,193 @@
+package relay_test
+
+import (
+	"fmt"
+	"testing"
+
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/relay"
+	"lentillink.example/lentillink/route"
+)
+
+// single returns a model with one plain service of n upstreams.
+func single(t *testing.T, idempotent bool, n int) *relay.Model {
+	t.Helper()
+	m := relay.New(relay.WithSelf("vm", "a"), relay.WithVMs(1), relay.WithBudget(usersBudget))
+	m.Update(1000, relay.TableMsg{Table: route.NewTable(route.Config{
+		Version: 5, Services: []route.Service{{Name: "s", MaxConnections: 110}}, Routes: []route.Route{{
+			Name: "r", Host: "h", Prefix: "/", Service: "s", Idempotent: idempotent, TimeoutMs: 4000, TargetMs: 1200, MaxAttempts: 2,
+		}},
+	})})
+	for i := range n {
+		m.Update(1000, relay.UpstreamMsg{Upstream: relay.Upstream{
+			ID: fmt.Sprint("u", i), Service: "s", Address: fmt.Sprint("a", i), DataCentre: "a", Slots: 2,
+		}})
+	}
+	return m
+}
+
+func sent(t *testing.T, cmds []relay.Cmd) relay.SendCmd {
+	t.Helper()
+	for _, c := range cmds {
+		if s, ok := c.(relay.SendCmd); ok {
+			return s
+		}
+	}
+	t.Fatalf("got %v, want a send", kinds(cmds))
+	return relay.SendCmd{}
+}
+
+// TestRetries guards against work that must not repeat and is sent again, and
+// against work that may repeat and is given up.
+func TestRetries(t *testing.T) {
+	reply := func(status int, notRun bool) func(a uint64) relay.Msg {
+		return func(a uint64) relay.Msg {
+			return relay.ReplyMsg{Attempt: a, Reply: relay.Reply{Status: status, NotRun: notRun, Receipt: "x"}}
+		}
+	}
+	fail := func(notSent bool) func(a uint64) relay.Msg {
+		return func(a uint64) relay.Msg { return relay.FailMsg{Attempt: a, NotSent: notSent} }
+	}
+	tests := []struct {
+		name       string
+		idempotent bool
+		end        func(a uint64) relay.Msg
+		want       string // answer, or "send" for another attempt
+	}{
+		{"order, reply", false, reply(200, false), "answer relayed"},
+		{"order, refused as not run", false, reply(503, true), "send"},
+		{"order, not sent", false, fail(true), "send"},
+		{"order, may have run", false, fail(false), "answer failed"},
+		{"order, upstream's own failure", false, reply(500, false), "answer relayed"},
+		{"query, may have run", true, fail(false), "send"},
+		{"query, upstream's own failure", true, reply(500, false), "send"},
+		{"query, client's fault", true, reply(404, false), "answer relayed"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			m := single(t, tt.idempotent, 3)
+			a := sent(t, m.Update(2000, arrive(1)))
+			got := kinds(m.Update(2010, tt.end(a.Attempt)))
+			if len(got) != 1 || got[0][:4] != tt.want[:4] || tt.want != "send" && got[0] != tt.want {
+				t.Errorf("got %v, want %s", got, tt.want)
+			}
+		})
+	}
+}
+
+// TestMaxAttempts guards against a request that runs on more upstreams than its route allows.
+func TestMaxAttempts(t *testing.T) {
+	m := single(t, true, 4)
+	a := sent(t, m.Update(2000, arrive(1)))
+	b := sent(t, m.Update(2010, relay.FailMsg{Attempt: a.Attempt}))
+	if a.Upstream == b.Upstream {
+		t.Errorf("got %s twice, want another upstream", a.Upstream)
+	}
+	wantKinds(t, m.Update(2020, relay.FailMsg{Attempt: b.Attempt}), "answer failed")
+}
+
+// TestBudget guards against retries beyond the fleet's budget.
+func TestBudget(t *testing.T) {
+	m := single(t, true, 2)
+	m.Update(1000, relay.BudgetMsg{Ratio: 0.2, Extra: 10, WindowMs: 10 * clock.Second})
+	retries, now := 0, clock.Millis(2000)
+	for id := range uint64(100) {
+		a := sent(t, m.Update(now, arrive(id+1)))
+		for _, c := range append([]relay.Cmd(nil), m.Update(now+5, relay.FailMsg{Attempt: a.Attempt})...) {
+			if b, ok := c.(relay.SendCmd); ok {
+				retries++
+				m.Update(now+10, relay.ReplyMsg{Attempt: b.Attempt, Reply: relay.Reply{Status: 200, Receipt: "x"}})
+			}
+		}
+		now += 50
+	}
+	if most := int(0.2*100 + 10); retries > most {
+		t.Errorf("got %d retries for 100 requests, want at most %d", retries, most)
+	}
+	if retries < 20 {
+		t.Errorf("got %d retries for 100 requests, want the budget used", retries)
+	}
+}
+
+// TestTimeout guards against a request that is held beyond its route's time.
+func TestTimeout(t *testing.T) {
+	m := single(t, false, 1)
+	sent(t, m.Update(2000, arrive(1)))
+	wantKinds(t, m.Update(2380, relay.TickMsg{}))
+	wantKinds(t, m.Update(2390, relay.TickMsg{}), "answer timed_out")
+}
+
+// TestNoUpstream guards against a request that waits although nothing can serve it.
+func TestNoUpstream(t *testing.T) {
+	cmds := single(t, false, 0).Update(2000, arrive(1))
+	wantKinds(t, cmds, "answer refused")
+	for _, c := range cmds {
+		if a, ok := c.(relay.AnswerCmd); ok && (a.Answer.RetryAfterMs <= 0 || a.Answer.RetryAfterMs > 400/3) {
+			t.Errorf("got a time to come back of %d ms, want up to a third of 400", a.Answer.RetryAfterMs)
+		}
+	}
+}
+
+// TestConfigurationNeverGoesBack guards against an older version that arrives late.
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	m := single(t, true, 1)
+	m.Update(2000, relay.TableMsg{Table: route.NewTable(route.Config{Version: 4})})
+	if got := m.Version(); got != 5 {
+		t.Errorf("got version %d, want 5", got)
+	}
+}
+
+// TestReports guards against a leaving upstream that takes work again because
+// an older report arrives late, and against a restarted one that is not used.
+func TestReports(t *testing.T) {
+	up := func(born, sequence uint64, leaving bool) relay.UpstreamMsg {
+		return relay.UpstreamMsg{Upstream: relay.Upstream{
+			ID: "u0", Service: "s", Address: "a0", DataCentre: "a", Slots: 2, Born: born, Sequence: sequence, Leaving: leaving,
+		}}
+	}
+	m := single(t, false, 0)
+	tests := []struct {
+		name string
+		msg  relay.UpstreamMsg
+		want string
+	}{
+		{"first report", up(10, 1, false), "send u0"},
+		{"leaves", up(10, 3, true), "answer refused"},
+		{"older report", up(10, 2, false), "answer refused"},
+		{"later report that denies it", up(10, 4, false), "answer refused"},
+		{"earlier start", up(9, 9, false), "answer refused"},
+		{"starts again", up(11, 1, false), "send u0"},
+	}
+	for i, tt := range tests {
+		m.Update(2000, tt.msg)
+		if got := kinds(m.Update(2000, arrive(uint64(i+1)))); len(got) != 1 || got[0] != tt.want {
+			t.Errorf("%s: got %v, want %s", tt.name, got, tt.want)
+		}
+	}
+}
+
+// TestHedge guards against a query that waits for an upstream that pauses.
+func TestHedge(t *testing.T) {
+	m := carried(t, "va", "a")
+	first := m.Update(2000, arrive(1))
+	wantKinds(t, first, "send s1a", "send s2a")
+	m.Update(2010, relay.ReplyMsg{Attempt: first[0].(relay.SendCmd).Attempt, Reply: relay.Reply{Status: 200, Receipt: "1"}})
+	m.Update(2000, relay.BudgetMsg{Ratio: 0.2, Extra: 58, WindowMs: 10 * clock.Second})
+	at, ok := m.NextWake()
+	if !ok || at > 2025 {
+		t.Fatalf("got a wake at %d, want one well before the target at 2040", at)
+	}
+	wantKinds(t, m.Update(at, relay.TickMsg{}), "send s2b")
+}
+
+// TestGreatest guards against records that are lost, doubled or out of order.
+func TestGreatest(t *testing.T) {
+	rec := func(c byte) string { return fmt.Sprintf("%015d%c", 0, c) }
+	got := string(relay.Greatest(3, [][]byte{[]byte(rec('a') + rec('c') + "short"), []byte(rec('c') + rec('b')), nil}))
+	if want := rec('c') + rec('c') + rec('b'); got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+	if got := relay.Greatest(0, [][]byte{[]byte(rec('a'))}); len(got) != 0 {
+		t.Errorf("got %q, want nothing", got)
+	}
+}
--- /dev/null
+++ b/settings/gateway_test.go
@@ -0,0 +1,97 @@
+package settings_test
+
+import (
+	"context"
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"lentillink.example/lentillink/settings"
+)
+
+const gatewayJSON = `{
+  "vm": "front-1", "data_centre": "helsinki-1", "cpu_share": 0.4,
+  "callers": "10.0.0.1:8000", "ready": "10.0.0.1:8001", "peers": "10.0.0.1:8002", "store": "10.0.9.1:9000",
+  "grace_s": 6, "memory_mb": 284, "retry_budget": {"ratio": 0.2, "extra": 58, "window_s": 10}
+}`
+
+// TestDecodeGateway guards against settings that are taken although they cannot work.
+func TestDecodeGateway(t *testing.T) {
+	g, err := settings.DecodeGateway([]byte(gatewayJSON))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if g.VM != "front-1" || g.CPUShare != 0.4 || g.Retry.Extra != 58 || g.DrainMs != 3000 {
+		t.Errorf("got %+v, want the values of the file and the default drain", g)
+	}
+	tests := []struct{ name, old, replacement, wantPath string }{
+		{"no VM", `"front-1"`, `""`, "vm"},
+		{"same address twice", `"10.0.0.1:8001"`, `"10.0.0.1:8000"`, "ready"},
+		{"no peers", `"peers": "10.0.0.1:8002",`, ``, "peers"},
+		{"ratio above 1", `"ratio": 0.2`, `"ratio": 2`, "retry_budget.ratio"},
+		{"ratio is a text", `"ratio": 0.2`, `"ratio": "much"`, "retry_budget.ratio"},
+		{"unit is missing", `"grace_s": 6`, `"grace": 6`, "grace"},
+		{"negative share", `0.4`, `-1`, "cpu_share"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			_, err := settings.DecodeGateway([]byte(strings.Replace(gatewayJSON, tt.old, tt.replacement, 1)))
+			var serr *settings.Error
+			if !errors.As(err, &serr) {
+				t.Fatalf("got %v, want a settings error", err)
+			}
+			if got := serr.Problems()[0].Path; got != tt.wantPath {
+				t.Errorf("got path %q, want %q", got, tt.wantPath)
+			}
+		})
+	}
+}
+
+// TestFollow guards against a reload that is missed, and against a broken file
+// that takes the place of good settings.
+func TestFollow(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "settings.json")
+	write := func(text string) {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(gatewayJSON)
+	ctx, cancel := context.WithCancel(context.Background())
+	hup, applied, refused, end := make(chan os.Signal), make(chan *settings.Gateway, 4), make(chan error, 4), make(chan error, 1)
+	go func() {
+		end <- settings.Follow(ctx, path, hup, func(g *settings.Gateway) { applied <- g }, func(err error) { refused <- err })
+	}()
+	const limit = 20 * time.Second
+	next := func(what string) *settings.Gateway {
+		t.Helper()
+		select {
+		case g := <-applied:
+			return g
+		case <-time.After(limit):
+			t.Fatalf("%s: not applied", what)
+			return nil
+		}
+	}
+	hup <- os.Interrupt
+	if got := next("signal"); got.GraceSeconds != 6 {
+		t.Errorf("got grace %d, want 6", got.GraceSeconds)
+	}
+	write("not JSON")
+	select {
+	case <-refused:
+	case <-time.After(limit):
+		t.Fatal("a broken file is not refused")
+	}
+	write(strings.Replace(gatewayJSON, `"grace_s": 6`, `"grace_s": 9`, 1))
+	if got := next("silent change"); got.GraceSeconds != 9 {
+		t.Errorf("got grace %d, want 9", got.GraceSeconds)
+	}
+	cancel()
+	if err := <-end; err != nil {
+		t.Errorf("got %v, want nil", err)
+	}
+}
