--- a/cmd/lentillink/pagesrun_test.go
+++ b/cmd/lentillink/pagesrun_test.go
@@ -33,7 +33,7 @@
 	}
 	r := newPageRunner(t)
 	ran := 0
-	for _, page := range []string{"README.md", "docs/callers.md", "docs/operators.md"} {
+	for _, page := range []string{"README.md", "docs/callers.md", "docs/OPERATIONS.md"} {
 		for _, b := range pageBlocks(t, page) {
 			switch b.kind {
 			case "run":
