--- a/exchange/client.go
+++ b/exchange/client.go
@@ -58,7 +58,7 @@
 	clock          clock.Clock
 
 	ctx     context.Context // of Run
-	ends    chan error
+	ends    chan struct{} // one for each goroutine that has ended; their errors are results
 	mu      sync.Mutex
 	running int
 	hosts   map[string]*host
@@ -87,7 +87,7 @@
 func New(report func(Result), opts ...Option) *Client {
 	c := &Client{
 		report: report, connectTimeout: defaultConnectTimeout, replyBytes: defaultReplyBytes, clock: clock.NewSteady(),
-		ctx: context.Background(), ends: make(chan error, 64), hosts: make(map[string]*host), jobs: make(map[uint64]*job),
+		ctx: context.Background(), ends: make(chan struct{}, 64), hosts: make(map[string]*host), jobs: make(map[uint64]*job),
 	}
 	for _, opt := range opts {
 		opt(c)
@@ -140,7 +140,7 @@
 	c.running++
 	go func() {
 		f()
-		c.ends <- nil
+		c.ends <- struct{}{}
 	}()
 }
 
--- a/relay/rig_test.go
+++ b/relay/rig_test.go
@@ -257,8 +257,8 @@
 // judge counts an answer; a refused caller returns once.
 func (w *world) judge(a *asked, name string, ans relay.Answer) {
 	o := w.result[a.route.Name]
-	switch {
-	case ans.Outcome == relay.Gathered:
+	switch ans.Outcome {
+	case relay.Gathered:
 		share := float64(len(ans.Receipts)) / float64(len(a.route.Gather))
 		if len(ans.Receipts)+ans.Missing != len(a.route.Gather) {
 			w.wrong = append(w.wrong, name+": receipts and missing shards are not all shards")
@@ -272,7 +272,7 @@
 		}
 		o.inTarget++
 		o.parts += share * share
-	case ans.Outcome == relay.Refused || ans.Outcome == relay.NotReady:
+	case relay.Refused, relay.NotReady:
 		if w.ran[name] {
 			w.wrong = append(w.wrong, name+": refused as not run, though it has run")
 		}
--- a/settings/gateway_test.go
+++ b/settings/gateway_test.go
@@ -82,7 +82,10 @@
 	}
 	write("not JSON")
 	select {
-	case <-refused:
+	case err := <-refused:
+		if err == nil {
+			t.Error("got no error, want one")
+		}
 	case <-time.After(limit):
 		t.Fatal("a broken file is not refused")
 	}
--- a/vm/peer.go
+++ b/vm/peer.go
@@ -30,12 +30,23 @@
 // Claimed answers a Claim.
 type Claimed struct{ Msg order.ClaimedMsg }
 
-func (Forward) PeerBody()       {}
-func (Result) PeerBody()        {}
+// PeerBody marks messages between VMs.
+func (Forward) PeerBody() {}
+
+// PeerBody marks messages between VMs.
+func (Result) PeerBody() {}
+
+// PeerBody marks messages between VMs.
 func (CancelForward) PeerBody() {}
-func (Fleet) PeerBody()         {}
-func (Claim) PeerBody()         {}
-func (Claimed) PeerBody()       {}
+
+// PeerBody marks messages between VMs.
+func (Fleet) PeerBody() {}
+
+// PeerBody marks messages between VMs.
+func (Claim) PeerBody() {}
+
+// PeerBody marks messages between VMs.
+func (Claimed) PeerBody() {}
 
 // PeerMsg is a message from another VM.
 type PeerMsg struct {
@@ -85,5 +96,8 @@
 	Payload []byte
 }
 
-func (Ask) PeerBody()  {}
+// PeerBody marks messages between VMs.
+func (Ask) PeerBody() {}
+
+// PeerBody marks messages between VMs.
 func (Told) PeerBody() {}
