--- a/cmd/lentillinkd/gateway.go
+++ b/cmd/lentillinkd/gateway.go
@@ -40,7 +40,7 @@
 	logCtx, stopLog := context.WithCancel(context.Background())
 	go func() { logEnd <- out.Run(logCtx) }()
 	// Nothing can be logged about a failure of the log itself.
-	defer func() { stopLog(); <-logEnd }()
+	defer func() { stopLog(); _ = <-logEnd }()
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMB) * bytesPerMB))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
--- a/exchange/client.go
+++ b/exchange/client.go
@@ -58,7 +58,7 @@
 	clock          clock.Clock
 
 	ctx     context.Context // of Run
-	ends    chan struct{} // one for each goroutine that has ended; their errors are results
+	ends    chan struct{}   // one for each goroutine that has ended; their errors are results
 	mu      sync.Mutex
 	running int
 	hosts   map[string]*host
