--- a/cmd/lentillinkd/gateway.go
+++ b/cmd/lentillinkd/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"os"
 	"os/signal"
@@ -39,8 +40,12 @@
 	logEnd := make(chan error, 1)
 	logCtx, stopLog := context.WithCancel(context.Background())
 	go func() { logEnd <- out.Run(logCtx) }()
-	// Nothing can be logged about a failure of the log itself.
-	defer func() { stopLog(); _ = <-logEnd }()
+	defer func() {
+		stopLog()
+		if err := <-logEnd; err != nil {
+			fmt.Fprintln(os.Stderr, "log:", err)
+		}
+	}()
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMB) * bytesPerMB))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
