Let the gateway follow the preset in force

The record of presets lives in the platform's store under a key of the product and arrives with the watch that every VM has; changes are the product's own compare-and-swap. The preset bounds hedges and retries by rank, deadlines, open requests and the least share of shards.

--- a/cmd/lentillinkd/gateway.go
+++ b/cmd/lentillinkd/gateway.go
@@ -58,7 +58,7 @@
 	defer st.Close()
 	g := gateway.New(
 		gateway.WithFeed(st, platform.Translator{}), gateway.WithHeaders(platform.Headers()),
-		gateway.WithLeases(st), gateway.WithSelf(relay.VM{
+		gateway.WithLeases(st), gateway.WithStore(st), gateway.WithSelf(relay.VM{
 			ID: s.VM, Address: s.Peers, DataCentre: s.DataCentre, CPUMilli: int(s.CPUShare * milli),
 		}),
 		gateway.WithAddresses(s.Callers, s.Ready), gateway.WithReadyPath(platform.ReadyPath), gateway.WithMetrics(s.Metrics),
--- a/entry/change.go
+++ b/entry/change.go
@@ -10,6 +10,7 @@
 	"lentillink.example/lentillink/attempt"
 	"lentillink.example/lentillink/clock"
 	"lentillink.example/lentillink/preset"
+	"lentillink.example/lentillink/store"
 	"lentillink.example/lentillink/vm"
 )
 
@@ -39,13 +40,18 @@
 		return
 	}
 	change.At = v.clock.Now()
-	result := v.change(r, change, known)
+	result := ApplyChange(r, v.store, v.clock, change, known)
 	if result.Record.Revision > 0 {
 		v.post(vm.RecordMsg{Record: result.Record})
 	}
 	if past, ok := result.Record.Includes(change.ID); ok && result.Accepted == preset.Accepted {
 		v.post(vm.SwitchedMsg{Change: past})
 	}
+	writeJSON(r, ChangeStatus(result), NewChangeDocument(result))
+}
+
+// NewChangeDocument describes what became of a change.
+func NewChangeDocument(result preset.Result) ChangeDocument {
 	doc := ChangeDocument{
 		Accepted: result.Accepted, Revision: result.Record.Revision, InForce: result.Record.InForce,
 		Superseded: result.Superseded,
@@ -53,15 +59,16 @@
 	if result.Err != nil {
 		doc.Error = result.Err.Error()
 	}
-	writeJSON(r, changeStatus(result), doc)
+	return doc
 }
 
-// change drives a preset.Changer with the store until it has a result.
-func (v *VM) change(ctx context.Context, change preset.Change, known preset.Record) preset.Result {
+// ApplyChange carries out an operator's change against a store. known is the
+// newest record of this VM. It takes at most some seconds.
+func ApplyChange(ctx context.Context, st store.Store, cl clock.Clock, change preset.Change, known preset.Record) preset.Result {
 	ctx, cancel := context.WithTimeout(ctx, changeLimit.Duration()+time.Second)
 	defer cancel()
-	changer := preset.NewChanger(change, known, v.clock.Now()+changeLimit)
-	cmds := changer.Update(v.clock.Now(), preset.StartMsg{})
+	changer := preset.NewChanger(change, known, cl.Now()+changeLimit)
+	cmds := changer.Update(cl.Now(), preset.StartMsg{})
 	for {
 		for len(cmds) > 0 {
 			cmd := cmds[0]
@@ -70,14 +77,14 @@
 			case preset.ResultCmd:
 				return c.Result
 			case preset.StoreCmd:
-				reply := callStore(ctx, v.store, c.Request)
-				cmds = append(cmds, changer.Update(v.clock.Now(), preset.StoreMsg{Reply: reply})...)
+				reply := callStore(ctx, st, c.Request)
+				cmds = append(cmds, changer.Update(cl.Now(), preset.StoreMsg{Reply: reply})...)
 			}
 		}
 		if at, ok := changer.NextWake(); ok {
-			sleep(ctx, at-v.clock.Now())
+			sleep(ctx, at-cl.Now())
 		}
-		cmds = changer.Update(v.clock.Now(), preset.TickMsg{})
+		cmds = changer.Update(cl.Now(), preset.TickMsg{})
 	}
 }
 
@@ -90,7 +97,8 @@
 	}
 }
 
-func changeStatus(res preset.Result) int {
+// ChangeStatus returns the HTTP status of a result.
+func ChangeStatus(res preset.Result) int {
 	if res.Err == nil {
 		return fasthttp.StatusOK
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"lentillink.example/lentillink/clock"
 	"lentillink.example/lentillink/exchange"
 	"lentillink.example/lentillink/peer"
+	"lentillink.example/lentillink/preset"
 	"lentillink.example/lentillink/relay"
 	"lentillink.example/lentillink/roster"
 	"lentillink.example/lentillink/route"
@@ -28,6 +29,7 @@
 	feed         store.Feed
 	translator   Translator
 	leases       store.Leases
+	store        store.Store
 	self         relay.VM
 	headers      Headers
 	callersAddr  string
@@ -53,6 +55,7 @@
 	stopping atomic.Bool
 	graceMs  atomic.Int64
 	table    atomic.Pointer[route.Table]
+	presets  atomic.Pointer[preset.Record]
 	calls    atomic.Uint64
 	inFlight atomic.Int64 // requests that are read and not answered
 	ends     chan error
@@ -69,6 +72,7 @@
 	catalog catalog.Msg
 	roster  roster.RegistrarMsg
 	peer    *peerMsg
+	presets *preset.Record
 	prefix  int // which catalog
 	result  *exchange.Result
 }
@@ -92,6 +96,9 @@
 	}
 	g.graceMs.Store(int64(g.limits.Grace))
 	g.core = relay.New(append([]relay.Option{relay.WithSeed(g.seed), relay.WithSelf(g.self.ID, g.self.DataCentre), relay.WithBudget(g.limits.Budget)}, g.relayOptions...)...)
+	shipped := preset.Gateway()
+	g.presets.Store(&shipped)
+	g.core.Update(g.clock.Now(), relay.PresetMsg{Preset: shipped.Current()})
 	g.metrics = newMetrics()
 	g.register = roster.NewRegistrar(g.seed)
 	g.mesh = peer.New(g.self.ID, g.seed, meshHandler{g})
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -55,6 +55,8 @@
 	switch {
 	case it.catalog != nil:
 		g.stepCatalog(io, it.prefix, it.catalog)
+	case it.presets != nil:
+		g.setPresets(*it.presets)
 	case it.peer != nil:
 		g.acceptPeer(it.peer)
 	case it.roster != nil:
@@ -227,6 +229,8 @@
 		if t := g.table.Load(); t == nil || t.Version() < change.Table.Version() {
 			g.table.Store(change.Table)
 		}
+	case change.Presets != nil:
+		g.setPresets(*change.Presets)
 	case change.VM != nil:
 		if id, ok := g.translator.VM(it.Key); ok && id == change.VM.ID {
 			g.setVM(id, change.VM)
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -70,7 +70,7 @@
 	}
 }
 
-// newAdmin returns the server of metrics and status.
+// newAdmin returns the server of metrics and presets.
 func (g *Gateway) newAdmin() *http.Server {
 	mux := http.NewServeMux()
 	scrape := promhttp.HandlerFor(g.metrics.registry, promhttp.HandlerOpts{})
@@ -86,5 +86,7 @@
 		g.metrics.ready.Set(ready)
 		scrape.ServeHTTP(w, r)
 	})
+	mux.HandleFunc("GET /v1/presets", g.servePresets)
+	mux.HandleFunc("POST /v1/presets", g.serveChange)
 	return &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, ErrorLog: quietLog()}
 }
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -23,6 +23,9 @@
 // WithLeases sets where the entry of this VM is kept.
 func WithLeases(l store.Leases) Option { return func(g *Gateway) { g.leases = l } }
 
+// WithStore sets the store that holds the presets.
+func WithStore(s store.Store) Option { return func(g *Gateway) { g.store = s } }
+
 // WithSelf names this VM. Its address is the one for other VMs.
 func WithSelf(v relay.VM) Option { return func(g *Gateway) { g.self = v } }
 
@@ -31,10 +34,11 @@
 	return func(g *Gateway) { g.callersAddr, g.readyAddr = callers, ready }
 }
 
-// WithListeners makes the VM use open listeners instead of its addresses.
-func WithListeners(callers, ready, peers net.Listener) Option {
+// WithListeners makes the VM use open listeners instead of its addresses. The
+// one for metrics may be nil.
+func WithListeners(callers, ready, peers, metrics net.Listener) Option {
 	return func(g *Gateway) {
-		g.listeners = &listeners{http: [3]net.Listener{callers, ready, nil}, peers: peers}
+		g.listeners = &listeners{http: [3]net.Listener{callers, ready, metrics}, peers: peers}
 	}
 }
 
--- a/gateway/translator.go
+++ b/gateway/translator.go
@@ -2,6 +2,7 @@
 
 import (
 	"lentillink.example/lentillink/exchange"
+	"lentillink.example/lentillink/preset"
 	"lentillink.example/lentillink/relay"
 	"lentillink.example/lentillink/route"
 	"lentillink.example/lentillink/store"
@@ -19,6 +20,7 @@
 	Table    *route.Table
 	Upstream *relay.Upstream
 	VM       *relay.VM
+	Presets  *preset.Record
 }
 
 // Translator decodes items of the store.
--- a/preset/defaults.go
+++ b/preset/defaults.go
@@ -53,3 +53,27 @@
 	p.OrdersOnStoreOutage = OutageWait
 	return p
 }
+
+// Gateway returns the record that gateways follow until operators write another.
+// Its hedges and retries are bounded by the users' budget of extra attempts, a
+// fifth of the requests, and a route's own share of shards is never lowered.
+func Gateway() Record {
+	rec := Default()
+	rec.Reason = "shipped with the gateway"
+	for i := range rec.Presets {
+		p := &rec.Presets[i]
+		for _, r := range []*RankPolicy{&p.Urgent, &p.Ordinary, &p.Patient} {
+			r.HedgeBudgetPercent, r.RetryBudgetPercent, r.MinCoveragePercent = gatewayExtraPercent, gatewayExtraPercent, 0
+		}
+		if p.Name == "peak" {
+			p.Ordinary.HedgeBudgetPercent, p.Patient.HedgeBudgetPercent = 5, 0
+		}
+		if p.Name == "maintenance" {
+			p.Urgent.HedgeBudgetPercent, p.Ordinary.HedgeBudgetPercent, p.Patient.HedgeBudgetPercent = 10, 5, 0
+		}
+	}
+	return rec
+}
+
+// gatewayExtraPercent is the users' bound of extra attempts, as a share of the requests.
+const gatewayExtraPercent = 20
--- a/relay/arrive.go
+++ b/relay/arrive.go
@@ -48,6 +48,12 @@
 	if r.gathers() && msg.Handed == nil {
 		shares = m.distribute(now, r)
 	}
+	if m.policies.full(rt.Priority) && msg.Handed == nil {
+		m.reject(msg, Answer{
+			Outcome: Refused, Reason: "queue_full", Route: rt.Name, Version: r.version, RetryAfterMs: m.comeBack(rt.TargetMs, r.due-now),
+		})
+		return
+	}
 	if wait, full := m.tooLate(now, r, shares); full {
 		m.rejectExpecting(msg, Answer{
 			Outcome: Refused, Reason: "full", Route: rt.Name, Version: r.version, RetryAfterMs: m.comeBack(wait, r.due-now),
@@ -55,6 +61,7 @@
 		return
 	}
 	m.requests[r.id] = r
+	*m.policies.open.Ref(rankOf(rt.Priority))++
 	r.parts = nil
 	for _, s := range shares {
 		if s.carrier != nil {
@@ -65,6 +72,7 @@
 	}
 	for _, p := range r.parts {
 		p.service.budget.need(now)
+		m.policies.need(now, rt.Priority)
 		m.place(now, p)
 	}
 	m.advance(now, r)
@@ -72,7 +80,9 @@
 
 // newRequest works out until when a request may be answered.
 func (m *Model) newRequest(now clock.Millis, rt *route.Route, msg ArriveMsg) *request {
-	r := &request{id: msg.ID, name: msg.Name, route: rt, version: m.table.Version(), arrived: now, host: msg.Host, path: msg.Path}
+	r := &request{
+		id: msg.ID, name: msg.Name, route: rt, minShare: m.policies.leastShare(rt.MinShare, rt.Priority), version: m.table.Version(), arrived: now, host: msg.Host, path: msg.Path,
+	}
 	if h := msg.Handed; h != nil {
 		r.carried = true
 		r.due, r.returning = now+h.LeftMs, h.Returning
@@ -83,6 +93,7 @@
 	if timeout <= 0 {
 		timeout = defaultTimeoutMs
 	}
+	timeout = m.policies.timeout(timeout, rt.Priority)
 	left := msg.LeftMs
 	if left <= 0 {
 		left = timeout
--- a/relay/finish.go
+++ b/relay/finish.go
@@ -60,7 +60,7 @@
 
 // conclude gives the final answer to the caller.
 func (m *Model) conclude(now clock.Millis, r *request, a Answer) {
-	r.answered, r.answeredAt = true, now
+	m.settled(now, r)
 	m.withdrawGroups(r)
 	cmd := AnswerCmd{ID: r.id, Answer: a}
 	if r.carried {
@@ -73,6 +73,12 @@
 	m.release(now, r)
 }
 
+// settled notes that nobody waits for a request any more.
+func (m *Model) settled(now clock.Millis, r *request) {
+	r.answered, r.answeredAt = true, now
+	*m.policies.open.Ref(rankOf(r.route.Priority))--
+}
+
 func (m *Model) answer(now clock.Millis, r *request) Answer {
 	if r.done >= r.least() {
 		if r.gathers() {
--- a/relay/model.go
+++ b/relay/model.go
@@ -27,6 +27,7 @@
 	carries   bool // this VM was a carrier at the last choice
 	vms       int
 	bound     BudgetMsg
+	policies  policies
 	nextID    uint64
 	stopAt    clock.Millis // 0 while the VM is not stopping
 	cmds      []Cmd
@@ -75,6 +76,8 @@
 		m.peerDown(now, t.VM)
 	case BudgetMsg:
 		m.setBudget(t)
+	case PresetMsg:
+		m.setPreset(t.Preset)
 	case StopMsg:
 		m.stop(t.Due)
 	case TickMsg:
--- a/relay/reply.go
+++ b/relay/reply.go
@@ -91,10 +91,13 @@
 	switch {
 	case !repeatable, p.mayRun >= max(r.route.MaxAttempts, 1), now >= r.due:
 		m.giveUp(now, p)
-	case p.arrivals > 0 && p.service.budget.left(now, m.vms, 1) < 1:
+	case p.arrivals > 0 && (p.service.budget.left(now, m.vms, 1) < 1 || !m.policies.allows(now, &m.policies.retries, r.route.Priority)):
 		m.event("retry_denied", r, nil, p.service.name, now-r.arrived)
 		m.giveUp(now, p)
 	default:
+		if p.arrivals > 0 {
+			m.policies.spend(now, &m.policies.retries, r.route.Priority)
+		}
 		m.place(now, p)
 	}
 }
@@ -119,7 +122,7 @@
 		return
 	}
 	m.event("caller_gone", r, nil, "", now-r.arrived)
-	r.answered, r.answeredAt = true, now
+	m.settled(now, r)
 	m.withdrawGroups(r)
 	m.release(now, r)
 }
--- a/relay/request.go
+++ b/relay/request.go
@@ -13,6 +13,7 @@
 	name       string
 	route      *route.Route
 	version    uint64
+	minShare   float64 // of the shards, below which a gathered answer fails
 	arrived    clock.Millis
 	due        clock.Millis // final answer: the caller or the route waits no longer
 	answerAt   clock.Millis // an answer after this is late
@@ -76,7 +77,7 @@
 	if r.carried {
 		return 1 // the VM that handed it over decides
 	}
-	return max(int(math.Ceil(r.route.MinShare*float64(r.shards)-tolerance)), 1)
+	return max(int(math.Ceil(r.minShare*float64(r.shards)-tolerance)), 1)
 }
 
 // ran reports whether some attempt may have run.
--- a/relay/send.go
+++ b/relay/send.go
@@ -89,7 +89,7 @@
 			m.wake(r, a.hedgeAt)
 			continue
 		}
-		if p.service.budget.left(now, m.vms, hedgeShare) < 1 {
+		if p.service.budget.left(now, m.vms, hedgeShare) < 1 || !m.policies.allows(now, &m.policies.hedges, r.route.Priority) {
 			continue
 		}
 		u, _ := m.choose(now, p, true)
@@ -97,6 +97,7 @@
 			continue
 		}
 		p.hedged = true
+		m.policies.spend(now, &m.policies.hedges, r.route.Priority)
 		m.event("hedge", r, u, p.service.name, now-a.sentAt)
 		m.send(now, p, u)
 	}
