--- a/exchange/client.go
+++ b/exchange/client.go
@@ -26,6 +26,12 @@
 	// not cross the upstream's close.
 	idleReserveMs clock.Millis = 700
 
+	// reapMs is the age from which an idle connection is closed, and reapEveryMs how
+	// often that is looked at. Upstreams bound the connections of all VMs together,
+	// and a VM that was a carrier once must not hold them for good.
+	reapMs      = 8 * clock.Second
+	reapEveryMs = clock.Second
+
 	// freshIdleMs is how long a kept connection may have been idle to carry a
 	// request that must not repeat.
 	freshIdleMs clock.Millis = 400
@@ -57,8 +63,9 @@
 	replyBytes     int
 	clock          clock.Clock
 
-	ctx     context.Context // of Run
-	ends    chan struct{}   // one for each goroutine that has ended; their errors are results
+	ctx     context.Context // of the opening of connections
+	cancel  context.CancelFunc
+	ends    chan struct{} // one for each goroutine that has ended; their errors are results
 	mu      sync.Mutex
 	running int
 	hosts   map[string]*host
@@ -87,8 +94,9 @@
 func New(report func(Result), opts ...Option) *Client {
 	c := &Client{
 		report: report, connectTimeout: defaultConnectTimeout, replyBytes: defaultReplyBytes, clock: clock.NewSteady(),
-		ctx: context.Background(), ends: make(chan struct{}, 64), hosts: make(map[string]*host), jobs: make(map[uint64]*job),
+		ends: make(chan struct{}, 64), hosts: make(map[string]*host), jobs: make(map[uint64]*job),
 	}
+	c.ctx, c.cancel = context.WithCancel(context.Background())
 	for _, opt := range opts {
 		opt(c)
 	}
@@ -97,11 +105,16 @@
 
 // Run waits until ctx ends, then closes every connection and waits for their goroutines.
 func (c *Client) Run(ctx context.Context) error {
+	ticker := time.NewTicker(reapEveryMs.Duration())
+	defer ticker.Stop()
 	for {
 		select {
 		case <-c.ends:
 			c.ended()
+		case <-ticker.C:
+			c.reap(c.clock.Now())
 		case <-ctx.Done():
+			c.cancel() // a connection that is being opened would hold up the end
 			c.closeAll()
 			for c.left() > 0 {
 				<-c.ends
@@ -135,6 +148,24 @@
 	}
 }
 
+// reap closes connections that have been idle for long.
+func (c *Client) reap(now clock.Millis) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, h := range c.hosts {
+		kept := h.idle[:0]
+		for _, cn := range h.idle {
+			if now-cn.usedAt < min(reapMs, cn.idleMs) {
+				kept = append(kept, cn)
+				continue
+			}
+			_ = cn.nc.Close()
+		}
+		clear(h.idle[len(kept):])
+		h.idle = kept
+	}
+}
+
 // start runs f in a goroutine whose end Run reads. The caller holds c.mu.
 func (c *Client) start(f func()) {
 	c.running++
--- a/relay/reply.go
+++ b/relay/reply.go
@@ -121,7 +121,9 @@
 	if r.answered {
 		return
 	}
-	m.event("caller_gone", r, nil, "", now-r.arrived)
+	if !r.carried { // a VM that handed shards over withdraws them as a rule
+		m.event("caller_gone", r, nil, "", now-r.arrived)
+	}
 	m.settled(now, r)
 	m.withdrawGroups(r)
 	m.release(now, r)
