Notice a store that accepts calls and answers none

The store was silent for 29 VMs from 2.5 to 11.5 s; their watches of 30 s waited on connections that looked sound, because the store acknowledges at the TCP level, so keep-alive probes find nothing. They learned of two versions at 17 s. Ruled out: the pace of watches alone (54 VMs that were served had every version within the bound).

Change: the lease is renewed every 2 s, the cheapest call; if a renewal fails, all connections to the store are ended, which ends the watch, and everything is read again. The pace of watches is half of what the bound on drains leaves, at least 0.8 s.

--- a/catalog/model.go
+++ b/catalog/model.go
@@ -10,13 +10,13 @@
 
 // Paces of the calls. Each call to the store has a price.
 const (
-	// paceMs gathers the events of a busy moment into one watch. It is a small
-	// part of the bounds on drains and changes, which are 3 s and more.
-	paceMs clock.Millis = 800
+	// defaultPaceMs gathers the events of a busy moment into one watch. It is a
+	// small part of the users' bounds on drains and changes, which are 3 s and more.
+	defaultPaceMs clock.Millis = 800
 
-	// returnPaceMs is the same while the store or this VM has just come back: entries
-	// that lapsed are written again, and requests wait for them.
-	returnPaceMs clock.Millis = 200
+	// returnShare is the part of the pace while the store or this VM has just come
+	// back: entries that lapsed are written again, and requests wait for them.
+	returnShare = 4
 
 	// waitMs bounds one watch. Silent connections are found by keep-alive
 	// probes, so a watch may wait long.
@@ -46,6 +46,7 @@
 // Model is the state of what was read.
 type Model struct {
 	rng      *rand.Rand
+	pace     clock.Millis // least time between two watches
 	phase    phase
 	relist   bool // the next call is a whole read
 	fresh    bool // it must be of the store's current state
@@ -61,13 +62,30 @@
 	missing   map[string]clock.Millis // removals that are held
 }
 
+// Option configures a Model.
+type Option func(*Model)
+
+// WithPace sets the least time between two watches. Each VM makes a call for
+// each busy moment, so a large fleet with wider bounds takes a slower pace.
+func WithPace(ms clock.Millis) Option {
+	return func(m *Model) {
+		if ms > 0 {
+			m.pace = ms
+		}
+	}
+}
+
 // New returns a Model that has read nothing. The seed spreads the retries of
 // VMs that lost the store together.
-func New(seed uint64) *Model {
-	return &Model{
-		rng: rand.New(rand.NewPCG(seed, seed)), relist: true,
+func New(seed uint64, opts ...Option) *Model {
+	m := &Model{
+		rng: rand.New(rand.NewPCG(seed, seed)), pace: defaultPaceMs, relist: true,
 		items: make(map[string]uint64), missing: make(map[string]clock.Millis),
 	}
+	for _, opt := range opts {
+		opt(m)
+	}
+	return m
 }
 
 // Update applies msg at now and returns the commands that follow from it.
@@ -98,9 +116,9 @@
 		cmds = append(cmds, ContactCmd{Reached: true})
 		m.holdUntil = now + returnMs
 	}
-	m.nextCall = now + paceMs
+	m.nextCall = now + m.pace
 	if now < m.holdUntil {
-		m.nextCall = now + returnPaceMs
+		m.nextCall = now + m.pace/returnShare
 	}
 	m.lost, m.everHeard = false, true
 	return cmds
--- a/cmd/lentillinkd/gateway.go
+++ b/cmd/lentillinkd/gateway.go
@@ -62,7 +62,7 @@
 			ID: s.VM, Address: s.Peers, DataCentre: s.DataCentre, CPUMilli: int(s.CPUShare * milli),
 		}),
 		gateway.WithAddresses(s.Callers, s.Ready), gateway.WithReadyPath(platform.ReadyPath), gateway.WithMetrics(s.Metrics),
-		gateway.WithLogger(logger), gateway.WithLimits(reloadable(s)), gateway.WithSeed(rand.Uint64()),
+		gateway.WithLogger(logger), gateway.WithLimits(reloadable(s)), gateway.WithSeed(rand.Uint64()), gateway.WithPace(watchPace(s)),
 		gateway.WithRelay(relay.WithVMs(s.ExpectedVMs)),
 	)
 	followEnd := make(chan error, 1)
@@ -83,6 +83,18 @@
 	return 0
 }
 
+const (
+	// silentMs is how long the store may be silent before a VM notices.
+	silentMs clock.Millis = 3000
+
+	// leastPace is the pace for the narrowest bound of the users' installations, 3 s.
+	leastPace clock.Millis = 800
+)
+
+// watchPace returns the least time between two watches: what the bound on drains
+// leaves after the store fell silent.
+func watchPace(s *settings.Gateway) clock.Millis { return max((s.DrainMs-silentMs)/2, leastPace) }
+
 // reloadable returns the settings that apply while the VM runs.
 func reloadable(s *settings.Gateway) gateway.Limits {
 	return gateway.Limits{
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -38,7 +38,8 @@
 	readyPath    string
 	logger       log.Logger
 	clock        clock.Clock
-	limits       Limits     // at the start
+	limits       Limits // at the start
+	pace         clock.Millis
 	listeners    *listeners // nil to listen on the addresses
 	seed         uint64
 	relayOptions []relay.Option
@@ -103,7 +104,7 @@
 	g.register = roster.NewRegistrar(g.seed)
 	g.mesh = peer.New(g.self.ID, g.seed, meshHandler{g})
 	for i := range g.translator.Prefixes() {
-		g.catalogs = append(g.catalogs, catalog.New(g.seed+uint64(i)))
+		g.catalogs = append(g.catalogs, catalog.New(g.seed+uint64(i), catalog.WithPace(g.pace)))
 	}
 	g.client = exchange.New(func(r exchange.Result) { g.post(item{result: &r}) },
 		exchange.WithHeaders(g.headers.Headers), exchange.WithClock(g.clock))
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -5,6 +5,7 @@
 
 	"github.com/go-kit/log"
 
+	"lentillink.example/lentillink/clock"
 	"lentillink.example/lentillink/relay"
 	"lentillink.example/lentillink/store"
 )
@@ -54,6 +55,9 @@
 // WithLimits sets the limits that can change while the VM runs.
 func WithLimits(l Limits) Option { return func(g *Gateway) { g.limits = l } }
 
+// WithPace sets the least time between two watches of the store; 0 takes the default.
+func WithPace(ms clock.Millis) Option { return func(g *Gateway) { g.pace = ms } }
+
 // WithSeed seeds the random choices.
 func WithSeed(seed uint64) Option { return func(g *Gateway) { g.seed = seed } }
 
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -125,6 +125,10 @@
 
 // stepRegister updates the registrar and makes its calls.
 func (g *Gateway) stepRegister(io context.Context, msg roster.RegistrarMsg) {
+	if f, ok := msg.(roster.FailedMsg); ok && f.Kind != store.KindConflict {
+		// The store does not answer this VM, so a watch that waits may wait in vain.
+		g.feed.Reconnect()
+	}
 	for _, cmd := range g.register.Update(g.clock.Now(), msg) {
 		go func() { g.post(item{roster: g.registerCall(io, cmd)}) }()
 	}
--- a/roster/registrar.go
+++ b/roster/registrar.go
@@ -12,8 +12,10 @@
 	// notice the loss of a peer by their connections, much sooner.
 	LeaseMs = 15 * clock.Second
 
-	// keepMs leaves time for two renewals that fail.
-	keepMs = 5 * clock.Second
+	// keepMs is how often the lease is renewed. A renewal is the cheapest call, so
+	// it also shows whether the store still answers this VM: a watch that waits
+	// cannot tell silence from calm.
+	keepMs = 2 * clock.Second
 
 	// Backoff of calls that fail.
 	firstRetryMs clock.Millis = 300
--- a/store/feed.go
+++ b/store/feed.go
@@ -29,4 +29,6 @@
 	List(ctx context.Context, prefix string, stale bool) (Batch, error)
 	// Follow waits up to wait for changes after a revision. The batch is empty if there was none.
 	Follow(ctx context.Context, prefix string, after uint64, wait clock.Millis) (Batch, error)
+	// Reconnect ends all connections. Open calls fail.
+	Reconnect()
 }
