--- a/catalog/query.go
+++ b/catalog/query.go
@@ -19,9 +19,3 @@
 	}
 	return at, ok
 }
-
-// Reached reports whether the last call to the store was answered.
-func (m *Model) Reached() bool { return m.everHeard && !m.lost }
-
-// Revision returns the revision up to which changes are known.
-func (m *Model) Revision() uint64 { return m.revision }
--- a/exchange/client.go
+++ b/exchange/client.go
@@ -70,7 +70,6 @@
 	running int
 	hosts   map[string]*host
 	jobs    map[uint64]*job
-	opened  int
 }
 
 // host holds the connections to one upstream.
@@ -239,13 +238,6 @@
 	}
 }
 
-// Opened returns how many connections were opened.
-func (c *Client) Opened() int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.opened
-}
-
 // take removes the most recently used connection that is still good from the
 // idle ones. Older ones are closed.
 func (h *host) take(now clock.Millis, fresh bool) *conn {
@@ -283,7 +275,6 @@
 		j.cancel = cancel
 	}
 	h.open++
-	c.opened++
 	c.start(func() {
 		defer cancel()
 		nc, err := dialer.DialContext(ctx, "tcp", h.address)
--- a/relay/arrive.go
+++ b/relay/arrive.go
@@ -29,6 +29,8 @@
 	returningMs clock.Millis = 10
 )
 
+// arrive decides what happens to a request: it is refused before anything runs,
+// or its parts are divided among carriers and this VM.
 func (m *Model) arrive(now clock.Millis, msg ArriveMsg) {
 	if msg.Handed != nil && !m.confirm(msg) {
 		return
@@ -81,7 +83,8 @@
 // newRequest works out until when a request may be answered.
 func (m *Model) newRequest(now clock.Millis, rt *route.Route, msg ArriveMsg) *request {
 	r := &request{
-		id: msg.ID, name: msg.Name, route: rt, minShare: m.policies.leastShare(rt.MinShare, rt.Priority), version: m.table.Version(), arrived: now, host: msg.Host, path: msg.Path,
+		id: msg.ID, name: msg.Name, host: msg.Host, path: msg.Path, arrived: now,
+		route: rt, version: m.table.Version(), minShare: m.policies.leastShare(rt.MinShare, rt.Priority),
 	}
 	if h := msg.Handed; h != nil {
 		r.carried = true
@@ -143,6 +146,7 @@
 // reject answers a request that never becomes part of the state.
 func (m *Model) reject(msg ArriveMsg, a Answer) { m.rejectExpecting(msg, a, 0) }
 
+// rejectExpecting also tells the VM that handed the request over what to expect.
 func (m *Model) rejectExpecting(msg ArriveMsg, a Answer, expected clock.Millis) {
 	m.emit(EventCmd{Event: Event{
 		Kind: "request_" + a.Outcome.String(), Request: msg.Name, Route: a.Route, Version: a.Version,
--- a/relay/handover.go
+++ b/relay/handover.go
@@ -74,18 +74,19 @@
 
 // group is the parts of one request that a carrier gathers.
 type group struct {
-	id       uint64
-	req      *request
-	carrier  *peerVM
-	parts    []*part
-	sentAt   clock.Millis
-	taken    bool
-	ended    bool
-	began    bool // the carrier has gathered something
-	notBegun bool // the carrier states that it has not begun, or never got it
-	reported bool
-	hop      clock.Millis // kept from the time to the answer
-	answer   Answer       // the last one
+	id      uint64
+	req     *request
+	carrier *peerVM
+	parts   []*part
+	sentAt  clock.Millis
+	hop     clock.Millis // kept from the time to the answer
+	answer  Answer       // the last one
+
+	taken    bool // the carrier has confirmed
+	reported bool // it has handed something back
+	began    bool // it has gathered something
+	notBegun bool // it states that it has not begun, or never got the group
+	ended    bool // nothing more is expected of it
 }
 
 // hop returns how much sooner than the answer a carrier should report.
--- a/relay/query.go
+++ b/relay/query.go
@@ -20,25 +20,3 @@
 	}
 	return m.table.Version()
 }
-
-// Unanswered returns how many requests wait for their answer.
-func (m *Model) Unanswered() int {
-	n := 0
-	for _, r := range m.requests {
-		if !r.answered {
-			n++
-		}
-	}
-	return n
-}
-
-// Due returns the time by which every open request is answered.
-func (m *Model) Due() clock.Millis {
-	var due clock.Millis
-	for _, r := range m.requests {
-		if !r.answered {
-			due = max(due, r.due)
-		}
-	}
-	return due
-}
--- a/relay/reply.go
+++ b/relay/reply.go
@@ -107,7 +107,7 @@
 	if p.resolved || len(p.open) > 0 {
 		return
 	}
-	p.resolved, p.missing = true, true
+	p.resolved = true
 	p.req.unresolved--
 	m.event("part_missing", p.req, nil, p.service.name, now-p.req.arrived)
 }
--- a/relay/request.go
+++ b/relay/request.go
@@ -51,7 +51,6 @@
 	queued   bool
 	arrivals int // attempts that reached or may have reached an upstream
 	hedged   bool
-	missing  bool
 }
 
 // attempt is one sending of a part to one upstream.
--- a/relay/service.go
+++ b/relay/service.go
@@ -15,10 +15,9 @@
 	carrierConnections = 0.7
 	otherConnections   = 0.25
 
-	// queued is how many attempts beyond its slots a carrier has open at an
-	// upstream, so that one is there when a slot becomes free, and urgentQueued the
-	// same for the most urgent work. The rest waits here, where it is ordered by rank.
-	queued       = 0
+	// urgentQueued is how many attempts beyond its slots a carrier has open at an
+	// upstream for the most urgent work, so that one is there when a slot becomes
+	// free. Other work waits here, where it is ordered by rank.
 	urgentQueued = 1
 
 	// slotShare bounds a VM's open attempts at an upstream that other VMs use
@@ -38,18 +37,18 @@
 }
 
 // lanes returns how many attempts this VM may have open at u when it sends work
-// of a priority.
+// of a priority. A carrier sends nearly all work of its shards, every other VM
+// only what it takes back, and plain services get work from all VMs alike.
 func (m *Model) lanes(u *upstream, priority int) int {
 	n, most := int(u.window), float64(u.service.maxConns)
 	slots := u.info.Slots
 	switch {
 	case u.service.carried && m.listed && m.carries:
 		if slots > 0 {
-			beyond := queued
 			if priority == 0 {
-				beyond = urgentQueued
+				slots += urgentQueued
 			}
-			n = min(n, slots+beyond)
+			n = min(n, slots)
 		}
 		if most > 0 {
 			n = min(n, int(most*carrierConnections)/max(len(m.centres(u.service)), 1))
--- a/route/table.go
+++ b/route/table.go
@@ -38,9 +38,6 @@
 // Limits returns the limits for callers.
 func (t *Table) Limits() Limits { return t.config.Limits }
 
-// Routes returns the number of routes.
-func (t *Table) Routes() int { return len(t.config.Routes) }
-
 // Shard reports whether some route gathers parts from a service.
 func (t *Table) Shard(name string) bool { return t.shards[name] }
 
