--- a/entry/perform.go
+++ b/entry/perform.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"lentillink.example/lentillink/clock"
@@ -84,21 +83,10 @@
 	case store.OpWatch:
 		reply.Entry, err = s.Watch(ctx, req.Key, req.Expect)
 	}
-	reply.Kind = kindOf(err)
+	reply.Kind = store.KindOf(err)
 	return reply
 }
 
-func kindOf(err error) store.Kind {
-	if err == nil {
-		return store.KindOK
-	}
-	var failed *store.Error
-	if errors.As(err, &failed) {
-		return failed.Kind()
-	}
-	return store.KindUnknown
-}
-
 // rosterInterval is how often the VM list is read. The list lags anyway.
 const rosterInterval = clock.Second
 
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"lentillink.example/lentillink/catalog"
@@ -259,11 +258,7 @@
 }
 
 func failedMsg(err error) catalog.FailedMsg {
-	var serr *store.Error
-	if errors.As(err, &serr) {
-		return catalog.FailedMsg{Kind: serr.Kind()}
-	}
-	return catalog.FailedMsg{Kind: store.KindUnknown}
+	return catalog.FailedMsg{Kind: store.KindOf(err)}
 }
 
 func (g *Gateway) logEvent(ev relay.Event) {
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 
 	"lentillink.example/lentillink/clock"
 	"lentillink.example/lentillink/exchange"
@@ -159,11 +158,6 @@
 	if err == nil {
 		return done
 	}
-	kind := store.KindUnknown
-	var serr *store.Error
-	if errors.As(err, &serr) {
-		kind = serr.Kind()
-	}
 	_ = g.logger.Log("event", "registration_failed", "err", err)
-	return roster.FailedMsg{Kind: kind}
+	return roster.FailedMsg{Kind: store.KindOf(err)}
 }
--- a/store/error.go
+++ b/store/error.go
@@ -1,6 +1,9 @@
 package store
 
-import "fmt"
+import (
+	"errors"
+	"fmt"
+)
 
 // Kind classifies the result of a store call.
 type Kind uint8
@@ -50,3 +53,15 @@
 
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.err }
+
+// KindOf returns the class of the failure of a store call, KindOK for nil.
+func KindOf(err error) Kind {
+	if err == nil {
+		return KindOK
+	}
+	var failed *Error
+	if errors.As(err, &failed) {
+		return failed.Kind()
+	}
+	return KindUnknown
+}
