Take the median of latencies as a route's typical latency

Samples were averaged, bounded by three times the average itself, so slow upstreams raised it and each raise let the next samples raise it further.

Now a sample moves the value by a step that does not depend on its distance. relay.TestHedgeBesideSlowUpstreams fails before and passes after.

--- a/relay/carrier_test.go
+++ b/relay/carrier_test.go
@@ -31,8 +31,10 @@
 	return m
 }
 
-func arrive(id uint64) relay.ArriveMsg {
-	return relay.ArriveMsg{ID: id, Name: fmt.Sprint("r", id), Host: "h", Path: "/x", LeftMs: 400}
+func arrive(id uint64) relay.ArriveMsg { return arriveWithin(id, 400) }
+
+func arriveWithin(id uint64, left clock.Millis) relay.ArriveMsg {
+	return relay.ArriveMsg{ID: id, Name: fmt.Sprint("r", id), Host: "h", Path: "/x", LeftMs: left}
 }
 
 // kinds lists commands by type, events left out.
--- a/relay/model_test.go
+++ b/relay/model_test.go
@@ -180,6 +180,53 @@
 	wantKinds(t, m.Update(at, relay.TickMsg{}), "send s2b")
 }
 
+// TestHedgeBesideSlowUpstreams guards against slow upstreams that become typical,
+// so that hedges against them come too late.
+func TestHedgeBesideSlowUpstreams(t *testing.T) {
+	const typicalMs, slowMs = 100, 900
+	m := single(t, true, 1)
+	m.Update(1000, relay.BudgetMsg{Ratio: 0.2, Extra: 58, WindowMs: 10 * clock.Second})
+	now := clock.Millis(2000)
+	for id := range uint64(200) {
+		took := clock.Millis(typicalMs)
+		if id%4 == 0 {
+			took = slowMs
+		}
+		a := sent(t, m.Update(now, arriveWithin(id+1, 4000)))
+		m.Update(now+took, relay.ReplyMsg{Attempt: a.Attempt, Reply: relay.Reply{Status: 200, Receipt: "x"}})
+		now += took
+	}
+	for i := range 2 {
+		m.Update(now, relay.UpstreamMsg{Upstream: relay.Upstream{ID: fmt.Sprint("v", i), Service: "s", Address: "v", DataCentre: "a", Slots: 2}})
+	}
+	sent(t, m.Update(now, arriveWithin(1000, 4000)))
+	// A third of the target of 1200 ms passes before any hedge.
+	sent(t, m.Update(now+1200/3, relay.TickMsg{}))
+}
+
+// TestWayToCaller guards against answers that leave in time and arrive late.
+func TestWayToCaller(t *testing.T) {
+	for _, way := range []clock.Millis{2, 6, 12} {
+		m := carried(t, "va", "a")
+		msg := arrive(1)
+		msg.WayMs = way
+		first := m.Update(2000, msg)
+		m.Update(2005, relay.ReplyMsg{Attempt: sent(t, first).Attempt, Reply: relay.Reply{Status: 200, Receipt: "1"}})
+		const target = 50
+		answered := clock.Millis(0)
+		for now := clock.Millis(2006); now < 2400 && answered == 0; now++ {
+			for _, k := range kinds(m.Update(now, relay.TickMsg{})) {
+				if k == "answer gathered" {
+					answered = now
+				}
+			}
+		}
+		if answered == 0 || answered+way > 2000+target {
+			t.Errorf("way of %d ms: got an answer at the caller after %d ms, want at most %d", way, answered+way-2000, target)
+		}
+	}
+}
+
 // TestGreatest guards against records that are lost, doubled or out of order.
 func TestGreatest(t *testing.T) {
 	rec := func(c byte) string { return fmt.Sprintf("%015d%c", 0, c) }
--- a/relay/stats.go
+++ b/relay/stats.go
@@ -1,17 +1,17 @@
 package relay
 
 import (
+	"math"
+
 	"lentillink.example/lentillink/clock"
 	"lentillink.example/lentillink/route"
 )
 
 const (
-	// latencyWeight is the weight of one sample in a route's typical latency.
-	latencyWeight = 0.03
-
-	// maxSample bounds one sample as a multiple of the typical latency, so that
-	// slow upstreams do not make slowness typical.
-	maxSample = 3.0
+	// Steps by which a sample moves a route's typical latency, as a share of it.
+	// The first samples move it further, because the start is only a guess.
+	firstStep = 0.1
+	leastStep = 0.01
 
 	// targetFraction gives the latency that is assumed of a new route.
 	targetFraction = 6
@@ -24,7 +24,8 @@
 
 // stats is what this VM has measured of one route.
 type stats struct {
-	typical float64 // latency of an attempt, in milliseconds
+	typical float64 // median latency of an attempt, in milliseconds
+	samples int
 	longest clock.Millis
 }
 
@@ -37,9 +38,21 @@
 	return s
 }
 
+// add moves the typical latency towards a sample by a step that does not depend
+// on how far away it is. So it follows the median: some slow or pausing upstreams
+// must not make slowness typical, or hedges against them would come too late.
 func (s *stats) add(sample clock.Millis) {
-	x := min(max(float64(sample), 0.5), maxSample*s.typical)
-	s.typical += latencyWeight * (x - s.typical)
+	s.samples++
+	step := max(firstStep/math.Sqrt(float64(s.samples)), leastStep)
+	x := max(float64(sample), 0.5)
+	switch {
+	case x > s.typical*(1+step):
+		s.typical *= 1 + step
+	case x < s.typical*(1-step):
+		s.typical *= 1 - step
+	default:
+		s.typical = x
+	}
 }
 
 // patience returns how long an attempt at an upstream of the given slowness may take.
