Measure the way to each caller instead of assuming 10 ms

Ruled out: the VM's own work.

Now the reserve is the round trip that the system knows of the connection (TCP_INFO), twice on its first request, plus 4 ms for the VM.

--- a/gateway/front.go
+++ b/gateway/front.go
@@ -14,6 +14,7 @@
 	"lentillink.example/lentillink/clock"
 	"lentillink.example/lentillink/exchange"
 	"lentillink.example/lentillink/relay"
+	"lentillink.example/lentillink/socket"
 )
 
 const (
@@ -33,19 +34,33 @@
 	return &http.Server{
 		Handler: http.HandlerFunc(g.serveCaller), MaxHeaderBytes: maxHeaderBytes,
 		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, ErrorLog: quietLog(),
-		ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
-			return context.WithValue(ctx, connKey{}, new(atomic.Bool))
+		ConnContext: func(ctx context.Context, nc net.Conn) context.Context {
+			way, _ := socket.RoundTrip(nc)
+			return context.WithValue(ctx, callerKey{}, &callerConn{wayMs: way})
 		},
 	}
 }
 
-// connKey finds whether a connection has carried a request before.
-type connKey struct{}
+// callerKey finds the callerConn in a request's context.
+type callerKey struct{}
 
-// firstOn reports whether r is the first request on its connection.
-func firstOn(r *http.Request) bool {
-	used, ok := r.Context().Value(connKey{}).(*atomic.Bool)
-	return ok && !used.Swap(true)
+// callerConn is what is known of a caller's connection.
+type callerConn struct {
+	wayMs clock.Millis // round trip to the caller; 0 if not known
+	used  atomic.Bool  // it has carried a request before
+}
+
+// wayOf returns how long the network takes for a request and its answer. The
+// first request on a connection waited for the connection too.
+func wayOf(r *http.Request) clock.Millis {
+	c, ok := r.Context().Value(callerKey{}).(*callerConn)
+	if !ok {
+		return 0
+	}
+	if !c.used.Swap(true) {
+		return 2 * c.wayMs
+	}
+	return c.wayMs
 }
 
 // newBalancer returns the server for the balancer's question.
@@ -91,7 +106,7 @@
 	c := &call{answer: make(chan relay.Answer, 1)}
 	c.request = exchange.NewRequest(g.headers.Headers, r.Method, uri, r.Host, id, g.forwarded(r.Header), body)
 	n := g.calls.Add(1)
-	g.post(item{call: c, relay: relay.ArriveMsg{ID: n, Name: id, Host: r.Host, Path: uri, LeftMs: left, Connected: firstOn(r)}})
+	g.post(item{call: c, relay: relay.ArriveMsg{ID: n, Name: id, Host: r.Host, Path: uri, LeftMs: left, WayMs: wayOf(r)}})
 	select {
 	case a := <-c.answer:
 		g.write(w, id, a)
--- a/relay/arrive.go
+++ b/relay/arrive.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"math"
 	"slices"
 
@@ -9,13 +10,13 @@
 )
 
 const (
-	// callerReserveMs is the part of a route's target that the way from the
-	// caller and back takes: two crossings of up to 3 ms on the users' networks,
-	// and up to 4 ms by which the answer is late. connectReserveMs is added for a
-	// caller that has just opened its connection. With the 6 ms that this takes
-	// on Kukkahaku's network more parts are lost than answers saved.
-	callerReserveMs  clock.Millis = 10
-	connectReserveMs clock.Millis = 2
+	// handlingReserveMs is the part of a route's target for reading the request and
+	// writing the answer, which small VMs take up to 3 ms for, and 1 ms for timers.
+	handlingReserveMs clock.Millis = 4
+
+	// defaultWayMs is assumed if the way to the caller is not known: two
+	// crossings of up to 3 ms on the users' networks.
+	defaultWayMs clock.Millis = 6
 
 	// dueReserveMs is kept from a caller's own limit, so that the final answer
 	// arrives before the caller gives up.
@@ -107,10 +108,7 @@
 	if m.stopAt > 0 {
 		r.due = min(r.due, max(m.stopAt, now+1))
 	}
-	reserve := callerReserveMs
-	if msg.Connected {
-		reserve += connectReserveMs
-	}
+	reserve := handlingReserveMs + cmp.Or(msg.WayMs, defaultWayMs)
 	r.answerAt = min(now+max(rt.TargetMs-spent-reserve, 0), r.due)
 	return r
 }
--- a/relay/message.go
+++ b/relay/message.go
@@ -26,8 +26,9 @@
 	Path   string       // with its query string
 	LeftMs clock.Millis // how long the caller waits; 0 if it does not say
 
-	// Connected says that the caller opened its connection for this request.
-	Connected bool
+	// WayMs is how long the network takes for the request and its answer, and for
+	// opening the connection if that was done for this request; 0 if not known.
+	WayMs clock.Millis
 
 	// Handed is set for a request of another VM.
 	Handed *HandOver
--- a/relay/rig_test.go
+++ b/relay/rig_test.go
@@ -107,8 +107,14 @@
 const wayMs = 1 // one way between a VM and an upstream or another VM
 
 // newWorld returns VMs spread over three data centres and shards with two
-// replicas in two of them, as the users have them.
+// replicas in two of them, as the users have them today.
 func newWorld(seed uint64, vms, shards int, budget relay.BudgetMsg) *world {
+	return newWorldWith(seed, vms, shards, 2, budget)
+}
+
+// newWorldWith returns a world whose shards have the given number of replicas,
+// each in another data centre.
+func newWorldWith(seed uint64, vms, shards, replicas int, budget relay.BudgetMsg) *world {
 	w := &world{
 		now: 1000, rng: rand.New(rand.NewPCG(seed, seed)), ups: make(map[string]*server), asked: make(map[uint64]*asked),
 		result: make(map[string]*outcome), extra: make(map[string]int), needed: make(map[string]int),
@@ -118,7 +124,7 @@
 	centres := []string{"a", "b", "c"}
 	for s := range shards {
 		names[s] = fmt.Sprintf("s%d", s)
-		for r := range 2 {
+		for r := range replicas {
 			id := fmt.Sprintf("u%d-%d", s, r)
 			w.ups[id] = &server{up: relay.Upstream{
 				ID: id, Service: names[s], Address: id, DataCentre: centres[(s+r)%3], Slots: 2,
@@ -152,11 +158,17 @@
 
 func (w *world) sortedUps() []string {
 	var ids []string
-	for s := 0; ; s++ {
-		if w.ups[fmt.Sprintf("u%d-0", s)] == nil {
+	for s, r := 0, 0; ; {
+		id := fmt.Sprintf("u%d-%d", s, r)
+		switch {
+		case w.ups[id] != nil:
+			ids = append(ids, id)
+			r++
+		case r == 0:
 			return ids
+		default:
+			s, r = s+1, 0
 		}
-		ids = append(ids, fmt.Sprintf("u%d-0", s), fmt.Sprintf("u%d-1", s))
 	}
 }
 
@@ -251,8 +263,13 @@
 	w.at(w.now+callerMs, func() { w.judge(a, w.names[id], back.Answer) })
 }
 
-// callerMs is one way between a caller and a VM.
-const callerMs = 3
+const (
+	// callerMs is one way between a caller and a VM.
+	callerMs = 3
+
+	// newConnectionShare is the share of requests whose callers open a connection first.
+	newConnectionShare = 0.4
+)
 
 // judge counts an answer; a refused caller returns once.
 func (w *world) judge(a *asked, name string, ans relay.Answer) {
@@ -310,8 +327,12 @@
 		w.needed[s]++
 	}
 	vm := w.rng.IntN(len(w.vms))
-	w.at(w.now+callerMs, func() {
-		w.update(vm, relay.ArriveMsg{ID: id, Name: w.names[id], Host: r.Host, Path: r.Prefix + "x", LeftMs: left})
+	way := clock.Millis(2 * callerMs)
+	if w.rng.Float64() < newConnectionShare {
+		way *= 2
+	}
+	w.at(w.now+way-callerMs, func() {
+		w.update(vm, relay.ArriveMsg{ID: id, Name: w.names[id], Host: r.Host, Path: r.Prefix + "x", LeftMs: left, WayMs: way})
 	})
 }
 
--- a/socket/option_other.go
+++ b/socket/option_other.go
@@ -2,8 +2,14 @@
 
 package socket
 
-import "time"
+import (
+	"errors"
+	"time"
+)
 
 // setUserTimeout does nothing where the option does not exist; keep-alive
 // probes still find a silent peer.
 func setUserTimeout(int, time.Duration) error { return nil }
+
+// roundTripUs is not known where the option does not exist.
+func roundTripUs(int) (uint32, error) { return 0, errors.ErrUnsupported }
--- /dev/null
+++ b/socket/roundtrip.go
@@ -0,0 +1,30 @@
+package socket
+
+import (
+	"net"
+	"syscall"
+
+	"lentillink.example/lentillink/clock"
+)
+
+// usPerMs is how many microseconds a millisecond has.
+const usPerMs = 1000
+
+// RoundTrip returns how long the way to the peer of a TCP connection and back
+// takes, rounded up. It returns false if the system has no estimate.
+func RoundTrip(nc net.Conn) (clock.Millis, bool) {
+	sc, ok := nc.(syscall.Conn)
+	if !ok {
+		return 0, false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return 0, false
+	}
+	var us uint32
+	var failed error
+	if err := raw.Control(func(fd uintptr) { us, failed = roundTripUs(int(fd)) }); err != nil || failed != nil || us == 0 {
+		return 0, false
+	}
+	return clock.Millis((us + usPerMs - 1) / usPerMs), true
+}
