Bound the patience with slow upstreams, so that hedges are due in time

Now patience grows by 1.3 at most, the spread of the users' replicas. relay.TestHedgeAtSlowUpstream fails before and passes after.

--- a/relay/model_test.go
+++ b/relay/model_test.go
@@ -204,6 +204,24 @@
 	sent(t, m.Update(now+1200/3, relay.TickMsg{}))
 }
 
+// TestHedgeAtSlowUpstream guards against more patience with an upstream that is
+// known to be slow, which leaves a hedge no time.
+func TestHedgeAtSlowUpstream(t *testing.T) {
+	const slowMs = 900
+	m := single(t, true, 1)
+	now := clock.Millis(2000)
+	for id := range uint64(3) {
+		a := sent(t, m.Update(now, arriveWithin(id+1, 4000)))
+		m.Update(now+slowMs, relay.ReplyMsg{Attempt: a.Attempt, Reply: relay.Reply{Status: 200, Receipt: "x"}})
+		now += slowMs
+	}
+	sent(t, m.Update(now, arriveWithin(1000, 4000)))
+	m.Update(now, relay.UpstreamMsg{Upstream: relay.Upstream{ID: "v", Service: "s", Address: "v", DataCentre: "a", Slots: 2}})
+	// A sixth of the target of 1200 ms is the typical latency at the start, and
+	// twice the patience with it is 890 ms or more.
+	sent(t, m.Update(now+800, relay.TickMsg{}))
+}
+
 // TestWayToCaller guards against answers that leave in time and arrive late.
 func TestWayToCaller(t *testing.T) {
 	for _, way := range []clock.Millis{2, 6, 12} {
--- a/relay/stats.go
+++ b/relay/stats.go
@@ -20,6 +20,11 @@
 	// of work that the users state, about 1 in 50 replies takes longer.
 	patienceFactor              = 2.2
 	patienceMs     clock.Millis = 3
+
+	// maxPatience bounds how much longer a slow upstream may take, as a multiple: the
+	// users' replicas differ by up to 1.3 in speed. Beyond that a hedge is due at
+	// the same time as elsewhere.
+	maxPatience = 1.3
 )
 
 // stats is what this VM has measured of one route.
@@ -57,7 +62,7 @@
 
 // patience returns how long an attempt at an upstream of the given slowness may take.
 func (s *stats) patience(slowness float64) clock.Millis {
-	return clock.Millis(patienceFactor*s.typical*min(max(slowness, 1), 2)) + patienceMs
+	return clock.Millis(patienceFactor*s.typical*min(max(slowness, 1), maxPatience)) + patienceMs
 }
 
 // spent returns how long the caller has waited before this attempt of its own.
