Let one VM of a group follow the store for the others

Now VMs of a data centre (all of a fleet up to 16) subscribe to the first of them by hash, up to 64 to one, and get its changes over the streams between VMs. An update names the revisions that it spans; a gap is closed by a fresh read. A feeder reports at least every 1.4 s, and one that is silent for 1.8 s, has lost the store or its connection is replaced by the next, which answers from the revision that the follower has. catalog stays pure. Also mended: a stale whole read removed entries that were newer than it, and a late removal one that had been written again (catalog.TestStaleList fails before both).

--- a/catalog/message.go
+++ b/catalog/message.go
@@ -17,17 +17,40 @@
 // FailedMsg reports that the last command failed.
 type FailedMsg struct{ Kind store.Kind }
 
-// WokeMsg reports that the VM was suspended, so that everything known is old.
-type WokeMsg struct{}
+// FeedersMsg names the VMs that may feed this one, best first, and says whether
+// this one may feed others.
+type FeedersMsg struct {
+	VMs   []string
+	Feeds bool
+}
+
+// SubscribedMsg brings a subscription of another VM.
+type SubscribedMsg struct {
+	From      string
+	Subscribe Subscribe
+}
+
+// UpdateMsg brings changes from another VM.
+type UpdateMsg struct {
+	From   string
+	Update Update
+}
+
+// PeerLostMsg reports that the connection to a VM broke, or that nothing can
+// be sent to it.
+type PeerLostMsg struct{ VM string }
 
 // TickMsg lets time pass.
 type TickMsg struct{}
 
-func (ListedMsg) catalogMsg()   {}
-func (FollowedMsg) catalogMsg() {}
-func (FailedMsg) catalogMsg()   {}
-func (WokeMsg) catalogMsg()     {}
-func (TickMsg) catalogMsg()     {}
+func (ListedMsg) catalogMsg()     {}
+func (FollowedMsg) catalogMsg()   {}
+func (FailedMsg) catalogMsg()     {}
+func (FeedersMsg) catalogMsg()    {}
+func (SubscribedMsg) catalogMsg() {}
+func (UpdateMsg) catalogMsg()     {}
+func (PeerLostMsg) catalogMsg()   {}
+func (TickMsg) catalogMsg()       {}
 
 // Cmd is an output of a Model.
 type Cmd interface{ catalogCmd() }
@@ -54,8 +77,26 @@
 	Kind    store.Kind // why it was lost
 }
 
-func (ListCmd) catalogCmd()    {}
-func (FollowCmd) catalogCmd()  {}
-func (PutCmd) catalogCmd()     {}
-func (DropCmd) catalogCmd()    {}
-func (ContactCmd) catalogCmd() {}
+// SubscribeCmd asks a VM for changes.
+type SubscribeCmd struct {
+	To        string
+	Subscribe Subscribe
+}
+
+// ShareCmd passes changes on to followers.
+type ShareCmd struct {
+	To     []string
+	Update Update
+}
+
+// FeederCmd reports which VM feeds this one from now on; none if VM is empty.
+type FeederCmd struct{ VM string }
+
+func (ListCmd) catalogCmd()      {}
+func (FollowCmd) catalogCmd()    {}
+func (PutCmd) catalogCmd()       {}
+func (DropCmd) catalogCmd()      {}
+func (ContactCmd) catalogCmd()   {}
+func (SubscribeCmd) catalogCmd() {}
+func (ShareCmd) catalogCmd()     {}
+func (FeederCmd) catalogCmd()    {}
--- a/catalog/query.go
+++ b/catalog/query.go
@@ -7,6 +7,12 @@
 	at, ok := clock.Millis(0), false
 	if m.phase == phaseIdle {
 		at, ok = m.nextCall, true
+		if m.feed.waits(m.nextCall) && !m.relist {
+			at = max(at, m.listedAt+relistMs)
+		}
+	}
+	if due, fed := m.feedWake(); fed && (!ok || due < at) {
+		at, ok = due, true
 	}
 	if m.lost {
 		return at, ok
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -45,7 +45,7 @@
 	relayOptions []relay.Option
 
 	core     *relay.Model
-	catalogs []*catalog.Model
+	catalog  *catalog.Model
 	register *roster.Registrar
 	mesh     *peer.Mesh
 	metrics  *metrics
@@ -64,9 +64,10 @@
 	waiters map[uint64]*call     // owned by the event loop
 	handed  map[handedKey]uint64 // requests of other VMs, owned by the event loop
 	vms     map[string]relay.VM  // owned by the event loop
+	listNew bool                 // vms has changed; owned by the event loop
 }
 
-// item is a message for the event loop: for the relay, or for one catalog.
+// item is a message for the event loop.
 type item struct {
 	relay   relay.Msg
 	call    *call // of an ArriveMsg
@@ -74,7 +75,6 @@
 	roster  roster.RegistrarMsg
 	peer    *peerMsg
 	presets *preset.Record
-	prefix  int // which catalog
 	result  *exchange.Result
 }
 
@@ -103,9 +103,7 @@
 	g.metrics = newMetrics()
 	g.register = roster.NewRegistrar(g.seed)
 	g.mesh = peer.New(g.self.ID, g.seed, meshHandler{g})
-	for i := range g.translator.Prefixes() {
-		g.catalogs = append(g.catalogs, catalog.New(g.seed+uint64(i), catalog.WithPace(g.pace)))
-	}
+	g.catalog = catalog.New(g.seed, catalog.WithPace(g.pace))
 	g.client = exchange.New(func(r exchange.Result) { g.post(item{result: &r}) },
 		exchange.WithHeaders(g.headers.Headers), exchange.WithClock(g.clock))
 	return g
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -53,11 +53,11 @@
 func (g *Gateway) accept(io context.Context, it item) {
 	switch {
 	case it.catalog != nil:
-		g.stepCatalog(io, it.prefix, it.catalog)
+		g.stepCatalog(io, it.catalog)
 	case it.presets != nil:
 		g.setPresets(*it.presets)
 	case it.peer != nil:
-		g.acceptPeer(it.peer)
+		g.acceptPeer(io, it.peer)
 	case it.roster != nil:
 		g.stepRegister(io, it.roster)
 	case it.result != nil:
@@ -88,10 +88,8 @@
 
 func (g *Gateway) tick(io context.Context) {
 	now := g.clock.Now()
-	for i, c := range g.catalogs {
-		if at, ok := c.NextWake(); ok && at <= now {
-			g.stepCatalog(io, i, catalog.TickMsg{})
-		}
+	if at, ok := g.catalog.NextWake(); ok && at <= now {
+		g.stepCatalog(io, catalog.TickMsg{})
 	}
 	if at, ok := g.core.NextWake(); ok && at <= now {
 		g.step(relay.TickMsg{})
@@ -111,10 +109,8 @@
 	if at, ok := g.register.NextWake(); ok {
 		wait = min(wait, at-now)
 	}
-	for _, c := range g.catalogs {
-		if at, ok := c.NextWake(); ok {
-			wait = min(wait, at-now)
-		}
+	if at, ok := g.catalog.NextWake(); ok {
+		wait = min(wait, at-now)
 	}
 	return max(wait, 0)
 }
@@ -182,14 +178,23 @@
 	w.answer <- c.Answer
 }
 
-// stepCatalog updates one catalog and performs its commands.
-func (g *Gateway) stepCatalog(io context.Context, prefix int, msg catalog.Msg) {
-	for _, cmd := range g.catalogs[prefix].Update(g.clock.Now(), msg) {
+// stepCatalog updates the catalog and performs its commands.
+func (g *Gateway) stepCatalog(io context.Context, msg catalog.Msg) {
+	for _, cmd := range g.catalog.Update(g.clock.Now(), msg) {
 		switch c := cmd.(type) {
 		case catalog.ListCmd:
-			go func() { g.list(io, prefix, c.Stale) }()
+			go func() { g.list(io, c.Stale) }()
 		case catalog.FollowCmd:
-			go func() { g.follow(io, prefix, c) }()
+			go func() { g.follow(io, c) }()
+		case catalog.SubscribeCmd:
+			g.tell(c.To, "", c.Subscribe)
+		case catalog.ShareCmd:
+			for _, to := range c.To {
+				g.tell(to, "", c.Update)
+			}
+		case catalog.FeederCmd:
+			_ = g.logger.Log("event", "catalog_feeder", "feeder", c.VM)
+			g.stepRegister(io, roster.FedMsg{Fed: c.VM != ""})
 		case catalog.PutCmd:
 			g.put(c.Item)
 		case catalog.DropCmd:
@@ -200,9 +205,13 @@
 				g.setVM(id, nil)
 			}
 		case catalog.ContactCmd:
-			_ = g.logger.Log("event", "store_contact", "prefix", g.translator.Prefixes()[prefix], "reached", c.Reached, "cause", c.Kind)
+			_ = g.logger.Log("event", "store_contact", "reached", c.Reached, "cause", c.Kind)
 		}
 	}
+	if g.listNew {
+		g.listNew = false
+		g.setFleet(io)
+	}
 	if g.stopping.Load() {
 		return
 	}
@@ -239,25 +248,27 @@
 	}
 }
 
-func (g *Gateway) list(ctx context.Context, prefix int, stale bool) {
-	batch, err := g.feed.List(ctx, g.translator.Prefixes()[prefix], stale)
+func (g *Gateway) list(ctx context.Context, stale bool) {
+	batch, err := g.feed.List(ctx, g.translator.Prefix(), stale)
 	if err != nil {
-		g.post(item{catalog: failedMsg(err), prefix: prefix})
+		g.post(item{catalog: g.failedCall(err)})
 		return
 	}
-	g.post(item{catalog: catalog.ListedMsg{Batch: batch}, prefix: prefix})
+	g.post(item{catalog: catalog.ListedMsg{Batch: batch}})
 }
 
-func (g *Gateway) follow(ctx context.Context, prefix int, c catalog.FollowCmd) {
-	batch, err := g.feed.Follow(ctx, g.translator.Prefixes()[prefix], c.After, c.WaitMs)
+func (g *Gateway) follow(ctx context.Context, c catalog.FollowCmd) {
+	batch, err := g.feed.Follow(ctx, g.translator.Prefix(), c.After, c.WaitMs)
 	if err != nil {
-		g.post(item{catalog: failedMsg(err), prefix: prefix})
+		g.post(item{catalog: g.failedCall(err)})
 		return
 	}
-	g.post(item{catalog: catalog.FollowedMsg{Batch: batch}, prefix: prefix})
+	g.post(item{catalog: catalog.FollowedMsg{Batch: batch}})
 }
 
-func failedMsg(err error) catalog.FailedMsg {
+// failedCall logs a call of the catalog that failed.
+func (g *Gateway) failedCall(err error) catalog.FailedMsg {
+	_ = g.logger.Log("event", "store_call_failed", "err", err)
 	return catalog.FailedMsg{Kind: store.KindOf(err)}
 }
 
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 
+	"lentillink.example/lentillink/catalog"
 	"lentillink.example/lentillink/clock"
 	"lentillink.example/lentillink/exchange"
 	"lentillink.example/lentillink/relay"
@@ -12,6 +13,10 @@
 	"lentillink.example/lentillink/vm"
 )
 
+// smallFleet is the size up to which all VMs form one group that shares what it
+// reads of the store. The users' fleets of today have 7 to 9 VMs.
+const smallFleet = 16
+
 // handedKey identifies a request of another VM.
 type handedKey struct {
 	from string
@@ -42,11 +47,22 @@
 func (h meshHandler) Down(peer string) { h.g.post(item{peer: &peerMsg{vm: peer}}) }
 
 // acceptPeer handles what happened on a stream.
-func (g *Gateway) acceptPeer(m *peerMsg) {
+func (g *Gateway) acceptPeer(io context.Context, m *peerMsg) {
 	switch b := m.body.(type) {
 	case nil:
 		g.step(relay.PeerDownMsg{VM: m.vm})
 		g.callersGone(m.vm)
+		g.stepCatalog(io, catalog.PeerLostMsg{VM: m.vm})
+	case catalog.Subscribe:
+		if m.unsent {
+			g.stepCatalog(io, catalog.PeerLostMsg{VM: m.vm})
+			return
+		}
+		g.stepCatalog(io, catalog.SubscribedMsg{From: m.vm, Subscribe: b})
+	case catalog.Update:
+		if !m.unsent {
+			g.stepCatalog(io, catalog.UpdateMsg{From: m.vm, Update: b})
+		}
 	case relay.HandOver:
 		if m.unsent {
 			g.step(relay.UnhandedMsg{To: m.vm, ID: b.ID})
@@ -110,16 +126,37 @@
 
 // setVM takes over the entry of a VM, or its removal.
 func (g *Gateway) setVM(id string, v *relay.VM) {
+	g.listNew = true
 	if v == nil {
 		delete(g.vms, id)
 	} else {
 		g.vms[id] = *v
 	}
+}
+
+// setFleet tells the state machines which VMs there are.
+func (g *Gateway) setFleet(io context.Context) {
 	list := make([]relay.VM, 0, len(g.vms))
 	for _, v := range g.vms {
 		list = append(list, v)
 	}
 	g.step(relay.FleetMsg{VMs: list})
+	feeders, feeds := catalog.Feeders(g.self.ID, g.feedGroup(list))
+	g.stepCatalog(io, catalog.FeedersMsg{VMs: feeders, Feeds: feeds})
+}
+
+// feedGroup returns the VMs that share what they read of the store. A group that
+// spans data centres needs fewer calls, but each configuration crosses them once
+// for each VM, so only a small fleet forms one; a larger one has a group for each
+// data centre.
+func (g *Gateway) feedGroup(list []relay.VM) []string {
+	var ids []string
+	for _, v := range list {
+		if len(list) <= smallFleet || v.DataCentre == g.self.DataCentre {
+			ids = append(ids, v.ID)
+		}
+	}
+	return ids
 }
 
 // stepRegister updates the registrar and makes its calls.
--- a/gateway/translator.go
+++ b/gateway/translator.go
@@ -25,8 +25,8 @@
 
 // Translator decodes items of the store.
 type Translator interface {
-	// Prefixes returns the prefixes to follow.
-	Prefixes() []string
+	// Prefix returns the prefix of the keys to follow.
+	Prefix() string
 	// Translate decodes an item. The zero Change means that the item is of no concern.
 	Translate(it store.Item) (Change, error)
 	// Upstream returns the upstream that a key names.
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -4,6 +4,7 @@
 	"errors"
 
 	"lentillink.example/lentillink/attempt"
+	"lentillink.example/lentillink/catalog"
 	"lentillink.example/lentillink/clock"
 	"lentillink.example/lentillink/coverage"
 	"lentillink.example/lentillink/peer/peerpb"
@@ -41,6 +42,10 @@
 		env.Body = &peerpb.Envelope_HandBack{HandBack: encodeHandBack(b)}
 	case relay.Withdraw:
 		env.Body = &peerpb.Envelope_Withdraw{Withdraw: &peerpb.Withdraw{Id: b.ID}}
+	case catalog.Subscribe:
+		env.Body = &peerpb.Envelope_Subscribe{Subscribe: &peerpb.Subscribe{After: b.After}}
+	case catalog.Update:
+		env.Body = &peerpb.Envelope_Update{Update: encodeUpdate(b)}
 	case vm.Told:
 		env.Body = &peerpb.Envelope_Told{Told: &peerpb.Told{Id: b.ID, Payload: b.Payload}}
 	}
@@ -78,6 +83,10 @@
 		return back, stamp, err
 	case *peerpb.Envelope_Withdraw:
 		return relay.Withdraw{ID: b.Withdraw.GetId()}, stamp, nil
+	case *peerpb.Envelope_Subscribe:
+		return catalog.Subscribe{After: b.Subscribe.GetAfter()}, stamp, nil
+	case *peerpb.Envelope_Update:
+		return decodeUpdate(b.Update), stamp, nil
 	case *peerpb.Envelope_Told:
 		return vm.Told{ID: b.Told.GetId(), Payload: b.Told.GetPayload()}, stamp, nil
 	}
--- /dev/null
+++ b/peer/update.go
@@ -0,0 +1,25 @@
+package peer
+
+import (
+	"lentillink.example/lentillink/catalog"
+	"lentillink.example/lentillink/peer/peerpb"
+	"lentillink.example/lentillink/store"
+)
+
+func encodeUpdate(u catalog.Update) *peerpb.Update {
+	out := &peerpb.Update{From: u.From, To: u.To, Lost: u.Lost}
+	for _, it := range u.Items {
+		out.Items = append(out.Items, &peerpb.Item{Key: it.Key, Value: it.Value, Revision: it.Revision, Removed: it.Removed})
+	}
+	return out
+}
+
+func decodeUpdate(u *peerpb.Update) catalog.Update {
+	out := catalog.Update{From: u.GetFrom(), To: u.GetTo(), Lost: u.GetLost()}
+	for _, it := range u.GetItems() {
+		out.Items = append(out.Items, store.Item{
+			Key: it.GetKey(), Value: it.GetValue(), Revision: it.GetRevision(), Removed: it.GetRemoved(),
+		})
+	}
+	return out
+}
--- a/roster/registrar.go
+++ b/roster/registrar.go
@@ -17,6 +17,10 @@
 	// cannot tell silence from calm.
 	keepMs = 2 * clock.Second
 
+	// fedKeepMs is the same of a VM that another one tells of changes: the lease
+	// then lasts for two more tries.
+	fedKeepMs = 5 * clock.Second
+
 	// Backoff of calls that fail.
 	firstRetryMs clock.Millis = 300
 	maxRetryMs   clock.Millis = 2000
@@ -40,6 +44,9 @@
 // FailedMsg reports that the last call failed.
 type FailedMsg struct{ Kind store.Kind }
 
+// FedMsg says whether another VM tells this one of changes of the store.
+type FedMsg struct{ Fed bool }
+
 // LeaveMsg ends the registration.
 type LeaveMsg struct{}
 
@@ -51,6 +58,7 @@
 func (WrittenMsg) registrarMsg() {}
 func (KeptMsg) registrarMsg()    {}
 func (FailedMsg) registrarMsg()  {}
+func (FedMsg) registrarMsg()     {}
 func (LeaveMsg) registrarMsg()   {}
 func (TickMsg) registrarMsg()    {}
 
@@ -83,6 +91,7 @@
 	calling bool
 	lease   store.LeaseID
 	written bool
+	fed     bool
 	next    clock.Millis
 	backoff clock.Millis
 }
@@ -102,12 +111,15 @@
 		r.succeeded(now)
 		r.lease, r.written = m.Lease, false
 	case WrittenMsg:
-		r.succeeded(now + keepMs)
+		r.succeeded(now + r.keepEvery())
 		r.written = true
 	case KeptMsg:
-		r.succeeded(now + keepMs)
+		r.succeeded(now + r.keepEvery())
 	case FailedMsg:
 		r.failed(now, m.Kind)
+	case FedMsg:
+		r.fed = m.Fed
+		r.next = min(r.next, now+r.keepEvery())
 	case LeaveMsg:
 		r.leaving = true
 	case TickMsg:
@@ -119,6 +131,13 @@
 	r.calling, r.next, r.backoff = false, next, 0
 }
 
+func (r *Registrar) keepEvery() clock.Millis {
+	if r.fed {
+		return fedKeepMs
+	}
+	return keepMs
+}
+
 func (r *Registrar) failed(now clock.Millis, kind store.Kind) {
 	r.calling = false
 	if kind == store.KindConflict {
