Divide shards by the strength of carriers, and meet carriers before need

A carrier that takes over a reshard is busy for 15 ms, as timed in a trial copy; the first message to one waits for its stream; and once a strong carrier is avoided, VMs with a fifth of a core were given 67 shards each and were late as well.

Now a VM gathers up to 80 shards for each core that it has, weighted rendezvous hashing divides them, streams to carriers are opened when the fleet changes, a broken one keeps the next request away from the VM, and a carrier has 20 ms or a quarter of the time to the target to confirm. Hashes are computed once, not in each comparison.

--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -154,6 +154,8 @@
 		g.tell(c.To, c.Address, c.HandOver)
 	case relay.WithdrawCmd:
 		g.tell(c.To, "", relay.Withdraw{ID: c.ID})
+	case relay.MeetCmd:
+		g.mesh.Open(c.VM, c.Address)
 	case relay.ConnectCmd:
 		g.client.Connect(c.Upstream, c.Address)
 	case relay.ForgetCmd:
--- a/peer/handover_test.go
+++ b/peer/handover_test.go
@@ -4,10 +4,12 @@
 	"reflect"
 	"testing"
 
+	"lentillink.example/lentillink/catalog"
 	"lentillink.example/lentillink/clock"
 	"lentillink.example/lentillink/peer"
 	"lentillink.example/lentillink/peer/peerpb"
 	"lentillink.example/lentillink/relay"
+	"lentillink.example/lentillink/store"
 	"lentillink.example/lentillink/vm"
 )
 
@@ -24,6 +26,10 @@
 		}},
 		relay.HandBack{ID: 6, Answer: relay.Answer{Outcome: relay.Refused, Reason: "full", RetryAfterMs: 7}},
 		relay.Withdraw{ID: 8},
+		catalog.Subscribe{After: 10},
+		catalog.Update{From: 11, To: 12, Lost: true, Items: []store.Item{
+			{Key: "k", Value: []byte("v"), Revision: 12}, {Key: "gone", Revision: 11, Removed: true},
+		}},
 	}
 	for _, want := range bodies {
 		got, _, err := peer.Decode(0, peer.Encode(0, clock.Stamp{}, want))
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -83,6 +83,24 @@
 // message that does not fit in the queue is reported as unsent.
 func (m *Mesh) Send(to, address string, stamp clock.Stamp, body vm.PeerBody) {
 	m.mu.Lock()
+	l := m.link(to, address)
+	queued := l.push(outgoing{stamp: stamp, body: body})
+	m.mu.Unlock()
+	if !queued {
+		m.handler.Unsent(to, body)
+	}
+}
+
+// Open opens a stream to a peer if there is none, so that the first message
+// does not wait for it.
+func (m *Mesh) Open(to, address string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.link(to, address)
+}
+
+// link returns the link to a peer and dials it if there is none. The caller holds mu.
+func (m *Mesh) link(to, address string) *link {
 	l, ok := m.links[to]
 	if !ok {
 		l = newLink(to, m.queueLen)
@@ -90,11 +108,7 @@
 		ctx := m.ctx
 		m.start(func() { m.dialLink(ctx, l, address) })
 	}
-	queued := l.push(outgoing{stamp: stamp, body: body})
-	m.mu.Unlock()
-	if !queued {
-		m.handler.Unsent(to, body)
-	}
+	return l
 }
 
 // start runs f in a goroutine that Run waits for. The caller holds mu.
--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -129,6 +129,22 @@
 	}
 }
 
+// TestMeshOpen guards against a stream that is opened only by its first message,
+// and against the loss of a peer that nothing was sent to yet.
+func TestMeshOpen(t *testing.T) {
+	a, b := startNode(t, "a"), startNode(t, "b")
+	a.mesh.Open("b", b.addr)
+	for end := time.Now().Add(waitLimit); b.mesh.Connected() == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("got no stream within %s", waitLimit)
+		}
+	}
+	b.stop()
+	if got := await(t, a.rec.down, "loss"); got != "b" {
+		t.Errorf("got the loss of %q, want b", got)
+	}
+}
+
 // TestMeshKeepsOrderAndLosesNothing guards against reordered or dropped
 // messages while both sides open a stream at once.
 func TestMeshKeepsOrderAndLosesNothing(t *testing.T) {
--- a/relay/arrive.go
+++ b/relay/arrive.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
+
 	"lentillink.example/lentillink/clock"
 	"lentillink.example/lentillink/route"
 )
@@ -84,7 +86,7 @@
 // newRequest works out until when a request may be answered.
 func (m *Model) newRequest(now clock.Millis, rt *route.Route, msg ArriveMsg) *request {
 	r := &request{
-		id: msg.ID, name: msg.Name, host: msg.Host, path: msg.Path, arrived: now,
+		id: msg.ID, name: msg.Name, hash: xxhash.Sum64String(msg.Name), host: msg.Host, path: msg.Path, arrived: now,
 		route: rt, version: m.table.Version(), minShare: m.policies.leastShare(rt.MinShare, rt.Priority),
 	}
 	if h := msg.Handed; h != nil {
--- a/relay/carrier.go
+++ b/relay/carrier.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -9,10 +10,10 @@
 	"lentillink.example/lentillink/clock"
 )
 
-// shardsPerCarrier bounds the shards that one VM gathers for a request. More are
-// divided among several VMs of the data centre, because small VMs take long to
-// send that many at once.
-const shardsPerCarrier = 64
+// shardsPerCore bounds the shards that one VM gathers for a request, by its share
+// of a core. Sending to one takes about 0.1 ms of a core, and all should leave
+// within 8 ms. More are divided among several VMs of the data centre.
+const shardsPerCore = 80
 
 // VM is an entry VM of the fleet.
 type VM struct {
@@ -22,6 +23,14 @@
 	CPUMilli   int    `json:"cpu_milli"` // thousandths of a core
 }
 
+// shards returns how many shards the VM should gather for one request.
+func (v VM) shards() int {
+	if v.CPUMilli <= 0 {
+		return shardsPerCore
+	}
+	return max(v.CPUMilli*shardsPerCore/1000, 1)
+}
+
 // peerVM is what this VM knows of another one.
 type peerVM struct {
 	info       VM
@@ -78,6 +87,7 @@
 			m.warm(now, u)
 		}
 	}
+	m.meetCarriers(now)
 	for _, id := range sortedKeys(old) {
 		if c := old[id]; known[id] != c {
 			for _, g := range c.sorted() {
@@ -110,7 +120,7 @@
 			near++
 		}
 	}
-	for _, c := range m.bestIn(now, m.cfg.dataCentre, (near+shardsPerCarrier-1)/shardsPerCarrier) {
+	for _, c := range m.carriers(now, m.cfg.dataCentre, near) {
 		if c.info.ID == m.cfg.self {
 			return true
 		}
@@ -118,6 +128,31 @@
 	return false
 }
 
+// meetCarriers opens streams to the VMs that gather for this one, so that the
+// first request does not wait for them and a broken one tells of a loss.
+func (m *Model) meetCarriers(now clock.Millis) {
+	shards := make(map[string]int)
+	for _, s := range m.services {
+		if !s.carried {
+			continue
+		}
+		centres := m.centres(s)
+		if slices.Contains(centres, m.cfg.dataCentre) {
+			centres = []string{m.cfg.dataCentre}
+		}
+		for _, dc := range centres {
+			shards[dc]++
+		}
+	}
+	for _, dc := range sortedKeys(shards) {
+		for _, c := range m.carriers(now, dc, shards[dc]) {
+			if c.info.ID != m.cfg.self {
+				m.emit(MeetCmd{VM: c.info.ID, Address: c.info.Address})
+			}
+		}
+	}
+}
+
 func sortedKeys[T any](table map[string]T) []string {
 	keys := make([]string, 0, len(table))
 	for k := range table {
@@ -167,7 +202,7 @@
 
 // divide divides parts among the carriers of one data centre.
 func (m *Model) divide(now clock.Millis, dc string, parts []*part) []share {
-	carriers := m.bestIn(now, dc, (len(parts)+shardsPerCarrier-1)/shardsPerCarrier)
+	carriers := m.carriers(now, dc, len(parts))
 	if len(carriers) == 0 {
 		return []share{{parts: parts}}
 	}
@@ -181,15 +216,40 @@
 	}
 	for _, p := range parts {
 		p.centre = dc
-		i := 0
-		if len(carriers) > 1 {
-			i = int(xxhash.Sum64String(p.service.name) % uint64(len(carriers)))
-		}
+		i := carrierOf(p.service, carriers)
 		shares[i].parts = append(shares[i].parts, p)
 	}
 	return shares
 }
 
+// carrierOf chooses the carrier of a shard by weighted rendezvous hashing: if the
+// carriers change, only the shards of those that changed move.
+func carrierOf(s *service, carriers []*peerVM) int {
+	if len(carriers) == 1 {
+		return 0
+	}
+	best, bestScore := 0, 0.0
+	for i, c := range carriers {
+		// A uniform number in (0, 1) for each pair of shard and carrier.
+		const bits = 53
+		x := (float64(mix(s.hash^c.hash)>>(64-bits)) + 0.5) / (1 << bits)
+		if score := -float64(c.info.shards()) / math.Log(x); score > bestScore {
+			best, bestScore = i, score
+		}
+	}
+	return best
+}
+
+// mix spreads the bits of a hash that was combined from others (the finalizer
+// of SplitMix64).
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
 // candidates returns the upstreams to which one request may go for a shard, in
 // an order on which all VMs agree: at most as many as may run it. A VM that
 // takes a part back from a lost carrier must not add another one.
@@ -210,7 +270,7 @@
 			}
 			return 1
 		}
-		return cmp.Compare(xxhash.Sum64String(p.req.name+a.info.ID), xxhash.Sum64String(p.req.name+b.info.ID))
+		return cmp.Compare(mix(p.req.hash^a.hash), mix(p.req.hash^b.hash))
 	})
 	return list[:max(p.req.route.MaxAttempts, 1)]
 }
@@ -244,9 +304,9 @@
 	return s.centres
 }
 
-// bestIn returns up to n VMs of a data centre: the strongest, then those with
-// the highest rendezvous hash.
-func (m *Model) bestIn(now clock.Millis, dc string, n int) []*peerVM {
+// carriers returns the VMs of a data centre that gather n shards of a request:
+// the strongest, then those with the highest rendezvous hash, until they suffice.
+func (m *Model) carriers(now clock.Millis, dc string, n int) []*peerVM {
 	var list []*peerVM
 	for _, id := range m.vmIDs {
 		if c := m.peers[id]; c.info.DataCentre == dc && now >= c.avoidUntil {
@@ -259,5 +319,10 @@
 		}
 		return cmp.Compare(b.hash, a.hash)
 	})
-	return list[:min(n, len(list))]
+	for i, c := range list {
+		if n -= c.info.shards(); n <= 0 {
+			return list[:i+1]
+		}
+	}
+	return list
 }
--- a/relay/carrier_test.go
+++ b/relay/carrier_test.go
@@ -203,3 +203,102 @@
 		}
 	})
 }
+
+// mixedFleet returns a VM of one data centre with two strong and twenty weak ones,
+// whose route has 90 shards.
+func mixedFleet(self string) *relay.Model {
+	m := relay.New(relay.WithSelf(self, "a"), relay.WithBudget(grownBudget))
+	var names []string
+	for i := range 90 {
+		names = append(names, fmt.Sprint("s", i))
+	}
+	m.Update(1000, relay.TableMsg{Table: route.NewTable(route.Config{Version: 7, Routes: []route.Route{{
+		Name: "q", Host: "h", Prefix: "/", Gather: names, Idempotent: true,
+		TimeoutMs: 800, TargetMs: 150, MaxAttempts: 2, Top: 5, MinShare: 0.5,
+	}}})})
+	for _, s := range names {
+		m.Update(1000, relay.UpstreamMsg{Upstream: relay.Upstream{ID: s + "a", Service: s, Address: s, DataCentre: "a", Slots: 2}})
+	}
+	var fleet []relay.VM
+	for i := range 22 {
+		v := relay.VM{ID: fmt.Sprint("v", i), Address: fmt.Sprint("v", i), DataCentre: "a", CPUMilli: 192}
+		if i < 2 {
+			v.CPUMilli = 800
+		}
+		fleet = append(fleet, v)
+	}
+	m.Update(1000, relay.FleetMsg{VMs: fleet})
+	return m
+}
+
+// handed returns the shards that a request of m is divided into, by carrier.
+func handed(now clock.Millis, m *relay.Model) map[string][]string {
+	out := make(map[string][]string)
+	for _, c := range m.Update(now, arriveWithin(uint64(now), 800)) {
+		if h, ok := c.(relay.HandCmd); ok {
+			out[h.To] = h.HandOver.Services
+		}
+	}
+	return out
+}
+
+// TestCarrierShares guards against a small VM that gathers as many shards as a
+// large one, and against VMs that disagree on the carrier of a shard.
+func TestCarrierShares(t *testing.T) {
+	m := mixedFleet("v10")
+	both := handed(2000, m)
+	if len(both) != 2 || len(both["v0"]) < 30 || len(both["v1"]) < 30 {
+		t.Fatalf("got %d and %d shards at the strong VMs, want all 90, about half each", len(both["v0"]), len(both["v1"]))
+	}
+	if got, want := fmt.Sprint(handed(2000, mixedFleet("v11"))), fmt.Sprint(both); got != want {
+		t.Errorf("got %s at another VM, want %s", got, want)
+	}
+	m.Update(2001, relay.PeerDownMsg{VM: "v1"})
+	left := handed(2002, m)
+	if len(left["v1"]) != 0 {
+		t.Errorf("got %d shards for a VM whose connection broke, want none", len(left["v1"]))
+	}
+	weak := 0
+	for vm, shards := range left {
+		if vm == "v0" {
+			continue
+		}
+		weak += len(shards)
+		if len(shards) > 30 {
+			t.Errorf("got %d shards at %s, a weak VM, want about 15", len(shards), vm)
+		}
+	}
+	if weak+len(left["v0"]) != 90 || len(left["v0"]) < 45 {
+		t.Errorf("got %d shards at v0 and %d at weak VMs, want 90 in all and more than half at v0", len(left["v0"]), weak)
+	}
+}
+
+// TestBusyCarrier guards against shards that are sent again because their carrier
+// confirms late, while there is time to the target.
+func TestBusyCarrier(t *testing.T) {
+	m := mixedFleet("v10")
+	if got := len(handed(2000, m)); got != 2 {
+		t.Fatalf("got %d carriers, want 2", got)
+	}
+	wantKinds(t, m.Update(2030, relay.TickMsg{}))
+	if got := kinds(m.Update(2060, relay.TickMsg{})); len(got) == 0 {
+		t.Error("got no takeover 60 ms after the hand-over, want one")
+	}
+}
+
+// TestMeet guards against a first request that waits for a stream to its carrier.
+func TestMeet(t *testing.T) {
+	m := mixedFleet("v10")
+	met := make(map[string]bool)
+	for _, c := range m.Update(3000, relay.FleetMsg{VMs: []relay.VM{
+		{ID: "v0", Address: "v0", DataCentre: "a", CPUMilli: 800}, {ID: "v1", Address: "v1", DataCentre: "a", CPUMilli: 800},
+		{ID: "v10", Address: "v10", DataCentre: "a", CPUMilli: 192}, {ID: "w", Address: "w", DataCentre: "b", CPUMilli: 800},
+	}}) {
+		if c, ok := c.(relay.MeetCmd); ok {
+			met[c.VM] = true
+		}
+	}
+	if got, want := fmt.Sprint(met), "map[v0:true v1:true]"; got != want {
+		t.Errorf("got streams to %s, want %s", got, want)
+	}
+}
--- a/relay/command.go
+++ b/relay/command.go
@@ -52,6 +52,9 @@
 	ID uint64
 }
 
+// MeetCmd asks for a stream to a VM before it is needed.
+type MeetCmd struct{ VM, Address string }
+
 // ConnectCmd asks for a warm connection to an upstream.
 type ConnectCmd struct{ Upstream, Address string }
 
@@ -68,6 +71,7 @@
 func (ReportCmd) relayCmd()   {}
 func (TakenCmd) relayCmd()    {}
 func (WithdrawCmd) relayCmd() {}
+func (MeetCmd) relayCmd()     {}
 func (ConnectCmd) relayCmd()  {}
 func (ForgetCmd) relayCmd()   {}
 func (EventCmd) relayCmd()    {}
--- a/relay/handover.go
+++ b/relay/handover.go
@@ -49,10 +49,12 @@
 func (Withdraw) PeerBody() {}
 
 const (
-	// takenMs is how long a carrier may take to confirm. The way there and back
-	// takes 2 ms between the users' data centres, and 4 ms more for the first
-	// message, which opens the connection.
-	takenMs clock.Millis = 15
+	// takenMs is how long a carrier may take to confirm, or takenShare of the time
+	// to the target if that is longer. The way there and back takes 2 ms between the
+	// users' data centres, and a carrier that takes over a new configuration is busy
+	// for up to 15 ms. To gather elsewhere counts as sending everything again.
+	takenMs    clock.Millis = 20
+	takenShare              = 0.25
 
 	// silenceMs is how long a carrier may send nothing while an answer is late.
 	silenceMs clock.Millis = 25
@@ -82,11 +84,12 @@
 	hop     clock.Millis // kept from the time to the answer
 	answer  Answer       // the last one
 
-	taken    bool // the carrier has confirmed
-	reported bool // it has handed something back
-	began    bool // it has gathered something
-	notBegun bool // it states that it has not begun, or never got the group
-	ended    bool // nothing more is expected of it
+	taken    bool         // the carrier has confirmed
+	reported bool         // it has handed something back
+	began    bool         // it has gathered something
+	notBegun bool         // it states that it has not begun, or never got the group
+	ended    bool         // nothing more is expected of it
+	takenBy  clock.Millis // when it must have been confirmed
 }
 
 // hop returns how much sooner than the answer a carrier should report.
@@ -134,6 +137,7 @@
 func (m *Model) hand(now clock.Millis, r *request, c *peerVM, parts []*part) {
 	m.nextID++
 	g := &group{id: m.nextID, req: r, carrier: c, parts: parts, sentAt: now}
+	g.takenBy = now + max(takenMs, clock.Millis(takenShare*float64(r.answerAt-now)))
 	r.groups = append(r.groups, g)
 	m.groups[g.id] = g
 	c.open[g.id] = g
@@ -146,7 +150,7 @@
 		ID: g.id, Version: r.version, Name: r.name, Host: r.host, Path: r.path, Services: names,
 		LeftMs: max(r.due-now-g.hop, 1), AnswerInMs: max(r.answerAt-now-g.hop, 0), Returning: r.returning,
 	}})
-	m.wake(r, now+takenMs)
+	m.wake(r, g.takenBy)
 }
 
 // handedBack takes a carrier's answer.
@@ -232,10 +236,10 @@
 		silentAt := max(r.answerAt, g.carrier.heardAt, g.sentAt) + silenceMs
 		switch {
 		case g.reported:
-		case !g.taken && now >= g.sentAt+takenMs:
+		case !g.taken && now >= g.takenBy:
 			m.carrierLost(now, g, "not_taken")
 		case !g.taken:
-			m.wake(r, g.sentAt+takenMs)
+			m.wake(r, g.takenBy)
 		case now >= silentAt:
 			m.carrierLost(now, g, "silent")
 		default:
@@ -289,10 +293,10 @@
 // peerDown takes back what a VM worked on when its connection broke.
 func (m *Model) peerDown(now clock.Millis, vm string) {
 	c := m.peers[vm]
-	if c == nil || len(c.open) == 0 {
+	if c == nil {
 		return
 	}
-	c.failed(now)
+	c.failed(now) // also without open groups: the next one would be lost
 	for _, g := range c.sorted() {
 		m.event("carrier_lost", g.req, nil, c.info.ID+" connection_broke", now-g.sentAt)
 		m.takeBack(now, g, true)
--- a/relay/model.go
+++ b/relay/model.go
@@ -3,6 +3,8 @@
 import (
 	"math/rand/v2"
 
+	"github.com/cespare/xxhash/v2"
+
 	"lentillink.example/lentillink/clock"
 	"lentillink.example/lentillink/route"
 )
@@ -153,7 +155,7 @@
 		}
 	}
 	if u == nil {
-		u = &upstream{service: m.service(info.Service), window: maxWindow, speed: 1}
+		u = &upstream{service: m.service(info.Service), hash: xxhash.Sum64String(info.ID), window: maxWindow, speed: 1}
 		m.upstreams[info.ID] = u
 		u.service.upstreams = append(u.service.upstreams, u)
 	}
--- a/relay/request.go
+++ b/relay/request.go
@@ -11,6 +11,7 @@
 type request struct {
 	id         uint64
 	name       string
+	hash       uint64 // of the name
 	route      *route.Route
 	version    uint64
 	minShare   float64 // of the shards, below which a gathered answer fails
--- a/relay/service.go
+++ b/relay/service.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"github.com/cespare/xxhash/v2"
+
 	"lentillink.example/lentillink/clock"
 	"lentillink.example/lentillink/route"
 )
@@ -28,6 +30,7 @@
 // service holds the upstreams of one service and what waits for them.
 type service struct {
 	name      string
+	hash      uint64 // of the name
 	upstreams []*upstream
 	waiting   []*part
 	budget    budget
@@ -72,7 +75,7 @@
 func (m *Model) service(name string) *service {
 	s := m.services[name]
 	if s == nil {
-		s = &service{name: name, budget: newBudget(m.bound)}
+		s = &service{name: name, hash: xxhash.Sum64String(name), budget: newBudget(m.bound)}
 		m.services[name] = s
 		if m.table != nil {
 			s.configure(m.table)
--- a/relay/upstream.go
+++ b/relay/upstream.go
@@ -55,6 +55,7 @@
 type upstream struct {
 	info       Upstream
 	service    *service
+	hash       uint64       // of the identifier
 	open       []*attempt   // unanswered, oldest first
 	speed      float64      // latency of replies that were not slow, as a multiple of the typical one
 	slow       float64      // the same of the last slow reply
