Keep a gap in a feeder's updates open until a read has closed it

Their feeder had started again, so its first update began after their revision. That update asked for a whole read, but also moved the revision forward, and the next one looked complete and cancelled the read.

Ruled out: a lost update. The log shows the subscription and no config_in_force.

--- a/catalog/feeder.go
+++ b/catalog/feeder.go
@@ -167,11 +167,14 @@
 	f.heardAt = now
 	cmds = m.contact(now, cmds)
 	if u.From > m.revision {
-		// Changes before those of the update are missing here.
-		m.relist, m.fresh, m.nextCall = true, true, min(m.nextCall, now)
-	} else {
-		m.relist, m.backoff = false, 0
+		// Changes before those of the update are missing here. The update is not
+		// applied, so that all later ones show the gap too, until a read has closed it.
+		if !m.relist {
+			m.relist, m.fresh, m.nextCall = true, true, min(m.nextCall, now)
+		}
+		return cmds
 	}
+	m.relist, m.backoff = false, 0
 	return m.apply(now, u.Items, u.To, cmds)
 }
 
--- a/catalog/feeder_test.go
+++ b/catalog/feeder_test.go
@@ -276,6 +276,43 @@
 	}
 }
 
+// restart starts a VM again, which then knows nothing of before.
+func (g *group) restart(v *member) {
+	g.kill(v)
+	g.pass(10)
+	v.dead, v.watch, v.m, v.known = false, nil, catalog.New(99), make(map[string]uint64)
+	g.update(v, catalog.TickMsg{})
+	g.elect()
+}
+
+// TestFeederWithoutHistory guards against a VM that takes the reports of a feeder
+// for proof that it has missed nothing, though the feeder has started since and
+// the VM could not read the store itself.
+func TestFeederWithoutHistory(t *testing.T) {
+	g := newGroup(20)
+	root := g.root()
+	var cut *member
+	for _, v := range g.vms {
+		if feeders, feeds := catalog.Feeders(v.id, []string{root.id, v.id}); !feeds || len(feeders) > 0 && v != root {
+			cut = v
+		}
+	}
+	cut.refused, cut.muted = true, true
+	g.kill(root)
+	g.pass(100)
+	g.change("config")
+	want := g.revision()
+	g.restart(root)
+	g.pass(15_000) // longer than a lost feeder is avoided
+	cut.muted = false
+	g.pass(15_000)
+	cut.refused = false
+	g.pass(changeBoundMs)
+	if got := cut.known["config"]; got != want {
+		t.Errorf("%s: got revision %d of the configuration, want %d", cut.id, got, want)
+	}
+}
+
 // TestFeederCalls guards against calls that grow with the number of VMs.
 func TestFeederCalls(t *testing.T) {
 	const changes = 20
