Wait 1 s in each watch, because a discarded history shows only at its end

It followed the store by itself with a watch of 30 s that was open when the store discarded its history; the store says so only when the wait ends, so the VM kept a configuration of second 8 until second 28.

Ruled out: a feeder that withheld changes. The VM had none from second 3 to 28.

Now every watch waits 1 s. Only VMs without a feeder have one, so this costs about one call a second for each group of VMs. catalog.TestFeeders, "history discarded, every VM for itself", fails before at all five moments and passes after.

--- a/catalog/feeder.go
+++ b/catalog/feeder.go
@@ -27,7 +27,7 @@
 	lapseMs clock.Millis = 25 * clock.Second
 
 	// silentMs is how long a feeder may say nothing. It reports every
-	// sharedPaceMs + sharedWaitMs at the latest, and what follows from its loss
+	// sharedPaceMs + waitMs at the latest, and what follows from its loss
 	// must fit into the users' 3 s for a change.
 	silentMs clock.Millis = 1800
 
@@ -68,7 +68,6 @@
 // feed is where this VM's changes come from while another VM feeds it.
 type feed struct {
 	candidates []string
-	known      bool // candidates and feeds are known
 	feeds      bool // other VMs may subscribe to this one
 	avoided    map[string]clock.Millis
 	feeder     string       // it has confirmed; "" while the store is followed here
@@ -96,7 +95,7 @@
 // longer among them is heard until another one has confirmed, or it falls silent.
 func (m *Model) setCandidates(now clock.Millis, msg FeedersMsg, cmds []Cmd) []Cmd {
 	f := &m.feed
-	f.known, f.candidates, f.feeds = true, msg.VMs, msg.Feeds
+	f.candidates, f.feeds = msg.VMs, msg.Feeds
 	if f.asked != "" && !slices.Contains(f.candidates, f.asked) {
 		f.asked = ""
 	}
--- a/catalog/feeder_test.go
+++ b/catalog/feeder_test.go
@@ -33,6 +33,7 @@
 	known   map[string]uint64
 	watch   *catalog.FollowCmd
 	watchAt clock.Millis
+	doomed  bool // the history that the watch needs is gone, which the store says at its end
 }
 
 type delivery struct {
@@ -150,7 +151,7 @@
 			g.send(storeMs, v, catalog.FailedMsg{Kind: store.KindUnavailable})
 			return
 		}
-		v.watch, v.watchAt = &c, g.now
+		v.watch, v.watchAt, v.doomed = &c, g.now, false
 	case catalog.SubscribeCmd:
 		g.tell(v, c.To, catalog.SubscribedMsg{From: v.id, Subscribe: c.Subscribe})
 	case catalog.ShareCmd:
@@ -184,7 +185,12 @@
 	for end := g.now + ms; g.now < end; {
 		g.now++
 		for _, v := range g.vms {
-			if w := v.watch; w != nil && !v.silent && (g.revision() > w.After || g.now >= v.watchAt+w.WaitMs) {
+			if w := v.watch; w != nil && v.doomed {
+				if g.now >= v.watchAt+w.WaitMs {
+					v.watch = nil
+					g.update(v, catalog.FailedMsg{Kind: store.KindConflict})
+				}
+			} else if w != nil && !v.silent && (g.revision() > w.After || g.now >= v.watchAt+w.WaitMs) {
 				v.watch = nil
 				g.update(v, catalog.FollowedMsg{Batch: g.since(w.After)})
 			} else if w != nil && g.now >= v.watchAt+w.WaitMs+callMs {
@@ -207,6 +213,13 @@
 	}
 }
 
+// compact discards the history while watches wait.
+func (g *group) compact() {
+	for _, v := range g.vms {
+		v.doomed = true
+	}
+}
+
 // kill ends a VM, which breaks its connections.
 func (g *group) kill(v *member) {
 	v.dead = true
@@ -240,6 +253,14 @@
 		{"feeder frozen or cut from its peers", func(_ *group, root *member) { root.muted = true }},
 		{"feeder refused by the store", func(_ *group, root *member) { root.refused, root.watch = true, nil; root.silent = true }},
 		{"feeder not answered by the store", func(_ *group, root *member) { root.silent = true }},
+		{"history discarded", func(g *group, _ *member) { g.compact() }},
+		{"history discarded, every VM for itself", func(g *group, _ *member) {
+			for _, v := range g.vms {
+				v.muted = true
+			}
+			g.pass(6000)
+			g.compact()
+		}},
 		{"a third refused by the store", func(g *group, root *member) {
 			root.silent = true
 			for i, v := range g.vms {
--- a/catalog/model.go
+++ b/catalog/model.go
@@ -18,9 +18,10 @@
 	// back: entries that lapsed are written again, and requests wait for them.
 	returnShare = 4
 
-	// waitMs bounds one watch. Silent connections are found by keep-alive
-	// probes, so a watch may wait long.
-	waitMs clock.Millis = 30 * clock.Second
+	// waitMs bounds one watch. A watch whose history is discarded while it waits is
+	// told so only at its end, and what follows must fit into the users' 3 s for a
+	// change. Each end without a change also tells followers that the store is reached.
+	waitMs = clock.Second
 
 	// relistMs is the age at which everything is read again without a cause.
 	relistMs clock.Millis = 2 * clock.Minute
@@ -206,7 +207,7 @@
 }
 
 func (m *Model) followed(now clock.Millis, b store.Batch, cmds []Cmd) []Cmd {
-	if len(b.Items) == 0 && m.shares() {
+	if len(b.Items) == 0 {
 		m.nextCall = now // nothing is known to come soon
 	}
 	return m.apply(now, b.Items, b.Revision, cmds)
@@ -285,9 +286,5 @@
 		return cmds
 	}
 	m.phase = phaseFollowing
-	wait := waitMs
-	if m.shares() || !m.feed.known {
-		wait = sharedWaitMs
-	}
-	return append(cmds, FollowCmd{After: m.revision, WaitMs: wait})
+	return append(cmds, FollowCmd{After: m.revision, WaitMs: waitMs})
 }
--- a/catalog/share.go
+++ b/catalog/share.go
@@ -8,12 +8,8 @@
 )
 
 const (
-	// sharedWaitMs bounds a watch of a VM that feeds others. Each of its answers
-	// tells them that the store is still reached, also without a change.
-	sharedWaitMs = clock.Second
-
-	// sharedPaceMs is the least time between two such watches after a change.
-	// The VMs that feed others are few, so their calls cost little.
+	// sharedPaceMs is the least time between two watches of a VM that feeds others.
+	// These VMs are few, so their calls cost little.
 	sharedPaceMs clock.Millis = 400
 
 	// recentLen is how many updates are kept for VMs that subscribe a little later
@@ -87,8 +83,7 @@
 	}
 }
 
-// shares reports whether some VM is fed from here, or may be soon: a watch that
-// waits long would leave it without news.
+// shares reports whether some VM is fed from here, or may be soon.
 func (m *Model) shares() bool {
 	return m.feed.feeds || len(m.followers.until) > 0
 }
