Add a soak of real processes with faults from outside

It checks from what callers and upstreams see: own whole answers, at most once, no false refusal, nothing unasked, configuration never back, budget, requests held or cut; in the calm that follows also recovery, a drain and a planned stop.

--- a/cmd/lentillink/commands.go
+++ b/cmd/lentillink/commands.go
@@ -17,6 +17,9 @@
 		"Serves the addresses in settings files until it is interrupted. Faults are switched with POST /fault on the control address; GET /faults there lists them.",
 		&standInsCommand{})
 	add(p, "query", "Ask one question", "Exits with 4 unless the answer is complete.", &queryCommand{})
+	add(p, "soak", "Run VMs as processes and inject faults",
+		"Plays seeds: VMs are killed, paused, stopped and cut off, the store and upstreams misbehave, and what callers and upstreams see is checked. Exits with 1 if a promise is broken.",
+		&soakCommand{})
 	add(p, "order", "Submit one order", "Repeating an order with the same --id is safe. Exits with 4 unless the order was done.", &orderCommand{})
 	add(p, "status", "Show every VM", "Shows readiness, preset, load and avoided upstreams of every VM.", &statusCommand{})
 	add(p, "timeline", "Show what happened on all VMs", "Merges the events of all VMs in the order of cause and effect.", &timelineCommand{})
--- /dev/null
+++ b/cmd/lentillink/soak.go
@@ -0,0 +1,72 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"lentillink.example/lentillink/platform/soak"
+)
+
+type soakCommand struct {
+	Seed    uint64 `long:"seed" default:"1" description:"first seed"`
+	Seeds   int    `long:"seeds" default:"1" description:"number of seeds, played one after the other"`
+	Seconds int    `long:"seconds" default:"10" description:"how long faults happen for each seed"`
+	Program string `long:"program" value-name:"FILE" description:"lentillinkd (default: beside this program)"`
+	Logs    string `long:"logs" value-name:"DIR" description:"where logs of seeds that fail are kept (default: a new temporary directory)"`
+}
+
+// Execute plays the seeds. Logs are kept of those that fail.
+func (c *soakCommand) Execute([]string) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	program, dir, err := c.paths()
+	if err != nil {
+		return err
+	}
+	failed := 0
+	for seed := c.Seed; seed < c.Seed+uint64(c.Seeds) && ctx.Err() == nil; seed++ {
+		logs := filepath.Join(dir, fmt.Sprint(seed))
+		if err := os.MkdirAll(logs, 0o700); err != nil {
+			return err
+		}
+		err := soak.Run(ctx, soak.Options{
+			Seed: seed, Length: time.Duration(c.Seconds) * time.Second, Program: program, Dir: logs, Out: os.Stdout,
+		})
+		if err == nil {
+			if err := os.RemoveAll(logs); err != nil {
+				return err
+			}
+			continue
+		}
+		failed++
+		fmt.Printf("%v\nlogs: %s\n", err, logs)
+	}
+	if failed > 0 {
+		return fmt.Errorf("%d of %d seeds failed", failed, c.Seeds)
+	}
+	return ctx.Err()
+}
+
+func (c *soakCommand) paths() (program, dir string, err error) {
+	program, dir = c.Program, c.Logs
+	if program == "" {
+		self, err := os.Executable()
+		if err != nil {
+			return "", "", err
+		}
+		program = filepath.Join(filepath.Dir(self), "lentillinkd")
+	}
+	if _, err := os.Stat(program); err != nil {
+		return "", "", errors.Join(errors.New("--program must name lentillinkd"), err)
+	}
+	if dir == "" {
+		dir, err = os.MkdirTemp("", "lentillink-soak-")
+	}
+	return program, dir, err
+}
--- a/relay/handover.go
+++ b/relay/handover.go
@@ -54,7 +54,7 @@
 	// users' data centres, and a carrier that takes over a new configuration is busy
 	// for up to 15 ms. To gather elsewhere counts as sending everything again.
 	takenMs    clock.Millis = 20
-	takenShare              = 0.25
+	takenShare float64      = 0.25
 
 	// silenceMs is how long a carrier may send nothing while an answer is late.
 	silenceMs clock.Millis = 25
