Move the load replay to experiment/replay, and compare it with VMs left alone

lentillink experiment loads replays eight patterns, five at the size of today and three at that of the grown installations, beside the same load with every VM left to itself.

--- a/experiment/registry.go
+++ b/experiment/registry.go
@@ -17,6 +17,7 @@
 		{"stall", "a carrier that is paused for 10 s, against waiting for membership", Stall},
 		{"flood-patient", "patient work at five times capacity, against an open gate", FloodPatient},
 		{"flood-urgent", "urgent work at five times capacity, against an open gate", FloodUrgent},
+		{"loads", "load patterns of the gateway, against every VM for itself", Loads},
 		{"orders", "100,000 orders with repeats and every fault, against one write per order", allOrders},
 		{"order-interval", "writes and added latency by write interval and rate, against one write per order", OrderInterval},
 		{"presets", "1,000 random histories of changes under faults, against unconditional writes", allPresets},
--- /dev/null
+++ b/experiment/replay/pattern.go
@@ -0,0 +1,118 @@
+package replay
+
+import (
+	"lentillink.example/lentillink/clock"
+)
+
+const (
+	// loadMs is how long callers send requests, and drainMs how long after that
+	// everything must have ended.
+	loadMs  = 20 * clock.Second
+	drainMs = 5 * clock.Second
+
+	// Requests a second of all callers on the users' installations.
+	todayUrgent, todayOrdinary = 22, 67
+	grownUrgent, grownOrdinary = 11, 34
+
+	// The users' upstreams pause for 200 ms every 4.5 s.
+	pauseMs      clock.Millis = 200
+	pauseEveryMs clock.Millis = 4500
+
+	// slowFactor is how much longer slow upstreams take.
+	slowFactor = 8
+)
+
+// Pattern is a load under which the decisions of a VM matter. Urgent and Ordinary
+// are the least credit that the users accept: their floors for a kind of request on
+// a day with trouble, or the square of the least share of shards on one without.
+type Pattern struct {
+	Name             string
+	Size             Size
+	Urgent, Ordinary float64
+	UrgentNotWorseBy float64 // than ordinary
+	MostUnserved     int     // requests that end refused or failed
+
+	prepare func(w *World)
+}
+
+// Floors of the users for a kind of request, on days with trouble.
+const (
+	todayFloor = 0.46
+	grownFloor = 0.33
+)
+
+// Patterns returns all patterns.
+func Patterns() []Pattern {
+	return []Pattern{
+		{"pauses", Today, 0.75, 0.89, 0.15, 0, (*World).pauses},
+		{"one in seven upstreams slow", Today, todayFloor, todayFloor, 0.15, 100, func(w *World) {
+			w.pauses()
+			w.slow(14, 3, 10)
+		}},
+		{"a whole shard gone", Today, todayFloor, todayFloor, 0.15, 0, func(w *World) {
+			w.ups["u3-0"].down, w.ups["u3-1"].down = true, true
+		}},
+		{"urgent requests at five times their rate", Today, todayFloor, todayFloor, 0.15, 200, func(w *World) {
+			w.Load("urgent", 4*todayUrgent, w.now+5000, w.now+10_000)
+		}},
+		{"twice what the upstreams can do", Today, todayFloor, 0, 1, 5000, func(w *World) {
+			w.Load("ordinary", 250, w.now+5000, w.now+10_000)
+		}},
+		{"grown, pauses", Grown, 0.85 * 0.85, 0.95 * 0.95, 0.15, 0, (*World).pauses},
+		{"grown, one in six upstreams slow", Grown, grownFloor, grownFloor, 0.15, 100, func(w *World) {
+			w.pauses()
+			w.slow(6, 1)
+		}},
+		{"grown, one in six slow for 6 s, then others", Grown, grownFloor, grownFloor, 0.15, 100, func(w *World) {
+			w.pauses()
+			w.slowFor(6, 1, w.now+2000, 6000)
+			w.slowFor(6, 2, w.now+10_000, 6000)
+		}},
+	}
+}
+
+// Run replays the pattern. As a baseline, every VM is left to itself.
+func (p Pattern) Run(seed uint64, baseline bool) *World {
+	size := p.Size
+	size.Alone = baseline
+	w := New(seed, size)
+	urgent, ordinary := float64(todayUrgent), float64(todayOrdinary)
+	if size.Shards == Grown.Shards {
+		urgent, ordinary = grownUrgent, grownOrdinary
+	}
+	w.Load("urgent", urgent, w.now, w.now+loadMs)
+	w.Load("ordinary", ordinary, w.now, w.now+loadMs)
+	p.prepare(w)
+	w.runUntil(w.now + loadMs + drainMs)
+	return w
+}
+
+// pauses makes every upstream pause now and then, each at its own time.
+func (w *World) pauses() {
+	for _, id := range w.sortedUps() {
+		u := w.ups[id]
+		u.pauseMs, u.everyMs = pauseMs, pauseEveryMs
+		u.pauseAt = w.now + clock.Millis(w.rng.Int64N(int64(pauseEveryMs)))
+	}
+}
+
+// slow makes upstreams slow whose index has one of the rests.
+func (w *World) slow(modulus int, rests ...int) {
+	for i, id := range w.sortedUps() {
+		for _, r := range rests {
+			if i%modulus == r {
+				w.ups[id].factor = slowFactor
+			}
+		}
+	}
+}
+
+// slowFor does the same for some time.
+func (w *World) slowFor(modulus, rest int, from, length clock.Millis) {
+	for i, id := range w.sortedUps() {
+		if u := w.ups[id]; i%modulus == rest {
+			w.at(from, func() { u.factor = slowFactor })
+			w.at(from+length, func() { u.factor = 1 })
+		}
+	}
+}
--- /dev/null
+++ b/experiment/replay/pattern_test.go
@@ -0,0 +1,57 @@
+package replay_test
+
+import (
+	"fmt"
+	"testing"
+
+	"lentillink.example/lentillink/experiment/replay"
+)
+
+// seeds are played for each pattern. Grown ones take longer.
+func seeds(p replay.Pattern) uint64 {
+	if p.Size.Shards == replay.Grown.Shards {
+		return 1
+	}
+	return 2
+}
+
+// TestPatterns guards against a change of the decisions of relay that serves
+// callers worse than the users accept, or breaks a promise, under some load.
+func TestPatterns(t *testing.T) {
+	for _, p := range replay.Patterns() {
+		t.Run(p.Name, func(t *testing.T) {
+			if testing.Short() && p.Size.Shards == replay.Grown.Shards {
+				t.Skip("takes seconds")
+			}
+			for seed := range seeds(p) {
+				w := p.Run(seed+1, false)
+				for _, b := range w.Broken() {
+					t.Errorf("seed %d: %s", seed+1, b)
+				}
+				u, o := w.Outcome("urgent"), w.Outcome("ordinary")
+				t.Logf("seed %d: urgent: %s; ordinary: %s", seed+1, u, o)
+				if u.Credit() < p.Urgent || o.Credit() < p.Ordinary {
+					t.Errorf("got credit %.3f and %.3f, want at least %.2f and %.2f", u.Credit(), o.Credit(), p.Urgent, p.Ordinary)
+				}
+				if u.Credit() < o.Credit()-p.UrgentNotWorseBy {
+					t.Errorf("got urgent %.3f far below ordinary %.3f", u.Credit(), o.Credit())
+				}
+				if n := u.Unserved() + o.Unserved(); n > p.MostUnserved {
+					t.Errorf("got %d refused or failed, want at most %d", n, p.MostUnserved)
+				}
+			}
+		})
+	}
+}
+
+// TestRepeats guards against a run that does not repeat from its seed.
+func TestRepeats(t *testing.T) {
+	p := replay.Patterns()[1]
+	describe := func() string {
+		w := p.Run(3, false)
+		return fmt.Sprint(w.Outcome("urgent"), w.Outcome("ordinary"))
+	}
+	if a, b := describe(), describe(); a != b {
+		t.Errorf("got %s, then %s", a, b)
+	}
+}
--- a/relay/carrier_test.go
+++ b/relay/carrier_test.go
@@ -9,6 +9,9 @@
 	"lentillink.example/lentillink/route"
 )
 
+// usersBudget is the bound of extra attempts on the users' installations of today.
+var usersBudget = relay.BudgetMsg{Ratio: 0.2, Extra: 58, WindowMs: 10 * clock.Second}
+
 // carried returns a model of one of three VMs, whose route has two shards with
 // an upstream in data centre a and one in b each.
 func carried(t *testing.T, self, dc string) *relay.Model {
@@ -207,7 +210,7 @@
 // mixedFleet returns a VM of one data centre with two strong and twenty weak ones,
 // whose route has 90 shards.
 func mixedFleet(self string) *relay.Model {
-	m := relay.New(relay.WithSelf(self, "a"), relay.WithBudget(grownBudget))
+	m := relay.New(relay.WithSelf(self, "a"), relay.WithBudget(usersBudget))
 	var names []string
 	for i := range 90 {
 		names = append(names, fmt.Sprint("s", i))
