Spare a slot of far upstreams for urgent work while near ones answer as usual

Carriers of both data centres filled the two slots of an upstream with ordinary work, so urgent parts waited behind up to four others in the queue of the upstream, where nothing orders them.

Now less urgent work leaves one slot of an upstream in another data centre free, unless no near upstream answers as usual.

--- a/relay/carrier_test.go
+++ b/relay/carrier_test.go
@@ -305,3 +305,35 @@
 		t.Errorf("got streams to %s, want %s", got, want)
 	}
 }
+
+// TestFarSlots guards against less urgent work that fills the slots of upstreams in
+// another data centre, whose own carrier fills them too.
+func TestFarSlots(t *testing.T) {
+	for _, tt := range []struct {
+		priority  int
+		near, far int // attempts open at once
+	}{{0, 3, 3}, {1, 2, 1}} {
+		m := relay.New(relay.WithSelf("va", "a"))
+		m.Update(1000, relay.TableMsg{Table: route.NewTable(route.Config{Version: 7, Routes: []route.Route{{
+			Name: "q", Host: "h", Prefix: "/", Gather: []string{"s"}, Idempotent: true,
+			TimeoutMs: 400, TargetMs: 300, Priority: tt.priority, MaxAttempts: 2, Top: 5, MinShare: 0.5,
+		}}})})
+		for _, dc := range []string{"a", "b"} {
+			m.Update(1000, relay.UpstreamMsg{Upstream: relay.Upstream{ID: dc, Service: "s", Address: dc, DataCentre: dc, Slots: 2}})
+		}
+		m.Update(1000, relay.FleetMsg{VMs: []relay.VM{
+			{ID: "va", Address: "va", DataCentre: "a"}, {ID: "vb", Address: "vb", DataCentre: "b"},
+		}})
+		open := make(map[string]int)
+		for id := range uint64(8) {
+			for _, c := range m.Update(2000, arrive(id+1)) {
+				if s, ok := c.(relay.SendCmd); ok {
+					open[s.Upstream]++
+				}
+			}
+		}
+		if open["a"] != tt.near || open["b"] != tt.far {
+			t.Errorf("priority %d: got %d near and %d far, want %d and %d", tt.priority, open["a"], open["b"], tt.near, tt.far)
+		}
+	}
+}
--- a/relay/service.go
+++ b/relay/service.go
@@ -22,6 +22,11 @@
 	// free. Other work waits here, where it is ordered by rank.
 	urgentQueued = 1
 
+	// farSpared is how many slots of an upstream in another data centre less urgent
+	// work leaves free, while one near by answers as usual: the carrier there fills
+	// them too, and urgent work would wait behind both in the upstream's own queue.
+	farSpared = 1
+
 	// slotShare bounds a VM's open attempts at an upstream that other VMs use
 	// too, as a multiple of its slots.
 	slotShare = 2
@@ -48,8 +53,11 @@
 	switch {
 	case u.service.carried && m.listed && m.carries:
 		if slots > 0 {
-			if priority == 0 {
+			switch {
+			case priority == 0:
 				slots += urgentQueued
+			case !m.near(u) && m.nearSound(u.service):
+				slots = max(slots-farSpared, 1)
 			}
 			n = min(n, slots)
 		}
@@ -71,6 +79,16 @@
 	return max(n, 1)
 }
 
+// nearSound reports whether an upstream of this VM's data centre answers as usual.
+func (m *Model) nearSound(s *service) bool {
+	for _, u := range s.upstreams {
+		if u.usable() && m.near(u) && u.failures == 0 && u.hold == 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // service returns the service with the given name, which it creates.
 func (m *Model) service(name string) *service {
 	s := m.services[name]
