Share the store within data centres only, led by the strongest VMs

On the grown sites a feeder chosen by hash alone may be one with a link of 22 Mbit/s, which 20 followers of 240 KB each fill for 1.7 s a version (computed).

Now groups stay within a data centre at every size, and the strongest VMs follow the store.

--- a/catalog/feeder.go
+++ b/catalog/feeder.go
@@ -35,18 +35,30 @@
 	avoidMs clock.Millis = 10 * clock.Second
 )
 
+// Member is a VM of a group that shares what it reads of the store.
+type Member struct {
+	ID       string
+	Strength int // of the VM, on a scale that the group shares
+}
+
 // Feeders returns the VMs that self may subscribe to, best first, and whether
 // others may subscribe to self. The first is empty for the VMs that follow the
-// store themselves. All VMs with the same list agree, and no VM subscribes to one
-// that ranks below it, so subscriptions never form a cycle.
-func Feeders(self string, vms []string) (feeders []string, feeds bool) {
-	ranked := slices.Clone(vms)
-	slices.SortFunc(ranked, func(a, b string) int {
-		return cmp.Or(cmp.Compare(xxhash.Sum64String("feeder/"+b), xxhash.Sum64String("feeder/"+a)), cmp.Compare(a, b))
+// store themselves. The strongest do so, because a large configuration leaves them
+// once for each follower. All VMs with the same list agree, and no VM subscribes to
+// one that ranks below it, so subscriptions never form a cycle.
+func Feeders(self string, group []Member) (feeders []string, feeds bool) {
+	ranked := slices.Clone(group)
+	slices.SortFunc(ranked, func(a, b Member) int {
+		return cmp.Or(cmp.Compare(b.Strength, a.Strength),
+			cmp.Compare(xxhash.Sum64String("feeder/"+b.ID), xxhash.Sum64String("feeder/"+a.ID)), cmp.Compare(a.ID, b.ID))
 	})
-	roots := (len(ranked) + followersPerFeeder - 1) / followersPerFeeder
-	rank := slices.Index(ranked, self)
-	if rank < 0 || len(ranked) < 2 {
+	ids := make([]string, len(ranked))
+	for i, m := range ranked {
+		ids[i] = m.ID
+	}
+	roots := (len(ids) + followersPerFeeder - 1) / followersPerFeeder
+	rank := slices.Index(ids, self)
+	if rank < 0 || len(ids) < 2 {
 		return nil, false
 	}
 	feeds = rank < roots+spareFeeders
@@ -54,9 +66,9 @@
 		return nil, feeds
 	}
 	first := int(xxhash.Sum64String(self) % uint64(roots))
-	feeders = append(slices.Clone(ranked[first:roots]), ranked[:first]...)
+	feeders = append(slices.Clone(ids[first:roots]), ids[:first]...)
 	feeders = feeders[:min(len(feeders), 1+spareFeeders)]
-	return append(feeders, ranked[roots:min(rank, roots+spareFeeders)]...), feeds
+	return append(feeders, ids[roots:min(rank, roots+spareFeeders)]...), feeds
 }
 
 // Subscribe asks a VM for the changes after a revision.
--- a/catalog/feeder_test.go
+++ b/catalog/feeder_test.go
@@ -59,10 +59,10 @@
 
 // elect tells every VM which others are alive.
 func (g *group) elect() {
-	var ids []string
+	var ids []catalog.Member
 	for _, v := range g.vms {
 		if !v.dead {
-			ids = append(ids, v.id)
+			ids = append(ids, catalog.Member{ID: v.id})
 		}
 	}
 	for _, v := range g.vms {
@@ -73,9 +73,9 @@
 
 // root returns the VM that follows the store for the others.
 func (g *group) root() *member {
-	ids := make([]string, len(g.vms))
+	ids := make([]catalog.Member, len(g.vms))
 	for i, v := range g.vms {
-		ids[i] = v.id
+		ids[i].ID = v.id
 	}
 	for _, v := range g.vms {
 		if feeders, feeds := catalog.Feeders(v.id, ids); feeds && len(feeders) == 0 {
@@ -314,7 +314,7 @@
 	root := g.root()
 	var cut *member
 	for _, v := range g.vms {
-		if feeders, feeds := catalog.Feeders(v.id, []string{root.id, v.id}); !feeds || len(feeders) > 0 && v != root {
+		if feeders, feeds := catalog.Feeders(v.id, []catalog.Member{{ID: root.id}, {ID: v.id}}); !feeds || len(feeders) > 0 && v != root {
 			cut = v
 		}
 	}
@@ -370,26 +370,31 @@
 // a VM without anybody to ask that does not follow the store.
 func TestFeedersAgree(t *testing.T) {
 	for _, n := range []int{1, 2, 3, 9, 64, 65, 178, 600} {
-		var ids []string
+		var group []catalog.Member
 		for i := range n {
-			ids = append(ids, fmt.Sprint("vm", i))
+			group = append(group, catalog.Member{ID: fmt.Sprint("vm", i), Strength: i % 7 / 6})
 		}
 		roots := 0
 		rank := make(map[string]int) // 0 for VMs that follow the store
-		for _, id := range ids {
-			feeders, _ := catalog.Feeders(id, ids)
+		for _, member := range group {
+			id := member.ID
+			feeders, _ := catalog.Feeders(id, group)
 			if len(feeders) == 0 {
 				roots++
+				if n >= 7 && member.Strength == 0 && roots <= n/7 {
+					t.Errorf("%d VMs: %s follows the store, though stronger VMs do not", n, id)
+				}
 			}
 			rank[id] = len(feeders)
 			if slices.Contains(feeders, id) {
 				t.Errorf("%d VMs: %s feeds itself", n, id)
 			}
 		}
-		for _, id := range ids {
-			feeders, _ := catalog.Feeders(id, ids)
+		for _, member := range group {
+			id := member.ID
+			feeders, _ := catalog.Feeders(id, group)
 			for _, f := range feeders {
-				back, feeds := catalog.Feeders(f, ids)
+				back, feeds := catalog.Feeders(f, group)
 				if slices.Contains(back, id) {
 					t.Errorf("%d VMs: %s and %s feed each other", n, id, f)
 				}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -13,10 +13,6 @@
 	"lentillink.example/lentillink/vm"
 )
 
-// smallFleet is the size up to which all VMs form one group that shares what it
-// reads of the store. The users' fleets of today have 7 to 9 VMs.
-const smallFleet = 16
-
 // handedKey identifies a request of another VM.
 type handedKey struct {
 	from string
@@ -145,18 +141,17 @@
 	g.stepCatalog(io, catalog.FeedersMsg{VMs: feeders, Feeds: feeds})
 }
 
-// feedGroup returns the VMs that share what they read of the store. A group that
-// spans data centres needs fewer calls, but each configuration crosses them once
-// for each VM, so only a small fleet forms one; a larger one has a group for each
-// data centre.
-func (g *Gateway) feedGroup(list []relay.VM) []string {
-	var ids []string
+// feedGroup returns the VMs of this one's data centre, which share what they read
+// of the store. One group of all would need fewer calls, but each configuration
+// would cross data centres once for each VM.
+func (g *Gateway) feedGroup(list []relay.VM) []catalog.Member {
+	var group []catalog.Member
 	for _, v := range list {
-		if len(list) <= smallFleet || v.DataCentre == g.self.DataCentre {
-			ids = append(ids, v.ID)
+		if v.DataCentre == g.self.DataCentre {
+			group = append(group, catalog.Member{ID: v.ID, Strength: v.CPUMilli})
 		}
 	}
-	return ids
+	return group
 }
 
 // stepRegister updates the registrar and makes its calls.
