--- a/catalog/feeder_test.go
+++ b/catalog/feeder_test.go
@@ -24,16 +24,16 @@
 
 // member is one VM of a group.
 type member struct {
-	id      string
-	m       *catalog.Model
-	dead    bool
-	refused bool // the store refuses its calls
-	silent  bool // the store does not answer its calls
-	muted   bool // what it sends to other VMs is lost
-	known   map[string]uint64
-	watch   *catalog.FollowCmd
-	watchAt clock.Millis
-	doomed  bool // the history that the watch needs is gone, which the store says at its end
+	id        string
+	m         *catalog.Model
+	dead      bool
+	refused   bool // the store refuses its calls
+	silent    bool // the store does not answer its calls
+	muted     bool // what it sends to other VMs is lost
+	known     map[string]uint64
+	watch     *catalog.FollowCmd
+	watchAt   clock.Millis
+	compacted bool // the history that the watch needs is gone, which the store says at its end
 }
 
 type delivery struct {
@@ -151,7 +151,7 @@
 			g.send(storeMs, v, catalog.FailedMsg{Kind: store.KindUnavailable})
 			return
 		}
-		v.watch, v.watchAt, v.doomed = &c, g.now, false
+		v.watch, v.watchAt, v.compacted = &c, g.now, false
 	case catalog.SubscribeCmd:
 		g.tell(v, c.To, catalog.SubscribedMsg{From: v.id, Subscribe: c.Subscribe})
 	case catalog.ShareCmd:
@@ -185,7 +185,7 @@
 	for end := g.now + ms; g.now < end; {
 		g.now++
 		for _, v := range g.vms {
-			if w := v.watch; w != nil && v.doomed {
+			if w := v.watch; w != nil && v.compacted {
 				if g.now >= v.watchAt+w.WaitMs {
 					v.watch = nil
 					g.update(v, catalog.FailedMsg{Kind: store.KindConflict})
@@ -216,7 +216,7 @@
 // compact discards the history while watches wait.
 func (g *group) compact() {
 	for _, v := range g.vms {
-		v.doomed = true
+		v.compacted = true
 	}
 }
 
