--- a/relay/carrier.go
+++ b/relay/carrier.go
@@ -82,9 +82,10 @@
 	m.peers = known
 	m.listed = listed
 	m.vms = max(len(vms), 1)
+	carrier := listed && m.isCarrier(now)
 	for _, id := range sortedKeys(m.upstreams) {
 		if u := m.upstreams[id]; u.usable() {
-			m.warm(now, u)
+			m.warm(u, carrier)
 		}
 	}
 	m.meetCarriers(now)
@@ -101,9 +102,9 @@
 
 // warm opens a connection to an upstream before it is needed. Only carriers do
 // so for shards: an upstream accepts fewer connections than there may be VMs.
-func (m *Model) warm(now clock.Millis, u *upstream) {
+func (m *Model) warm(u *upstream, carrier bool) {
 	if u.service.carried {
-		if !m.listed || !m.isCarrier(now) {
+		if !carrier {
 			return
 		}
 	} else if int(float64(u.service.maxConns)*(carrierConnections+otherConnections)) < m.vms {
--- a/relay/model.go
+++ b/relay/model.go
@@ -166,7 +166,7 @@
 	u.service.centres = nil
 	u.coldUntil = now + info.ColdMs
 	if u.usable() {
-		m.warm(now, u)
+		m.warm(u, u.service.carried && m.listed && m.isCarrier(now))
 		m.pump(now, u.service)
 	}
 }
