Log why a request was not answered whole before its answer is sent

Cause: the relay emitted AnswerCmd before the event of the answer, so a caller could have its answer before the log line that explains it. TestRequestTrace/failed read the log in that moment once.

Change: the event comes first. On one core the order costs the answer nothing, because the goroutine that writes it runs after the event loop.

--- a/relay/finish.go
+++ b/relay/finish.go
@@ -68,10 +68,12 @@
 	if r.delegated {
 		cmd.ExpectedMs = m.estimateRequest(now, r)
 	}
-	m.emit(cmd)
 	if a.Outcome > Gathered || a.Missing > 0 || a.Late {
+		// Logged before the answer is sent, so that the log explains every answer that a
+		// caller has.
 		m.event("answer_"+a.Outcome.String(), r, nil, a.Reason, a.TookMs)
 	}
+	m.emit(cmd)
 	m.release(now, r)
 }
 
