Retry a group at its last upstream if no other accepts work

Cause, traced from TestLeavingUpstream beside load: 'group_missing app-04: no other upstream, last one failed', 170 ms into a query with 3 s. One of the group's two upstreams was leaving and the one attempt at the other failed. A retry never went to the last upstream tried, so the group was left out with 2.8 s to spare.

Change: the last upstream is tried again, after the usual backoff and within the budget, if no other upstream of the group accepts work. The test now prints the events of a query that is not complete.

TestRetryAtOnlyUpstream: before, 1 attempt where 2 are wanted, for all three failures.

--- a/entry/helper_test.go
+++ b/entry/helper_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -163,10 +164,25 @@
 		err = checkQuery(q, a)
 	}
 	if err != nil || a.Outcome != "complete" {
-		t.Fatalf("query through VM %d: %v, %s %s, coverage %+v", vm, err, a.Outcome, a.Reason, a.Coverage)
+		t.Fatalf("query through VM %d: %v, %s %s, coverage %+v\n%s", vm, err, a.Outcome, a.Reason, a.Coverage, traceOf(f, q.ID))
 	}
 }
 
+// traceOf returns the events of a request on all VMs, a line each.
+func traceOf(f *demo.Fleet, requestID string) string {
+	var b strings.Builder
+	for vm := range f.Size() {
+		doc, err := f.Caller(vm).Events(url.Values{"request": {requestID}})
+		if err != nil {
+			_, _ = fmt.Fprintf(&b, "VM %d: %v\n", vm, err)
+		}
+		for _, ev := range doc.Events {
+			_, _ = fmt.Fprintf(&b, "VM %d: %+v\n", vm, ev)
+		}
+	}
+	return b.String()
+}
+
 // orderExecutions returns how often the upstreams executed an order.
 func orderExecutions(f *demo.Fleet, id string) int {
 	n := 0
--- a/query/retry.go
+++ b/query/retry.go
@@ -103,14 +103,18 @@
 }
 
 // scheduleTriedUpstreamRetry schedules a retry, after a backoff, that may go to
-// any upstream tried before but the last one.
+// any upstream tried before. The last one is tried again only if no other
+// upstream of the group accepts work, for example because it is leaving.
 func (m *Model) scheduleTriedUpstreamRetry(now clock.Millis, q *openQuery, g int) {
 	sub := &q.subrequests[g]
 	group := q.service.groups[g]
 	last := sub.tried[max(sub.triedCount-1, 0):sub.triedCount]
 	if _, ok := m.balancer.PickForVersion(now, q.Service, group, q.version, last); !ok {
-		m.failGroupAndAdvance(now, q, g, "no other upstream")
-		return
+		last = nil
+		if _, ok := m.balancer.PickForVersion(now, q.Service, group, q.version, nil); !ok {
+			m.failGroupAndAdvance(now, q, g, "no upstream")
+			return
+		}
 	}
 	at := max(now+retryBackoffMs<<sub.retries, sub.earliestRetry)
 	if at >= q.answerAt {
--- a/query/retry_test.go
+++ b/query/retry_test.go
@@ -100,3 +100,26 @@
 		}
 	}
 }
+
+// TestRetryAtOnlyUpstream guards against a group that is left out with time to spare
+// after one failed attempt, because its other upstream is leaving.
+func TestRetryAtOnlyUpstream(t *testing.T) {
+	for _, status := range []attempt.Status{attempt.Failed, attempt.TimedOut, attempt.ConnRefused} {
+		h := newHarness(1, 1)
+		query.WithBurst(100, 100)(h.model)
+		h.update(query.OverloadMsg{Service: "s", Overloaded: true}) // no hedges
+		h.balancer.MarkLeaving(h.now, "s/0/1")
+		h.start(100, 100)
+		h.advanceTo(10)
+		h.update(query.ReplyMsg{Reply: attempt.Reply{ID: h.sent[0].ID, Upstream: h.sent[0].Upstream, Status: status}})
+		h.advanceTo(30)
+		if len(h.sent) != 2 || h.sent[1].Upstream != h.sent[0].Upstream {
+			t.Errorf("%s: attempts %+v, want 2, both to the upstream that is not leaving", status, h.sent)
+			continue
+		}
+		h.update(query.ReplyMsg{Reply: h.okReply(1)})
+		if len(h.answers) != 1 || h.answers[0].Outcome != query.Complete {
+			t.Errorf("%s: got answers %+v, want a complete one", status, h.answers)
+		}
+	}
+}
