Honour leaving notices and Retry-After in upstreams' replies

Change: a notice binds the VM that received it, for that incarnation and for good: entries, re-reads and a new address do not lift it. It is not sent to other VMs, since each learns it from its next own reply while the upstream still serves. A held upstream gets no request, hedge or probe until the time and some jitter have passed, then one at a time. A request waits for it if that is in time, else it goes elsewhere, is refused with the time at which enough upstreams are back, or the part is left out. Requests whose last queued part is given up are now answered at once.

--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"errors"
 	"io"
+	"math"
 	"net"
 	"strconv"
 	"strings"
@@ -29,8 +30,12 @@
 	Receipt   string
 	Body      []byte
 	NotRun    bool
-	CloseConn bool    // the upstream closes the connection
-	Fields    []Field // headers that are forwarded; set if Call.NeedHeader is set
+	CloseConn bool // the upstream closes the connection
+	Leaving   bool // the upstream states that it is leaving
+	// RetryAfterMs is for how long an upstream that turned the request away asks for no
+	// further requests; 0 if it does not.
+	RetryAfterMs clock.Millis
+	Fields       []Field // headers that are forwarded; set if Call.NeedHeader is set
 }
 
 // conn is one connection to an upstream.
@@ -126,6 +131,10 @@
 		Body:      append([]byte(nil), resp.Body()...),
 		NotRun:    len(resp.Header.Peek(c.headers.NotRun)) > 0 || resp.StatusCode() == fasthttp.StatusMisdirectedRequest,
 		CloseConn: resp.ConnectionClose(),
+		Leaving:   string(resp.Header.Peek(c.headers.Leaving)) == leavingValue,
+	}
+	if reply.Status == fasthttp.StatusServiceUnavailable {
+		reply.RetryAfterMs = parseRetryAfter(string(resp.Header.Peek(fasthttp.HeaderRetryAfter)))
 	}
 	if p.call.NeedHeader {
 		reply.Fields = forwardedFields(resp)
@@ -150,6 +159,26 @@
 	return keepOpen
 }
 
+// leavingValue is the value of the header by which an upstream states that it is leaving.
+const leavingValue = "1"
+
+// maxRetryAfterMs is the largest value that parseRetryAfter returns.
+const maxRetryAfterMs = clock.Hour
+
+// parseRetryAfter returns the time that a Retry-After header states in seconds, rounded
+// up. It returns 0 if the header is missing, is not a positive decimal number, or is a date.
+func parseRetryAfter(value string) clock.Millis {
+	value = strings.TrimSpace(value)
+	if strings.Trim(value, "0123456789.") != "" {
+		return 0
+	}
+	seconds, err := strconv.ParseFloat(value, 64)
+	if err != nil && !errors.Is(err, strconv.ErrRange) {
+		return 0
+	}
+	return clock.Millis(min(math.Ceil(seconds*float64(clock.Second)), float64(maxRetryAfterMs)))
+}
+
 // parseIdleTimeout returns the idle timeout that a Keep-Alive header states, less
 // idleMarginMs, or else defaultIdleTimeoutMs.
 func parseIdleTimeout(value string) clock.Millis {
--- a/exchange/request.go
+++ b/exchange/request.go
@@ -15,6 +15,7 @@
 	ExpectInstance string // ID of the upstream that must handle the request
 	Receipt        string // identifies the upstream and the request that it answered
 	NotRun         string // present if the upstream did not execute the request
+	Leaving        string // present with the value 1 if the upstream is leaving
 }
 
 // Request is a request to forward. It is immutable, so that several attempts can share
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -83,7 +83,7 @@
 	reply := r.Reply
 	return relay.ReplyMsg{Attempt: r.Attempt, Reply: relay.Reply{
 		Status: reply.Status, Receipt: reply.Receipt, Body: reply.Body, NotRun: reply.NotRun,
-		WrongUpstream: reply.Status == statusMisdirected, Leaving: reply.CloseConn, Header: reply.Fields,
+		WrongUpstream: reply.Status == statusMisdirected, Leaving: reply.Leaving, RetryAfterMs: reply.RetryAfterMs, Header: reply.Fields,
 	}}
 }
 
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -31,10 +31,11 @@
 	Status        int
 	Receipt       string // identifies the upstream and the request that it answered
 	Body          []byte
-	NotRun        bool // the upstream reports that it did not run the request
-	WrongUpstream bool // the address now belongs to another upstream; implies NotRun
-	Leaving       bool // the upstream closes the connection
-	Header        any  // header fields in the runtime's own type, for forwarding the reply
+	NotRun        bool         // the upstream reports that it did not run the request
+	WrongUpstream bool         // the address now belongs to another upstream; implies NotRun
+	Leaving       bool         // the upstream states that it is leaving
+	RetryAfterMs  clock.Millis // for how long it asks for no further requests; 0 if it does not
+	Header        any          // header fields in the runtime's own type, for forwarding the reply
 }
 
 // success reports whether the reply may be part of a gathered answer.
--- a/relay/arrive.go
+++ b/relay/arrive.go
@@ -61,8 +61,9 @@
 		return
 	}
 	if excess, overloaded := m.wouldMissTarget(now, r, assignments); overloaded {
+		wait := max(m.retryAfter(excess, r.deadline-now), m.holdRemaining(now, r.subrequests, r.requiredReplies()))
 		m.rejectWithEstimate(msg, Answer{
-			Outcome: Refused, Reason: "full", Route: rt.Name, Version: r.version, RetryAfterMs: m.retryAfter(excess, r.deadline-now),
+			Outcome: Refused, Reason: "full", Route: rt.Name, Version: r.version, RetryAfterMs: wait,
 		}, m.estimateRequest(now, r))
 		return
 	}
@@ -228,16 +229,18 @@
 	capacity, open := 0, 0
 	minSlowness := maxSlowRatio
 	for _, u := range sub.service.upstreams {
-		if !u.usable() {
+		if !u.usable() || now < u.holdUntil {
 			continue
 		}
-		n := m.attemptLimit(u, sub.req.route.Priority)
+		n := m.attemptLimit(now, u, sub.req.route.Priority)
 		capacity += n
 		open += min(len(u.open), n)
 		minSlowness = min(minSlowness, u.sustainedSlowness())
 	}
 	if capacity == 0 {
-		return 0 // no usable upstream and so no queue; dispatch handles this case
+		// All upstreams asked for no requests until then. If none is left at all, there is
+		// no queue, and dispatch handles this case.
+		return max(sub.service.heldUntil(now)-now, 0)
 	}
 	ahead := sub.service.queuedAhead(sub.req.route.Priority)
 	wait := 0.0
--- a/relay/finish.go
+++ b/relay/finish.go
@@ -34,6 +34,7 @@
 	case now >= r.deadline:
 		m.finish(now, r)
 	default:
+		m.dispatchHeld(now, r)
 		m.hedge(now, r)
 		m.checkCarriers(now, r)
 		if r.gathers() && now < r.targetAt {
@@ -94,6 +95,7 @@
 	switch {
 	case !r.mayHaveRun() && r.openAttempts == 0:
 		a := Answer{Outcome: Refused, Reason: "no_upstream", RetryAfterMs: m.retryAfter(max(noUpstreamRetryMs, r.retryAfterMs), r.deadline-now)}
+		a.RetryAfterMs = max(a.RetryAfterMs, m.holdRemaining(now, r.subrequests, r.requiredReplies()))
 		if deadlinePassed {
 			a.Reason = "waited_too_long"
 		}
--- a/relay/model.go
+++ b/relay/model.go
@@ -20,6 +20,7 @@
 	routeStats    map[string]*routeStats
 	requests      map[uint64]*request
 	attempts      map[uint64]*attempt
+	notices       boundedMap[string, notice] // by upstream
 	timers        timers
 	peers         map[string]*peerVM     // the VMs of the fleet, by ID
 	vmIDs         []string               // IDs of the VMs, sorted
@@ -42,7 +43,7 @@
 		cfg: cfg, rng: rand.New(rand.NewPCG(cfg.seed, cfg.seed)), vmCount: cfg.vmCount, budgetLimit: cfg.budget,
 		splitter: route.NewSplitter(), services: make(map[string]*service), upstreams: make(map[string]*upstream),
 		routeStats: make(map[string]*routeStats), requests: make(map[uint64]*request), attempts: make(map[uint64]*attempt),
-		peers: make(map[string]*peerVM), delegations: make(map[uint64]*delegation),
+		notices: newBoundedMap[string, notice](maxNotices), peers: make(map[string]*peerVM), delegations: make(map[uint64]*delegation),
 	}
 }
 
@@ -165,6 +166,7 @@
 	u.info = info
 	u.service.dataCentres = nil
 	u.coldUntil = now + info.ColdMs
+	m.applyNotice(u, m.notices.get(info.ID))
 	if u.usable() {
 		m.preconnect(u, u.service.isShard && m.inFleet && m.isCarrier(now))
 		m.dispatchQueued(now, u.service)
--- a/relay/model_test.go
+++ b/relay/model_test.go
@@ -11,9 +11,9 @@
 
 // newSingleServiceModel returns a model with one service of n upstreams that is not
 // a shard.
-func newSingleServiceModel(t *testing.T, idempotent bool, n int) *relay.Model {
+func newSingleServiceModel(t *testing.T, idempotent bool, n int, opts ...relay.Option) *relay.Model {
 	t.Helper()
-	m := relay.New(relay.WithSelf("vm", "a"), relay.WithVMs(1), relay.WithBudget(productionBudget))
+	m := relay.New(append([]relay.Option{relay.WithSelf("vm", "a"), relay.WithVMs(1), relay.WithBudget(productionBudget)}, opts...)...)
 	m.Update(1000, relay.TableMsg{Table: route.NewTable(route.Config{
 		Version: 5, Services: []route.Service{{Name: "s", MaxConnections: 110}}, Routes: []route.Route{{
 			Name: "r", Host: "h", Prefix: "/", Service: "s", Idempotent: idempotent, TimeoutMs: 4000, TargetMs: 1200, MaxAttempts: 2,
--- a/relay/reply.go
+++ b/relay/reply.go
@@ -9,6 +9,7 @@
 	}
 	m.endAttempt(a)
 	sub, u, reply := a.subrequest, a.upstream, msg.Reply
+	m.recordNotice(now, u, reply)
 	switch {
 	case reply.NotRun:
 		sub.possibleRuns--
--- a/relay/request.go
+++ b/relay/request.go
@@ -50,7 +50,8 @@
 	possibleRuns int // attempts that may have run
 	open         []*attempt
 	queued       bool
-	deliveries   int // attempts that reached or may have reached an upstream
+	heldUntil    clock.Millis // while queued: when an upstream that asked for no requests takes them again; 0 if none
+	deliveries   int          // attempts that reached or may have reached an upstream
 	hedged       bool
 }
 
--- a/relay/send.go
+++ b/relay/send.go
@@ -19,6 +19,9 @@
 	case available:
 		sub.queued = true
 		sub.service.queue = append(sub.service.queue, sub)
+		if sub.heldUntil = sub.service.heldUntil(now); sub.heldUntil > 0 {
+			m.wake(sub.req, sub.heldUntil)
+		}
 	default:
 		m.giveUp(now, sub)
 	}
@@ -51,22 +54,27 @@
 // dispatchQueued sends queued sub-requests of a service while the attempt limits
 // allow.
 func (m *Model) dispatchQueued(now clock.Millis, s *service) {
+	var givenUp []*request
 	for len(s.queue) > 0 {
 		sub := s.next(now)
 		if sub == nil {
-			return
+			break
 		}
 		u, available := m.chooseUpstream(now, sub, false)
 		if u == nil && available {
-			return
+			break
 		}
 		s.dequeue(sub)
 		if u == nil {
 			m.giveUp(now, sub)
+			givenUp = append(givenUp, sub.req)
 			continue
 		}
 		m.send(now, sub, u)
 	}
+	for _, r := range givenUp {
+		m.advance(now, r) // the request may have nothing left to wait for
+	}
 }
 
 // endAttempt removes an attempt from the state, which frees its place at the
--- a/relay/service.go
+++ b/relay/service.go
@@ -48,7 +48,7 @@
 // attemptLimit returns how many attempts of a priority this VM may have open at u. A
 // carrier sends nearly all work of its shards, every other VM only what it reclaims.
 // All VMs send work to services that are not shards.
-func (m *Model) attemptLimit(u *upstream, priority int) int {
+func (m *Model) attemptLimit(now clock.Millis, u *upstream, priority int) int {
 	limit, maxConns := int(u.attemptWindow), float64(u.service.maxConns)
 	slots := u.info.Slots
 	switch {
@@ -57,7 +57,7 @@
 			switch {
 			case priority == 0:
 				slots += urgentExtraAttempts
-			case !m.isLocal(u) && m.hasHealthyLocal(u.service):
+			case !m.isLocal(u) && m.hasHealthyLocal(now, u.service):
 				slots = max(slots-remoteSlotsSpared, 1)
 			}
 			limit = min(limit, slots)
@@ -81,10 +81,10 @@
 }
 
 // hasHealthyLocal reports whether the service has an upstream in this VM's data
-// centre that is neither failing nor slow.
-func (m *Model) hasHealthyLocal(s *service) bool {
+// centre that takes requests and is neither failing nor slow.
+func (m *Model) hasHealthyLocal(now clock.Millis, s *service) bool {
 	for _, u := range s.upstreams {
-		if u.usable() && m.isLocal(u) && u.failures == 0 && u.slowAvoidMs == 0 {
+		if u.usable() && m.isLocal(u) && now >= u.holdUntil && u.failures == 0 && u.slowAvoidMs == 0 {
 			return true
 		}
 	}
--- a/relay/upstream.go
+++ b/relay/upstream.go
@@ -68,6 +68,7 @@
 	attemptWindow  float64 // attempts that it accepts at once without shedding
 	failures       int     // in a row
 	avoidUntil     clock.Millis
+	holdUntil      clock.Millis // the upstream asked for no requests before this time
 	coldUntil      clock.Millis
 	removed        bool
 }
