Keep removed keys removed when a read or a publisher is older

Cause: a list that may be stale was compared with the keys known now. A key that had been removed was not among them, so it counted as new. The registration of an upstream that had left was in use again until the next full list, up to two minutes later. A stale list also cancelled a removal that was held after an outage, and an update from a publisher that was behind brought a key back.

Change: a key that is unknown here at revision r and that an older list has at a revision up to r was removed. Held removals carry their revision. Items of an update up to the known revision are skipped.

TestRemovedKeyStaysRemoved and TestHeldRemoval: before, 5 of 7 cases and the second test fail ('got "put b"'); after, all pass.

--- a/catalog/model.go
+++ b/catalog/model.go
@@ -61,13 +61,19 @@
 
 	storeLost         bool
 	contacted         bool
-	holdRemovalsUntil clock.Millis            // removals are not reported before this time
-	pendingRemovals   map[string]clock.Millis // earliest report time of each removed key
+	holdRemovalsUntil clock.Millis       // removals are not reported before this time
+	pendingRemovals   map[string]removal // removed keys that are not reported yet
 
 	subscription subscription
 	subscribers  subscribers
 }
 
+// removal is the removal of a key.
+type removal struct {
+	revision uint64       // of the store; the key did not exist at it
+	reportAt clock.Millis // earliest time of the report
+}
+
 // Option configures a Model.
 type Option func(*Model)
 
@@ -86,7 +92,7 @@
 func New(seed uint64, opts ...Option) *Model {
 	m := &Model{
 		rng: rand.New(rand.NewPCG(seed, seed)), watchInterval: defaultWatchIntervalMs, needRelist: true,
-		items: make(map[string]uint64), pendingRemovals: make(map[string]clock.Millis),
+		items: make(map[string]uint64), pendingRemovals: make(map[string]removal),
 		subscription: subscription{backoffUntil: make(map[string]clock.Millis)}, subscribers: subscribers{expiresAt: make(map[string]clock.Millis)},
 	}
 	for _, opt := range opts {
@@ -190,7 +196,7 @@
 	var changed []store.Item
 	for _, it := range b.Items {
 		present[it.Key] = true
-		if m.isNewer(it) {
+		if m.isNewer(it, b.Revision) {
 			changed = append(changed, it)
 		}
 	}
@@ -221,7 +227,7 @@
 		if !it.Removed {
 			cmds = m.putItem(it, cmds)
 		} else if it.Revision >= m.items[it.Key] {
-			m.holdRemoval(now, it.Key)
+			m.holdRemoval(now, it)
 		}
 	}
 	from := m.revision
@@ -229,15 +235,20 @@
 	return m.publish(Update{From: from, To: m.revision, Items: items}, cmds)
 }
 
-// isNewer reports whether an item is newer than the known revision of its key, or its key is unknown or removed.
-func (m *Model) isNewer(it store.Item) bool {
-	known, ok := m.items[it.Key]
-	_, missing := m.pendingRemovals[it.Key]
-	return !ok || missing || it.Revision > known
+// isNewer reports whether an item of a list is news. A list may be older than what is
+// known here; a key that it has and this Model does not was removed since.
+func (m *Model) isNewer(it store.Item, listRevision uint64) bool {
+	if known, ok := m.items[it.Key]; ok {
+		return it.Revision > max(known, m.pendingRemovals[it.Key].revision)
+	}
+	return listRevision >= m.revision || it.Revision > m.revision
 }
 
 // putItem reports an item if it is newer than the known revision of its key, and cancels a pending removal.
 func (m *Model) putItem(it store.Item, cmds []Cmd) []Cmd {
+	if r, ok := m.pendingRemovals[it.Key]; ok && it.Revision <= r.revision {
+		return cmds
+	}
 	delete(m.pendingRemovals, it.Key)
 	if known, ok := m.items[it.Key]; ok && it.Revision <= known {
 		return cmds
@@ -247,12 +258,12 @@
 }
 
 // holdRemoval records a removal; flushRemovals reports it once the hold has ended.
-func (m *Model) holdRemoval(now clock.Millis, key string) {
-	if _, ok := m.items[key]; !ok {
+func (m *Model) holdRemoval(now clock.Millis, it store.Item) {
+	if _, ok := m.items[it.Key]; !ok {
 		return
 	}
-	if _, ok := m.pendingRemovals[key]; !ok {
-		m.pendingRemovals[key] = max(now, m.holdRemovalsUntil)
+	if _, ok := m.pendingRemovals[it.Key]; !ok {
+		m.pendingRemovals[it.Key] = removal{revision: it.Revision, reportAt: max(now, m.holdRemovalsUntil)}
 	}
 }
 
@@ -261,8 +272,8 @@
 		return cmds
 	}
 	var due []string
-	for key, at := range m.pendingRemovals {
-		if max(at, m.holdRemovalsUntil) <= now {
+	for key, r := range m.pendingRemovals {
+		if max(r.reportAt, m.holdRemovalsUntil) <= now {
 			due = append(due, key)
 		}
 	}
--- a/catalog/model_test.go
+++ b/catalog/model_test.go
@@ -179,3 +179,72 @@
 		t.Errorf("got %d lists in 300 s, want 2 or more", lists)
 	}
 }
+
+// TestRemovedKeyStaysRemoved guards against using again a key that was removed, such as
+// the registration of an upstream that has left, because a read or a publisher is older
+// than the removal.
+func TestRemovedKeyStaysRemoved(t *testing.T) {
+	old := batch(12, item("a", 4), item("b", 9))
+	tests := []struct {
+		name string
+		msgs []catalog.Msg
+		want string // commands about b
+	}{
+		{"stale list", []catalog.Msg{catalog.ListedMsg{Batch: old}}, ""},
+		{"stale list, then the same again", []catalog.Msg{catalog.ListedMsg{Batch: old}, catalog.ListedMsg{Batch: old}}, ""},
+		{"fresh list with the key written again", []catalog.Msg{catalog.ListedMsg{Batch: batch(40, item("a", 4), item("b", 33))}}, "put b"},
+		{"stale list, then written again", []catalog.Msg{
+			catalog.ListedMsg{Batch: old}, catalog.WatchedMsg{Batch: batch(40, item("b", 40))},
+		}, "put b"},
+		{"list with a page newer than its revision", []catalog.Msg{catalog.ListedMsg{Batch: batch(12, item("a", 4), item("b", 33))}}, "put b"},
+		{"update from a publisher that is behind", []catalog.Msg{
+			catalog.PublishersMsg{VMs: []string{"p"}},
+			catalog.UpdateMsg{From: "p", Update: catalog.Update{From: 8, To: 12, Items: []store.Item{item("b", 9)}}},
+		}, ""},
+		{"update that spans the removal", []catalog.Msg{
+			catalog.PublishersMsg{VMs: []string{"p"}},
+			catalog.UpdateMsg{From: "p", Update: catalog.Update{From: 8, To: 31, Items: []store.Item{item("b", 9), removed("b", 20), item("b", 31)}}},
+		}, "put b"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := newHarness(t)
+			r.update(catalog.ListedMsg{Batch: batch(10, item("a", 4), item("b", 9))})
+			r.now += 3000
+			r.update(catalog.WatchedMsg{Batch: batch(20, removed("b", 20))})
+			r.want("list", "reachable true", "put a", "put b", "watch 10", "delete b")
+			for _, msg := range tt.msgs {
+				r.now += 200
+				r.update(msg)
+			}
+			got := ""
+			for _, c := range r.commands {
+				if strings.HasSuffix(c, " b") {
+					got += c
+				}
+			}
+			if got != tt.want {
+				t.Errorf("got %q, want %q", got, tt.want)
+			}
+		})
+	}
+}
+
+// TestHeldRemoval guards against a stale list that takes back a removal which is held
+// after an outage, in case the entry is written again.
+func TestHeldRemoval(t *testing.T) {
+	r := newHarness(t)
+	r.update(catalog.ListedMsg{Batch: batch(10, item("a", 4), item("b", 9))})
+	r.now += 5000
+	r.update(catalog.FailedMsg{Kind: store.KindUnavailable})
+	r.update(catalog.FailedMsg{Kind: store.KindUnavailable})
+	r.now += 1000
+	r.update(catalog.WatchedMsg{Batch: batch(20, removed("b", 20))}) // removals are held from here
+	r.update(catalog.ListedMsg{Batch: batch(12, item("a", 4), item("b", 9))})
+	r.commands = nil
+	r.now += 3000
+	r.update(catalog.TickMsg{})
+	if got := strings.Join(r.commands, ", "); !strings.Contains(got, "delete b") {
+		t.Errorf("got %s, want delete b", got)
+	}
+}
--- a/catalog/query.go
+++ b/catalog/query.go
@@ -17,8 +17,8 @@
 	if m.storeLost {
 		return at, ok
 	}
-	for _, due := range m.pendingRemovals {
-		due = max(due, m.holdRemovalsUntil)
+	for _, r := range m.pendingRemovals {
+		due := max(r.reportAt, m.holdRemovalsUntil)
 		if !ok || due < at {
 			at, ok = due, true
 		}
--- a/catalog/subscription.go
+++ b/catalog/subscription.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/store"
 )
 
 const (
@@ -190,7 +191,9 @@
 		return cmds
 	}
 	m.needRelist, m.backoff = false, 0
-	return m.applyChanges(now, u.Items, u.To, cmds)
+	// Changes up to the known revision were applied before, or a removal followed them.
+	news := slices.DeleteFunc(slices.Clone(u.Items), func(it store.Item) bool { return it.Revision <= m.revision })
+	return m.applyChanges(now, news, u.To, cmds)
 }
 
 // subscriptionWake returns the time at which the subscription needs a tick, if any.
