Leave out odd values of the store and of other VMs

Cause: one entry of 1 MB made of '[' took 512 MB of stack, so it ended every VM that read it, again after each restart. Entries with port 0, a repeated field,  slots, counters of 2^64-1 or an id with a line break were accepted as upstreams; the id is sent in a header. A configuration of 1 MB took 543 MB, one with a huge top-k ended the process in the merge. One item of a reply that could not be decoded stopped a VM from following the store, one message ended the stream between two VMs.

Change: depth, objects, elements and top-level fields are limited before decoding, every number, name and address has a range, and what is outside is left out, logged in at most 300 bytes and counted in lentillink_gateway_skipped_items_total. Items and messages are decoded one by one. Four reports in a row that look older than the known one replace it, so counters of another writer do not bind an upstream for good. An entry that turns odd still names no upstream, as the users' page says.

--- a/entry/perform.go
+++ b/entry/perform.go
@@ -124,6 +124,11 @@
 	}
 }
 
+// Malformed logs a message from a peer that could not be decoded.
+func (h meshHandler) Malformed(from string, err error) {
+	_ = h.v.logger.Log("event", "message_skipped", "from", from, "err", err)
+}
+
 // Unsent handles a message that could not be sent.
 func (h meshHandler) Unsent(to string, body vm.PeerBody) {
 	if req, ok := body.(vm.AdminRequest); ok {
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -228,7 +228,8 @@
 func (g *Gateway) applyItem(item store.Item) {
 	decoded, err := g.decoder.Decode(item)
 	if err != nil {
-		_ = g.logger.Log("event", "item_skipped", "key", item.Key, "revision", item.Revision, "err", err)
+		g.metrics.skippedItems.Inc()
+		_ = g.logger.Log("event", "item_skipped", "key", item.Key, "revision", item.Revision, "err", shorten(err))
 		if id, ok := g.decoder.UpstreamID(item.Key); ok {
 			g.stepRelay(relay.UpstreamRemovedMsg{ID: id})
 		}
@@ -257,6 +258,7 @@
 		g.post(loopMsg{catalog: g.logStoreFailure(err)})
 		return
 	}
+	g.reportSkipped(batch)
 	g.post(loopMsg{catalog: catalog.ListedMsg{Batch: batch}})
 }
 
@@ -266,9 +268,27 @@
 		g.post(loopMsg{catalog: g.logStoreFailure(err)})
 		return
 	}
+	g.reportSkipped(batch)
 	g.post(loopMsg{catalog: catalog.WatchedMsg{Batch: batch}})
 }
 
+// reportSkipped logs and counts the items that a store call left out.
+func (g *Gateway) reportSkipped(b store.Batch) {
+	if b.Skipped > 0 {
+		g.metrics.skippedItems.Add(float64(b.Skipped))
+		_ = g.logger.Log("event", "items_skipped", "count", b.Skipped, "revision", b.Revision)
+	}
+}
+
+// maxErrorBytes bounds the text of an error in a log line. It may quote what another
+// program wrote.
+const maxErrorBytes = 300
+
+func shorten(err error) string {
+	text := err.Error()
+	return text[:min(len(text), maxErrorBytes)]
+}
+
 // logStoreFailure logs a failed store call of the catalog, and returns the message about it.
 func (g *Gateway) logStoreFailure(err error) catalog.FailedMsg {
 	_ = g.logger.Log("event", "store_call_failed", "err", err)
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -24,6 +24,7 @@
 	events        *prometheus.CounterVec
 	attempts      prometheus.Counter
 	delegations   prometheus.Counter
+	skippedItems  prometheus.Counter
 	configVersion prometheus.Gauge
 	ready         prometheus.Gauge
 }
@@ -57,6 +58,7 @@
 	m.missingShards = counter("missing_parts_total", "Shards that were left out of gathered answers.")
 	m.attempts = counter("attempts_total", "Attempts sent to upstreams.")
 	m.delegations = counter("handovers_total", "Groups of shards handed over to carriers.")
+	m.skippedItems = counter("skipped_items_total", "Values of the store and messages of other VMs that could not be decoded and were left out.")
 	m.configVersion = gauge("config_version", "Version of the configuration in force.")
 	m.ready = gauge("ready", "1 if the VM is ready for the balancer.")
 	return m
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -35,6 +35,12 @@
 	h.g.post(loopMsg{peer: &peerEvent{vm: from, body: body}})
 }
 
+// Malformed logs and counts a message of another VM that could not be decoded.
+func (h meshHandler) Malformed(from string, err error) {
+	h.g.metrics.skippedItems.Inc()
+	_ = h.g.logger.Log("event", "message_skipped", "from", from, "err", shorten(err))
+}
+
 // Unsent queues the report of a message that provably never left this VM.
 func (h meshHandler) Unsent(to string, body vm.PeerBody) {
 	h.g.post(loopMsg{peer: &peerEvent{vm: to, body: body, unsent: true}})
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -76,7 +76,8 @@
 	case *peerpb.Envelope_Ask:
 		return vm.AdminRequest{ID: b.Ask.GetId(), Kind: vm.AdminKind(b.Ask.GetKind()), Payload: b.Ask.GetPayload()}, stamp, nil
 	case *peerpb.Envelope_HandOver:
-		return decodeDelegation(b.HandOver), stamp, nil
+		d, err := decodeDelegation(b.HandOver)
+		return d, stamp, err
 	case *peerpb.Envelope_Taken:
 		return relay.DelegationAck{ID: b.Taken.GetId()}, stamp, nil
 	case *peerpb.Envelope_HandBack:
@@ -87,7 +88,8 @@
 	case *peerpb.Envelope_Subscribe:
 		return catalog.Subscribe{After: b.Subscribe.GetAfter()}, stamp, nil
 	case *peerpb.Envelope_Update:
-		return decodeUpdate(b.Update), stamp, nil
+		u, err := decodeUpdate(b.Update)
+		return u, stamp, err
 	case *peerpb.Envelope_Told:
 		return vm.AdminResponse{ID: b.Told.GetId(), Payload: b.Told.GetPayload()}, stamp, nil
 	}
--- a/peer/delegation.go
+++ b/peer/delegation.go
@@ -16,15 +16,31 @@
 	}
 }
 
-func decodeDelegation(d *peerpb.HandOver) relay.Delegation {
+const (
+	// maxDelegatedMs bounds the times of a delegation. Callers wait for seconds.
+	maxDelegatedMs = clock.Hour
+
+	// maxDelegatedShards bounds the shards of a delegation. Services have a few hundred.
+	maxDelegatedShards = 8192
+)
+
+var errOutOfRange = errors.New("a number is out of range")
+
+func decodeDelegation(d *peerpb.HandOver) (relay.Delegation, error) {
+	if !inRange(d.GetLeftMs()) || !inRange(d.GetAnswerInMs()) || len(d.GetServices()) > maxDelegatedShards {
+		return relay.Delegation{}, wrap("decode delegation", KindDecode, errOutOfRange)
+	}
 	return relay.Delegation{
 		ID: d.GetId(), Version: d.GetVersion(), Name: d.GetName(), Host: d.GetHost(), Path: d.GetPath(),
 		Head: d.GetHead(), Body: d.GetBody(),
 		RemainingMs: clock.Millis(d.GetLeftMs()), TargetInMs: clock.Millis(d.GetAnswerInMs()), CallerRetry: d.GetReturning(),
 		Services: d.GetServices(),
-	}
+	}, nil
 }
 
+// inRange reports whether a time in milliseconds is one that a VM sends.
+func inRange(ms int64) bool { return ms >= 0 && ms <= int64(maxDelegatedMs) }
+
 func encodeDelegationResult(r relay.DelegationResult) *peerpb.HandBack {
 	a := r.Answer
 	return &peerpb.HandBack{
@@ -35,6 +51,9 @@
 
 func decodeDelegationResult(r *peerpb.HandBack) (relay.DelegationResult, error) {
 	outcome := relay.Outcome(r.GetOutcome())
+	if !inRange(r.GetRetryAfterMs()) || !inRange(r.GetExpectedMs()) || len(r.GetReceipts()) > maxDelegatedShards {
+		return relay.DelegationResult{}, wrap("decode delegation result", KindDecode, errOutOfRange)
+	}
 	if r.GetOutcome() > uint32(relay.NotReady) || outcome == relay.Relayed {
 		return relay.DelegationResult{}, wrap("decode", KindDecode, errors.New("outcome of a delegation result is unknown or not allowed"))
 	}
--- a/peer/delegation_test.go
+++ b/peer/delegation_test.go
@@ -50,3 +50,25 @@
 		}
 	}
 }
+
+// TestDecodeRejectsOddNumbers guards against a number of another VM that overflows a
+// deadline, or after which all true changes look old.
+func TestDecodeRejectsOddNumbers(t *testing.T) {
+	const huge = 1<<63 - 1
+	for _, body := range []vm.PeerBody{
+		relay.Delegation{ID: 1, RemainingMs: huge},
+		relay.Delegation{ID: 1, RemainingMs: -1},
+		relay.Delegation{ID: 1, TargetInMs: huge},
+		relay.Delegation{ID: 1, Services: make([]string, 10_000)},
+		relay.DelegationResult{ID: 1, ExpectedMs: huge},
+		relay.DelegationResult{ID: 1, Answer: relay.Answer{Outcome: relay.Refused, RetryAfterMs: huge}},
+		relay.DelegationResult{ID: 1, Answer: relay.Answer{Outcome: relay.Refused, RetryAfterMs: -huge}},
+		catalog.Update{To: 1 << 63},
+		catalog.Update{To: 5, Items: []store.Item{{Key: "k", Revision: 1 << 63}}},
+		catalog.Update{To: 5, Items: []store.Item{{Revision: 5}}},
+	} {
+		if got, _, err := peer.Decode(0, peer.Encode(0, clock.Timestamp{}, body)); err == nil {
+			t.Errorf("got %+v, want an error", got)
+		}
+	}
+}
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -26,6 +26,8 @@
 type Handler interface {
 	// Received handles a message from a peer.
 	Received(from string, stamp clock.Timestamp, body vm.PeerBody)
+	// Malformed handles a message from a peer that could not be decoded.
+	Malformed(from string, err error)
 	// Unsent handles a message that provably never left this VM.
 	Unsent(to string, body vm.PeerBody)
 	// Disconnected handles the end of a stream. Messages sent on it may or may not have
--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -15,6 +15,7 @@
 	"lentillink.example/lentillink/clock"
 	"lentillink.example/lentillink/coverage"
 	"lentillink.example/lentillink/peer"
+	"lentillink.example/lentillink/relay"
 	"lentillink.example/lentillink/rank"
 	"lentillink.example/lentillink/vm"
 )
@@ -27,15 +28,17 @@
 	received     chan string
 	unsent       chan string
 	disconnected chan string
+	malformed    chan string
 }
 
 func newRecorder() *recorder {
-	return &recorder{received: make(chan string, 4096), unsent: make(chan string, 4096), disconnected: make(chan string, 64)}
+	return &recorder{received: make(chan string, 4096), unsent: make(chan string, 4096), disconnected: make(chan string, 64), malformed: make(chan string, 64)}
 }
 
 func (r *recorder) Received(from string, _ clock.Timestamp, body vm.PeerBody) {
 	r.received <- fmt.Sprintf("%s:%s", from, payloadOf(body))
 }
+func (r *recorder) Malformed(from string, _ error)    { r.malformed <- from }
 func (r *recorder) Unsent(_ string, body vm.PeerBody) { r.unsent <- payloadOf(body) }
 func (r *recorder) Disconnected(peer string)          { r.disconnected <- peer }
 
@@ -198,3 +201,20 @@
 		}
 	})
 }
+
+// TestMeshSkipsMalformed guards against a stream, and with it all work that was
+// delegated over it, that ends because one message cannot be decoded.
+func TestMeshSkipsMalformed(t *testing.T) {
+	a, b := startVM(t, "vm-a"), startVM(t, "vm-b")
+	a.mesh.Send("vm-b", b.addr, clock.Timestamp{}, relay.Delegation{ID: 1, RemainingMs: -1})
+	a.mesh.Send("vm-b", b.addr, clock.Timestamp{}, vm.FleetMessage{Payload: []byte("hi")})
+	if got, want := await(t, b.recorder.malformed, "report of the malformed message"), "vm-a"; got != want {
+		t.Errorf("malformed message from %q, want %q", got, want)
+	}
+	if got, want := await(t, b.recorder.received, "message at b"), "vm-a:hi"; got != want {
+		t.Errorf("b received %q, want %q", got, want)
+	}
+	if got := len(b.recorder.disconnected); got != 0 {
+		t.Errorf("%d streams ended, want 0", got)
+	}
+}
--- a/peer/stream.go
+++ b/peer/stream.go
@@ -145,7 +145,8 @@
 		}
 		body, stamp, err := Decode(m.clock.Now(), env)
 		if err != nil {
-			return err
+			m.handler.Malformed(peer, err) // the messages that follow are separate
+			continue
 		}
 		m.handler.Received(peer, stamp, body)
 	}
--- a/relay/arrive.go
+++ b/relay/arrive.go
@@ -124,9 +124,11 @@
 		names = d.Services
 	}
 	for _, name := range names {
-		sub := &subrequest{req: r, service: m.service(name)}
+		sub := &subrequest{req: r}
 		if d != nil {
-			sub.dataCentre = m.cfg.dataCentre
+			sub.service, sub.dataCentre = m.delegatedService(name), m.cfg.dataCentre
+		} else {
+			sub.service = m.service(name)
 		}
 		r.subrequests = append(r.subrequests, sub)
 	}
--- a/relay/gather.go
+++ b/relay/gather.go
@@ -29,6 +29,11 @@
 // TopRecords returns the n greatest records of all bodies in descending order.
 // Duplicates are kept.
 func TopRecords(n int, bodies [][]byte) []byte {
+	records := 0
+	for _, b := range bodies {
+		records += len(b) / recordBytes
+	}
+	n = max(min(n, records), 0)
 	kept := make(recordHeap, 0, n)
 	for _, b := range bodies {
 		for ; len(b) >= recordBytes; b = b[recordBytes:] {
--- a/relay/model.go
+++ b/relay/model.go
@@ -143,10 +143,11 @@
 	u := m.upstreams[info.ID]
 	if u != nil {
 		old := u.info
-		if info.Incarnation < old.Incarnation || info.Incarnation == old.Incarnation && info.Sequence < old.Sequence {
+		if info.isOlderThan(old) && !u.older.outvote(info) {
 			return
 		}
-		restarted := info.Incarnation > old.Incarnation
+		u.older = olderReports{}
+		restarted := info.Incarnation != old.Incarnation
 		if !restarted && old.Leaving {
 			info.Leaving = true
 		}
--- a/relay/model_test.go
+++ b/relay/model_test.go
@@ -170,6 +170,43 @@
 	}
 }
 
+// TestOddCounters guards against an upstream whose true reports all look old, because
+// another writer left an entry under its key with counters that are too high, and against
+// late reports that replace newer ones.
+func TestOddCounters(t *testing.T) {
+	leaving := func(sequence uint64) relay.UpstreamMsg {
+		msg := registered(7, sequence)
+		msg.Upstream.Leaving = true
+		return msg
+	}
+	tests := []struct {
+		name    string
+		reports []relay.Msg
+		want    bool // whether the upstream gets work
+	}{
+		{"late reports", []relay.Msg{leaving(9), registered(7, 6), registered(7, 5), registered(7, 8), registered(7, 7)}, false},
+		{"late reports of an earlier incarnation", []relay.Msg{leaving(9), registered(6, 50), registered(6, 51)}, false},
+		{"sequence too high, then leaving", []relay.Msg{registered(7, 1<<50), leaving(10), leaving(11), leaving(12), leaving(13)}, false},
+		{"incarnation too high, then leaving", []relay.Msg{registered(1<<50, 1), leaving(10), leaving(11), leaving(12), leaving(13)}, false},
+		{"incarnation too high and leaving, then ready", []relay.Msg{
+			relay.UpstreamMsg{Upstream: relay.Upstream{ID: "u0", Service: "s", Address: "a0", DataCentre: "a", Incarnation: 1 << 50, Leaving: true}},
+			registered(7, 10), registered(7, 11), registered(7, 12), registered(7, 13),
+		}, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			m := newSingleServiceModel(t, true, 0)
+			m.Update(1000, registered(7, 4))
+			for _, msg := range tt.reports {
+				m.Update(1100, msg)
+			}
+			if got := sendsTo(m, 2000, 1, "u0"); got != tt.want {
+				t.Errorf("got work %t, want %t", got, tt.want)
+			}
+		})
+	}
+}
+
 // TestHedge guards against a query that waits for a paused upstream.
 func TestHedge(t *testing.T) {
 	m := newShardedModel(t, "va", "a")
--- a/relay/service.go
+++ b/relay/service.go
@@ -105,6 +105,15 @@
 	return s
 }
 
+// delegatedService returns the service with a name that another VM sent. One that this VM
+// does not know has no upstreams and is not kept.
+func (m *Model) delegatedService(name string) *service {
+	if s := m.services[name]; s != nil {
+		return s
+	}
+	return &service{name: name, budget: newBudget(m.budgetLimit)}
+}
+
 func (s *service) configure(t *route.Table) {
 	if cfg, ok := t.Service(s.name); ok {
 		s.maxConns = cfg.MaxConnections
--- a/relay/upstream.go
+++ b/relay/upstream.go
@@ -71,6 +71,7 @@
 	holdUntil      clock.Millis // the upstream asked for no requests before this time
 	coldUntil      clock.Millis
 	removed        bool
+	older          olderReports
 }
 
 // slowness returns the expected latency as a multiple of the median latency.
--- a/store/prefix.go
+++ b/store/prefix.go
@@ -19,6 +19,7 @@
 type Batch struct {
 	Items    []Item
 	Revision uint64
+	Skipped  int // items that could not be decoded and are left out
 }
 
 // PrefixWatcher reads all keys below a prefix and watches their changes. Its
