Bound what an endless reply takes and refuse second copies of replies

Cause: a reply could grow to 4 MB on each of hundreds of connections, and fasthttp's pool handed the grown buffers to small replies. A reply without a request ID was accepted on a connection that had carried others, so a second copy of an earlier reply was passed on as the next one's. A 101 was passed on to the caller.

Change: readers reserve memory from one budget for all replies; the body is read without the pool and is no longer copied. A reply without an ID counts only on an unused connection, which is then closed, and one connection never carries the same request twice in a row. A panic in reading ends that connection and its attempt.

--- a/exchange/client.go
+++ b/exchange/client.go
@@ -63,6 +63,7 @@
 	report         func(Result)
 	connectTimeout clock.Millis
 	maxReplyBytes  int
+	replyMemory    memory
 	clock          clock.Clock
 
 	ctx        context.Context // cancels connecting
@@ -97,6 +98,7 @@
 		report: report, connectTimeout: defaultConnectTimeout, maxReplyBytes: defaultMaxReplyBytes, clock: clock.NewMonotonic(),
 		exits: make(chan struct{}, 64), upstreams: make(map[string]*upstreamConns), calls: make(map[uint64]*pendingCall),
 	}
+	c.replyMemory.release(defaultReplyMemory)
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	for _, opt := range opts {
 		opt(c)
@@ -193,7 +195,7 @@
 	u := c.connsOf(call.Upstream, call.Address)
 	p := &pendingCall{call: call}
 	c.calls[call.Attempt] = p
-	if cn := u.takeIdle(c.clock.Now(), call.NonIdempotent); cn != nil {
+	if cn := u.takeIdle(c.clock.Now(), &call); cn != nil {
 		p.conn = cn
 		cn.pending = p
 		c.write(cn, p)
@@ -244,11 +246,11 @@
 
 // takeIdle removes and returns the most recently used idle connection that is usable.
 // It closes the unusable connections that were used more recently.
-func (u *upstreamConns) takeIdle(now clock.Millis, nonIdempotent bool) *conn {
+func (u *upstreamConns) takeIdle(now clock.Millis, call *Call) *conn {
 	for len(u.idle) > 0 {
 		cn := u.idle[len(u.idle)-1]
 		u.idle = u.idle[:len(u.idle)-1]
-		if cn.usable(now, nonIdempotent) {
+		if cn.usable(now, call) {
 			return cn
 		}
 		_ = cn.nc.Close()
--- a/exchange/client_test.go
+++ b/exchange/client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -61,7 +62,7 @@
 func (f *fixture) call(t *testing.T, nonIdempotent bool) exchange.Result {
 	t.Helper()
 	f.lastAttempt++
-	req := exchange.NewRequest(headers, http.MethodGet, "/p", "h", "id", nil, nil)
+	req := exchange.NewRequest(headers, http.MethodGet, "/p", "h", fmt.Sprint("id-", f.lastAttempt), nil, nil)
 	f.client.Send(exchange.Call{Attempt: f.lastAttempt, Upstream: "u", Address: f.address, Request: req, RemainingMs: 100, NonIdempotent: nonIdempotent})
 	select {
 	case res := <-f.results:
--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"errors"
+	"fmt"
 	"io"
 	"math"
 	"net"
@@ -40,19 +41,26 @@
 
 // conn is one connection to an upstream.
 type conn struct {
-	client     *Client
-	conns      *upstreamConns
-	nc         net.Conn
-	pending    *pendingCall // nil while idle
-	lastUsedAt clock.Millis
-	maxIdleMs  clock.Millis // how long the connection stays usable while idle
+	client    *Client
+	conns     *upstreamConns
+	nc        net.Conn
+	pending   *pendingCall // nil while idle
+	exchanges int          // replies received
+	// lastRequest is the ID of the last request. The same one is not sent again on this
+	// connection, because a second copy of its reply could not be told apart.
+	lastRequest string
+	lastUsedAt  clock.Millis
+	maxIdleMs   clock.Millis // how long the connection stays usable while idle
 }
 
 // usable reports whether an idle connection may carry a request. For a request that is
 // not idempotent it must have been used recently and still be open.
-func (cn *conn) usable(now clock.Millis, nonIdempotent bool) bool {
+func (cn *conn) usable(now clock.Millis, call *Call) bool {
 	idle := now - cn.lastUsedAt
-	if nonIdempotent {
+	if call.Request.id == cn.lastRequest {
+		return false
+	}
+	if call.NonIdempotent {
 		return idle < min(nonIdempotentIdleMs, cn.maxIdleMs) && httpcall.Reusable(cn.nc)
 	}
 	return idle < cn.maxIdleMs
@@ -60,27 +68,40 @@
 
 // read reads replies until the connection is closed.
 func (cn *conn) read() {
-	br := bufio.NewReaderSize(cn.nc, readBufferBytes)
-	var resp fasthttp.Response
+	defer cn.recoverRead()
+	in := &replyReader{nc: cn.nc, memory: &cn.client.replyMemory, maxBytes: cn.client.maxReplyBytes + maxHeadBytes}
+	defer in.endReply()
+	br := bufio.NewReaderSize(in, readBufferBytes)
+	var h fasthttp.ResponseHeader
 	for {
+		in.endReply()
 		_, err := br.Peek(1)
 		p := cn.current()
 		if err != nil || p == nil {
 			cn.close(p, errNoReply, err)
 			return
 		}
-		resp.Reset()
-		resp.SkipBody = p.call.Request.noReplyBody
-		if err := resp.ReadLimitBody(br, cn.client.maxReplyBytes); err != nil {
+		body, err := readReply(br, &h, p.call.Request.noReplyBody, cn.client.maxReplyBytes)
+		if err == nil && h.StatusCode() == fasthttp.StatusSwitchingProtocols {
+			err = errSwitching
+		}
+		if err != nil {
 			cn.close(p, errBadReply, err)
 			return
 		}
-		if !cn.deliver(p, &resp, br.Buffered()) {
+		if !cn.deliver(p, &h, body, br.Buffered()) {
 			return
 		}
 	}
 }
 
+// recoverRead ends the connection after an unexpected error in reading it.
+func (cn *conn) recoverRead() {
+	if v := recover(); v != nil {
+		cn.close(cn.current(), errBadReply, fmt.Errorf("panic: %v", v))
+	}
+}
+
 func (cn *conn) current() *pendingCall {
 	cn.client.mu.Lock()
 	defer cn.client.mu.Unlock()
@@ -119,33 +140,37 @@
 }
 
 // deliver checks a reply and reports it. It returns whether the connection stays open.
-func (cn *conn) deliver(p *pendingCall, resp *fasthttp.Response, buffered int) bool {
+func (cn *conn) deliver(p *pendingCall, h *fasthttp.ResponseHeader, body []byte, buffered int) bool {
 	c := cn.client
-	if id := string(resp.Header.Peek(c.headers.RequestID)); id != "" && id != p.call.Request.id {
+	id := string(h.Peek(c.headers.RequestID))
+	if id != p.call.Request.id && (id != "" || cn.exchanges > 0) {
+		// Without an ID, a reply on a connection that was used before may be a second copy
+		// of an earlier one.
 		cn.close(p, errWrongRequest, nil)
 		return false
 	}
 	reply := Reply{
-		Status:    resp.StatusCode(),
-		Receipt:   string(resp.Header.Peek(c.headers.Receipt)),
-		Body:      append([]byte(nil), resp.Body()...),
-		NotRun:    len(resp.Header.Peek(c.headers.NotRun)) > 0 || resp.StatusCode() == fasthttp.StatusMisdirectedRequest,
-		CloseConn: resp.ConnectionClose(),
-		Leaving:   string(resp.Header.Peek(c.headers.Leaving)) == leavingValue,
+		Status:    h.StatusCode(),
+		Receipt:   string(h.Peek(c.headers.Receipt)),
+		Body:      body,
+		NotRun:    len(h.Peek(c.headers.NotRun)) > 0 || h.StatusCode() == fasthttp.StatusMisdirectedRequest,
+		CloseConn: h.ConnectionClose(),
+		Leaving:   string(h.Peek(c.headers.Leaving)) == leavingValue,
 	}
 	if reply.Status == fasthttp.StatusServiceUnavailable {
-		reply.RetryAfterMs = parseRetryAfter(string(resp.Header.Peek(fasthttp.HeaderRetryAfter)))
+		reply.RetryAfterMs = parseRetryAfter(string(h.Peek(fasthttp.HeaderRetryAfter)))
 	}
 	if p.call.NeedHeader {
-		reply.Fields = forwardedFields(resp)
+		reply.Fields = forwardedFields(h)
 	}
-	const noLength = -2 // fasthttp's value for a body that ends with the connection
-	keepOpen := !reply.CloseConn && buffered == 0 && (resp.Header.ContentLength() > noLength || resp.SkipBody)
+	keepOpen := id != "" && !reply.CloseConn && buffered == 0 && (h.ContentLength() > lengthUntilEnd || p.call.Request.noReplyBody)
 	c.mu.Lock()
 	keepOpen = keepOpen && p.written && c.upstreams[cn.conns.id] == cn.conns
 	cn.pending = nil
+	cn.exchanges++
+	cn.lastRequest = p.call.Request.id
 	cn.lastUsedAt = c.clock.Now()
-	cn.maxIdleMs = parseIdleTimeout(string(resp.Header.Peek(fasthttp.HeaderKeepAlive)))
+	cn.maxIdleMs = parseIdleTimeout(string(h.Peek(fasthttp.HeaderKeepAlive)))
 	if keepOpen {
 		cn.conns.idle = append(cn.conns.idle, cn)
 	} else {
@@ -204,9 +229,9 @@
 // length of the body, so that it is not forwarded.
 func IsHopByHop(name string) bool { return notForwarded[strings.ToLower(name)] }
 
-func forwardedFields(resp *fasthttp.Response) []Field {
+func forwardedFields(h *fasthttp.ResponseHeader) []Field {
 	var out []Field
-	for name, value := range resp.Header.All() {
+	for name, value := range h.All() {
 		if n := string(name); !IsHopByHop(n) {
 			out = append(out, Field{Name: n, Value: string(value)})
 		}
--- /dev/null
+++ b/exchange/memory.go
@@ -0,0 +1,79 @@
+package exchange
+
+import (
+	"errors"
+	"net"
+	"sync/atomic"
+)
+
+const (
+	// defaultReplyMemory bounds the memory of all replies that are being read.
+	defaultReplyMemory = 32 << 20
+
+	// freeReplyBytes is the size up to which a reply is not counted. The read buffer of a
+	// connection takes as much anyway.
+	freeReplyBytes = 16 << 10
+
+	// memoryStep is by how much the memory of one reply grows at a time.
+	memoryStep = 64 << 10
+
+	// memoryFactor is the memory that a reply takes for each of its bytes: buffers double
+	// while they grow, and the body is copied.
+	memoryFactor = 4
+
+	// maxHeadBytes bounds what comes with a body: headers, chunk sizes, trailers and
+	// interim replies.
+	maxHeadBytes = 64 << 10
+)
+
+var (
+	errTooLarge  = errors.New("reply is too large")
+	errNoMemory  = errors.New("replies being read take too much memory")
+	errSwitching = errors.New("reply switches the protocol, which the request did not ask for")
+)
+
+// memory is the memory that is left for replies being read, in bytes.
+type memory struct{ left atomic.Int64 }
+
+// reserve takes n bytes and reports whether they were left.
+func (m *memory) reserve(n int64) bool {
+	if m.left.Add(-n) >= 0 {
+		return true
+	}
+	m.left.Add(n)
+	return false
+}
+
+func (m *memory) release(n int64) { m.left.Add(n) }
+
+// replyReader reads a connection. It fails once a reply is larger than its limit, or all
+// replies together need more memory than there is.
+type replyReader struct {
+	nc       net.Conn
+	memory   *memory
+	maxBytes int   // of one reply with everything that comes with it
+	count    int   // bytes of the current reply
+	reserved int64 // for the current reply
+}
+
+// Read reads from the connection.
+func (r *replyReader) Read(p []byte) (int, error) {
+	n, err := r.nc.Read(p)
+	r.count += n
+	if r.count > r.maxBytes {
+		return n, errTooLarge
+	}
+	for memoryFactor*int64(r.count-freeReplyBytes) > r.reserved {
+		if !r.memory.reserve(memoryStep) {
+			return n, errNoMemory
+		}
+		r.reserved += memoryStep
+	}
+	return n, err
+}
+
+// endReply releases the memory of the current reply.
+func (r *replyReader) endReply() {
+	r.memory.release(r.reserved)
+	r.count, r.reserved = 0, 0
+}
--- a/exchange/options.go
+++ b/exchange/options.go
@@ -14,5 +14,8 @@
 // WithMaxReplyBytes bounds the size of a reply's body.
 func WithMaxReplyBytes(n int) Option { return func(c *Client) { c.maxReplyBytes = n } }
 
+// WithReplyMemory bounds the memory of all replies that are being read, in bytes.
+func WithReplyMemory(n int64) Option { return func(c *Client) { c.replyMemory.left.Store(n) } }
+
 // WithClock sets the clock that measures idle times.
 func WithClock(cl clock.Clock) Option { return func(c *Client) { c.clock = cl } }
--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -15,8 +15,8 @@
 	"lentillink.example/lentillink/clock"
 	"lentillink.example/lentillink/coverage"
 	"lentillink.example/lentillink/peer"
-	"lentillink.example/lentillink/relay"
 	"lentillink.example/lentillink/rank"
+	"lentillink.example/lentillink/relay"
 	"lentillink.example/lentillink/vm"
 )
 
