Log why a part of an answer is missing

Cause: part_missing named the service and not the reason, so a request that was not served could not be traced to the limit that bound it.

Change: the line carries cause=budget, deadline, max_attempts, no_upstream or not_repeatable.

--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -297,6 +297,10 @@
 
 func (g *Gateway) logEvent(ev relay.Event) {
 	g.metrics.events.WithLabelValues(ev.Kind).Inc()
-	_ = g.logger.Log("event", ev.Kind, "request", ev.Request, "route", ev.Route, "upstream", ev.Upstream,
-		"version", ev.Version, "age_ms", int64(ev.AgeMs), "detail", ev.Detail)
+	fields := []any{"event", ev.Kind, "request", ev.Request, "route", ev.Route, "upstream", ev.Upstream,
+		"version", ev.Version, "age_ms", int64(ev.AgeMs), "detail", ev.Detail}
+	if ev.Cause != "" {
+		fields = append(fields, "cause", ev.Cause)
+	}
+	_ = g.logger.Log(fields...)
 }
--- a/relay/command.go
+++ b/relay/command.go
@@ -85,5 +85,6 @@
 	Upstream string
 	Version  uint64
 	Detail   string
+	Cause    string       // why a part is missing; empty for other kinds
 	AgeMs    clock.Millis // of the request or of the state that the decision used
 }
--- a/relay/reply.go
+++ b/relay/reply.go
@@ -90,11 +90,15 @@
 	r := sub.req
 	repeatable := r.route.Idempotent || sub.possibleRuns == 0
 	switch {
-	case !repeatable, sub.possibleRuns >= max(r.route.MaxAttempts, 1), now >= r.deadline:
-		m.giveUp(now, sub)
+	case !repeatable:
+		m.giveUp(now, sub, "not_repeatable")
+	case sub.possibleRuns >= max(r.route.MaxAttempts, 1):
+		m.giveUp(now, sub, "max_attempts")
+	case now >= r.deadline:
+		m.giveUp(now, sub, "deadline")
 	case sub.deliveries > 0 && (sub.service.budget.remaining(now, m.vmCount, 1) < 1 || !m.policies.allows(now, &m.policies.retries, r.route.Priority)):
 		m.event("retry_denied", r, nil, sub.service.name, now-r.arrived)
-		m.giveUp(now, sub)
+		m.giveUp(now, sub, "budget")
 	default:
 		if sub.deliveries > 0 {
 			m.policies.spend(now, &m.policies.retries, r.route.Priority)
@@ -103,14 +107,17 @@
 	}
 }
 
-// giveUp resolves a sub-request without a reply.
-func (m *Model) giveUp(now clock.Millis, sub *subrequest) {
+// giveUp resolves a sub-request without a reply. The cause is logged.
+func (m *Model) giveUp(now clock.Millis, sub *subrequest, cause string) {
 	if sub.resolved || len(sub.open) > 0 {
 		return
 	}
 	sub.resolved = true
 	sub.req.unresolved--
-	m.event("part_missing", sub.req, nil, sub.service.name, now-sub.req.arrived)
+	m.emit(EventCmd{Event: Event{
+		Kind: "part_missing", Request: sub.req.name, Route: sub.req.route.Name, Version: sub.req.version,
+		Detail: sub.service.name, Cause: cause, AgeMs: now - sub.req.arrived,
+	}})
 }
 
 func (m *Model) handleCallerDisconnected(now clock.Millis, id uint64) {
--- a/relay/send.go
+++ b/relay/send.go
@@ -23,7 +23,7 @@
 			m.wake(sub.req, sub.heldUntil)
 		}
 	default:
-		m.giveUp(now, sub)
+		m.giveUp(now, sub, "no_upstream")
 	}
 }
 
@@ -66,7 +66,7 @@
 		}
 		s.dequeue(sub)
 		if u == nil {
-			m.giveUp(now, sub)
+			m.giveUp(now, sub, "no_upstream")
 			givenUp = append(givenUp, sub.req)
 			continue
 		}
