Cut off no request in a planned stop, and finish what was delegated

Cause, three of them. http.Server.Shutdown and Close end a connection whose request was read after the stop began: a request that had reached an upstream got EOF, and so did a caller in the middle of its head. The stop did not wait for work of other VMs. A VM that left the list had its running delegations started again elsewhere at once.

Change: the listener closes first, connections on which a request has begun stay until its answer, and delegated work counts as in flight. A VM that left the list keeps its delegations until its result, its timeout or the end of its connection; one with another address has restarted.

TestCarrierLeavesList, before: 2 sends.

--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -34,7 +34,7 @@
 func (g *Gateway) newCallerServer() *http.Server {
 	return &http.Server{
 		Handler: http.HandlerFunc(g.serveCaller), MaxHeaderBytes: maxHeaderBytes,
-		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, ErrorLog: discardLog(),
+		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, ErrorLog: discardLog(), ConnState: g.callerConns.observe,
 		ConnContext: func(ctx context.Context, nc net.Conn) context.Context {
 			roundTrip, _ := socket.RoundTripTime(nc)
 			return context.WithValue(ctx, callerConnKey{}, &callerConn{roundTripMs: roundTrip})
--- /dev/null
+++ b/gateway/conns.go
@@ -0,0 +1,90 @@
+package gateway
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+)
+
+// callerConns holds the open connections of callers. http.Server.Shutdown cannot serve
+// for a planned stop: it closes a connection whose request was read after the stop began
+// without an answer.
+type callerConns struct {
+	mu    sync.Mutex
+	conns map[*trackedConn]struct{}
+}
+
+func newCallerConns() *callerConns { return &callerConns{conns: make(map[*trackedConn]struct{})} }
+
+// trackedConn is a caller's connection that knows whether a request has begun on it.
+type trackedConn struct {
+	*net.TCPConn
+	owner   *callerConns
+	started atomic.Bool // a byte of a request without a complete answer was read
+}
+
+// Read reads from the connection.
+func (c *trackedConn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if n > 0 {
+		c.started.Store(true)
+	}
+	return n, err
+}
+
+// Close closes the connection and removes it from its owner.
+func (c *trackedConn) Close() error {
+	c.owner.mu.Lock()
+	delete(c.owner.conns, c)
+	c.owner.mu.Unlock()
+	return c.TCPConn.Close()
+}
+
+// trackedListener adds the connections that it accepts to owner.
+type trackedListener struct {
+	net.Listener
+	owner *callerConns
+}
+
+// Accept accepts a connection.
+func (l trackedListener) Accept() (net.Conn, error) {
+	nc, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	tcp, ok := nc.(*net.TCPConn)
+	if !ok {
+		return nc, nil
+	}
+	c := &trackedConn{TCPConn: tcp, owner: l.owner}
+	l.owner.mu.Lock()
+	l.owner.conns[c] = struct{}{}
+	l.owner.mu.Unlock()
+	return c, nil
+}
+
+// observe is the server's hook for changes of a connection's state.
+func (s *callerConns) observe(nc net.Conn, state http.ConnState) {
+	if c, ok := nc.(*trackedConn); ok && state == http.StateIdle {
+		c.started.Store(false)
+	}
+}
+
+// closeIdle closes the connections on which no request has begun and returns the number
+// of the others.
+func (s *callerConns) closeIdle() int {
+	var idle []*trackedConn
+	s.mu.Lock()
+	for c := range s.conns {
+		if !c.started.Load() {
+			idle = append(idle, c)
+		}
+	}
+	busy := len(s.conns) - len(idle)
+	s.mu.Unlock()
+	for _, c := range idle {
+		_ = c.Close()
+	}
+	return busy
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -59,8 +59,10 @@
 	presets       atomic.Pointer[preset.Record]
 	lastCallID    atomic.Uint64
 	inFlight      atomic.Int64 // requests of callers that are not answered yet
+	delegated     atomic.Int64 // requests of other VMs that are not answered yet
 	exits         chan error
 
+	callerConns   *callerConns
 	calls         map[uint64]*call         // owned by the event loop
 	delegations   map[delegationKey]uint64 // requests of other VMs, owned by the event loop
 	vmList        map[string]relay.VM      // owned by the event loop
@@ -91,7 +93,7 @@
 	g := &Gateway{
 		logger: log.NewNopLogger(), clock: clock.NewMonotonic(), limits: Limits{GracePeriod: defaultGracePeriodMs}, readyPath: "/ready",
 		inbox: make(chan loopMsg, inboxLen), loopDone: make(chan struct{}), exits: make(chan error, exitsLen),
-		calls: make(map[uint64]*call), delegations: make(map[delegationKey]uint64), vmList: make(map[string]relay.VM),
+		callerConns: newCallerConns(), calls: make(map[uint64]*call), delegations: make(map[delegationKey]uint64), vmList: make(map[string]relay.VM),
 	}
 	for _, opt := range opts {
 		opt(g)
@@ -130,7 +132,11 @@
 	for i, s := range servers {
 		if listeners.http[i] != nil {
 			running++
-			go func() { g.exits <- serve(s, listeners.http[i]) }()
+			lis := listeners.http[i]
+			if s == callerServer {
+				lis = trackedListener{Listener: lis, owner: g.callerConns}
+			}
+			go func() { g.exits <- serve(s, lis) }()
 		}
 	}
 	go func() { g.exits <- g.client.Run(ioCtx) }()
@@ -142,12 +148,14 @@
 	var runErr error
 	select {
 	case <-ctx.Done():
-		g.stop(callerServer)
+		g.stop(listeners.http[0])
 	case runErr = <-g.exits:
 		running--
 	}
 	for _, s := range servers {
-		runErr = errors.Join(runErr, s.Close())
+		if err := s.Close(); !errors.Is(err, net.ErrClosed) { // a planned stop has closed the listener of callers
+			runErr = errors.Join(runErr, err)
+		}
 	}
 	stopIO()
 	runErr = errors.Join(runErr, <-loopExit)
@@ -197,7 +205,8 @@
 }
 
 func serve(s *http.Server, lis net.Listener) error {
-	if err := s.Serve(lis); !errors.Is(err, http.ErrServerClosed) {
+	// A planned stop closes the listener before the server.
+	if err := s.Serve(lis); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		return &Error{op: "accept", kind: KindServe, err: err}
 	}
 	return nil
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -97,6 +97,7 @@
 	}
 	id := g.lastCallID.Add(1)
 	g.delegations[key] = id
+	g.delegated.Store(int64(len(g.delegations)))
 	g.calls[id] = &call{request: exchange.NewDelegatedRequest(d.Name, d.Head, d.Body), delegation: &key}
 	g.stepRelay(relay.ArrivalMsg{ID: id, Name: d.Name, Host: d.Host, Path: d.Path, RemainingMs: d.RemainingMs, Delegation: &d})
 }
@@ -115,6 +116,7 @@
 func (g *Gateway) removeCall(id uint64) {
 	if pending := g.calls[id]; pending != nil && pending.delegation != nil {
 		delete(g.delegations, *pending.delegation)
+		g.delegated.Store(int64(len(g.delegations)))
 	}
 	delete(g.calls, id)
 }
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -1,7 +1,7 @@
 package gateway
 
 import (
-	"net/http"
+	"net"
 	"time"
 
 	"lentillink.example/lentillink/clock"
@@ -30,9 +30,10 @@
 	minIdleMs clock.Millis = 200
 )
 
-// stop drains the VM: it withdraws readiness and answers the requests in flight. It
-// returns when none is left, or shortly before the process would be killed.
-func (g *Gateway) stop(callerServer *http.Server) {
+// stop drains the VM: it withdraws readiness and answers the requests in flight, those
+// that other VMs delegated included. It returns when none is left and no connection is in
+// the middle of a request, or shortly before the process would be killed.
+func (g *Gateway) stop(callers net.Listener) {
 	start, grace := g.clock.Now(), clock.Millis(g.gracePeriodMs.Load())
 	deadline := start + max(grace-stopReserveMs, 0)
 	g.stopping.Store(true)
@@ -40,28 +41,31 @@
 	_ = g.logger.Log("event", "stopping", "grace_ms", int64(grace))
 	g.post(loopMsg{registrar: roster.LeaveMsg{}})
 	g.post(loopMsg{relay: relay.StopMsg{Deadline: deadline}})
-	idleSince := clock.Millis(0)
-	for {
+	g.awaitIdle(start+min(deregisterDelayMs, grace/2), deadline)
+	_ = callers.Close()
+	busy := g.callerConns.closeIdle()
+	for end := deadline + stopReserveMs/2; busy > 0 && g.clock.Now() < end; busy = g.callerConns.closeIdle() {
 		time.Sleep(stopPollMs.Duration())
-		now := g.clock.Now()
-		if now >= deadline+stopReserveMs/2 {
-			return
-		}
-		if now-start < min(deregisterDelayMs, grace/2) {
-			continue
-		}
-		if g.inFlight.Load() > 0 {
+	}
+	if busy > 0 {
+		_ = g.logger.Log("event", "stop_incomplete", "connections", busy)
+	}
+}
+
+// awaitIdle waits until no request has been in flight for minIdleMs, from earliest to
+// latest.
+func (g *Gateway) awaitIdle(earliest, latest clock.Millis) {
+	idleSince := clock.Millis(0)
+	for now := g.clock.Now(); now < latest; now = g.clock.Now() {
+		switch {
+		case now < earliest:
+		case g.inFlight.Load() > 0 || g.delegated.Load() > 0:
 			idleSince = 0
-			continue
-		}
-		if idleSince == 0 {
-			// This closes idle connections. A connection on which a request has just
-			// arrived is closed only after its answer.
-			callerServer.SetKeepAlivesEnabled(false)
+		case idleSince == 0:
 			idleSince = now
-		}
-		if now-idleSince >= minIdleMs {
+		case now-idleSince >= minIdleMs:
 			return
 		}
+		time.Sleep(stopPollMs.Duration())
 	}
 }
--- a/relay/carrier.go
+++ b/relay/carrier.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 
@@ -90,11 +91,21 @@
 		}
 	}
 	m.connectCarriers(now)
+	m.releasePeers(now, old)
+}
+
+// releasePeers handles the VMs of the old list that are not in the new one. A VM that
+// left still finishes what was delegated to it. One with another address was restarted.
+func (m *Model) releasePeers(now clock.Millis, old map[string]*peerVM) {
+	maps.DeleteFunc(m.leftPeers, func(_ string, c *peerVM) bool { return len(c.delegations) == 0 })
 	for _, id := range sortedKeys(old) {
-		if c := old[id]; newPeers[id] != c {
+		c := old[id]
+		switch current := m.peers[id]; {
+		case current == c:
+		case current == nil && len(c.delegations) > 0:
+			m.leftPeers[id] = c
+		default:
 			for _, d := range c.sortedDelegations() {
-				// The VM left the list or changed its address. It may still send a result,
-				// but its failure would not be detected.
 				m.reclaim(now, d, true)
 			}
 		}
--- a/relay/carrier_test.go
+++ b/relay/carrier_test.go
@@ -341,3 +341,48 @@
 		}
 	}
 }
+
+// TestCarrierLeavesList guards against work that is started again elsewhere when the
+// carrier that does it leaves the list of VMs, as it does at a planned stop, and against
+// waiting for it after its connection broke.
+func TestCarrierLeavesList(t *testing.T) {
+	const finishes, breaks, restarts = "finishes", "breaks", "is listed with another address"
+	for _, then := range []string{finishes, breaks, restarts} {
+		t.Run(then, func(t *testing.T) {
+			m := newShardedModelWithBudget(t)
+			cmds := m.Update(2000, arrival(1))
+			cmd := cmds[len(cmds)-1].(relay.DelegateCmd)
+			m.Update(2001, relay.DelegationAckMsg{From: cmd.To, ID: cmd.Delegation.ID})
+			var rest []relay.VM
+			for _, v := range []relay.VM{{ID: "va", Address: "va:1", DataCentre: "a"}, {ID: "vb", Address: "vb:1", DataCentre: "b"}, {ID: "vc", Address: "vc:1", DataCentre: "c"}} {
+				if v.ID == cmd.To {
+					if then != restarts {
+						continue
+					}
+					v.Address = "new:1"
+				}
+				rest = append(rest, v)
+			}
+			got := commandNames(m.Update(2002, relay.FleetMsg{VMs: rest}))
+			sends := 0
+			for _, c := range got {
+				if c[:4] == "send" {
+					sends++
+				}
+			}
+			if want := map[string]int{restarts: 2}[then]; sends != want {
+				t.Fatalf("got %v, want %d sends", got, want)
+			}
+			switch then {
+			case finishes:
+				wantCommands(t, m.Update(2010, relay.DelegationResultMsg{From: cmd.To, Result: relay.DelegationResult{
+					ID: cmd.Delegation.ID, Answer: relay.Answer{Outcome: relay.Gathered, Receipts: []string{"x", "y"}},
+				}}), "answer gathered")
+			case breaks:
+				if got := commandNames(m.Update(2010, relay.PeerDisconnectedMsg{VM: cmd.To})); len(got) != 2 || got[0][:4] != "send" {
+					t.Errorf("got %v, want two sends", got)
+				}
+			}
+		})
+	}
+}
--- a/relay/delegation.go
+++ b/relay/delegation.go
@@ -301,15 +301,17 @@
 
 // handlePeerDisconnected reclaims all delegations of a VM whose connection broke.
 func (m *Model) handlePeerDisconnected(now clock.Millis, vm string) {
-	c := m.peers[vm]
-	if c == nil {
-		return
-	}
-	c.recordFailure(now) // also without open delegations: the next one would be lost
-	for _, d := range c.sortedDelegations() {
-		m.event("carrier_lost", d.req, nil, c.info.ID+" connection_broke", now-d.sentAt)
-		m.reclaim(now, d, true)
+	for _, c := range []*peerVM{m.peers[vm], m.leftPeers[vm]} {
+		if c == nil {
+			continue
+		}
+		c.recordFailure(now) // also without open delegations: the next one would be lost
+		for _, d := range c.sortedDelegations() {
+			m.event("carrier_lost", d.req, nil, c.info.ID+" connection_broke", now-d.sentAt)
+			m.reclaim(now, d, true)
+		}
 	}
+	delete(m.leftPeers, vm)
 }
 
 // acceptDelegation acknowledges a delegation, or refuses it if this VM is stopping
--- a/relay/model.go
+++ b/relay/model.go
@@ -23,6 +23,7 @@
 	notices       boundedMap[string, notice] // by upstream
 	timers        timers
 	peers         map[string]*peerVM     // the VMs of the fleet, by ID
+	leftPeers     map[string]*peerVM     // VMs that left the list with open delegations from this one, by ID
 	vmIDs         []string               // IDs of the VMs, sorted
 	inFleet       bool                   // this VM is in the list
 	delegations   map[uint64]*delegation // open delegations to carriers, by ID
@@ -43,7 +44,7 @@
 		cfg: cfg, rng: rand.New(rand.NewPCG(cfg.seed, cfg.seed)), vmCount: cfg.vmCount, budgetLimit: cfg.budget,
 		splitter: route.NewSplitter(), services: make(map[string]*service), upstreams: make(map[string]*upstream),
 		routeStats: make(map[string]*routeStats), requests: make(map[uint64]*request), attempts: make(map[uint64]*attempt),
-		notices: newBoundedMap[string, notice](maxNotices), peers: make(map[string]*peerVM), delegations: make(map[uint64]*delegation),
+		notices: newBoundedMap[string, notice](maxNotices), peers: make(map[string]*peerVM), leftPeers: make(map[string]*peerVM), delegations: make(map[uint64]*delegation),
 	}
 }
 
