Use what a VM reads after its start only once it is confirmed

Cause: the first list of the store may be seconds old and was in force at once.

The first watch waits 1 ms instead of 1 s, so this takes one more reply of the store.

--- a/catalog/model.go
+++ b/catalog/model.go
@@ -19,6 +19,10 @@
 	// restored: expired entries are being rewritten, and requests wait for them.
 	recoveryDivisor = 4
 
+	// firstWatchWaitMs bounds the watch that follows a first list which may be stale. The
+	// store replies at once if there are newer changes.
+	firstWatchWaitMs clock.Millis = 1
+
 	// watchWaitMs bounds one watch. If the store compacts the history of an open
 	// watch, it reports this only when the watch ends, and the recovery must fit into the 3 s
 	// that users allow for a change. A watch that ends without a change also
@@ -53,6 +57,8 @@
 	phase         phase
 	needRelist    bool // the next call is a list
 	needFresh     bool // the next list must not be stale
+	staleList     bool // the list that is outstanding may be stale
+	current       bool // everything up to the start of this Model is known
 	listedAt      clock.Millis
 	nextCall      clock.Millis
 	backoff       clock.Millis
@@ -190,6 +196,7 @@
 
 func (m *Model) handleList(now clock.Millis, b store.Batch, cmds []Cmd) []Cmd {
 	m.needRelist, m.needFresh, m.listedAt = false, false, now
+	m.current = m.current || !m.staleList
 	// Open a watch immediately after a list: no event is known for which a delay would help.
 	m.nextCall = now
 	present := make(map[string]bool, len(b.Items))
@@ -215,6 +222,7 @@
 }
 
 func (m *Model) handleWatch(now clock.Millis, b store.Batch, cmds []Cmd) []Cmd {
+	m.current = true
 	if len(b.Items) == 0 {
 		m.nextCall = now // no burst of events is in progress
 	}
@@ -292,12 +300,16 @@
 		return cmds
 	}
 	if m.needRelist || now-m.listedAt >= relistIntervalMs {
-		m.phase = phaseListing
-		return append(cmds, ListCmd{AllowStale: !m.needFresh})
+		m.phase, m.staleList = phaseListing, !m.needFresh
+		return append(cmds, ListCmd{AllowStale: m.staleList})
 	}
 	if m.subscription.replacesWatch(now) {
 		return cmds
 	}
 	m.phase = phaseWatching
-	return append(cmds, WatchCmd{After: m.revision, WaitMs: watchWaitMs})
+	wait := watchWaitMs
+	if !m.current {
+		wait = firstWatchWaitMs
+	}
+	return append(cmds, WatchCmd{After: m.revision, WaitMs: wait})
 }
--- a/catalog/query.go
+++ b/catalog/query.go
@@ -2,6 +2,11 @@
 
 import "lentillink.example/lentillink/clock"
 
+// Current reports whether all changes up to the start of the Model are known. A first list
+// may be seconds old: what it shows must not be used before a watch or a publisher has
+// confirmed it.
+func (m *Model) Current() bool { return m.current }
+
 // NextWake returns the time of the next due work, at which the Model needs a TickMsg, if any.
 func (m *Model) NextWake() (clock.Millis, bool) {
 	at, ok := clock.Millis(0), false
--- a/catalog/subscription.go
+++ b/catalog/subscription.go
@@ -190,7 +190,7 @@
 		}
 		return cmds
 	}
-	m.needRelist, m.backoff = false, 0
+	m.needRelist, m.backoff, m.current = false, 0, true
 	// Changes up to the known revision were applied before, or a removal followed them.
 	news := slices.DeleteFunc(slices.Clone(u.Items), func(it store.Item) bool { return it.Revision <= m.revision })
 	return m.applyChanges(now, news, u.To, cmds)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -66,6 +66,7 @@
 	calls         map[uint64]*call         // owned by the event loop
 	delegations   map[delegationKey]uint64 // requests of other VMs, owned by the event loop
 	vmList        map[string]relay.VM      // owned by the event loop
+	unapplied     []store.Item             // changes that are not in force yet; owned by the event loop
 	vmListChanged bool                     // vmList was changed and is to be applied; owned by the event loop
 }
 
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -199,18 +199,16 @@
 			_ = g.logger.Log("event", "catalog_feeder", "feeder", c.VM)
 			g.stepRegistrar(ioCtx, roster.SubscriptionMsg{Subscribed: c.VM != ""})
 		case catalog.PutCmd:
-			g.applyItem(c.Item)
+			g.unapplied = append(g.unapplied, c.Item)
 		case catalog.DeleteCmd:
-			if id, ok := g.decoder.UpstreamID(c.Key); ok {
-				g.stepRelay(relay.UpstreamRemovedMsg{ID: id})
-			}
-			if id, ok := g.decoder.VMID(c.Key); ok {
-				g.setVM(id, nil)
-			}
+			g.unapplied = append(g.unapplied, store.Item{Key: c.Key, Removed: true})
 		case catalog.StoreStatusCmd:
 			_ = g.logger.Log("event", "store_contact", "reached", c.Reachable, "cause", c.Kind)
 		}
 	}
+	if g.catalog.Current() {
+		g.applyItems()
+	}
 	if g.vmListChanged {
 		g.vmListChanged = false
 		g.applyVMList(ioCtx)
@@ -223,6 +221,24 @@
 	}
 }
 
+// applyItems applies the changes that the catalog has reported.
+func (g *Gateway) applyItems() {
+	items := g.unapplied
+	g.unapplied = nil
+	for _, it := range items {
+		if !it.Removed {
+			g.applyItem(it)
+			continue
+		}
+		if id, ok := g.decoder.UpstreamID(it.Key); ok {
+			g.stepRelay(relay.UpstreamRemovedMsg{ID: id})
+		}
+		if id, ok := g.decoder.VMID(it.Key); ok {
+			g.setVM(id, nil)
+		}
+	}
+}
+
 // applyItem applies an item of the store. If the item of an upstream cannot be
 // decoded, the upstream is removed. Other undecodable items change nothing.
 func (g *Gateway) applyItem(item store.Item) {
