End one thing, not the process, after an unexpected error

Cause: nothing recovered from a panic. One in decoding an item, handling a message or performing a command ended the VM; fasthttp does not recover from one in a handler of the product's own interface either.

Change: a panic ends the item, message, command, call, connection or request that it concerns, with a logged line and lentillink_gateway_panics_total. The request is answered 502, which promises nothing, and the state machine forgets it (relay.Abandon). Five panics in the event loop within 10 s stop the VM in order, since its state is in doubt; items of other writers do not count.

TestPanicEndsOneThing, before: the test process ends with 'panic: planted'; after, the request gets 502 and others are served. TestManyPanicsStop and TestAbandon are new.

--- a/entry/http.go
+++ b/entry/http.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"fmt"
 	"math"
 	"strconv"
 	"time"
@@ -42,7 +43,7 @@
 				writeJSON(r, fasthttp.StatusNotFound, ErrorDocument{Error: "no such method and path", Execution: attempt.NotExecuted})
 				return
 			}
-			h(r)
+			v.serveSafely(h, r)
 		},
 		ErrorHandler:       serveReadError,
 		MaxRequestBodySize: v.settings.Limits().RequestBodyBytes,
@@ -54,6 +55,19 @@
 	}
 }
 
+// serveSafely calls a handler. fasthttp does not recover from a panic in one, which would
+// end the process. The answer promises nothing, since the request may have run.
+func (v *VM) serveSafely(h fasthttp.RequestHandler, r *fasthttp.RequestCtx) {
+	defer func() {
+		if err := recover(); err != nil {
+			_ = v.logger.Log("event", "internal_error", "path", string(r.Path()), "err", fmt.Sprint(err))
+			r.Response.Reset()
+			writeJSON(r, fasthttp.StatusBadGateway, ErrorDocument{Error: "internal error", Execution: attempt.ExecutionUnknown})
+		}
+	}()
+	h(r)
+}
+
 // discardLogger discards fasthttp's messages about broken connections. Metrics
 // and events cover failures that need attention.
 type discardLogger struct{}
--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -33,7 +33,7 @@
 // does not notice that a caller disconnects while its request runs.
 func (g *Gateway) newCallerServer() *http.Server {
 	return &http.Server{
-		Handler: http.HandlerFunc(g.serveCaller), MaxHeaderBytes: maxHeaderBytes,
+		Handler: g.guard(g.serveCaller), MaxHeaderBytes: maxHeaderBytes,
 		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, ErrorLog: discardLog(), ConnState: g.callerConns.observe,
 		ConnContext: func(ctx context.Context, nc net.Conn) context.Context {
 			roundTrip, _ := socket.RoundTripTime(nc)
--- a/gateway/error.go
+++ b/gateway/error.go
@@ -9,9 +9,10 @@
 const (
 	KindListen Kind = iota // listening on an address failed
 	KindServe              // a running server failed
+	KindPanic              // an unexpected error
 )
 
-var kindNames = [...]string{"listen", "serve"}
+var kindNames = [...]string{"listen", "serve", "panic"}
 
 // String returns the name of k.
 func (k Kind) String() string {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -61,6 +61,8 @@
 	inFlight      atomic.Int64 // requests of callers that are not answered yet
 	delegated     atomic.Int64 // requests of other VMs that are not answered yet
 	exits         chan error
+	failed        chan error     // the reason why this VM stops by itself
+	panicTimes    []clock.Millis // of the last panics in the event loop, which owns it
 
 	callerConns   *callerConns
 	calls         map[uint64]*call         // owned by the event loop
@@ -93,7 +95,7 @@
 func New(opts ...Option) *Gateway {
 	g := &Gateway{
 		logger: log.NewNopLogger(), clock: clock.NewMonotonic(), limits: Limits{GracePeriod: defaultGracePeriodMs}, readyPath: "/ready",
-		inbox: make(chan loopMsg, inboxLen), loopDone: make(chan struct{}), exits: make(chan error, exitsLen),
+		inbox: make(chan loopMsg, inboxLen), loopDone: make(chan struct{}), exits: make(chan error, exitsLen), failed: make(chan error, 1),
 		callerConns: newCallerConns(), calls: make(map[uint64]*call), delegations: make(map[delegationKey]uint64), vmList: make(map[string]relay.VM),
 	}
 	for _, opt := range opts {
@@ -150,6 +152,8 @@
 	select {
 	case <-ctx.Done():
 		g.stop(listeners.http[0])
+	case runErr = <-g.failed:
+		g.stop(listeners.http[0])
 	case runErr = <-g.exits:
 		running--
 	}
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"lentillink.example/lentillink/catalog"
@@ -52,6 +53,7 @@
 }
 
 func (g *Gateway) handle(ioCtx context.Context, msg loopMsg) {
+	defer g.recoveredState("message")
 	switch {
 	case msg.catalog != nil:
 		g.stepCatalog(ioCtx, msg.catalog)
@@ -88,6 +90,7 @@
 }
 
 func (g *Gateway) tick(ioCtx context.Context) {
+	defer g.recoveredState("tick")
 	now := g.clock.Now()
 	if at, ok := g.catalog.NextWake(); ok && at <= now {
 		g.stepCatalog(ioCtx, catalog.TickMsg{})
@@ -118,8 +121,8 @@
 
 // stepRelay passes msg to the relay's state machine and performs the commands that it returns.
 func (g *Gateway) stepRelay(msg relay.Msg) {
-	for _, cmd := range g.relayModel.Update(g.clock.Now(), msg) {
-		g.perform(cmd)
+	for _, cmd := range g.updateRelay(g.clock.Now(), msg) {
+		g.performSafely(cmd)
 	}
 }
 
@@ -186,9 +189,9 @@
 	for _, cmd := range g.catalog.Update(g.clock.Now(), msg) {
 		switch c := cmd.(type) {
 		case catalog.ListCmd:
-			go func() { g.list(ioCtx, c.AllowStale) }()
+			go func() { g.callStore(func() catalog.Msg { return g.list(ioCtx, c.AllowStale) }) }()
 		case catalog.WatchCmd:
-			go func() { g.watch(ioCtx, c) }()
+			go func() { g.callStore(func() catalog.Msg { return g.watch(ioCtx, c) }) }()
 		case catalog.SubscribeCmd:
 			g.sendPeer(c.To, "", c.Subscribe)
 		case catalog.PublishCmd:
@@ -226,23 +229,38 @@
 	items := g.unapplied
 	g.unapplied = nil
 	for _, it := range items {
-		if !it.Removed {
+		if it.Removed {
+			g.applyRemoval(it.Key)
+		} else {
 			g.applyItem(it)
-			continue
-		}
-		if id, ok := g.decoder.UpstreamID(it.Key); ok {
-			g.stepRelay(relay.UpstreamRemovedMsg{ID: id})
-		}
-		if id, ok := g.decoder.VMID(it.Key); ok {
-			g.setVM(id, nil)
 		}
 	}
 }
 
+func (g *Gateway) applyRemoval(key string) {
+	if id, ok := g.decoder.UpstreamID(key); ok {
+		g.stepRelay(relay.UpstreamRemovedMsg{ID: id})
+	}
+	if id, ok := g.decoder.VMID(key); ok {
+		g.setVM(id, nil)
+	}
+}
+
+// decodeItem decodes an item. A panic of the decoder is an error.
+func (g *Gateway) decodeItem(item store.Item) (d DecodedItem, err error) {
+	defer func() {
+		if v := recover(); v != nil {
+			g.reportPanic("item "+item.Key, v)
+			err = &Error{op: "item", kind: KindPanic, err: fmt.Errorf("%v", v)}
+		}
+	}()
+	return g.decoder.Decode(item)
+}
+
 // applyItem applies an item of the store. If the item of an upstream cannot be
 // decoded, the upstream is removed. Other undecodable items change nothing.
 func (g *Gateway) applyItem(item store.Item) {
-	decoded, err := g.decoder.Decode(item)
+	decoded, err := g.decodeItem(item)
 	if err != nil {
 		g.metrics.skippedItems.Inc()
 		_ = g.logger.Log("event", "item_skipped", "key", item.Key, "revision", item.Revision, "err", shorten(err))
@@ -268,24 +286,30 @@
 	}
 }
 
-func (g *Gateway) list(ctx context.Context, allowStale bool) {
+// callStore makes a store call of the catalog and posts its result. A panic is a failed call.
+func (g *Gateway) callStore(call func() catalog.Msg) {
+	var msg catalog.Msg = catalog.FailedMsg{Kind: store.KindUnknown}
+	defer func() { g.post(loopMsg{catalog: msg}) }()
+	defer g.recovered("store call")
+	msg = call()
+}
+
+func (g *Gateway) list(ctx context.Context, allowStale bool) catalog.Msg {
 	batch, err := g.watcher.ListPrefix(ctx, g.decoder.Prefix(), allowStale)
 	if err != nil {
-		g.post(loopMsg{catalog: g.logStoreFailure(err)})
-		return
+		return g.logStoreFailure(err)
 	}
 	g.reportSkipped(batch)
-	g.post(loopMsg{catalog: catalog.ListedMsg{Batch: batch}})
+	return catalog.ListedMsg{Batch: batch}
 }
 
-func (g *Gateway) watch(ctx context.Context, c catalog.WatchCmd) {
+func (g *Gateway) watch(ctx context.Context, c catalog.WatchCmd) catalog.Msg {
 	batch, err := g.watcher.WatchPrefix(ctx, g.decoder.Prefix(), c.After, c.WaitMs)
 	if err != nil {
-		g.post(loopMsg{catalog: g.logStoreFailure(err)})
-		return
+		return g.logStoreFailure(err)
 	}
 	g.reportSkipped(batch)
-	g.post(loopMsg{catalog: catalog.WatchedMsg{Batch: batch}})
+	return catalog.WatchedMsg{Batch: batch}
 }
 
 // reportSkipped logs and counts the items that a store call left out.
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -25,6 +25,7 @@
 	attempts      prometheus.Counter
 	delegations   prometheus.Counter
 	skippedItems  prometheus.Counter
+	panics        prometheus.Counter
 	configVersion prometheus.Gauge
 	ready         prometheus.Gauge
 }
@@ -59,6 +60,7 @@
 	m.attempts = counter("attempts_total", "Attempts sent to upstreams.")
 	m.delegations = counter("handovers_total", "Groups of shards handed over to carriers.")
 	m.skippedItems = counter("skipped_items_total", "Values of the store and messages of other VMs that could not be decoded and were left out.")
+	m.panics = counter("panics_total", "Unexpected errors that ended one request, item, message or call.")
 	m.configVersion = gauge("config_version", "Version of the configuration in force.")
 	m.ready = gauge("ready", "1 if the VM is ready for the balancer.")
 	return m
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -171,7 +171,12 @@
 		g.watcher.Reconnect()
 	}
 	for _, cmd := range g.registrar.Update(g.clock.Now(), msg) {
-		go func() { g.post(loopMsg{registrar: g.callLeases(ioCtx, cmd)}) }()
+		go func() {
+			var result roster.RegistrarMsg = roster.FailedMsg{Kind: store.KindUnknown}
+			defer func() { g.post(loopMsg{registrar: result}) }()
+			defer g.recovered("lease call")
+			result = g.callLeases(ioCtx, cmd)
+		}()
 	}
 }
 
--- a/peer/stream.go
+++ b/peer/stream.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
 
+	"lentillink.example/lentillink/clock"
 	"lentillink.example/lentillink/peer/peerpb"
+	"lentillink.example/lentillink/vm"
 )
 
 // stream is the client or server side of an open drpc stream.
@@ -143,7 +146,7 @@
 		case active <- struct{}{}:
 		default:
 		}
-		body, stamp, err := Decode(m.clock.Now(), env)
+		body, stamp, err := m.decode(env)
 		if err != nil {
 			m.handler.Malformed(peer, err) // the messages that follow are separate
 			continue
@@ -152,6 +155,16 @@
 	}
 }
 
+// decode decodes an envelope. A panic is an error.
+func (m *Mesh) decode(env *peerpb.Envelope) (body vm.PeerBody, stamp clock.Timestamp, err error) {
+	defer func() {
+		if v := recover(); v != nil {
+			err = wrap("decode", KindDecode, fmt.Errorf("panic: %v", v))
+		}
+	}()
+	return Decode(m.clock.Now(), env)
+}
+
 // writeLoop sends queued messages until the stream breaks, the context is cancelled or
 // the idle timeout expires.
 func (m *Mesh) writeLoop(ctx context.Context, s stream, l *link, r *readState) error {
