Count the wait on a VM as a request's time, and notice pauses

Cause: the time to the target and to the deadline began when the event loop took a request, not when it was read. On a small or busy VM it had waited for milliseconds by then, so its answer was late by as much. After a pause of the process a request whose caller had long left was started with its full time, and entries, connections and leases that ran out meanwhile were used until the next watch.

Change: requests and delegations carry the time that they have waited. clock.PauseDetector notices that the process was stopped or suspended; what ran out then ends before any message is handled, idle connections are closed, and the store is read afresh.

--- a/catalog/message.go
+++ b/catalog/message.go
@@ -40,6 +40,10 @@
 // failed.
 type PeerLostMsg struct{ VM string }
 
+// ResumedMsg reports that the process did not run for a while, so that what is known may
+// be out of date.
+type ResumedMsg struct{}
+
 // TickMsg triggers the work due at the time returned by NextWake.
 type TickMsg struct{}
 
@@ -50,6 +54,7 @@
 func (SubscribeMsg) catalogMsg()  {}
 func (UpdateMsg) catalogMsg()     {}
 func (PeerLostMsg) catalogMsg()   {}
+func (ResumedMsg) catalogMsg()    {}
 func (TickMsg) catalogMsg()       {}
 
 // Cmd is an output of a Model.
--- a/catalog/model.go
+++ b/catalog/model.go
@@ -129,6 +129,8 @@
 	case PeerLostMsg:
 		delete(m.subscribers.expiresAt, t.VM)
 		cmds = m.publisherLost(now, t.VM, cmds)
+	case ResumedMsg:
+		m.needRelist, m.needFresh, m.nextCall = true, true, now
 	case TickMsg:
 	}
 	cmds = m.flushRemovals(now, cmds)
--- a/catalog/model_test.go
+++ b/catalog/model_test.go
@@ -248,3 +248,14 @@
 		t.Errorf("got %s, want delete b", got)
 	}
 }
+
+// TestResumed guards against a VM that goes on with what it knew before a pause until its
+// next watch ends.
+func TestResumed(t *testing.T) {
+	r := newHarness(t)
+	r.update(catalog.ListedMsg{Batch: batch(10, item("a", 4))})
+	r.update(catalog.WatchedMsg{Batch: batch(11, item("b", 11))}) // the next watch waits for a burst to end
+	r.commands = nil
+	r.update(catalog.ResumedMsg{})
+	r.want("fresh list")
+}
--- a/exchange/client.go
+++ b/exchange/client.go
@@ -244,6 +244,16 @@
 	}
 }
 
+// CloseAllIdle closes all idle connections. After a pause of the process it is not known
+// how long they were idle.
+func (c *Client) CloseAllIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, u := range c.upstreams {
+		u.closeIdle()
+	}
+}
+
 // takeIdle removes and returns the most recently used idle connection that is usable.
 // It closes the unusable connections that were used more recently.
 func (u *upstreamConns) takeIdle(now clock.Millis, call *Call) *conn {
--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -108,7 +108,7 @@
 	c := &call{answer: make(chan relay.Answer, 1)}
 	c.request = exchange.NewRequest(g.headers.Headers, r.Method, uri, r.Host, id, g.forwardedFields(r.Header), body)
 	callID := g.lastCallID.Add(1)
-	g.post(loopMsg{call: c, relay: relay.ArrivalMsg{ID: callID, Name: id, Host: r.Host, Path: uri, RemainingMs: remaining, RoundTripMs: roundTripOf(r)}})
+	g.post(loopMsg{call: c, at: g.clock.Now(), relay: relay.ArrivalMsg{ID: callID, Name: id, Host: r.Host, Path: uri, RemainingMs: remaining, RoundTripMs: roundTripOf(r)}})
 	select {
 	case a := <-c.answer:
 		g.writeAnswer(w, id, a)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -76,7 +76,8 @@
 // an ArrivalMsg in relay.
 type loopMsg struct {
 	relay     relay.Msg
-	call      *call // of an ArrivalMsg
+	call      *call        // of an ArrivalMsg
+	at        clock.Millis // of an ArrivalMsg: when the request was read
 	catalog   catalog.Msg
 	registrar roster.RegistrarMsg
 	peer      *peerEvent
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -27,13 +27,16 @@
 	defer close(g.loopDone)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	pauses := clock.NewPauseDetector(g.clock.Now(), clock.System{}.Now(), clock.Boot)
 	for {
 		timer.Reset(g.timeToWake().Duration())
 		select {
 		case msg := <-g.inbox:
+			g.checkPause(ioCtx, pauses)
 			g.handle(ioCtx, msg)
 			g.handleQueued(ioCtx)
 		case <-timer.C:
+			g.checkPause(ioCtx, pauses)
 			g.tick(ioCtx)
 		case <-ioCtx.Done():
 			return nil
@@ -41,6 +44,20 @@
 	}
 }
 
+// checkPause detects that this VM was paused. What has run out meanwhile is ended before
+// any message is handled, and what is known is read again.
+func (g *Gateway) checkPause(ioCtx context.Context, d *clock.PauseDetector) {
+	paused := d.Check(g.clock.Now(), clock.System{}.Now())
+	if paused == 0 {
+		return
+	}
+	_ = g.logger.Log("event", "resumed", "paused_ms", int64(paused))
+	g.client.CloseAllIdle()
+	g.stepRelay(relay.TickMsg{})
+	g.stepCatalog(ioCtx, catalog.ResumedMsg{})
+	g.stepRegistrar(ioCtx, roster.ResumedMsg{})
+}
+
 func (g *Gateway) handleQueued(ioCtx context.Context) {
 	for range maxBatch {
 		select {
@@ -67,6 +84,7 @@
 		g.stepRelay(attemptMsg(*msg.result))
 	case msg.call != nil:
 		arrival := msg.relay.(relay.ArrivalMsg)
+		arrival.WaitedMs = g.clock.Now() - msg.at
 		g.calls[arrival.ID] = msg.call
 		g.stepRelay(arrival)
 	default:
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -25,6 +25,7 @@
 	vm     string
 	body   vm.PeerBody // nil if the stream broke
 	unsent bool
+	at     clock.Millis // when it was received
 }
 
 // meshHandler passes events of the peer streams to the event loop.
@@ -32,7 +33,7 @@
 
 // Received queues a message from another VM.
 func (h meshHandler) Received(from string, _ clock.Timestamp, body vm.PeerBody) {
-	h.g.post(loopMsg{peer: &peerEvent{vm: from, body: body}})
+	h.g.post(loopMsg{peer: &peerEvent{vm: from, body: body, at: h.g.clock.Now()}})
 }
 
 // Malformed logs and counts a message of another VM that could not be decoded.
@@ -71,7 +72,7 @@
 			g.stepRelay(relay.DelegationNotSentMsg{To: m.vm, ID: b.ID})
 			return
 		}
-		g.acceptDelegation(m.vm, b)
+		g.acceptDelegation(m.vm, b, g.clock.Now()-m.at)
 	case relay.DelegationAck:
 		if !m.unsent {
 			g.stepRelay(relay.DelegationAckMsg{From: m.vm, ID: b.ID})
@@ -89,8 +90,9 @@
 	}
 }
 
-// acceptDelegation starts a request that another VM delegated. A duplicate is ignored.
-func (g *Gateway) acceptDelegation(from string, d relay.Delegation) {
+// acceptDelegation starts a request that another VM delegated and that has waited here. A
+// duplicate is ignored.
+func (g *Gateway) acceptDelegation(from string, d relay.Delegation, waited clock.Millis) {
 	key := delegationKey{from, d.ID}
 	if _, ok := g.delegations[key]; ok {
 		return
@@ -99,7 +101,7 @@
 	g.delegations[key] = id
 	g.delegated.Store(int64(len(g.delegations)))
 	g.calls[id] = &call{request: exchange.NewDelegatedRequest(d.Name, d.Head, d.Body), delegation: &key}
-	g.stepRelay(relay.ArrivalMsg{ID: id, Name: d.Name, Host: d.Host, Path: d.Path, RemainingMs: d.RemainingMs, Delegation: &d})
+	g.stepRelay(relay.ArrivalMsg{ID: id, Name: d.Name, Host: d.Host, Path: d.Path, RemainingMs: d.RemainingMs, WaitedMs: waited, Delegation: &d})
 }
 
 // cancelDelegationsFrom cancels the requests that a VM delegated, after its stream broke.
--- a/relay/arrive.go
+++ b/relay/arrive.go
@@ -49,6 +49,12 @@
 		return
 	}
 	r := m.newRequest(now, rt, msg)
+	if r.deadline <= now {
+		m.reject(msg, Answer{
+			Outcome: Refused, Reason: "waited_too_long", Route: rt.Name, Version: r.version, RetryAfterMs: m.retryAfter(0, 0),
+		})
+		return
+	}
 	m.addSubrequests(r, msg.Delegation)
 	assignments := []assignment{{subrequests: r.subrequests}}
 	if r.gathers() && msg.Delegation == nil {
@@ -93,8 +99,8 @@
 	}
 	if d := msg.Delegation; d != nil {
 		r.delegated = true
-		r.deadline, r.callerRetry = now+d.RemainingMs, d.CallerRetry
-		r.targetAt = min(now+d.TargetInMs, r.deadline)
+		r.deadline, r.callerRetry = now+d.RemainingMs-msg.WaitedMs, d.CallerRetry
+		r.targetAt = min(now+max(d.TargetInMs-msg.WaitedMs, 0), r.deadline)
 		return r
 	}
 	timeout := rt.TimeoutMs
@@ -108,11 +114,11 @@
 	}
 	elapsed := m.statsFor(rt).callerElapsed(remaining)
 	r.callerRetry = elapsed >= callerRetryElapsedMs
-	r.deadline = now + min(timeout, max(remaining-deadlineReserveMs, 1))
-	if m.stopAt > 0 {
+	r.deadline = now + min(timeout, max(remaining-deadlineReserveMs, 1)) - msg.WaitedMs
+	if m.stopAt > 0 && r.deadline > now {
 		r.deadline = min(r.deadline, max(m.stopAt, now+1))
 	}
-	reserve := handlingReserveMs + cmp.Or(msg.RoundTripMs, defaultRoundTripMs)
+	reserve := msg.WaitedMs + handlingReserveMs + cmp.Or(msg.RoundTripMs, defaultRoundTripMs)
 	r.targetAt = min(now+max(rt.TargetMs-elapsed-reserve, 0), r.deadline)
 	return r
 }
--- a/relay/message.go
+++ b/relay/message.go
@@ -30,6 +30,9 @@
 	// opening the connection if it was opened for this request; 0 if not known.
 	RoundTripMs clock.Millis
 
+	// WaitedMs is how long the request has waited on this VM since it was read.
+	WaitedMs clock.Millis
+
 	// Delegation is set for a request that another VM delegated.
 	Delegation *Delegation
 }
--- a/relay/model_test.go
+++ b/relay/model_test.go
@@ -297,3 +297,43 @@
 		t.Errorf("got %q, want nothing", got)
 	}
 }
+
+// TestWaitedBeforeHandling guards against work that is started for a request whose time
+// ran out on this VM, for example while the process was paused, and against upstreams
+// that are given more time than is left.
+func TestWaitedBeforeHandling(t *testing.T) {
+	for _, tt := range []struct {
+		waited clock.Millis
+		want   string
+		left   clock.Millis // time given to the upstream
+	}{{0, "send", 385}, {100, "send", 285}, {385, "answer refused", 0}, {8000, "answer refused", 0}} {
+		m := newSingleServiceModel(t, false, 1)
+		msg := arrival(1)
+		msg.WaitedMs = tt.waited
+		cmds := m.Update(2000, msg)
+		got := commandNames(cmds)
+		if len(got) != 1 || got[0][:4] != tt.want[:4] {
+			t.Errorf("waited %d ms: got %v, want %s", tt.waited, got, tt.want)
+			continue
+		}
+		if tt.want == "send" {
+			if left := firstSend(t, cmds).RemainingMs; left != tt.left {
+				t.Errorf("waited %d ms: got %d ms for the upstream, want %d", tt.waited, left, tt.left)
+			}
+		}
+	}
+}
+
+// TestPaused guards against a VM that acts on what ran out while it was paused: requests,
+// attempts and delegations end before anything else is done.
+func TestPaused(t *testing.T) {
+	for _, pause := range []clock.Millis{1000, 3000, 8000} {
+		m := newShardedModelWithBudget(t)
+		m.Update(2000, arrival(1))
+		got := commandNames(m.Update(2000+pause, relay.TickMsg{}))
+		if len(got) != 2 || got[0][:8] != "withdraw" || got[1][:6] != "answer" {
+			t.Errorf("after %d ms: got %v, want an answer and nothing sent", pause, got)
+		}
+		wantCommands(t, m.Update(2001+pause, relay.TickMsg{}))
+	}
+}
--- a/roster/registrar.go
+++ b/roster/registrar.go
@@ -49,6 +49,10 @@
 // VM, the publisher.
 type SubscriptionMsg struct{ Subscribed bool }
 
+// ResumedMsg reports that the process did not run for a while, so that the lease may have
+// ended.
+type ResumedMsg struct{}
+
 // LeaveMsg ends the registration.
 type LeaveMsg struct{}
 
@@ -61,6 +65,7 @@
 func (RenewedMsg) registrarMsg()      {}
 func (FailedMsg) registrarMsg()       {}
 func (SubscriptionMsg) registrarMsg() {}
+func (ResumedMsg) registrarMsg()      {}
 func (LeaveMsg) registrarMsg()        {}
 func (TickMsg) registrarMsg()         {}
 
@@ -122,6 +127,8 @@
 	case SubscriptionMsg:
 		r.subscribed = m.Subscribed
 		r.nextCallAt = min(r.nextCallAt, now+r.renewInterval())
+	case ResumedMsg:
+		r.nextCallAt = min(r.nextCallAt, now)
 	case LeaveMsg:
 		r.leaving = true
 	case TickMsg:
