--- a/catalog/model.go
+++ b/catalog/model.go
@@ -224,10 +224,12 @@
 }
 
 func (m *Model) handleWatch(now clock.Millis, b store.Batch, cmds []Cmd) []Cmd {
-	m.current = true
-	if len(b.Items) == 0 {
+	// After the first watch the owner sets the publishers, and a subscription makes the next
+	// one unnecessary.
+	if m.current && len(b.Items) == 0 {
 		m.nextCall = now // no burst of events is in progress
 	}
+	m.current = true
 	return m.applyChanges(now, b.Items, b.Revision, cmds)
 }
 
