Let few VMs call a store that is down

A publisher that lost the store also dropped its subscribers, so each of them had to ask again.

Change: VMs with publishers try again after 1 to 2.5 s, which meets the users' bound of 3 s without them. A publisher keeps its subscribers, and they follow the first one that reaches the store again.

--- a/catalog/model.go
+++ b/catalog/model.go
@@ -37,6 +37,11 @@
 	minBackoffMs clock.Millis = 250
 	maxBackoffMs clock.Millis = 1000
 
+	// These bounds replace them on a VM with publishers, which send the changes once they
+	// reach the store again.
+	minSubscriberBackoffMs clock.Millis = 1000
+	maxSubscriberBackoffMs clock.Millis = 2500
+
 	// recoveryGraceMs is the time after an outage during which a missing key is kept:
 	// entries that expired during the outage are rewritten within about 2 s.
 	recoveryGraceMs clock.Millis = 2500
@@ -175,7 +180,11 @@
 		return cmds
 	}
 	firstFailure := m.backoff == 0
-	m.backoff = min(max(2*m.backoff, minBackoffMs), maxBackoffMs)
+	low, high := minBackoffMs, maxBackoffMs
+	if len(m.subscription.candidates) > 0 && !m.subscription.mayPublish {
+		low, high = minSubscriberBackoffMs, maxSubscriberBackoffMs
+	}
+	m.backoff = min(max(2*m.backoff, low), high)
 	m.nextCall = now + m.backoff/2 + clock.Millis(m.rng.Int64N(int64(m.backoff/2)+1))
 	m.needRelist = true
 	if firstFailure && wasWatching {
--- a/catalog/publish.go
+++ b/catalog/publish.go
@@ -69,9 +69,6 @@
 		to = append(to, vm)
 	}
 	slices.Sort(to)
-	if u.StoreLost {
-		clear(m.subscribers.expiresAt)
-	}
 	return append(cmds, PublishCmd{To: to, Update: u})
 }
 
--- a/catalog/subscription.go
+++ b/catalog/subscription.go
@@ -170,12 +170,18 @@
 // handleUpdate handles an update from a publisher.
 func (m *Model) handleUpdate(now clock.Millis, from string, u Update, cmds []Cmd) []Cmd {
 	sub := &m.subscription
-	if from != sub.publisher && from != sub.pending {
+	// A publisher that lost the store keeps its subscribers, and sends to them once it
+	// reaches the store again.
+	returned := sub.publisher == "" && slices.Contains(sub.candidates, from)
+	if from != sub.publisher && from != sub.pending && !returned {
 		return cmds
 	}
 	if u.StoreLost {
 		return m.publisherLost(now, from, cmds)
 	}
+	if returned {
+		sub.pending, sub.subscribedAt = from, now
+	}
 	if from == sub.pending {
 		sub.publisher, sub.pending = from, ""
 		cmds = append(cmds, PublisherCmd{VM: from})
--- a/catalog/subscription_test.go
+++ b/catalog/subscription_test.go
@@ -426,3 +426,36 @@
 	r.advance(r.now + 700)
 	r.want()
 }
+
+// TestStoreCallsDuringOutage guards against VMs that all call a store that is down about
+// once a second, although a few of them suffice to notice that it is back, and against a
+// change that reaches a VM late after the outage.
+func TestStoreCallsDuringOutage(t *testing.T) {
+	const vms, outageMs = 40, 8 * clock.Second
+	for _, change := range []clock.Millis{0, 100, 1000, 3000} {
+		g := newCluster(vms)
+		g.calls = 0
+		for _, v := range g.vms {
+			v.storeFails, v.watch = true, nil
+			g.send(storeMs, v, catalog.FailedMsg{Kind: store.KindUnavailable})
+		}
+		g.advance(outageMs)
+		// A publisher and two spare ones may try twice a second. Every other VM must try once
+		// in 2.5 s to meet the users' bound without them, and may do so every 1.5 s.
+		if limit := 3*2*int(outageMs/clock.Second) + vms*int(outageMs/1500); g.calls > limit {
+			t.Errorf("got %d calls of %d VMs in 8 s of outage, want at most %d", g.calls, vms, limit)
+		}
+		for _, v := range g.vms {
+			v.storeFails = false
+		}
+		g.advance(change)
+		g.change("config")
+		want := g.revision()
+		g.advance(changeBoundMs)
+		for _, v := range g.vms {
+			if got := v.known["config"]; got != want {
+				t.Errorf("%s: got revision %d of the configuration %d ms after the outage, want %d", v.id, got, change+changeBoundMs, want)
+			}
+		}
+	}
+}
