Keep the backoff of a store call when a publisher is lost

Cause: each publisher that said it had lost the store made its subscribers list the store at once, whatever their backoff, and said so again on each failed call of its own.

Change: a loss is published once; a running backoff stands; before the first list of its own a VM leaves its other publishers the time to answer. The registrar backs off to 4 s, and the return of the store ends that.

--- a/catalog/model.go
+++ b/catalog/model.go
@@ -71,6 +71,7 @@
 	items         map[string]uint64 // revision of each key reported as present
 
 	storeLost         bool
+	lossPublished     bool // the subscribers were told of the loss
 	contacted         bool
 	holdRemovalsUntil clock.Millis       // removals are not reported before this time
 	pendingRemovals   map[string]removal // removed keys that are not reported yet
@@ -167,7 +168,7 @@
 	if m.storeLost {
 		m.holdRemovalsUntil = now + recoveryGraceMs
 	}
-	m.storeLost, m.contacted = false, true
+	m.storeLost, m.contacted, m.lossPublished = false, true, false
 	return cmds
 }
 
@@ -199,9 +200,10 @@
 		cmds = append(cmds, StoreStatusCmd{Kind: kind})
 	}
 	m.storeLost = true
-	if firstFailure && wasWatching {
+	if firstFailure && wasWatching || m.lossPublished {
 		return cmds
 	}
+	m.lossPublished = true
 	return m.publish(Update{StoreLost: true}, cmds)
 }
 
--- a/catalog/subscription.go
+++ b/catalog/subscription.go
@@ -137,9 +137,12 @@
 	}
 	sub.publisher = ""
 	// Another publisher that has the changes missed here makes the list unnecessary.
-	m.needRelist, m.needFresh, m.nextCall = true, true, now
-	if sub.bestCandidate(now) != "" {
-		m.nextCall = now + subscribeTimeoutMs
+	m.needRelist, m.needFresh = true, true
+	if m.backoff == 0 {
+		m.nextCall = now
+		if sub.bestCandidate(now) != "" {
+			m.nextCall = now + subscribeTimeoutMs
+		}
 	}
 	return append(cmds, PublisherCmd{})
 }
@@ -177,7 +180,12 @@
 		return cmds
 	}
 	if u.StoreLost {
-		return m.publisherLost(now, from, cmds)
+		cmds = m.publisherLost(now, from, cmds)
+		if m.backoff == 0 {
+			// The others have probably lost the store too, and say so sooner.
+			m.nextCall = max(m.nextCall, now+clock.Millis(len(sub.candidates))*subscribeTimeoutMs)
+		}
+		return cmds
 	}
 	if returned {
 		sub.pending, sub.subscribedAt = from, now
--- a/catalog/subscription_test.go
+++ b/catalog/subscription_test.go
@@ -436,8 +436,11 @@
 		g := newCluster(vms)
 		g.calls = 0
 		for _, v := range g.vms {
-			v.storeFails, v.watch = true, nil
-			g.send(storeMs, v, catalog.FailedMsg{Kind: store.KindUnavailable})
+			v.storeFails = true
+			if v.watch != nil {
+				v.watch = nil
+				g.send(storeMs, v, catalog.FailedMsg{Kind: store.KindUnavailable})
+			}
 		}
 		g.advance(outageMs)
 		// A publisher and two spare ones may try twice a second. Every other VM must try once
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -225,6 +225,9 @@
 			g.unapplied = append(g.unapplied, store.Item{Key: c.Key, Removed: true})
 		case catalog.StoreStatusCmd:
 			_ = g.logger.Log("event", "store_contact", "reached", c.Reachable, "cause", c.Kind)
+			if c.Reachable {
+				g.stepRegistrar(ioCtx, roster.ResumedMsg{})
+			}
 		}
 	}
 	if g.catalog.Current() {
--- a/roster/registrar.go
+++ b/roster/registrar.go
@@ -22,9 +22,13 @@
 	// for two more tries.
 	subscribedRenewIntervalMs = 5 * clock.Second
 
-	// Bounds of the backoff after failed calls.
+	// Bounds of the backoff after failed calls. ResumedMsg ends it when the store is
+	// reached again.
 	minBackoffMs clock.Millis = 300
-	maxBackoffMs clock.Millis = 2000
+	maxBackoffMs clock.Millis = 4000
+
+	// maxReturnMs spreads the calls of VMs that reach the store again together.
+	maxReturnMs clock.Millis = 500
 )
 
 // RegistrarMsg is an input of a Registrar.
@@ -49,8 +53,8 @@
 // VM, the publisher.
 type SubscriptionMsg struct{ Subscribed bool }
 
-// ResumedMsg reports that the process did not run for a while, so that the lease may have
-// ended.
+// ResumedMsg reports that the process did not run for a while, or that the store is
+// reached again, so that the lease may have ended.
 type ResumedMsg struct{}
 
 // LeaveMsg ends the registration.
@@ -128,7 +132,7 @@
 		r.subscribed = m.Subscribed
 		r.nextCallAt = min(r.nextCallAt, now+r.renewInterval())
 	case ResumedMsg:
-		r.nextCallAt = min(r.nextCallAt, now)
+		r.nextCallAt = min(r.nextCallAt, now+clock.Millis(r.rng.Int64N(int64(maxReturnMs))))
 	case LeaveMsg:
 		r.leaving = true
 	case TickMsg:
