Refuse a query that cannot reach its least share of shards

Change: if fewer shards than the route needs have an upstream that accepts work, the query is refused before anything is sent.

TestTooFewShardsReachable fails without the check.

--- a/relay/arrive.go
+++ b/relay/arrive.go
@@ -66,6 +66,11 @@
 		})
 		return
 	}
+	if msg.Delegation == nil && r.gathers() && reachable(r.subrequests) < r.requiredReplies() {
+		wait := max(m.retryAfter(noUpstreamRetryMs, r.deadline-now), m.holdRemaining(now, r.subrequests, r.requiredReplies()))
+		m.reject(msg, Answer{Outcome: Refused, Reason: "no_upstream", Route: rt.Name, Version: r.version, RetryAfterMs: wait})
+		return
+	}
 	if excess, overloaded := m.wouldMissTarget(now, r, assignments); overloaded {
 		wait := max(m.retryAfter(excess, r.deadline-now), m.holdRemaining(now, r.subrequests, r.requiredReplies()))
 		m.rejectWithEstimate(msg, Answer{
@@ -91,6 +96,17 @@
 	m.advance(now, r)
 }
 
+// reachable returns how many sub-requests have an upstream that accepts work.
+func reachable(subrequests []*subrequest) int {
+	n := 0
+	for _, sub := range subrequests {
+		if slices.ContainsFunc(sub.service.upstreams, (*upstream).usable) {
+			n++
+		}
+	}
+	return n
+}
+
 // newRequest returns the request of msg with its deadline and target time.
 func (m *Model) newRequest(now clock.Millis, rt *route.Route, msg ArrivalMsg) *request {
 	r := &request{
--- a/relay/notice_test.go
+++ b/relay/notice_test.go
@@ -294,3 +294,22 @@
 		})
 	}
 }
+
+// TestTooFewShardsReachable replays the first seconds of VMs that start while the
+// registrations of most upstreams have lapsed: a query that cannot reach the least share
+// of its shards is refused before any of it runs, so that it costs the others nothing and
+// its caller knows that it has not run.
+func TestTooFewShardsReachable(t *testing.T) {
+	for _, lapsed := range []int{0, 2, 3, 4} {
+		m := newGatherModel(t) // needs two of four shards
+		for shard := range lapsed {
+			for replica := range 2 {
+				m.Update(1500, relay.UpstreamRemovedMsg{ID: fmt.Sprintf("s%d-%d", shard, replica)})
+			}
+		}
+		got := commandNames(m.Update(2000, arrival(1)))
+		if refused := len(got) == 1 && got[0] == "answer refused"; refused != (lapsed > 2) {
+			t.Errorf("%d of 4 shards lapsed: got %v, want refused %t", lapsed, got, lapsed > 2)
+		}
+	}
+}
