Open connections ahead only for shards that a VM has just got

Cause: at each change of the list of VMs every VM opened a connection to each plain upstream and each carrier one to every shard's upstreams. Unused ones closed after 0.7 s and were opened again a second later: in a rolling restart of 195 VMs 88,062 connections, of which upstreams reset 40,114 over their cap, since a full queue lowers it. Only 24 attempts failed, so no log showed it.

Change: a VM opens connections to the upstreams of the shards for which it has just become the carrier, and to a new upstream of such a shard.

TestPreconnect fails before.

--- a/relay/carrier.go
+++ b/relay/carrier.go
@@ -84,12 +84,7 @@
 	m.peers = newPeers
 	m.inFleet = inFleet
 	m.vmCount = max(len(vms), 1)
-	carrier := inFleet && m.isCarrier(now)
-	for _, id := range sortedKeys(m.upstreams) {
-		if u := m.upstreams[id]; u.usable() {
-			m.preconnect(u, carrier)
-		}
-	}
+	m.preconnectAssigned(now)
 	m.connectCarriers(now)
 	m.releasePeers(now, old)
 }
@@ -112,34 +107,45 @@
 	}
 }
 
-// preconnect opens a connection to an upstream before it is needed. For shards, only
-// carriers do so, because an upstream accepts fewer connections than there may be
-// VMs.
-func (m *Model) preconnect(u *upstream, isCarrier bool) {
-	if u.service.isShard {
-		if !isCarrier {
-			return
+// preconnectAssigned opens connections to the upstreams of the shards for which this VM
+// has just become the carrier. An unused connection stays open for less than a second, so
+// it is not opened again each time the list of VMs changes, and not by VMs that will
+// hardly use it.
+func (m *Model) preconnectAssigned(now clock.Millis) {
+	var carriers []*peerVM
+	if m.inFleet {
+		carriers = m.carriers(now, m.cfg.dataCentre, m.localShards())
+	}
+	for _, name := range sortedKeys(m.services) {
+		s := m.services[name]
+		before := s.assigned
+		s.assigned = s.isShard && len(carriers) > 0 && slices.Contains(m.dataCentres(s), m.cfg.dataCentre) &&
+			carriers[carrierFor(s, carriers)].info.ID == m.cfg.self
+		if !s.assigned || before {
+			continue
+		}
+		for _, u := range s.upstreams {
+			m.preconnect(u)
 		}
-	} else if int(float64(u.service.maxConns)*(carrierConnectionShare+otherConnectionShare)) < m.vmCount {
-		return
 	}
-	m.emit(ConnectUpstreamCmd{Upstream: u.info.ID, Address: u.info.Address})
 }
 
-// isCarrier reports whether this VM is among the carriers of its data centre.
-func (m *Model) isCarrier(now clock.Millis) bool {
-	localShards := 0
+// preconnect opens a connection to an upstream before it is needed.
+func (m *Model) preconnect(u *upstream) {
+	if u.usable() {
+		m.emit(ConnectUpstreamCmd{Upstream: u.info.ID, Address: u.info.Address})
+	}
+}
+
+// localShards returns the number of shards with an upstream in this VM's data centre.
+func (m *Model) localShards() int {
+	n := 0
 	for _, s := range m.services {
 		if s.isShard && slices.Contains(m.dataCentres(s), m.cfg.dataCentre) {
-			localShards++
-		}
-	}
-	for _, c := range m.carriers(now, m.cfg.dataCentre, localShards) {
-		if c.info.ID == m.cfg.self {
-			return true
+			n++
 		}
 	}
-	return false
+	return n
 }
 
 // connectCarriers opens streams to the carriers that gather for this VM, so that the
--- a/relay/carrier_test.go
+++ b/relay/carrier_test.go
@@ -417,3 +417,53 @@
 		t.Errorf("%d of 6 results arrived after the target, want none", late)
 	}
 }
+
+// TestPreconnect guards against connections that are opened each time the list of VMs
+// changes, or by VMs that will hardly use them: upstreams reset those beyond their limit,
+// and all VMs together open thousands while VMs restart in turn.
+func TestPreconnect(t *testing.T) {
+	fleet := func(without string) relay.FleetMsg {
+		var vms []relay.VM
+		for i := range 22 {
+			v := relay.VM{ID: fmt.Sprint("v", i), Address: fmt.Sprint("v", i), DataCentre: "a", CPUMilli: 192}
+			if i < 2 {
+				v.CPUMilli = 800
+			}
+			if v.ID != without {
+				vms = append(vms, v)
+			}
+		}
+		return relay.FleetMsg{VMs: vms}
+	}
+	dials := func(m *relay.Model, msg relay.Msg) (n int) {
+		for _, c := range m.Update(3000, msg) {
+			if _, ok := c.(relay.ConnectUpstreamCmd); ok {
+				n++
+			}
+		}
+		return n
+	}
+	total := 0
+	for i := range 22 {
+		self := fmt.Sprint("v", i)
+		m := newMixedFleetModel(self)
+		dials(m, fleet(self))
+		total += dials(m, fleet("")) // its carriers have just changed
+		for other := range 22 {
+			if i != other && other > 1 {
+				if got := dials(m, fleet(fmt.Sprint("v", other))) + dials(m, fleet("")); got > 0 && i < 2 {
+					t.Errorf("%s opened %d connections although its shards stayed the same", self, got)
+				}
+			}
+		}
+		for n := range 5 {
+			if got := dials(m, relay.UpstreamMsg{Upstream: relay.Upstream{ID: "s1a", Service: "s1", Address: "s1", DataCentre: "a", Slots: 2, Sequence: uint64(n)}}); got > 0 {
+				t.Errorf("%s opened %d connections after a heartbeat", self, got)
+			}
+		}
+	}
+	// Each of the 90 shards has one upstream and one carrier.
+	if total != 90 {
+		t.Errorf("got %d connections opened by the carriers, want 90", total)
+	}
+}
--- a/relay/model.go
+++ b/relay/model.go
@@ -158,7 +158,8 @@
 			u = nil
 		}
 	}
-	if u == nil {
+	isNew := u == nil
+	if isNew {
 		u = &upstream{service: m.service(info.Service), hash: xxhash.Sum64String(info.ID), attemptWindow: maxAttemptWindow, latencyRatio: 1}
 		m.upstreams[info.ID] = u
 		u.service.upstreams = append(u.service.upstreams, u)
@@ -171,7 +172,9 @@
 	u.coldUntil = now + info.ColdMs
 	m.applyNotice(u, m.notices.get(info.ID))
 	if u.usable() {
-		m.preconnect(u, u.service.isShard && m.inFleet && m.isCarrier(now))
+		if isNew && u.service.assigned {
+			m.preconnect(u)
+		}
 		m.dispatchQueued(now, u.service)
 	}
 }
--- a/relay/service.go
+++ b/relay/service.go
@@ -42,6 +42,7 @@
 	budget      budget
 	maxConns    int
 	isShard     bool     // its work is delegated to carriers
+	assigned    bool     // this VM is its carrier in its data centre, by the last list of VMs
 	dataCentres []string // with usable upstreams, sorted; nil if not computed
 }
 
