Probe a lost carrier before it is used again

Cause: two carriers that stood still for 5 s lost 423 delegations, since every VM delegated to them again each time their avoidance ended. The shards of a lost carrier were bounded by the preset's retries, which are a share of what a VM gathers itself; a VM that delegates gathers nothing, so only 5 of up to 64 shards were gathered after a loss and the query failed.

Change: a VM that has failed gets a delegation without shards, once in 500 ms, and is a carrier again when it acknowledges. The preset no longer bounds the shards of a lost carrier; the fleet's budget does.

TestSuspectCarrier and TestReclaimAfterFirstLoss fail before ('query 2 was delegated to vb', 5 of 90 shards).

--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -171,8 +171,10 @@
 		}
 	case relay.DelegateCmd:
 		g.metrics.delegations.Inc()
-		pending := g.calls[c.Request]
-		c.Delegation.Head, c.Delegation.Body = pending.request.Head(), pending.request.Body()
+		if len(c.Delegation.Services) > 0 {
+			pending := g.calls[c.Request]
+			c.Delegation.Head, c.Delegation.Body = pending.request.Head(), pending.request.Body()
+		}
 		g.sendPeer(c.To, c.Address, c.Delegation)
 	case relay.CancelDelegationCmd:
 		g.sendPeer(c.To, "", relay.DelegationCancel{ID: c.ID})
--- a/relay/arrive.go
+++ b/relay/arrive.go
@@ -36,8 +36,14 @@
 // admit refuses a new request before any of it runs, or divides its sub-requests
 // among carriers and this VM.
 func (m *Model) admit(now clock.Millis, msg ArrivalMsg) {
-	if msg.Delegation != nil && !m.acceptDelegation(msg) {
-		return
+	if d := msg.Delegation; d != nil {
+		if !m.acceptDelegation(msg) {
+			return
+		}
+		if len(d.Services) == 0 { // a probe, which the acknowledgement answers
+			m.emit(AnswerCmd{ID: msg.ID, Answer: Answer{Outcome: Refused, Reason: "probe"}})
+			return
+		}
 	}
 	if m.table == nil {
 		m.reject(msg, Answer{Outcome: NotReady, Reason: "no_configuration", RetryAfterMs: m.retryAfter(clock.Second, msg.RemainingMs)})
@@ -58,6 +64,7 @@
 	m.addSubrequests(r, msg.Delegation)
 	assignments := []assignment{{subrequests: r.subrequests}}
 	if r.gathers() && msg.Delegation == nil {
+		m.probeSuspects(now, r)
 		assignments = m.distribute(now, r)
 	}
 	if m.policies.queueFull(rt.Priority) && msg.Delegation == nil {
--- a/relay/carrier.go
+++ b/relay/carrier.go
@@ -39,7 +39,9 @@
 	hash          uint64                 // for rendezvous hashing in its data centre
 	failures      int                    // in a row
 	avoidUntil    clock.Millis
-	resultLagMs   float64 // moving average of how late its partial results arrive, in milliseconds; 0 if not measured
+	suspect       bool         // has failed and sent no acknowledgement since
+	probeAt       clock.Millis // earliest time of the next probe while suspect
+	resultLagMs   float64      // moving average of how late its partial results arrive, in milliseconds; 0 if not measured
 	lastMessageAt clock.Millis
 	estimates     map[string]estimate // by route
 }
@@ -49,6 +51,7 @@
 		return // failures of requests that were open at the same time count once
 	}
 	c.failures++
+	c.suspect = true
 	c.avoidUntil = now + min(firstCarrierAvoidMs<<min(c.failures-1, 8), maxCarrierAvoidMs)
 }
 
@@ -332,7 +335,7 @@
 func (m *Model) carriers(now clock.Millis, dc string, n int) []*peerVM {
 	var list []*peerVM
 	for _, id := range m.vmIDs {
-		if c := m.peers[id]; c.info.DataCentre == dc && now >= c.avoidUntil {
+		if c := m.peers[id]; c.info.DataCentre == dc && now >= c.avoidUntil && !c.suspect {
 			list = append(list, c)
 		}
 	}
--- a/relay/carrier_test.go
+++ b/relay/carrier_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/preset"
 	"lentillink.example/lentillink/relay"
 	"lentillink.example/lentillink/route"
 )
@@ -467,3 +468,78 @@
 		t.Errorf("got %d connections opened by the carriers, want 90", total)
 	}
 }
+
+// TestSuspectCarrier replays a carrier that stands still for some seconds: only the first
+// query is delegated to it in vain. It is used again once it has acknowledged a probe.
+func TestSuspectCarrier(t *testing.T) {
+	m := newShardedModelWithBudget(t)
+	lost, now := "", clock.Millis(2000)
+	delegatedTo := func(cmds []relay.Cmd) (to string, probe relay.DelegateCmd) {
+		for _, c := range cmds {
+			if d, ok := c.(relay.DelegateCmd); ok {
+				if len(d.Delegation.Services) == 0 {
+					probe = d
+				} else {
+					to = d.To
+				}
+			}
+		}
+		return to, probe
+	}
+	probes := 0
+	for id := range uint64(12) {
+		to, probe := delegatedTo(m.Update(now, arrival(id+1)))
+		switch {
+		case id == 0:
+			lost = to
+		case to == lost:
+			t.Errorf("query %d was delegated to %s, which has not acknowledged", id, lost)
+		}
+		if probe.To != "" {
+			probes++
+		}
+		m.Update(now+30, relay.TickMsg{}) // without an acknowledgement
+		m.Update(now+400, relay.TickMsg{})
+		now += 500
+	}
+	if probes == 0 || probes > 12 {
+		t.Errorf("got %d probes, want 1 to 12", probes)
+	}
+	m.Update(now, relay.DelegationAckMsg{From: lost, ID: 1 << 60})
+	now += 8 * clock.Second // longer than the longest time for which a carrier is avoided
+	used := false
+	for id := range uint64(4) {
+		to, _ := delegatedTo(m.Update(now, arrival(id+100)))
+		used = used || to == lost
+		now += 10
+	}
+	if !used {
+		t.Errorf("%s is not used after it has acknowledged", lost)
+	}
+}
+
+// TestProbe guards against work for a probe, or a probe without an acknowledgement.
+func TestProbe(t *testing.T) {
+	m := newShardedModel(t, "va", "a")
+	msg := arrival(1)
+	msg.Delegation = &relay.Delegation{ID: 5, Version: 7, RemainingMs: 500}
+	wantCommands(t, m.Update(2000, msg), "taken", "answer refused")
+}
+
+// TestReclaimAfterFirstLoss guards against a query that fails with its carrier because the
+// VM that delegated it gathers nothing itself, so that the preset allows it no retries.
+func TestReclaimAfterFirstLoss(t *testing.T) {
+	m := newMixedFleetModel("v10")
+	defaults := preset.GatewayDefault()
+	m.Update(1000, relay.PresetMsg{Preset: defaults.CurrentPreset()})
+	m.Update(2000, arrivalWithin(1, 800))
+	sends := 0
+	for _, c := range commandNames(m.Update(2040, relay.TickMsg{})) {
+		if c[:4] == "send" {
+			sends++
+		}
+	}
+	if sends != 90 {
+		t.Errorf("got %d shards gathered after the loss of the carriers, want all 90", sends)
+	}
+}
--- a/relay/delegation.go
+++ b/relay/delegation.go
@@ -14,7 +14,7 @@
 	Name        string
 	Host        string
 	Path        string
-	Services    []string // shards to gather, of one version of the configuration
+	Services    []string // shards to gather, of one version of the configuration; none in a probe
 	Head        []byte   // request line and headers as sent to upstreams; filled in by the runtime
 	Body        []byte
 	RemainingMs clock.Millis
@@ -224,6 +224,9 @@
 }
 
 func (m *Model) handleAck(now clock.Millis, msg DelegationAckMsg) {
+	if c := m.peers[msg.From]; c != nil {
+		c.suspect = false // also after a late acknowledgement, or that of a probe
+	}
 	if d := m.openDelegation(msg.From, msg.ID); d != nil {
 		d.acked = true
 		d.carrier.lastMessageAt = now
@@ -247,6 +250,26 @@
 	}
 }
 
+// probeMs is the time between two probes of a suspect VM.
+const probeMs clock.Millis = 500
+
+// probeSuspects asks the VMs that may have failed, and are no longer avoided, for an
+// acknowledgement. A query that was delegated instead would be lost with a carrier that
+// is still not there.
+func (m *Model) probeSuspects(now clock.Millis, r *request) {
+	for _, id := range m.vmIDs {
+		c := m.peers[id]
+		if !c.suspect || now < c.avoidUntil || now < c.probeAt || id == m.cfg.self {
+			continue
+		}
+		c.probeAt = now + probeMs
+		m.nextID++
+		m.emit(DelegateCmd{Request: r.id, To: id, Address: c.info.Address, Delegation: Delegation{
+			ID: m.nextID, Version: r.version, Name: r.name, Host: r.host, Path: r.path, RemainingMs: probeMs,
+		}})
+	}
+}
+
 // checkCarriers reclaims the delegations of carriers that have timed out.
 func (m *Model) checkCarriers(now clock.Millis, r *request) {
 	for _, d := range r.delegations {
@@ -294,7 +317,9 @@
 		r.subrequests = append(r.subrequests, sub)
 		if mayHaveRun {
 			sub.deliveries, sub.possibleRuns = 1, 1
-			m.retry(now, sub)
+			// The preset bounds retries by the sub-requests that this VM gathers, which are
+			// few on a VM that delegates. The fleet's budget holds.
+			m.retryWithin(now, sub, false)
 			continue
 		}
 		sub.service.budget.countRequest(now)
@@ -341,7 +366,9 @@
 		m.emit(AnswerCmd{ID: msg.ID, Answer: Answer{Outcome: NotReady, Reason: reason}})
 		return false
 	}
-	m.selfIsCarrier = true
+	if len(msg.Delegation.Services) > 0 {
+		m.selfIsCarrier = true
+	}
 	m.emit(AckDelegationCmd{ID: msg.ID})
 	return true
 }
--- a/relay/reply.go
+++ b/relay/reply.go
@@ -83,7 +83,10 @@
 
 // retry sends a sub-request again if it may be repeated, the budget allows it and an
 // untried upstream is left.
-func (m *Model) retry(now clock.Millis, sub *subrequest) {
+func (m *Model) retry(now clock.Millis, sub *subrequest) { m.retryWithin(now, sub, true) }
+
+// retryWithin is retry. With byPreset set, the active preset bounds the retry too.
+func (m *Model) retryWithin(now clock.Millis, sub *subrequest, byPreset bool) {
 	if sub.resolved || sub.req.answered || len(sub.open) > 0 {
 		return
 	}
@@ -96,11 +99,11 @@
 		m.giveUp(now, sub, "max_attempts")
 	case now >= r.deadline:
 		m.giveUp(now, sub, "deadline")
-	case sub.deliveries > 0 && (sub.service.budget.remaining(now, m.vmCount, 1) < 1 || !m.policies.allows(now, &m.policies.retries, r.route.Priority)):
+	case sub.deliveries > 0 && (sub.service.budget.remaining(now, m.vmCount, 1) < 1 || byPreset && !m.policies.allows(now, &m.policies.retries, r.route.Priority)):
 		m.event("retry_denied", r, nil, sub.service.name, now-r.arrived)
 		m.giveUp(now, sub, "budget")
 	default:
-		if sub.deliveries > 0 {
+		if sub.deliveries > 0 && byPreset {
 			m.policies.spend(now, &m.policies.retries, r.route.Priority)
 		}
 		m.dispatch(now, sub)
