Bound the memory of callers' bodies and of replies by that of the VM

Cause: each caller could make a VM hold 8 MB, whatever its memory, and the bound for replies was the same on VMs of 184 and 536 MB.

Change: an eighth of the memory is for bodies that are being read and an eighth for replies. A request whose body does not fit is refused as not run with a time to come back. Both use exchange.Memory.

--- a/cmd/lentillinkd/gateway.go
+++ b/cmd/lentillinkd/gateway.go
@@ -64,6 +64,7 @@
 		}),
 		gateway.WithAddresses(s.Callers, s.Ready), gateway.WithReadyPath(platform.ReadyPath), gateway.WithMetricsAddress(s.Metrics),
 		gateway.WithLogger(logger), gateway.WithLimits(reloadableLimits(s)), gateway.WithSeed(rand.Uint64()), gateway.WithWatchInterval(watchInterval(s)),
+		gateway.WithMemory(s.MemoryMB*bytesPerMB),
 		gateway.WithRelayOptions(relay.WithVMs(s.ExpectedVMs)),
 	)
 	watchDone := make(chan error, 1)
--- a/exchange/client.go
+++ b/exchange/client.go
@@ -63,7 +63,7 @@
 	report         func(Result)
 	connectTimeout clock.Millis
 	maxReplyBytes  int
-	replyMemory    memory
+	replyMemory    Memory
 	clock          clock.Clock
 
 	ctx        context.Context // cancels connecting
@@ -98,7 +98,7 @@
 		report: report, connectTimeout: defaultConnectTimeout, maxReplyBytes: defaultMaxReplyBytes, clock: clock.NewMonotonic(),
 		exits: make(chan struct{}, 64), upstreams: make(map[string]*upstreamConns), calls: make(map[uint64]*pendingCall),
 	}
-	c.replyMemory.release(defaultReplyMemory)
+	c.replyMemory.Release(defaultReplyMemory)
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	for _, opt := range opts {
 		opt(c)
--- a/exchange/memory.go
+++ b/exchange/memory.go
@@ -32,11 +32,12 @@
 	errSwitching = errors.New("reply switches the protocol, which the request did not ask for")
 )
 
-// memory is the memory that is left for replies being read, in bytes.
-type memory struct{ left atomic.Int64 }
+// Memory bounds the memory of one kind of data, in bytes. The zero value has none left. It
+// is safe for concurrent use.
+type Memory struct{ left atomic.Int64 }
 
-// reserve takes n bytes and reports whether they were left.
-func (m *memory) reserve(n int64) bool {
+// Reserve takes n bytes and reports whether they were left.
+func (m *Memory) Reserve(n int64) bool {
 	if m.left.Add(-n) >= 0 {
 		return true
 	}
@@ -44,13 +45,14 @@
 	return false
 }
 
-func (m *memory) release(n int64) { m.left.Add(n) }
+// Release adds n bytes.
+func (m *Memory) Release(n int64) { m.left.Add(n) }
 
 // replyReader reads a connection. It fails once a reply is larger than its limit, or all
 // replies together need more memory than there is.
 type replyReader struct {
 	nc       net.Conn
-	memory   *memory
+	memory   *Memory
 	maxBytes int   // of one reply with everything that comes with it
 	count    int   // bytes of the current reply
 	reserved int64 // for the current reply
@@ -64,7 +66,7 @@
 		return n, errTooLarge
 	}
 	for memoryFactor*int64(r.count-freeReplyBytes) > r.reserved {
-		if !r.memory.reserve(memoryStep) {
+		if !r.memory.Reserve(memoryStep) {
 			return n, errNoMemory
 		}
 		r.reserved += memoryStep
@@ -74,6 +76,6 @@
 
 // endReply releases the memory of the current reply.
 func (r *replyReader) endReply() {
-	r.memory.release(r.reserved)
+	r.memory.Release(r.reserved)
 	r.count, r.reserved = 0, 0
 }
--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -27,6 +27,10 @@
 	readHeaderTimeout = 10 * time.Second
 	readBodyTimeout   = 30 * time.Second
 	idleTimeout       = 60 * time.Second
+
+	// bodyRetryMs is the retry delay of a request that is refused because the bodies being
+	// read take too much memory.
+	bodyRetryMs = clock.Second
 )
 
 // newCallerServer returns the server for callers. It uses net/http, because fasthttp
@@ -89,7 +93,18 @@
 	if g.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	body, status := g.readBody(w, r)
+	limit := g.bodyLimit()
+	reserved := min(r.ContentLength, limit)
+	if reserved < 0 {
+		reserved = limit // sent in chunks
+	}
+	if !g.bodies.Reserve(reserved) {
+		w.Header().Set("Connection", "close") // the body is not read
+		refuse(w, http.StatusServiceUnavailable, bodyRetryMs)
+		return
+	}
+	defer g.bodies.Release(reserved)
+	body, status := g.readBody(w, r, limit)
 	if status != 0 {
 		w.Header().Set("Connection", "close") // the rest of the request is not read
 		refuse(w, status, 0)
@@ -119,14 +134,18 @@
 	}
 }
 
+// bodyLimit returns the size of the largest body that is accepted, in bytes.
+func (g *Gateway) bodyLimit() int64 {
+	if t := g.table.Load(); t != nil && t.Limits().BodyBytes > 0 {
+		return int64(t.Limits().BodyBytes)
+	}
+	return maxBodyBytes
+}
+
 // readBody reads the whole body. If the request must be refused, it returns the status
 // of the refusal, else 0.
-func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request) ([]byte, int) {
-	limit := int64(maxBodyBytes)
+func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, int) {
 	if t := g.table.Load(); t != nil {
-		if n := t.Limits().BodyBytes; n > 0 {
-			limit = int64(n)
-		}
 		if n := t.Limits().HeaderBytes; n > 0 && headerBytes(r) > n {
 			return nil, http.StatusRequestHeaderFieldsTooLarge
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -65,6 +65,8 @@
 	panicTimes    []clock.Millis // of the last panics in the event loop, which owns it
 
 	callerConns   *callerConns
+	memoryBytes   int64                    // of the process
+	bodies        exchange.Memory          // for the bodies of callers that are being read
 	calls         map[uint64]*call         // owned by the event loop
 	delegations   map[delegationKey]uint64 // requests of other VMs, owned by the event loop
 	vmList        map[string]relay.VM      // owned by the event loop
@@ -96,7 +98,8 @@
 func New(opts ...Option) *Gateway {
 	g := &Gateway{
 		logger: log.NewNopLogger(), clock: clock.NewMonotonic(), limits: Limits{GracePeriod: defaultGracePeriodMs}, readyPath: "/ready",
-		inbox: make(chan loopMsg, inboxLen), loopDone: make(chan struct{}), exits: make(chan error, exitsLen), failed: make(chan error, 1),
+		memoryBytes: defaultMemoryBytes,
+		inbox:       make(chan loopMsg, inboxLen), loopDone: make(chan struct{}), exits: make(chan error, exitsLen), failed: make(chan error, 1),
 		callerConns: newCallerConns(), calls: make(map[uint64]*call), delegations: make(map[delegationKey]uint64), vmList: make(map[string]relay.VM),
 	}
 	for _, opt := range opts {
@@ -112,7 +115,8 @@
 	g.mesh = peer.New(g.self.ID, g.seed, meshHandler{g})
 	g.catalog = catalog.New(g.seed, catalog.WithWatchInterval(g.watchInterval))
 	g.client = exchange.New(func(r exchange.Result) { g.post(loopMsg{result: &r}) },
-		exchange.WithHeaders(g.headers.Headers), exchange.WithClock(g.clock))
+		exchange.WithHeaders(g.headers.Headers), exchange.WithClock(g.clock), exchange.WithReplyMemory(g.memoryBytes/replyMemoryShare))
+	g.bodies.Release(g.memoryBytes / bodyMemoryShare)
 	return g
 }
 
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -67,3 +67,13 @@
 func WithRelayOptions(opts ...relay.Option) Option {
 	return func(g *Gateway) { g.relayOptions = append(g.relayOptions, opts...) }
 }
+
+// WithMemory sets the memory of the process in bytes. Parts of it bound the bodies of
+// callers and the replies of upstreams that are being read.
+func WithMemory(n int64) Option {
+	return func(g *Gateway) {
+		if n > 0 {
+			g.memoryBytes = n
+		}
+	}
+}
