--- a/exchange/memory.go
+++ b/exchange/memory.go
@@ -17,8 +17,8 @@
 	// memoryStep is by how much the memory of one reply grows at a time.
 	memoryStep = 64 << 10
 
-	// memoryFactor is the memory that a reply takes for each of its bytes: buffers double
-	// while they grow, and the body is copied.
+	// memoryFactor is the memory that a reply takes for each of its bytes: a buffer that
+	// grows is copied to a larger one, and the old one is freed later.
 	memoryFactor = 4
 
 	// maxHeadBytes bounds what comes with a body: headers, chunk sizes, trailers and
