Close no connection that was accepted just before a stop ended

A connection that had been accepted, but not yet been added or read, did not count as busy, so the stop ended.

Change: a stop waits for the end of accepting before it looks at the connections, and gives a new one 200 ms for its request.

--- a/gateway/conns.go
+++ b/gateway/conns.go
@@ -5,8 +5,13 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
+// firstRequestTime is how long a new connection is not idle without a request: its caller
+// is about to send one.
+const firstRequestTime = 200 * time.Millisecond
+
 // callerConns holds the open connections of callers. http.Server.Shutdown cannot serve
 // for a planned stop: it closes a connection whose request was read after the stop began
 // without an answer.
@@ -20,8 +25,9 @@
 // trackedConn is a caller's connection that knows whether a request has begun on it.
 type trackedConn struct {
 	*net.TCPConn
-	owner   *callerConns
-	started atomic.Bool // a byte of a request without a complete answer was read
+	owner    *callerConns
+	openedAt time.Time
+	started  atomic.Bool // a byte of a request without a complete answer was read
 }
 
 // Read reads from the connection.
@@ -57,7 +63,7 @@
 	if !ok {
 		return nc, nil
 	}
-	c := &trackedConn{TCPConn: tcp, owner: l.owner}
+	c := &trackedConn{TCPConn: tcp, owner: l.owner, openedAt: time.Now()}
 	l.owner.mu.Lock()
 	l.owner.conns[c] = struct{}{}
 	l.owner.mu.Unlock()
@@ -77,7 +83,7 @@
 	var idle []*trackedConn
 	s.mu.Lock()
 	for c := range s.conns {
-		if !c.started.Load() {
+		if !c.started.Load() && time.Since(c.openedAt) >= firstRequestTime {
 			idle = append(idle, c)
 		}
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -65,6 +65,7 @@
 	panicTimes    []clock.Millis // of the last panics in the event loop, which owns it
 
 	callerConns   *callerConns
+	acceptDone    chan struct{}            // closed when no more callers are accepted
 	memoryBytes   int64                    // of the process
 	bodies        exchange.Memory          // for the bodies of callers that are being read
 	calls         map[uint64]*call         // owned by the event loop
@@ -100,7 +101,7 @@
 		logger: log.NewNopLogger(), clock: clock.NewMonotonic(), limits: Limits{GracePeriod: defaultGracePeriodMs}, readyPath: "/ready",
 		memoryBytes: defaultMemoryBytes,
 		inbox:       make(chan loopMsg, inboxLen), loopDone: make(chan struct{}), exits: make(chan error, exitsLen), failed: make(chan error, 1),
-		callerConns: newCallerConns(), calls: make(map[uint64]*call), delegations: make(map[delegationKey]uint64), vmList: make(map[string]relay.VM),
+		callerConns: newCallerConns(), acceptDone: make(chan struct{}), calls: make(map[uint64]*call), delegations: make(map[delegationKey]uint64), vmList: make(map[string]relay.VM),
 	}
 	for _, opt := range opts {
 		opt(g)
@@ -144,7 +145,13 @@
 			if s == callerServer {
 				lis = trackedListener{Listener: lis, owner: g.callerConns}
 			}
-			go func() { g.exits <- serve(s, lis) }()
+			go func() {
+				err := serve(s, lis)
+				if s == callerServer {
+					close(g.acceptDone)
+				}
+				g.exits <- err
+			}()
 		}
 	}
 	go func() { g.exits <- g.client.Run(ioCtx) }()
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -43,6 +43,7 @@
 	g.post(loopMsg{relay: relay.StopMsg{Deadline: deadline}})
 	g.awaitIdle(start+min(deregisterDelayMs, grace/2), deadline)
 	_ = callers.Close()
+	<-g.acceptDone // every accepted connection is known from here
 	busy := g.callerConns.closeIdle()
 	for end := deadline + stopReserveMs/2; busy > 0 && g.clock.Now() < end; busy = g.callerConns.closeIdle() {
 		time.Sleep(stopPollMs.Duration())
