Dial no stream once the streams between VMs have stopped

It can only happen while a VM stops; the message was dialed for nobody.

Change: once Run has stopped accepting, a message without a stream is reported as unsent.

TestMeshSendWhileStopping -race: 'DATA RACE' before, passes after.

--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -49,6 +49,7 @@
 	mu         sync.Mutex
 	links      map[string]*link
 	ctx        context.Context // set by Run; its end closes the dialed streams
+	closed     bool            // Run has stopped accepting; no stream is dialed any more
 	goroutines sync.WaitGroup  // one count per stream goroutine
 }
 
@@ -75,6 +76,9 @@
 		return wrap("register", KindServe, err)
 	}
 	err := drpcserver.New(mux).Serve(ctx, lis)
+	m.mu.Lock()
+	m.closed = true
+	m.mu.Unlock()
 	m.goroutines.Wait()
 	if err != nil && !errors.Is(err, context.Canceled) {
 		return wrap("serve", KindServe, err)
@@ -102,12 +106,16 @@
 	m.link(to, address)
 }
 
-// link returns the link to a peer. If there is none, it creates one and dials the peer.
-// The caller holds mu.
+// link returns the link to a peer. If there is none, it creates one and dials the peer; a
+// Mesh that has stopped returns a closed one. The caller holds mu.
 func (m *Mesh) link(to, address string) *link {
 	l, ok := m.links[to]
 	if !ok {
 		l = newLink(to, m.queueLen)
+		if m.closed {
+			l.close()
+			return l
+		}
 		m.links[to] = l
 		ctx := m.ctx
 		m.startGoroutine(func() { m.dialLink(ctx, l, address) })
--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -218,3 +218,30 @@
 		t.Errorf("%d streams ended, want 0", got)
 	}
 }
+
+// TestMeshSendWhileStopping guards against a stream that is dialed while the Mesh waits for
+// its streams to end, which is a data race, and against a message without a report.
+func TestMeshSendWhileStopping(t *testing.T) {
+	for range 100 {
+		lis, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		r := newRecorder()
+		m := peer.New("vm-a", 1, r)
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- m.Run(ctx, lis) }()
+		const messages = 20
+		go cancel()
+		for i := range messages {
+			m.Send(fmt.Sprint("vm-", i), "127.0.0.1:1", clock.Timestamp{}, vm.FleetMessage{Payload: []byte("hi")})
+		}
+		if err := <-done; err != nil {
+			t.Errorf("Run: got %v, want nil", err)
+		}
+		for range messages {
+			await(t, r.unsent, "report of an unsent message")
+		}
+	}
+}
