--- a/review/kit/kit.go
+++ b/review/kit/kit.go
@@ -81,6 +81,14 @@
 // Now returns the time since the start of the run, in milliseconds.
 func (r *Run) Now() clock.Millis { return r.clock.Now() - r.start }
 
+// Wall returns the time of day.
+func (r *Run) Wall() clock.Millis { return clock.System{}.Now() }
+
+// TimeOf returns the time of the run at a time of day.
+func (r *Run) TimeOf(t time.Time) clock.Millis {
+	return r.Now() - (r.Wall() - clock.Millis(t.UnixMilli()))
+}
+
 // Logf writes a line to the record.
 func (r *Run) Logf(format string, args ...any) {
 	r.mu.Lock()
