Review case 4: queries starve after one longer time budget

Cause: the longest budget that any caller has stated on a route counts as the budget of every first attempt, so all others seem to have waited.

Change: a script in which one requester states 1,500 ms where all others state 800 ms.

--- a/review/4/main.go
+++ b/review/4/main.go
@@ -1,50 +1,65 @@
-// Command 4 has requesters that leave before the answer: each ends its side of the
-// connection, reads what still comes until the end, and closes.
+// Command 4 has one requester that states a longer time budget than the others, and
+// compares how many of the others' queries are served before and after.
 package main
 
 import (
-	"bufio"
 	"context"
 	"fmt"
-	"io"
-	"net"
 	"os"
 	"sync"
 	"time"
 
+	"lentillink.example/lentillink/clock"
 	"lentillink.example/lentillink/review/kit"
 )
 
 const (
-	host        = "plots.example"
-	startMs     = 2000
-	requests    = 40
-	leavers     = 5 // one request in so many is given up
-	requestGap  = 100 * time.Millisecond
-	leaveAfter  = 100 * time.Millisecond
-	archiveWork = 400 * time.Millisecond
+	host       = "plots.example"
+	shards     = 8
+	budgetMs   = 800  // of all requesters but one
+	patientMs  = 1500 // of one requester
+	startMs    = 2000
+	patientAt  = 7000
+	settleMs   = 1000
+	endMs      = 18_000
+	requestGap = 40 * time.Millisecond
+	minServed  = 0.25 // of the share of all requests that are served
 )
 
-// paths are the paths of the requests: of a route that is not idempotent, and of one that is.
-var paths = []string{"/order/one", "/archive/one"}
+// count is the number of requests of one kind and how many of them were served.
+type count struct{ sent, served int }
+
+func (c count) share() float64 { return float64(c.served) / float64(max(c.sent, 1)) }
 
 func routes() []map[string]any {
-	var out []map[string]any
-	for i, kind := range []string{"non_idempotent", "idempotent"} {
-		out = append(out, map[string]any{
-			"name": kind, "host": host, "prefix": paths[i][:len(paths[i])-len("one")], "route-type": kind, "timeout-ms": 4000,
+	var gather []string
+	for s := range shards {
+		gather = append(gather, fmt.Sprintf("plots%d", s))
+	}
+	return []map[string]any{
+		{
+			"name": "search", "host": host, "prefix": "/search/", "route-type": "idempotent", "timeout-ms": 800, "target-latency-ms": 150,
+			"priority": 1, "gather": gather, "max-attempts": 2, "top-k": 10, "min-shard-ratio": 0.75,
+		},
+		{
+			"name": "archive", "host": host, "prefix": "/archive/", "route-type": "idempotent", "timeout-ms": 4000,
 			"target-latency-ms": 1200, "priority": 2, "service": "archive", "max-attempts": 2,
-		})
+		},
 	}
-	return out
 }
 
 // run plays the case.
 func run(r *kit.Run, trouble bool) ([]string, error) {
 	n := r.NewInstallation()
 	defer n.Close()
-	for i := range 8 {
-		n.Add("archive", []string{"a", "b"}[i%2], []byte("archived record")).SetDelay(archiveWork)
+	dataCentres := []string{"a", "b"}
+	for s := range shards {
+		for _, dc := range dataCentres {
+			n.Add(fmt.Sprintf("plots%d", s), dc, fmt.Appendf(nil, "%016d", s)).SetDelay(5 * time.Millisecond)
+		}
+	}
+	for _, dc := range dataCentres {
+		n.Add("archive", dc, []byte("archived record")).SetDelay(5 * time.Millisecond)
 	}
 	n.Configure(3, routes()...)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -52,68 +67,65 @@
 	defer background.Wait()
 	defer cancel()
 	background.Go(func() { n.Heartbeats(ctx) })
-	v, err := r.StartVM("vm-a", "a", n.Store.Address())
-	if err != nil {
-		return nil, err
+	var vms []*kit.VM
+	for _, dc := range dataCentres {
+		v, err := r.StartVM("vm-"+dc, dc, n.Store.Address())
+		if err != nil {
+			return nil, err
+		}
+		vms = append(vms, v)
 	}
 	if err := r.AwaitReady(); err != nil {
 		return nil, err
 	}
 	r.SleepUntil(startMs)
-	var violations []string
 	var mu sync.Mutex
+	before, after := map[string]count{}, map[string]count{}
 	var clients sync.WaitGroup
-	for i := range requests {
-		q := kit.Request{Method: "POST", Host: host, Path: paths[i%len(paths)], ID: fmt.Sprintf("request-%d", i), DeadlineMs: 4000, Body: "one order"}
-		leaves := trouble && i%leavers == 0
-		clients.Go(func() {
-			if verdict := send(r, v, q, leaves); verdict != "" {
-				mu.Lock()
-				defer mu.Unlock()
-				violations = append(violations, verdict)
-			}
-		})
-		kit.Sleep(requestGap)
-	}
-	clients.Wait()
-	kit.Sleep(archiveWork)
-	for _, u := range n.Upstreams("archive") {
-		for _, got := range u.Requests() {
-			r.Logf("upstream %s got request %s (%s %s) at %d ms, executed %v", u.ID(), got.ID, got.Method, got.URI, r.TimeOf(got.At), got.Executed)
+	for _, v := range vms {
+		for _, kind := range []string{"search", "archive"} {
+			clients.Go(func() {
+				for i := 0; r.Now() < endMs; i++ {
+					q := kit.Request{Method: "GET", Host: host, Path: "/" + kind + "/q", ID: fmt.Sprintf("%s-%s-%d", v.Name, kind, i), DeadlineMs: budgetMs}
+					resp := r.Do(v, q)
+					r.Logf("%s: request %s, budget %d ms, status %d, Retry-After %q", v.Name, q.ID, q.DeadlineMs, resp.Status, resp.Header.Get("Retry-After"))
+					mu.Lock()
+					counts := before
+					if resp.SentAt > patientAt+settleMs {
+						counts = after
+					}
+					if resp.SentAt < patientAt || resp.SentAt > patientAt+settleMs {
+						c := counts[kind]
+						c.sent++
+						if resp.Status == 200 {
+							c.served++
+						}
+						counts[kind] = c
+					}
+					mu.Unlock()
+					kit.Sleep(requestGap)
+				}
+			})
 		}
 	}
-	return violations, nil
-}
-
-// send sends a request, and with leaves gives it up before the answer. It returns what is
-// wrong with what came, or "".
-func send(r *kit.Run, v *kit.VM, q kit.Request, leaves bool) string {
-	nc, err := net.DialTimeout("tcp", v.Callers, time.Second)
-	if err != nil {
-		r.Logf("request %s: %v", q.ID, err)
-		return ""
-	}
-	defer func() { _ = nc.Close() }()
-	if err := nc.SetDeadline(time.UnixMilli(int64(r.Wall()) + int64(q.DeadlineMs) + 500)); err != nil {
-		return ""
-	}
-	if _, err := io.WriteString(nc, q.Wire()); err != nil {
-		r.Logf("request %s: %v", q.ID, err)
-		return ""
-	}
-	if leaves {
-		kit.Sleep(leaveAfter)
-		if err := nc.(*net.TCPConn).CloseWrite(); err != nil {
-			return ""
+	r.SleepUntil(clock.Millis(patientAt))
+	if trouble {
+		for i, v := range vms { // one request to each VM
+			q := kit.Request{Method: "GET", Host: host, Path: "/search/q", ID: fmt.Sprintf("patient-%d", i), DeadlineMs: patientMs}
+			resp := r.Do(v, q)
+			r.Logf("%s: request %s, budget %d ms, status %d", v.Name, q.ID, q.DeadlineMs, resp.Status)
 		}
-		r.Logf("request %s: the requester leaves, it ends its side of the connection", q.ID)
 	}
-	status, header, body, err := kit.ReadResponse(bufio.NewReader(nc), q.Method)
-	r.Logf("request %s (%s): leaves %v, status %d, stamp %q, body of %d bytes, error %v", q.ID, q.Path, leaves, status, header.Get("X-Server-Stamp"), len(body), err)
-	if err == nil && status >= 200 && status < 300 && header.Get("X-Server-Stamp") == "" {
-		return fmt.Sprintf("MIXED at %d ms: request %s (%s) gets status %d without X-Server-Stamp, with a body of %d bytes", r.Now(), q.ID, q.Path, status, len(body))
+	clients.Wait()
+	n.LogRuns()
+	all := count{after["search"].sent + after["archive"].sent, after["search"].served + after["archive"].served}
+	r.Logf("served before: %v; after: %v", before, after)
+	fmt.Println("served before:", before, "after:", after)
+	if after["search"].share() < minServed*all.share() {
+		return []string{fmt.Sprintf("Starved: %d of %d queries are served (before: %d of %d), %d of %d of all requests",
+			after["search"].served, after["search"].sent, before["search"].served, before["search"].sent, all.served, all.sent)}, nil
 	}
-	return ""
+	return nil, nil
 }
 
 func main() { os.Exit(kit.Main(os.Args[1], run)) }
--- a/review/kit/kit.go
+++ b/review/kit/kit.go
@@ -36,8 +36,9 @@
 	start  clock.Millis
 	clock  clock.Monotonic
 
-	mu  sync.Mutex
-	vms []*VM
+	mu       sync.Mutex
+	vms      []*VM
+	nextPort int
 }
 
 // Main runs a case in the repository's root and returns its exit code. folder holds
@@ -140,20 +141,39 @@
 }
 `
 
+// Ports of the VMs and of other listeners that are opened again. They lie below the ports
+// that the kernel assigns by itself, so that no connection takes one meanwhile.
+const (
+	firstPort   = 20_000
+	portCount   = 12_000
+	portsPerRun = 50
+)
+
+var errNoPort = errors.New("no port is free")
+
+// FreeAddress returns a loopback address that nothing listens on, each one once.
+func (r *Run) FreeAddress() (string, error) {
+	for range portCount {
+		r.mu.Lock()
+		r.nextPort++
+		port := firstPort + (os.Getpid()*portsPerRun+r.nextPort)%portCount
+		r.mu.Unlock()
+		lis, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", fmt.Sprint("127.0.0.1:", port))
+		if err == nil {
+			return lis.Addr().String(), lis.Close()
+		}
+	}
+	return "", errNoPort
+}
+
 // StartVM starts a VM that reads the store at an address.
 func (r *Run) StartVM(name, dataCentre, store string) (*VM, error) {
 	var addresses [4]string
-	var listeners []net.Listener
 	for i := range addresses {
-		lis, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
-		if err != nil {
+		var err error
+		if addresses[i], err = r.FreeAddress(); err != nil {
 			return nil, err
 		}
-		listeners = append(listeners, lis)
-		addresses[i] = lis.Addr().String()
-	}
-	for _, lis := range listeners {
-		_ = lis.Close()
 	}
 	v := &VM{
 		Name: name, DataCentre: dataCentre, Callers: addresses[0], ready: addresses[1], run: r,
--- a/review/kit/store.go
+++ b/review/kit/store.go
@@ -11,6 +11,7 @@
 	"net/url"
 	"sort"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -278,6 +279,44 @@
 	}
 }
 
+// LogRuns writes which upstreams ran each request, and when, to the record.
+func (n *Installation) LogRuns() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	runs := make(map[string][]string)
+	var ids []string
+	for _, u := range n.upstreams {
+		for _, q := range u.Requests() {
+			if !q.Executed {
+				continue
+			}
+			if runs[q.ID] == nil {
+				ids = append(ids, q.ID)
+			}
+			runs[q.ID] = append(runs[q.ID], fmt.Sprintf("%s at %d", q.Upstream, n.run.TimeOf(q.At)))
+		}
+	}
+	sort.Strings(ids)
+	for _, id := range ids {
+		n.run.Logf("run: %s by %s", id, strings.Join(runs[id], ", "))
+	}
+}
+
+// LogCounts writes how many requests each upstream ran to the record.
+func (n *Installation) LogCounts() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, u := range n.upstreams {
+		executed := 0
+		for _, q := range u.Requests() {
+			if q.Executed {
+				executed++
+			}
+		}
+		n.run.Logf("run: %d requests by %s of %s", executed, u.ID(), u.Service)
+	}
+}
+
 // Upstreams returns the upstreams of a service.
 func (n *Installation) Upstreams(service string) []*Upstream {
 	n.mu.Lock()
