--- a/review/1/main.go
+++ b/review/1/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"os"
 	"slices"
@@ -13,7 +14,6 @@
 	"time"
 
 	"lentillink.example/lentillink/clock"
-	"lentillink.example/lentillink/platform/standin"
 	"lentillink.example/lentillink/relay"
 	"lentillink.example/lentillink/review/kit"
 )
@@ -22,7 +22,6 @@
 	shards          = 9
 	replicas        = 2
 	recordsPerShard = 6
-	heartbeat       = 1200 * time.Millisecond // of the upstreams, as in the pages' example
 	oldTopK         = 10
 	newTopK         = 3
 	host            = "plots.example"
@@ -45,51 +44,6 @@
 	return b.Bytes()
 }
 
-type deployment struct {
-	store     *standin.Store
-	upstreams []*standin.Upstream
-	places    []place
-	sequence  int
-}
-
-type place struct{ service, dataCentre string }
-
-func newDeployment() *deployment {
-	d := &deployment{store: standin.NewStore()}
-	for s := range shards {
-		for i := range replicas {
-			u := standin.NewUpstream(fmt.Sprintf("i-%d-%d", s, i), shardBody(s))
-			u.SetDelay(5 * time.Millisecond)
-			d.upstreams = append(d.upstreams, u)
-			// Each shard lies in two of the three data centres.
-			d.places = append(d.places, place{fmt.Sprintf("plots%d", s), dataCentres[(s+i)%len(dataCentres)]})
-		}
-	}
-	return d
-}
-
-// register writes the entry of every upstream, as each does at its heartbeat.
-func (d *deployment) register(i int) {
-	d.sequence++
-	d.store.Put("servers/"+d.upstreams[i].ID(), map[string]any{
-		"service": d.places[i].service, "address": d.upstreams[i].Address(), "zone": d.places[i].dataCentre, "version": "v1",
-		"slots": 2, "state": "ready", "cold-remaining-ms": 0, "sequence": d.sequence, "born": 1764900000000,
-	})
-}
-
-// heartbeats writes the entries in turn until done is closed.
-func (d *deployment) heartbeats(done <-chan struct{}) {
-	for i := 0; ; i = (i + 1) % len(d.upstreams) {
-		select {
-		case <-done:
-			return
-		default:
-		}
-		d.register(i)
-		kit.Sleep(heartbeat / time.Duration(len(d.upstreams)))
-	}
-}
-
 func route(name, prefix string, topK int) map[string]any {
 	var gather []string
 	for s := range shards {
@@ -101,17 +55,6 @@
 	}
 }
 
-func (d *deployment) configure(version int, routes ...map[string]any) {
-	var services []map[string]any
-	for s := range shards {
-		services = append(services, map[string]any{"name": fmt.Sprintf("plots%d", s), "health-path": "/health", "max-connections": 26})
-	}
-	d.store.Put("op/config", map[string]any{
-		"version": version, "routes": routes, "services": services,
-		"limits": map[string]any{"max-header-bytes": 16384, "max-body-bytes": 65536, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
-	})
-}
-
 // check returns what is wrong with a success, or "".
 func check(id string, resp kit.Response) string {
 	receipts := kit.List(resp.Header, "X-Part-Stamps")
@@ -119,11 +62,11 @@
 	seen := make(map[int]bool)
 	for _, receipt := range receipts {
 		upstream, request, ok := strings.Cut(receipt, ".")
-		parts := strings.Split(upstream, "-")
-		if !ok || request != id || len(parts) != 3 {
+		if !ok || request != id {
 			return "receipt " + receipt + " is not of this request"
 		}
-		shard, err := strconv.Atoi(parts[1])
+		number, err := strconv.Atoi(strings.TrimPrefix(upstream, "i-"))
+		shard := number / replicas
 		if err != nil || seen[shard] {
 			return "receipt " + receipt + " appears twice or is none"
 		}
@@ -182,22 +125,26 @@
 	return wrong
 }
 
+// run plays the case.
 func run(r *kit.Run, trouble bool) ([]string, error) {
-	d := newDeployment()
-	defer d.store.Close()
-	for i := range d.upstreams {
-		d.register(i)
+	n := r.NewInstallation()
+	defer n.Close()
+	for s := range shards {
+		for i := range replicas {
+			// Each shard lies in two of the three data centres.
+			n.Add(fmt.Sprintf("plots%d", s), dataCentres[(s+i)%len(dataCentres)], shardBody(s)).SetDelay(5 * time.Millisecond)
+		}
 	}
-	d.configure(3, route("search", "/search/", oldTopK))
-	done := make(chan struct{})
+	n.Configure(3, route("search", "/search/", oldTopK))
+	ctx, cancel := context.WithCancel(context.Background())
 	var beats sync.WaitGroup
-	beats.Go(func() { d.heartbeats(done) })
+	beats.Go(func() { n.Heartbeats(ctx) })
 	defer beats.Wait()
-	defer close(done)
+	defer cancel()
 	var vms []*kit.VM
 	for i, dc := range dataCentres {
 		r.SleepUntil(clock.Millis((time.Duration(i) * startGap).Milliseconds()))
-		v, err := r.StartVM("vm-"+dc, dc, d.store.Address())
+		v, err := r.StartVM("vm-"+dc, dc, n.Store.Address())
 		if err != nil {
 			return nil, err
 		}
@@ -217,11 +164,12 @@
 		r.SleepUntil(clock.Millis(firstChangeMs + i*changeGapMs))
 		if trouble {
 			routes = append(routes, route(fmt.Sprintf("short-%d", i), prefix(i), newTopK))
-			d.configure(5+2*i, routes...)
+			n.Configure(5+2*i, routes...)
 			r.Logf("the operator's version %d adds the route %s with top-k %d; acknowledged", 5+2*i, prefix(i), newTopK)
 		}
 	}
 	clients.Wait()
+	n.LogRuns()
 	return slices.Concat(results...), nil
 }
 
