--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,4 +1,5 @@
 #!/usr/bin/env bash
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
+[ -x target/review/case-4 ] || exit 2
 exec target/review/case-4 review/4
