--- a/review/1/main.go
+++ b/review/1/main.go
@@ -173,4 +173,4 @@
 	return slices.Concat(results...), nil
 }
 
-func main() { os.Exit(kit.Main(os.Args[1], run)) }
+func main() { os.Exit(kit.Main(os.Args[1:], run)) }
--- a/review/4/main.go
+++ b/review/4/main.go
@@ -128,4 +128,4 @@
 	return nil, nil
 }
 
-func main() { os.Exit(kit.Main(os.Args[1], run)) }
+func main() { os.Exit(kit.Main(os.Args[1:], run)) }
--- a/review/kit/kit.go
+++ b/review/kit/kit.go
@@ -10,6 +10,7 @@
 	"net"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -39,11 +40,18 @@
 	mu       sync.Mutex
 	vms      []*VM
 	nextPort int
+	ended    bool // no process is started any more
 }
 
-// Main runs a case in the repository's root and returns its exit code. folder holds
-// the record. The case returns the violations that it has seen.
-func Main(folder string, run func(r *Run, trouble bool) (violations []string, err error)) int {
+// Main runs a case in the repository's root and returns its exit code. args are the
+// folder of the record, and 1 for the case as it is or 0 for the same without the
+// disruption. The case returns the violations that it has seen.
+func Main(args []string, run func(r *Run, trouble bool) (violations []string, err error)) int {
+	if len(args) != 2 || args[1] != "0" && args[1] != "1" {
+		fmt.Fprintln(os.Stderr, "want a folder and 0 or 1 as arguments, got", args)
+		return ExitNotRun
+	}
+	folder, trouble := args[0], args[1] == "1"
 	dir, err := os.MkdirTemp("", "review")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -58,7 +66,14 @@
 	defer func() { _ = record.Close() }()
 	r := &Run{dir: dir, record: record, clock: clock.NewMonotonic()}
 	r.start = r.clock.Now()
-	trouble := os.Getenv("TROUBLE") != "0"
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		r.Logf("not run: %v", <-interrupted)
+		r.killAll()
+		_ = os.RemoveAll(dir)
+		os.Exit(ExitNotRun)
+	}()
 	r.Logf("trouble %v", trouble)
 	violations, err := run(r, trouble)
 	r.stopAll()
@@ -194,16 +209,14 @@
 	return v, v.Start()
 }
 
+var errEnded = errors.New("the run has ended")
+
 // Start starts the process of the VM.
 func (v *VM) Start() error {
-	v.cmd = exec.Command(program, "--gateway")
-	v.cmd.Env = append(os.Environ(), "LENTILLINK_SETTINGS="+v.settings)
-	v.cmd.Stdout, v.cmd.Stderr = v.log, v.log
-	if err := v.cmd.Start(); err != nil {
+	cmd, exited, err := v.startProcess()
+	if err != nil {
 		return err
 	}
-	v.exited = make(chan struct{})
-	cmd, exited := v.cmd, v.exited
 	go func() {
 		err := cmd.Wait()
 		v.run.Logf("%s: process ended: %v", v.Name, err)
@@ -213,6 +226,22 @@
 	return nil
 }
 
+func (v *VM) startProcess() (*exec.Cmd, chan struct{}, error) {
+	v.run.mu.Lock()
+	defer v.run.mu.Unlock()
+	if v.run.ended {
+		return nil, nil, errEnded
+	}
+	cmd := exec.Command(program, "--gateway")
+	cmd.Env = append(os.Environ(), "LENTILLINK_SETTINGS="+v.settings)
+	cmd.Stdout, cmd.Stderr = v.log, v.log
+	if err := cmd.Start(); err != nil {
+		return nil, nil, err
+	}
+	v.cmd, v.exited = cmd, make(chan struct{})
+	return cmd, v.exited, nil
+}
+
 // Kill sends SIGKILL and waits for the end of the process.
 func (v *VM) Kill() {
 	v.run.Logf("%s: SIGKILL", v.Name)
@@ -266,6 +295,18 @@
 	return errNotReady
 }
 
+// killAll kills the processes, and keeps further ones from being started.
+func (r *Run) killAll() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ended = true
+	for _, v := range r.vms {
+		if v.cmd != nil && v.cmd.Process != nil {
+			_ = v.cmd.Process.Kill()
+		}
+	}
+}
+
 func (r *Run) stopAll() {
 	r.mu.Lock()
 	vms := r.vms
