Send the terms of the route with each delegation

Callers saw answers that named all shards but lacked their greatest records while a route was added, and carriers that ended by themselves after "too many panics".

Cause: a carrier looked up the delegated request in its own table, by host and path. VMs learn of a version up to a second apart, so this table can hold another route for the path, with fewer records or a single service. The record limit of the wrong route cut the merged records; a route without shards led to a nil reply in buildAnswer.

Change: a delegation holds route name, target, priority, attempts, records and least share. The carrier builds its request from them (relay/accept.go) and serves VMs whose version is older or newer; it refuses only if it is older and knows no upstream of a shard.

--- a/experiment/replay/simulation.go
+++ b/experiment/replay/simulation.go
@@ -194,7 +194,7 @@
 		w.requestNames[id] = c.Delegation.Name
 		w.at(w.now+oneWayMs, func() {
 			d := c.Delegation
-			w.update(to, relay.ArrivalMsg{ID: id, Name: d.Name, Host: d.Host, Path: d.Path, Delegation: &d})
+			w.update(to, relay.ArrivalMsg{ID: id, Name: d.Name, Delegation: &d})
 		})
 	case relay.AckDelegationCmd:
 		d := w.delegations[c.ID]
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -101,7 +101,7 @@
 	g.delegations[key] = id
 	g.delegated.Store(int64(len(g.delegations)))
 	g.calls[id] = &call{request: exchange.NewDelegatedRequest(d.Name, d.Head, d.Body), delegation: &key}
-	g.stepRelay(relay.ArrivalMsg{ID: id, Name: d.Name, Host: d.Host, Path: d.Path, RemainingMs: d.RemainingMs, WaitedMs: waited, Delegation: &d})
+	g.stepRelay(relay.ArrivalMsg{ID: id, Name: d.Name, WaitedMs: waited, Delegation: &d})
 }
 
 // cancelDelegationsFrom cancels the requests that a VM delegated, after its stream broke.
--- a/peer/delegation.go
+++ b/peer/delegation.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 
 	"lentillink.example/lentillink/clock"
 	"lentillink.example/lentillink/peer/peerpb"
@@ -10,15 +11,19 @@
 
 func encodeDelegation(d relay.Delegation) *peerpb.HandOver {
 	return &peerpb.HandOver{
-		Id: d.ID, Version: d.Version, Name: d.Name, Host: d.Host, Path: d.Path, Head: d.Head, Body: d.Body,
-		LeftMs: int64(d.RemainingMs), AnswerInMs: int64(d.TargetInMs), Returning: d.CallerRetry,
-		Services: d.Services,
+		Id: d.ID, Version: d.Version, Name: d.Name, Head: d.Head, Body: d.Body,
+		LeftMs: int64(d.RemainingMs), AnswerInMs: int64(d.TargetInMs), Returning: d.CallerRetry, Services: d.Services,
+		Route: d.Terms.Route, TargetMs: int64(d.Terms.TargetMs), Priority: uint32(d.Terms.Priority),
+		MaxAttempts: uint32(d.Terms.MaxAttempts), TopK: uint32(d.Terms.TopK), MinShardRatio: d.Terms.MinShardRatio,
 	}
 }
 
 const (
-	// maxDelegatedMs bounds the times of a delegation. Callers wait for seconds.
-	maxDelegatedMs = clock.Hour
+	// maxDelegatedMs bounds the times of a delegation, as those of a route.
+	maxDelegatedMs = 24 * clock.Hour
+
+	// maxTerm bounds the counts in the terms of a delegation, as those of a route.
+	maxTerm = 1_000_000
 
 	// maxDelegatedShards bounds the shards of a delegation. Services have a few hundred.
 	maxDelegatedShards = 8192
@@ -27,14 +32,19 @@
 var errOutOfRange = errors.New("a number is out of range")
 
 func decodeDelegation(d *peerpb.HandOver) (relay.Delegation, error) {
-	if !inRange(d.GetLeftMs()) || !inRange(d.GetAnswerInMs()) || len(d.GetServices()) > maxDelegatedShards {
+	ratio := d.GetMinShardRatio()
+	if !inRange(d.GetLeftMs()) || !inRange(d.GetAnswerInMs()) || !inRange(d.GetTargetMs()) || len(d.GetServices()) > maxDelegatedShards ||
+		max(d.GetPriority(), d.GetMaxAttempts(), d.GetTopK()) > maxTerm || math.IsNaN(ratio) || ratio < 0 || ratio > 1 {
 		return relay.Delegation{}, wrap("decode delegation", KindDecode, errOutOfRange)
 	}
 	return relay.Delegation{
-		ID: d.GetId(), Version: d.GetVersion(), Name: d.GetName(), Host: d.GetHost(), Path: d.GetPath(),
-		Head: d.GetHead(), Body: d.GetBody(),
+		ID: d.GetId(), Version: d.GetVersion(), Name: d.GetName(), Head: d.GetHead(), Body: d.GetBody(),
 		RemainingMs: clock.Millis(d.GetLeftMs()), TargetInMs: clock.Millis(d.GetAnswerInMs()), CallerRetry: d.GetReturning(),
 		Services: d.GetServices(),
+		Terms: relay.Terms{
+			Route: d.GetRoute(), TargetMs: clock.Millis(d.GetTargetMs()), Priority: int(d.GetPriority()),
+			MaxAttempts: int(d.GetMaxAttempts()), TopK: int(d.GetTopK()), MinShardRatio: ratio,
+		},
 	}, nil
 }
 
--- /dev/null
+++ b/relay/accept.go
@@ -0,0 +1,96 @@
+package relay
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/route"
+)
+
+// terms returns the conditions under which carriers gather shards of r.
+func (r *request) terms() Terms {
+	return Terms{
+		Route: r.route.Name, TargetMs: r.route.TargetMs, Priority: r.route.Priority,
+		MaxAttempts: max(r.route.MaxAttempts, 1), TopK: r.route.TopK, MinShardRatio: r.minShardRatio,
+	}
+}
+
+// asRoute returns a route that gathers the delegated shards. The carrier's own
+// configuration is not consulted.
+func (d *Delegation) asRoute() *route.Route {
+	return &route.Route{
+		Name: d.Terms.Route, Gather: d.Services, Idempotent: true, TargetMs: d.Terms.TargetMs, Priority: d.Terms.Priority,
+		MaxAttempts: d.Terms.MaxAttempts, TopK: d.Terms.TopK, MinShardRatio: d.Terms.MinShardRatio,
+	}
+}
+
+// admitDelegation refuses what another VM delegated, or acknowledges it and sends its
+// sub-requests.
+func (m *Model) admitDelegation(now clock.Millis, msg ArrivalMsg) {
+	d := msg.Delegation
+	if reason := m.refusalOf(d); reason != "" {
+		m.emit(AnswerCmd{ID: msg.ID, Answer: Answer{Outcome: NotReady, Reason: reason}})
+		return
+	}
+	m.emit(AckDelegationCmd{ID: msg.ID})
+	if len(d.Services) == 0 { // a probe, which the acknowledgement answers
+		m.emit(AnswerCmd{ID: msg.ID, Answer: Answer{Outcome: Refused, Reason: "probe"}})
+		return
+	}
+	m.selfIsCarrier = true
+	r := m.newDelegatedRequest(now, msg)
+	if r.deadline <= now {
+		m.rejectLate(msg, r)
+		return
+	}
+	for _, name := range d.Services {
+		r.subrequests = append(r.subrequests, &subrequest{req: r, service: m.delegatedService(name), dataCentre: m.cfg.dataCentre})
+	}
+	r.totalSubrequests, r.unresolved = len(r.subrequests), len(r.subrequests)
+	assignments := []assignment{{subrequests: r.subrequests}}
+	if excess, overloaded := m.wouldMissTarget(now, r, assignments); overloaded {
+		m.rejectFull(now, msg, r, excess)
+		return
+	}
+	m.start(now, r, assignments)
+}
+
+// refusalOf returns why this VM does not gather for a delegation, or "". A VM whose
+// configuration is older may not know the upstreams of new shards yet, while the VM that
+// delegates does.
+func (m *Model) refusalOf(d *Delegation) string {
+	switch {
+	case m.table == nil:
+		return "no_configuration"
+	case m.stopAt > 0:
+		return "stopping"
+	case len(d.Services) > 0 && d.Terms.MaxAttempts <= 0:
+		return "no_terms" // sent by a release that relied on the carrier's configuration
+	case m.table.Version() < d.Version && !m.knowsAll(d.Services):
+		return "older_configuration"
+	}
+	return ""
+}
+
+// knowsAll reports whether this VM knows an upstream of each of the services.
+func (m *Model) knowsAll(services []string) bool {
+	for _, name := range services {
+		if s := m.services[name]; s == nil || len(s.upstreams) == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// newDelegatedRequest returns the request of a delegation with its deadline and target
+// time.
+func (m *Model) newDelegatedRequest(now clock.Millis, msg ArrivalMsg) *request {
+	d := msg.Delegation
+	r := &request{
+		id: msg.ID, name: msg.Name, hash: xxhash.Sum64String(msg.Name), arrived: now, route: d.asRoute(), version: d.Version,
+		minShardRatio: d.Terms.MinShardRatio, delegated: true, callerRetry: d.CallerRetry,
+	}
+	r.deadline = now + d.RemainingMs - msg.WaitedMs
+	r.targetAt = min(now+max(d.TargetInMs-msg.WaitedMs, 0), r.deadline)
+	return r
+}
--- a/relay/arrive.go
+++ b/relay/arrive.go
@@ -36,14 +36,9 @@
 // admit refuses a new request before any of it runs, or divides its sub-requests
 // among carriers and this VM.
 func (m *Model) admit(now clock.Millis, msg ArrivalMsg) {
-	if d := msg.Delegation; d != nil {
-		if !m.acceptDelegation(msg) {
-			return
-		}
-		if len(d.Services) == 0 { // a probe, which the acknowledgement answers
-			m.emit(AnswerCmd{ID: msg.ID, Answer: Answer{Outcome: Refused, Reason: "probe"}})
-			return
-		}
+	if msg.Delegation != nil {
+		m.admitDelegation(now, msg)
+		return
 	}
 	if m.table == nil {
 		m.reject(msg, Answer{Outcome: NotReady, Reason: "no_configuration", RetryAfterMs: m.retryAfter(clock.Second, msg.RemainingMs)})
@@ -56,37 +51,37 @@
 	}
 	r := m.newRequest(now, rt, msg)
 	if r.deadline <= now {
-		m.reject(msg, Answer{
-			Outcome: Refused, Reason: "waited_too_long", Route: rt.Name, Version: r.version, RetryAfterMs: m.retryAfter(0, 0),
-		})
+		m.rejectLate(msg, r)
 		return
 	}
-	m.addSubrequests(r, msg.Delegation)
+	m.addSubrequests(r)
 	assignments := []assignment{{subrequests: r.subrequests}}
-	if r.gathers() && msg.Delegation == nil {
+	if r.gathers() {
 		m.probeSuspects(now, r)
 		assignments = m.distribute(now, r)
 	}
-	if m.policies.queueFull(rt.Priority) && msg.Delegation == nil {
+	if m.policies.queueFull(rt.Priority) {
 		m.reject(msg, Answer{
 			Outcome: Refused, Reason: "queue_full", Route: rt.Name, Version: r.version, RetryAfterMs: m.retryAfter(rt.TargetMs, r.deadline-now),
 		})
 		return
 	}
-	if msg.Delegation == nil && r.gathers() && reachable(r.subrequests) < r.requiredReplies() {
+	if r.gathers() && reachable(r.subrequests) < r.requiredReplies() {
 		wait := max(m.retryAfter(noUpstreamRetryMs, r.deadline-now), m.holdRemaining(now, r.subrequests, r.requiredReplies()))
 		m.reject(msg, Answer{Outcome: Refused, Reason: "no_upstream", Route: rt.Name, Version: r.version, RetryAfterMs: wait})
 		return
 	}
 	if excess, overloaded := m.wouldMissTarget(now, r, assignments); overloaded {
-		wait := max(m.retryAfter(excess, r.deadline-now), m.holdRemaining(now, r.subrequests, r.requiredReplies()))
-		m.rejectWithEstimate(msg, Answer{
-			Outcome: Refused, Reason: "full", Route: rt.Name, Version: r.version, RetryAfterMs: wait,
-		}, m.estimateRequest(now, r))
+		m.rejectFull(now, msg, r, excess)
 		return
 	}
+	m.start(now, r, assignments)
+}
+
+// start opens an admitted request, delegates what carriers gather and sends the rest.
+func (m *Model) start(now clock.Millis, r *request, assignments []assignment) {
 	m.requests[r.id] = r
-	*m.policies.open.Ref(rankOf(rt.Priority))++
+	*m.policies.open.Ref(rankOf(r.route.Priority))++
 	r.subrequests = nil
 	for _, a := range assignments {
 		if a.carrier != nil {
@@ -97,7 +92,7 @@
 	}
 	for _, sub := range r.subrequests {
 		sub.service.budget.countRequest(now)
-		m.policies.countRequest(now, rt.Priority)
+		m.policies.countRequest(now, r.route.Priority)
 		m.dispatch(now, sub)
 	}
 	m.advance(now, r)
@@ -117,14 +112,8 @@
 // newRequest returns the request of msg with its deadline and target time.
 func (m *Model) newRequest(now clock.Millis, rt *route.Route, msg ArrivalMsg) *request {
 	r := &request{
-		id: msg.ID, name: msg.Name, hash: xxhash.Sum64String(msg.Name), host: msg.Host, path: msg.Path, arrived: now,
-		route: rt, version: m.table.Version(), minShardRatio: m.policies.minShardRatio(rt.MinShardRatio, rt.Priority),
-	}
-	if d := msg.Delegation; d != nil {
-		r.delegated = true
-		r.deadline, r.callerRetry = now+d.RemainingMs-msg.WaitedMs, d.CallerRetry
-		r.targetAt = min(now+max(d.TargetInMs-msg.WaitedMs, 0), r.deadline)
-		return r
+		id: msg.ID, name: msg.Name, hash: xxhash.Sum64String(msg.Name), arrived: now, route: rt,
+		version: m.table.Version(), minShardRatio: m.policies.minShardRatio(rt.MinShardRatio, rt.Priority),
 	}
 	timeout := rt.TimeoutMs
 	if timeout <= 0 {
@@ -147,19 +136,9 @@
 }
 
 // addSubrequests adds one sub-request for each service that the answer requires.
-func (m *Model) addSubrequests(r *request, d *Delegation) {
-	names := m.requiredServices(r)
-	if d != nil {
-		names = d.Services
-	}
-	for _, name := range names {
-		sub := &subrequest{req: r}
-		if d != nil {
-			sub.service, sub.dataCentre = m.delegatedService(name), m.cfg.dataCentre
-		} else {
-			sub.service = m.service(name)
-		}
-		r.subrequests = append(r.subrequests, sub)
+func (m *Model) addSubrequests(r *request) {
+	for _, name := range m.requiredServices(r) {
+		r.subrequests = append(r.subrequests, &subrequest{req: r, service: m.service(name)})
 	}
 	r.totalSubrequests, r.unresolved = len(r.subrequests), len(r.subrequests)
 }
@@ -189,6 +168,21 @@
 	m.emit(AnswerCmd{ID: msg.ID, Answer: a, ExpectedMs: expected})
 }
 
+// rejectLate rejects a request whose time has run out before any of it was sent.
+func (m *Model) rejectLate(msg ArrivalMsg, r *request) {
+	m.reject(msg, Answer{
+		Outcome: Refused, Reason: "waited_too_long", Route: r.route.Name, Version: r.version, RetryAfterMs: m.retryAfter(0, 0),
+	})
+}
+
+// rejectFull rejects a request of which too much would exceed its time by excess.
+func (m *Model) rejectFull(now clock.Millis, msg ArrivalMsg, r *request, excess clock.Millis) {
+	wait := max(m.retryAfter(excess, r.deadline-now), m.holdRemaining(now, r.subrequests, r.requiredReplies()))
+	m.rejectWithEstimate(msg, Answer{
+		Outcome: Refused, Reason: "full", Route: r.route.Name, Version: r.version, RetryAfterMs: wait,
+	}, m.estimateRequest(now, r))
+}
+
 // retryAfter returns the delay after which a refused caller should retry. It adds
 // jitter, so that refused callers do not retry at the same time. The delay is at
 // most a third of the caller's remaining time, because callers honour no more.
--- a/relay/delegation.go
+++ b/relay/delegation.go
@@ -8,20 +8,34 @@
 // sends nearly all work of the upstreams in its data centre, so it has the best view
 // of which of them are free. One message crosses data centres instead of one per
 // sub-request.
+//
+// It holds all that the work depends on, so that the carrier does not need the
+// configuration version of the VM that delegates. The carrier's own version may be
+// older or newer, and have another route for the request, or none.
 type Delegation struct {
 	ID          uint64 // of the delegation at the VM that delegates
-	Version     uint64 // minimum configuration version of the carrier
+	Version     uint64 // configuration version under which the request was admitted
 	Name        string
-	Host        string
-	Path        string
 	Services    []string // shards to gather, of one version of the configuration; none in a probe
-	Head        []byte   // request line and headers as sent to upstreams; filled in by the runtime
+	Terms       Terms
+	Head        []byte // request line and headers as sent to upstreams; filled in by the runtime
 	Body        []byte
 	RemainingMs clock.Millis
 	TargetInMs  clock.Millis // time to the target
 	CallerRetry bool
 }
 
+// Terms are the conditions of the route under which a request was admitted, as far as
+// gathering its shards depends on them.
+type Terms struct {
+	Route         string       // name of the route, for events and latency estimates
+	TargetMs      clock.Millis // of the route
+	Priority      int          // 0 is the most urgent
+	MaxAttempts   int          // per shard, at least 1
+	TopK          int          // number of records in the result
+	MinShardRatio float64      // share of the shards, 0 to 1, that an answer needs
+}
+
 // DelegationAck acknowledges a Delegation on arrival.
 type DelegationAck struct{ ID uint64 }
 
@@ -168,7 +182,7 @@
 		names[i] = sub.service.name
 	}
 	m.emit(DelegateCmd{Request: r.id, To: c.info.ID, Address: c.info.Address, Delegation: Delegation{
-		ID: d.id, Version: r.version, Name: r.name, Host: r.host, Path: r.path, Services: names,
+		ID: d.id, Version: r.version, Name: r.name, Services: names, Terms: r.terms(),
 		RemainingMs: max(r.deadline-now-d.leadMs, 1), TargetInMs: max(r.targetAt-now-d.leadMs, 0), CallerRetry: r.callerRetry,
 	}})
 	m.wake(r, d.ackDeadline)
@@ -207,7 +221,7 @@
 		m.endDelegation(d)
 		m.advance(now, r)
 	default:
-		// The carrier ran nothing: it is stopping, or its configuration is older.
+		// The carrier ran nothing: it is stopping, or does not know a shard yet.
 		m.event("carrier_not_ready", r, nil, d.carrier.info.ID+" "+a.Reason, now-d.sentAt)
 		d.carrier.recordFailure(now)
 		m.reclaim(now, d, false)
@@ -265,7 +279,7 @@
 		c.probeAt = now + probeMs
 		m.nextID++
 		m.emit(DelegateCmd{Request: r.id, To: id, Address: c.info.Address, Delegation: Delegation{
-			ID: m.nextID, Version: r.version, Name: r.name, Host: r.host, Path: r.path, RemainingMs: probeMs,
+			ID: m.nextID, Version: r.version, Name: r.name, RemainingMs: probeMs,
 		}})
 	}
 }
@@ -351,24 +365,3 @@
 	}
 	delete(m.leftPeers, vm)
 }
-
-// acceptDelegation acknowledges a delegation, or refuses it if this VM is stopping
-// or has an older configuration.
-func (m *Model) acceptDelegation(msg ArrivalMsg) bool {
-	reason := ""
-	switch {
-	case m.table == nil || m.table.Version() < msg.Delegation.Version:
-		reason = "older_configuration"
-	case m.stopAt > 0:
-		reason = "stopping"
-	}
-	if reason != "" {
-		m.emit(AnswerCmd{ID: msg.ID, Answer: Answer{Outcome: NotReady, Reason: reason}})
-		return false
-	}
-	if len(msg.Delegation.Services) > 0 {
-		m.selfIsCarrier = true
-	}
-	m.emit(AckDelegationCmd{ID: msg.ID})
-	return true
-}
--- a/relay/message.go
+++ b/relay/message.go
@@ -33,7 +33,8 @@
 	// WaitedMs is how long the request has waited on this VM since it was read.
 	WaitedMs clock.Millis
 
-	// Delegation is set for a request that another VM delegated.
+	// Delegation is set for a request that another VM delegated. Of the
+	// other fields only ID, Name and WaitedMs are used then.
 	Delegation *Delegation
 }
 
--- a/relay/request.go
+++ b/relay/request.go
@@ -25,8 +25,6 @@
 	answered           bool
 	answeredAt         clock.Millis
 	callerDisconnected bool
-	host               string
-	path               string
 	totalSubrequests   int           // sub-requests of the complete answer
 	delegations        []*delegation // sub-requests that carriers gather
 	probed             bool          // has probed an upstream that was slow
