Judge no caller by the time that others state

Cause: the longest timeout ever stated on a route counted as that of a first attempt, and the difference to a request's own timeout as time already waited. The target of all other requests had passed on arrival, so the admission check refused them. The same inference let requests with a slightly shorter timeout pass others in the queue.

Change: the target counts from the arrival; routeStats.callerElapsed and the notion of a caller's retry are gone. Queues are ordered by priority and by when the route's target passes. A delegation carries that time in place of the retry flag.

--- a/peer/delegation.go
+++ b/peer/delegation.go
@@ -12,7 +12,7 @@
 func encodeDelegation(d relay.Delegation) *peerpb.HandOver {
 	return &peerpb.HandOver{
 		Id: d.ID, Version: d.Version, Name: d.Name, Head: d.Head, Body: d.Body,
-		LeftMs: int64(d.RemainingMs), AnswerInMs: int64(d.TargetInMs), Returning: d.CallerRetry, Services: d.Services,
+		LeftMs: int64(d.RemainingMs), AnswerInMs: int64(d.TargetInMs), LateInMs: int64(d.LateInMs), Services: d.Services,
 		Route: d.Terms.Route, TargetMs: int64(d.Terms.TargetMs), Priority: uint32(d.Terms.Priority),
 		MaxAttempts: uint32(d.Terms.MaxAttempts), TopK: uint32(d.Terms.TopK), MinShardRatio: d.Terms.MinShardRatio,
 	}
@@ -33,13 +33,14 @@
 
 func decodeDelegation(d *peerpb.HandOver) (relay.Delegation, error) {
 	ratio := d.GetMinShardRatio()
-	if !inRange(d.GetLeftMs()) || !inRange(d.GetAnswerInMs()) || !inRange(d.GetTargetMs()) || len(d.GetServices()) > maxDelegatedShards ||
+	if !inRange(d.GetLeftMs()) || !inRange(d.GetAnswerInMs()) || !inRange(d.GetTargetMs()) || !inRange(max(d.GetLateInMs(), -d.GetLateInMs())) ||
+		len(d.GetServices()) > maxDelegatedShards ||
 		max(d.GetPriority(), d.GetMaxAttempts(), d.GetTopK()) > maxTerm || math.IsNaN(ratio) || ratio < 0 || ratio > 1 {
 		return relay.Delegation{}, wrap("decode delegation", KindDecode, errOutOfRange)
 	}
 	return relay.Delegation{
 		ID: d.GetId(), Version: d.GetVersion(), Name: d.GetName(), Head: d.GetHead(), Body: d.GetBody(),
-		RemainingMs: clock.Millis(d.GetLeftMs()), TargetInMs: clock.Millis(d.GetAnswerInMs()), CallerRetry: d.GetReturning(),
+		RemainingMs: clock.Millis(d.GetLeftMs()), TargetInMs: clock.Millis(d.GetAnswerInMs()), LateInMs: clock.Millis(d.GetLateInMs()),
 		Services: d.GetServices(),
 		Terms: relay.Terms{
 			Route: d.GetRoute(), TargetMs: clock.Millis(d.GetTargetMs()), Priority: int(d.GetPriority()),
--- a/peer/delegation_test.go
+++ b/peer/delegation_test.go
@@ -20,7 +20,7 @@
 	bodies := []vm.PeerBody{
 		relay.Delegation{
 			ID: 1, Version: 2, Name: "r", Services: []string{"a", "b"}, Head: []byte("GET"), Body: []byte("x"),
-			RemainingMs: 3, TargetInMs: 4, CallerRetry: true,
+			RemainingMs: 3, TargetInMs: 4, LateInMs: -6,
 			Terms: relay.Terms{Route: "q", TargetMs: 5, Priority: 1, MaxAttempts: 2, TopK: 10, MinShardRatio: 0.75},
 		},
 		relay.DelegationAck{ID: 5},
@@ -62,6 +62,8 @@
 		relay.Delegation{ID: 1, RemainingMs: -1},
 		relay.Delegation{ID: 1, TargetInMs: huge},
 		relay.Delegation{ID: 1, Services: make([]string, 10_000)},
+		relay.Delegation{ID: 1, LateInMs: huge},
+		relay.Delegation{ID: 1, LateInMs: -huge - 1},
 		relay.Delegation{ID: 1, Terms: relay.Terms{TargetMs: -1}},
 		relay.Delegation{ID: 1, Terms: relay.Terms{Priority: -1}},
 		relay.Delegation{ID: 1, Terms: relay.Terms{MaxAttempts: 1 << 31}},
--- a/relay/accept.go
+++ b/relay/accept.go
@@ -88,9 +88,10 @@
 	d := msg.Delegation
 	r := &request{
 		id: msg.ID, name: msg.Name, hash: xxhash.Sum64String(msg.Name), arrived: now, route: d.asRoute(), version: d.Version,
-		minShardRatio: d.Terms.MinShardRatio, delegated: true, callerRetry: d.CallerRetry,
+		minShardRatio: d.Terms.MinShardRatio, delegated: true,
 	}
 	r.deadline = now + d.RemainingMs - msg.WaitedMs
 	r.targetAt = min(now+max(d.TargetInMs-msg.WaitedMs, 0), r.deadline)
+	r.lateAt = now + d.LateInMs - msg.WaitedMs
 	return r
 }
--- a/relay/arrive.go
+++ b/relay/arrive.go
@@ -27,10 +27,6 @@
 
 	// defaultTimeoutMs applies if neither the caller nor the route sets a timeout.
 	defaultTimeoutMs clock.Millis = 10 * clock.Second
-
-	// callerRetryElapsedMs is how much of the caller's timeout must have elapsed for
-	// its request to count as a retry.
-	callerRetryElapsedMs clock.Millis = 10
 )
 
 // admit refuses a new request before any of it runs, or divides its sub-requests
@@ -124,14 +120,13 @@
 	if remaining <= 0 {
 		remaining = timeout
 	}
-	elapsed := m.statsFor(rt).callerElapsed(remaining)
-	r.callerRetry = elapsed >= callerRetryElapsedMs
 	r.deadline = now + min(timeout, max(remaining-deadlineReserveMs, 1)) - msg.WaitedMs
 	if m.stopAt > 0 && r.deadline > now {
 		r.deadline = min(r.deadline, max(m.stopAt, now+1))
 	}
 	reserve := msg.WaitedMs + handlingReserveMs + cmp.Or(msg.RoundTripMs, defaultRoundTripMs)
-	r.targetAt = min(now+max(rt.TargetMs-elapsed-reserve, 0), r.deadline)
+	r.targetAt = min(now+max(rt.TargetMs-reserve, 0), r.deadline)
+	r.lateAt = now - msg.WaitedMs + rt.TargetMs
 	return r
 }
 
@@ -203,9 +198,8 @@
 
 // wouldMissTarget reports whether too few sub-requests are expected to end within a
 // time limit for an answer, so that the request should be refused before any of it
-// runs. Gathered requests of the highest priority, and retries of them by callers
-// that were refused before, may use all of the time to the target. It also returns
-// the longest time by which a sub-request is expected to exceed the limit.
+// runs. Gathered requests of the highest priority may use all of the time to the target.
+// It also returns the longest time by which a sub-request is expected to exceed the limit.
 func (m *Model) wouldMissTarget(now clock.Millis, r *request, assignments []assignment) (clock.Millis, bool) {
 	limit := now + clock.Millis(admissionTargetShare*float64(r.targetAt-now))
 	switch {
@@ -213,7 +207,7 @@
 		limit = r.deadline // other carriers are already working on the rest
 	case !r.gathers():
 		limit = r.deadline // single upstream: a late answer wastes no other sub-request
-	case r.callerRetry, r.route.Priority == 0:
+	case r.route.Priority == 0:
 		limit = max(r.targetAt, now)
 	}
 	lateCount, maxExcess := 0, clock.Millis(0)
--- a/relay/request.go
+++ b/relay/request.go
@@ -18,7 +18,7 @@
 	arrived            clock.Millis
 	deadline           clock.Millis  // for the final answer, from the timeouts of the caller and the route
 	targetAt           clock.Millis  // an answer after this is late
-	callerRetry        bool          // the caller has sent this request before
+	lateAt             clock.Millis  // when the route's target has passed, whatever time the caller states
 	subrequests        []*subrequest // gathered on this VM
 	succeeded          int           // sub-requests with a reply
 	unresolved         int           // sub-requests that may still get a reply
@@ -98,19 +98,18 @@
 }
 
 // precedes reports whether sub is served before other. The order is by priority,
-// then requests that are not late before late ones, then retries by callers that
-// were refused once before others, then by target time.
+// then requests that are not late before late ones, then by the time when they are late.
+// It does not depend on the time that a caller states: a short one must not delay the
+// requests of others.
 func (sub *subrequest) precedes(now clock.Millis, other *subrequest) bool {
 	a, b := sub.req, other.req
 	switch {
 	case a.route.Priority != b.route.Priority:
 		return a.route.Priority < b.route.Priority
-	case (now > a.targetAt) != (now > b.targetAt):
-		return now <= a.targetAt // late requests yield to those that are not
-	case a.callerRetry != b.callerRetry:
-		return a.callerRetry
-	case a.targetAt != b.targetAt:
-		return a.targetAt < b.targetAt
+	case (now > a.lateAt) != (now > b.lateAt):
+		return now <= a.lateAt // late requests yield to those that are not
+	case a.lateAt != b.lateAt:
+		return a.lateAt < b.lateAt
 	}
 	return a.id < b.id
 }
--- /dev/null
+++ b/relay/stated_time_test.go
@@ -0,0 +1,72 @@
+package relay_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/relay"
+)
+
+// oddTimes are times that a caller may state, in milliseconds: the others state 400. 0
+// stands for none.
+var oddTimes = []clock.Millis{0, 1, 16, 40, 100, 399, 1500, 1 << 62}
+
+// answerAll replies to all sends in cmds at now and returns the commands that follow.
+func answerAll(m *relay.Model, now clock.Millis, cmds []relay.Cmd) []relay.Cmd {
+	var out []relay.Cmd
+	for _, c := range slices.Clone(cmds) {
+		if s, ok := c.(relay.SendCmd); ok {
+			out = append(out, m.Update(now, relay.ReplyMsg{Attempt: s.Attempt, Reply: relay.Reply{Status: 200, Receipt: fmt.Sprint(s.Attempt)}})...)
+		}
+	}
+	return out
+}
+
+// TestStatedTimeAndAdmission guards against a route whose queries are all refused because
+// one caller has stated more or less time than the others.
+func TestStatedTimeAndAdmission(t *testing.T) {
+	for _, odd := range oddTimes {
+		t.Run(fmt.Sprint(odd), func(t *testing.T) {
+			m := newShardedModel(t, "va", "a")
+			now := clock.Millis(2000)
+			for id := range uint64(60) {
+				stated := clock.Millis(400)
+				if id%20 == 10 {
+					stated = odd
+				}
+				got := commandNames(answerAll(m, now+5, m.Update(now, arrivalWithin(id+1, stated))))
+				if stated == 400 && fmt.Sprint(got) != "[answer gathered]" {
+					t.Fatalf("query %d: got %v, want an answer", id, got)
+				}
+				now += 50
+			}
+		})
+	}
+}
+
+// TestStatedTimeAndQueue guards against requests that wait behind later ones of their
+// route because those state less time.
+func TestStatedTimeAndQueue(t *testing.T) {
+	for _, odd := range append(oddTimes, 3500, 3990) { // the others state 4,000
+		t.Run(fmt.Sprint(odd), func(t *testing.T) {
+			m := newSingleServiceModel(t, true, 1)
+			var busy []relay.SendCmd
+			for id := uint64(1); ; id++ { // fills the upstream; one request waits
+				cmds := m.Update(2000, arrivalWithin(id, 4000))
+				if len(commandNames(cmds)) == 0 {
+					break
+				}
+				busy = append(busy, firstSend(t, cmds))
+			}
+			waiting := uint64(len(busy)) + 1
+			m.Update(2001, arrivalWithin(100, odd))
+			for _, c := range m.Update(2002, relay.ReplyMsg{Attempt: busy[0].Attempt, Reply: relay.Reply{Status: 200, Receipt: "x"}}) {
+				if s, ok := c.(relay.SendCmd); ok && s.Request != waiting {
+					t.Errorf("got request %d sent first, want %d", s.Request, waiting)
+				}
+			}
+		})
+	}
+}
--- a/relay/stats.go
+++ b/relay/stats.go
@@ -32,9 +32,8 @@
 
 // routeStats is the latency statistics of one route on this VM.
 type routeStats struct {
-	medianMs       float64 // estimated median latency of an attempt, in milliseconds
-	samples        int
-	maxRemainingMs clock.Millis
+	medianMs float64 // estimated median latency of an attempt, in milliseconds
+	samples  int
 }
 
 func (m *Model) statsFor(r *route.Route) *routeStats {
@@ -68,11 +67,3 @@
 func (s *routeStats) overdueAfter(slowness float64) clock.Millis {
 	return clock.Millis(overdueFactor*s.medianMs*min(max(slowness, 1), maxOverdueSlowness)) + overdueSlackMs
 }
-
-// callerElapsed returns how long the caller had been waiting before it sent this
-// request. Callers state their remaining time, and the longest one seen on the route
-// is taken as the full timeout of a first attempt.
-func (s *routeStats) callerElapsed(remaining clock.Millis) clock.Millis {
-	s.maxRemainingMs = max(s.maxRemainingMs, remaining)
-	return s.maxRemainingMs - remaining
-}
