Blame no upstream for a caller's short time

A caller that states less time than the work takes made its upstreams look failing or full to this VM: their 504 at the end of that time, their 503 for a request that waited in their queue until then, and the attempts cancelled after the answer all counted. An upstream that counts as failing gets one attempt at a time, so requests of other callers waited.

Change: an attempt whose time ran out before its reply was overdue says nothing about its upstream (attempt.cutShort, isOverdue). Overdue is judged by the latency measured on the route, within the time that the upstream was given.

Evidence: relay.TestStatedTimeAndUpstreams before the change: four of four cases fail, "request 1: got [], want it sent at once"; the case "no reply" was then corrected to give its last attempts the time to end. All pass now.

--- a/relay/finish.go
+++ b/relay/finish.go
@@ -130,7 +130,9 @@
 		for len(sub.open) > 0 {
 			a := sub.open[0]
 			m.endAttempt(a)
-			a.upstream.recordFailure(now)
+			if a.isOverdue(now) {
+				a.upstream.recordFailure(now)
+			}
 			m.emit(CancelCmd{Attempt: a.id})
 			m.dispatchQueued(now, sub.service)
 		}
--- a/relay/reply.go
+++ b/relay/reply.go
@@ -15,7 +15,9 @@
 		sub.possibleRuns--
 		m.handleNotRun(now, a, reply)
 	case reply.Status >= 500:
-		u.recordFailure(now)
+		if !a.cutShort(now) {
+			u.recordFailure(now)
+		}
 		sub.lastFailure = &reply
 	default:
 		took := now - a.sentAt
@@ -41,6 +43,9 @@
 		}
 		return
 	}
+	if a.cutShort(now) {
+		return
+	}
 	u.recordShed(now)
 	m.event("upstream_shed", a.subrequest.req, u, a.subrequest.service.name, now-a.sentAt)
 }
--- a/relay/request.go
+++ b/relay/request.go
@@ -60,6 +60,7 @@
 	upstream     *upstream
 	sentAt       clock.Millis
 	overdueAfter clock.Millis // latency from which the reply is overdue
+	expiresAt    clock.Millis // when the time that the upstream was given runs out
 	hedgeAt      clock.Millis
 }
 
--- a/relay/send.go
+++ b/relay/send.go
@@ -30,7 +30,7 @@
 func (m *Model) send(now clock.Millis, sub *subrequest, u *upstream) {
 	st := m.statsFor(sub.req.route)
 	m.nextID++
-	a := &attempt{id: m.nextID, subrequest: sub, upstream: u, sentAt: now, overdueAfter: st.overdueAfter(u.slowness(now))}
+	a := &attempt{id: m.nextID, subrequest: sub, upstream: u, sentAt: now, overdueAfter: st.overdueAfter(u.slowness(now)), expiresAt: sub.req.deadline}
 	a.hedgeAt = now + max(a.overdueAfter, (sub.req.targetAt-now)/hedgeTargetDivisor)
 	if sub.deliveries > 0 {
 		sub.service.budget.spend(now)
--- a/relay/stated_time_test.go
+++ b/relay/stated_time_test.go
@@ -70,3 +70,41 @@
 		})
 	}
 }
+
+// TestStatedTimeAndUpstreams guards against upstreams that count as failing or full for
+// all callers, because one caller states too little time for their work.
+func TestStatedTimeAndUpstreams(t *testing.T) {
+	reply := func(status int, notRun bool) func(m *relay.Model, now clock.Millis, s relay.SendCmd) {
+		return func(m *relay.Model, now clock.Millis, s relay.SendCmd) {
+			m.Update(now, relay.ReplyMsg{Attempt: s.Attempt, Reply: relay.Reply{Status: status, NotRun: notRun, Receipt: "x"}})
+		}
+	}
+	ends := map[string]func(m *relay.Model, now clock.Millis, s relay.SendCmd){
+		"ran out of time":            reply(504, false),
+		"ran out of time in a queue": reply(503, true),
+		"no reply": func(m *relay.Model, now clock.Millis, _ relay.SendCmd) {
+			m.Update(now, relay.TickMsg{})
+			m.Update(now+300, relay.TickMsg{})
+		},
+		"caller left": func(m *relay.Model, now clock.Millis, s relay.SendCmd) {
+			m.Update(now, relay.CallerDisconnectedMsg{ID: s.Request})
+			m.Update(now+300, relay.TickMsg{})
+		},
+	}
+	for name, end := range ends {
+		t.Run(name, func(t *testing.T) {
+			m := newSingleServiceModel(t, true, 2) // replies take 200 ms, as far as the model knows
+			now := clock.Millis(2000)
+			for id := range uint64(20) {
+				s := firstSend(t, m.Update(now, arrivalWithin(id+1, 300)))
+				end(m, now+290, s)
+				now += 600
+			}
+			for id := range uint64(8) {
+				if got := commandNames(m.Update(now, arrivalWithin(id+100, 4000))); len(got) != 1 || got[0][:4] != "send" {
+					t.Fatalf("request %d: got %v, want it sent at once", id, got)
+				}
+			}
+		})
+	}
+}
