Measure no lag with a result that was due too early

The lag of carriers' results decides how long before the target all results are asked for. It was measured from the time when a result was due, also if that time had passed when the carrier got the delegation, because the caller stated little time. Such samples are a whole round trip too long: other queries were then answered up to 12 ms before their target, with fewer shards.

Change: only a result whose delegation was acknowledged before it was due is a sample.

Evidence: relay.TestStatedTimeAndLag before the change: "got 28 ms to the target for the next query, want 35" after queries with 1 and 16 ms. It passes now.

--- a/relay/delegation.go
+++ b/relay/delegation.go
@@ -111,6 +111,7 @@
 	notStarted     bool         // the carrier reported that nothing ran, or never received the delegation
 	ended          bool         // no further message is expected
 	ackDeadline    clock.Millis // when the carrier must have acknowledged
+	ackedAt        clock.Millis // when its acknowledgement arrived
 }
 
 // leadMs returns how long before the target a carrier should send its result. In a large
@@ -124,7 +125,8 @@
 	return min(clock.Millis(lag)+1, maxLeadMs)
 }
 
-// recordLag records how late a carrier's partial result arrived.
+// recordLag records how late a carrier's partial result arrived. A result that was due
+// before the carrier had the delegation shows nothing: its caller states little time.
 func (m *Model) recordLag(c *peerVM, lag clock.Millis) {
 	if c.resultLagMs == 0 {
 		c.resultLagMs = m.resultLagMs
@@ -194,8 +196,8 @@
 	if d == nil {
 		return
 	}
-	if msg.Result.Partial && !d.resultReceived {
-		m.recordLag(d.carrier, now-(d.req.targetAt-d.leadMs))
+	if dueAt := d.req.targetAt - d.leadMs; msg.Result.Partial && !d.resultReceived && d.acked && d.ackedAt <= dueAt {
+		m.recordLag(d.carrier, now-dueAt)
 	}
 	d.acked, d.resultReceived = true, true
 	d.carrier.lastMessageAt = now
@@ -242,7 +244,7 @@
 		c.suspect = false // also after a late acknowledgement, or that of a probe
 	}
 	if d := m.openDelegation(msg.From, msg.ID); d != nil {
-		d.acked = true
+		d.acked, d.ackedAt = true, now
 		d.carrier.lastMessageAt = now
 	}
 }
--- a/relay/stated_time_test.go
+++ b/relay/stated_time_test.go
@@ -108,3 +108,41 @@
 		})
 	}
 }
+
+// TestStatedTimeAndLag guards against results that all carriers send too early, because the
+// target of one query had passed before a carrier got it.
+func TestStatedTimeAndLag(t *testing.T) {
+	for _, odd := range oddTimes {
+		t.Run(fmt.Sprint(odd), func(t *testing.T) {
+			m := newShardedModelWithBudget(t)
+			delegate := func(now clock.Millis, id uint64, stated clock.Millis) relay.DelegateCmd {
+				for _, c := range m.Update(now, arrivalWithin(id, stated)) {
+					if d, ok := c.(relay.DelegateCmd); ok {
+						return d
+					}
+				}
+				t.Fatal("got no delegation, want one")
+				return relay.DelegateCmd{}
+			}
+			want := delegate(2000, 1, 400).Delegation.TargetInMs
+			m.Update(2390, relay.TickMsg{})
+			now := clock.Millis(20_000)
+			for id := range uint64(20) {
+				d := delegate(now, id+2, odd)
+				const tripMs = 4
+				partialAt := max(now+d.Delegation.TargetInMs, now+tripMs) + tripMs
+				if d.Delegation.TargetInMs > tripMs {
+					m.Update(now+2*tripMs, relay.DelegationAckMsg{From: d.To, ID: d.Delegation.ID})
+				}
+				m.Update(partialAt, relay.DelegationResultMsg{From: d.To, Result: relay.DelegationResult{
+					ID: d.Delegation.ID, Partial: true, Answer: relay.Answer{Outcome: relay.Gathered, Receipts: []string{"x"}},
+				}})
+				m.Update(now+500, relay.TickMsg{})
+				now += 1000
+			}
+			if got := delegate(now, 100, 400).Delegation.TargetInMs; got < want-1 {
+				t.Errorf("got %d ms to the target for the next query, want %d", got, want)
+			}
+		})
+	}
+}
