Admit a query now and then while estimates refuse all

After upstreams were slow for some seconds, a VM that gathers for itself refused every query of the route, also when they were fast again: the refusals rest on an estimate of latency that only admitted queries can correct (Starved).

Evidence: relay.TestRefusalsEnd before the change: "got answers to 0 of 150 queries from a second after the upstreams are fast again". It passes now.

--- a/relay/arrive.go
+++ b/relay/arrive.go
@@ -77,6 +77,7 @@
 // start opens an admitted request, delegates what carriers gather and sends the rest.
 func (m *Model) start(now clock.Millis, r *request, assignments []assignment) {
 	m.requests[r.id] = r
+	m.statsFor(r.route).startedAt = now
 	*m.policies.open.Ref(rankOf(r.route.Priority))++
 	r.subrequests = nil
 	for _, a := range assignments {
@@ -196,6 +197,10 @@
 // the target wastes upstream capacity.
 const admissionTargetShare = 0.75
 
+// probeTargetShare is the share of a route's target from which an estimate may be the
+// reason of a refusal, whatever the caller states.
+const probeTargetShare = 0.5
+
 // wouldMissTarget reports whether too few sub-requests are expected to end within a
 // time limit for an answer, so that the request should be refused before any of it
 // runs. Gathered requests of the highest priority may use all of the time to the target.
@@ -223,7 +228,23 @@
 			}
 		}
 	}
-	return maxExcess, len(r.subrequests)-lateCount < r.requiredReplies()
+	if len(r.subrequests)-lateCount >= r.requiredReplies() {
+		return 0, false
+	}
+	return maxExcess, !m.probesEstimate(now, r)
+}
+
+// probesEstimate reports whether a request should be admitted although it seems to miss
+// its limit, because no other has been admitted for a while. Refused requests bring no
+// measurements, so without it the estimate and the refusals would stay for ever. A request
+// that only its own caller gives too little time shows nothing.
+func (m *Model) probesEstimate(now clock.Millis, r *request) bool {
+	st := m.statsFor(r.route)
+	if now-st.startedAt < estimateMaxAgeMs || float64(m.estimateRequest(now, r)) < probeTargetShare*float64(r.route.TargetMs) {
+		return false
+	}
+	st.relearn = true
+	return true
 }
 
 // estimateRequest estimates how long another request like r would take from now:
--- a/relay/stats.go
+++ b/relay/stats.go
@@ -32,8 +32,10 @@
 
 // routeStats is the latency statistics of one route on this VM.
 type routeStats struct {
-	medianMs float64 // estimated median latency of an attempt, in milliseconds
-	samples  int
+	medianMs  float64 // estimated median latency of an attempt, in milliseconds
+	samples   int
+	startedAt clock.Millis // when the last request was admitted
+	relearn   bool         // the next sample replaces the estimate
 }
 
 func (m *Model) statsFor(r *route.Route) *routeStats {
@@ -49,6 +51,10 @@
 // the distance, so that it follows the median and not the mean: a few slow or pausing
 // upstreams must not raise it, or hedges against them would be sent too late.
 func (s *routeStats) add(sample clock.Millis) {
+	if s.relearn {
+		s.relearn, s.samples, s.medianMs = false, 1, max(float64(sample), 0.5)
+		return
+	}
 	s.samples++
 	step := max(initialStep/math.Sqrt(float64(s.samples)), minStep)
 	x := max(float64(sample), 0.5)
