Reserve at most half of the target for the round trip

The round trip to a caller is measured once, when its connection is accepted, and taken off the target of every query on it. After one slow handshake (a lost packet) no time was left and all queries of the connection were refused as long as it was kept.

Change: at most half of the target is reserved. 3 ms to callers and a new connection take 12 of 50 ms, so the users' deployments are not affected.

Evidence: relay.TestSlowHandshake before the change: "got [answer refused], want [send s1a send s2a]" for 100 ms and more. It passes now.

--- a/relay/arrive.go
+++ b/relay/arrive.go
@@ -21,6 +21,10 @@
 	// not known: two one-way trips of up to 3 ms each on the users' networks.
 	defaultRoundTripMs clock.Millis = 6
 
+	// maxRoundTripShare limits the round-trip time that is reserved, as a share of the
+	// target. A longer one leaves hardly any time, and may be that of one slow handshake.
+	maxRoundTripShare = 0.5
+
 	// deadlineReserveMs is subtracted from a caller's own timeout, so that the final
 	// answer arrives before the caller times out.
 	deadlineReserveMs clock.Millis = 15
@@ -125,7 +129,8 @@
 	if m.stopAt > 0 && r.deadline > now {
 		r.deadline = min(r.deadline, max(m.stopAt, now+1))
 	}
-	reserve := msg.WaitedMs + handlingReserveMs + cmp.Or(msg.RoundTripMs, defaultRoundTripMs)
+	roundTrip := min(cmp.Or(msg.RoundTripMs, defaultRoundTripMs), clock.Millis(maxRoundTripShare*float64(rt.TargetMs)))
+	reserve := msg.WaitedMs + handlingReserveMs + roundTrip
 	r.targetAt = min(now+max(rt.TargetMs-reserve, 0), r.deadline)
 	r.lateAt = now - msg.WaitedMs + rt.TargetMs
 	return r
--- a/relay/model_test.go
+++ b/relay/model_test.go
@@ -337,3 +337,13 @@
 		wantCommands(t, m.Update(2001+pause, relay.TickMsg{}))
 	}
 }
+
+// TestSlowHandshake guards against queries that are all refused on one connection, because
+// its handshake took long and so its round trip seems to leave no time.
+func TestSlowHandshake(t *testing.T) {
+	for _, roundTrip := range []clock.Millis{0, 12, 100, 1000, 60_000} {
+		msg := arrival(1)
+		msg.RoundTripMs = roundTrip
+		wantCommands(t, newShardedModel(t, "va", "a").Update(2000, msg), "send s1a", "send s2a")
+	}
+}
