Refuse what would outlast a planned stop

Requests that came late in a planned stop were passed on to an upstream and answered 504 at its end, orders among them: their callers did not learn whether they had run.

Cause: the stop shortened the deadlines of requests but refused none.

Change: a stopping VM refuses a request at once, as not run and with a short delay, if by the latency of its route it will probably outlast the stop; once no more callers are expected, one that may not be repeated must fit in with its whole timeout (relay/stop.go).

Evidence: platform.TestStopRefusesLateRequests before the change: six requests sent 4.0 to 5.25 s after the stop "passed on to an upstream and got status 504". It passes now.

--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -36,12 +36,13 @@
 func (g *Gateway) stop(callers net.Listener) {
 	start, grace := g.clock.Now(), clock.Millis(g.gracePeriodMs.Load())
 	deadline := start + max(grace-stopReserveMs, 0)
+	callersUntil := start + min(deregisterDelayMs, grace/2)
 	g.stopping.Store(true)
 	g.ready.Store(false)
 	_ = g.logger.Log("event", "stopping", "grace_ms", int64(grace))
 	g.post(loopMsg{registrar: roster.LeaveMsg{}})
-	g.post(loopMsg{relay: relay.StopMsg{Deadline: deadline}})
-	g.awaitIdle(start+min(deregisterDelayMs, grace/2), deadline)
+	g.post(loopMsg{relay: relay.StopMsg{Deadline: deadline, CallersUntil: callersUntil}})
+	g.awaitIdle(callersUntil, deadline)
 	_ = callers.Close()
 	<-g.acceptDone // every accepted connection is known from here
 	busy := g.callerConns.closeIdle()
--- a/relay/arrive.go
+++ b/relay/arrive.go
@@ -54,6 +54,11 @@
 		m.rejectLate(msg, r)
 		return
 	}
+	if m.outlastsStop(now, r) {
+		m.reject(msg, Answer{Outcome: Refused, Reason: "stopping", Route: rt.Name, Version: r.version, RetryAfterMs: m.retryAfter(0, r.deadline-now)})
+		return
+	}
+	m.limitToStop(r)
 	m.addSubrequests(r)
 	assignments := []assignment{{subrequests: r.subrequests}}
 	if r.gathers() {
@@ -126,9 +131,6 @@
 		remaining = timeout
 	}
 	r.deadline = now + min(timeout, max(remaining-deadlineReserveMs, 1)) - msg.WaitedMs
-	if m.stopAt > 0 && r.deadline > now {
-		r.deadline = min(r.deadline, max(m.stopAt, now+1))
-	}
 	roundTrip := min(cmp.Or(msg.RoundTripMs, defaultRoundTripMs), clock.Millis(maxRoundTripShare*float64(rt.TargetMs)))
 	reserve := msg.WaitedMs + handlingReserveMs + roundTrip
 	r.targetAt = min(now+max(rt.TargetMs-reserve, 0), r.deadline)
--- a/relay/message.go
+++ b/relay/message.go
@@ -86,8 +86,13 @@
 	WindowMs clock.Millis
 }
 
-// StopMsg sets a deadline for all requests, because the VM stops at that time.
-type StopMsg struct{ Deadline clock.Millis }
+// StopMsg reports that the VM stops, and sets a deadline for all requests. New callers come
+// until CallersUntil, when the load balancer has noticed. Later requests come on
+// connections that are still open.
+type StopMsg struct {
+	Deadline     clock.Millis
+	CallersUntil clock.Millis
+}
 
 // TickMsg reports that time has passed.
 type TickMsg struct{}
--- a/relay/model.go
+++ b/relay/model.go
@@ -35,6 +35,7 @@
 	policies      policies
 	nextID        uint64
 	stopAt        clock.Millis // 0 while the VM is not stopping
+	callersUntil  clock.Millis // while stopping: when no new callers are expected
 	cmds          []Cmd
 }
 
@@ -84,7 +85,7 @@
 	case PresetMsg:
 		m.setPreset(t.Preset)
 	case StopMsg:
-		m.stop(t.Deadline)
+		m.stop(t)
 	case TickMsg:
 	}
 	m.runTimers(now)
@@ -101,17 +102,6 @@
 	}
 }
 
-// stop shortens the deadlines of all requests to that of this VM.
-func (m *Model) stop(deadline clock.Millis) {
-	m.stopAt = deadline
-	for _, r := range m.requests {
-		if r.deadline > deadline {
-			r.deadline = deadline
-			m.wake(r, deadline)
-		}
-	}
-}
-
 func (m *Model) emit(c Cmd) { m.cmds = append(m.cmds, c) }
 
 func (m *Model) event(kind string, r *request, u *upstream, detail string, age clock.Millis) {
