Pass on no success without a receipt

An operator of a similar system reported answers that stopped in the middle of their head and reached callers as a 200 with an empty body. Here a reply that ends early is an error at every byte, of its head, its body, its chunks and its trailer, for upstreams and for the store. But a whole success without a receipt was passed on to the caller of a route with one service, such as that of another server at the address.

Change: a success without a receipt is an invalid reply, which may have run.

Evidence: exchange.TestSuccessWithoutReceipt before the change: "success: got reply true with "ok", want false", the same for 204 and for a reply without any header. It passes now. exchange.TestCutReply and httpcall.TestCutHead passed before and after.

--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -23,6 +23,7 @@
 	errWrongRequest = errors.New("reply has the ID of another request")
 	errNoReply      = errors.New("connection closed before a reply")
 	errBadReply     = errors.New("reply is incomplete or invalid")
+	errNoReceipt    = errors.New("success has no receipt")
 )
 
 // Reply is a complete reply of an upstream.
@@ -157,6 +158,10 @@
 		CloseConn: h.ConnectionClose(),
 		Leaving:   string(h.Peek(c.headers.Leaving)) == leavingValue,
 	}
+	if reply.Receipt == "" && c.headers.Receipt != "" && reply.Status >= 200 && reply.Status < 300 {
+		cn.close(p, errBadReply, errNoReceipt) // of no upstream, or the rest of its head was lost
+		return false
+	}
 	if reply.Status == fasthttp.StatusServiceUnavailable {
 		reply.RetryAfterMs = parseRetryAfter(string(h.Peek(fasthttp.HeaderRetryAfter)))
 	}
