Abort the connection of a caller that leaves

A caller that ended its side of the connection before its answer got status 200 with an empty body and without a receipt, also for an order that never ran (MIXED).

Cause: the handler returned when the request's context ended, and net/http completes the response of a handler that has written none with status 200.

Change: the handler aborts the connection.

Evidence: platform.TestCallerEndsItsSide before the change: "got status 200 without a receipt, want none".

--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -129,6 +129,9 @@
 		g.writeAnswer(w, id, a)
 	case <-r.Context().Done():
 		g.post(loopMsg{relay: relay.CallerDisconnectedMsg{ID: callID}})
+		// The caller may have ended only its side of the connection. If this function returned,
+		// the server would send it a success.
+		panic(http.ErrAbortHandler)
 	case <-g.loopDone:
 		panic(http.ErrAbortHandler) // closes the connection: the request may or may not have run
 	}
