Reserve memory for the part of a body that has arrived

The length that a caller states was reserved from the memory for bodies before any byte came, and the largest length for a body in chunks. Callers that state much and send nothing made the VM refuse the bodies of all others, for up to 30 s each.

A body for which none is left is refused as before.

Evidence: platform.TestStatedBodyLength before the change: the third caller that states 1,024 bytes "got HTTP/1.1 503 Service Unavailable". It passes now, and TestBodyMemory still does.

--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -94,20 +94,16 @@
 		w.Header().Set("Connection", "close")
 	}
 	limit := g.bodyLimit()
-	reserved := min(r.ContentLength, limit)
-	if reserved < 0 {
-		reserved = limit // sent in chunks
-	}
-	if !g.bodies.Reserve(reserved) {
-		w.Header().Set("Connection", "close") // the body is not read
-		refuse(w, http.StatusServiceUnavailable, bodyRetryMs)
-		return
-	}
-	defer g.bodies.Release(reserved)
-	body, status := g.readBody(w, r, limit)
+	reader := &bodyReader{Reader: r.Body, memory: &g.bodies, step: min(bodyStepBytes, limit)}
+	defer reader.release()
+	body, status := g.readBody(w, r, reader, limit)
 	if status != 0 {
 		w.Header().Set("Connection", "close") // the rest of the request is not read
-		refuse(w, status, 0)
+		retryAfter := clock.Millis(0)
+		if status == http.StatusServiceUnavailable {
+			retryAfter = bodyRetryMs
+		}
+		refuse(w, status, retryAfter)
 		return
 	}
 	id := r.Header.Get(g.headers.RequestID)
@@ -147,7 +143,7 @@
 
 // readBody reads the whole body. If the request must be refused, it returns the status
 // of the refusal, else 0.
-func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, int) {
+func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, reader *bodyReader, limit int64) ([]byte, int) {
 	if t := g.table.Load(); t != nil {
 		if n := t.Limits().HeaderBytes; n > 0 && headerBytes(r) > n {
 			return nil, http.StatusRequestHeaderFieldsTooLarge
@@ -160,10 +156,12 @@
 		return nil, 0
 	}
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(readBodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	body, err := io.ReadAll(http.MaxBytesReader(w, io.NopCloser(reader), limit))
 	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, errBodyMemory):
+		return nil, http.StatusServiceUnavailable
 	case errors.As(err, &tooLarge):
 		return nil, http.StatusRequestEntityTooLarge
 	case err != nil:
