Expect no body in replies to a delegated HEAD request

A carrier did not know the method of a delegated request, waited for the body that the head of a reply to HEAD announces, and reported the shard as missing.

Change: the method is read from the head that was delegated.

Evidence: exchange.TestDelegatedHead before the change: "got no result, want a reply". It passes now.

--- a/exchange/cut_reply_test.go
+++ b/exchange/reply_test.go
@@ -3,9 +3,13 @@
 import (
 	"fmt"
 	"io"
+	"net/http"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
+
+	"lentillink.example/lentillink/exchange"
 )
 
 // TestCutReply guards against a reply that ends early, with the connection, and that is
@@ -84,3 +88,26 @@
 		})
 	}
 }
+
+// TestDelegatedHead guards against a carrier that waits for the body of a reply that has
+// none, because it does not know the method of the request.
+func TestDelegatedHead(t *testing.T) {
+	u := startRaw(t, func(w io.Writer, _ string, _ int) bool {
+		_, _ = io.WriteString(w, "HTTP/1.1 200 OK\r\nRequest: r\r\nReceipt: x\r\nContent-Length: 20\r\n\r\n")
+		return true
+	})
+	c, results := newClient(t)
+	whole := exchange.NewRequest(headers, http.MethodHead, "/p", "h", "r", nil, nil)
+	c.Send(exchange.Call{
+		Attempt: 1, Upstream: "u", Address: u.lis.Addr().String(), RemainingMs: 100,
+		Request: exchange.NewDelegatedRequest("r", whole.Head(), nil),
+	})
+	select {
+	case res := <-results:
+		if res.Err != nil || res.Reply.Status != http.StatusOK {
+			t.Errorf("got status %d, %v, want 200", res.Reply.Status, res.Err)
+		}
+	case <-time.After(2 * time.Second):
+		t.Error("got no result, want a reply")
+	}
+}
--- a/exchange/request.go
+++ b/exchange/request.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"bytes"
 	"strconv"
 
 	"github.com/valyala/fasthttp"
@@ -57,7 +58,7 @@
 // NewDelegatedRequest returns a request that another VM built with NewRequest and
 // delegated to this one.
 func NewDelegatedRequest(id string, head, body []byte) *Request {
-	return &Request{id: id, head: head, body: body}
+	return &Request{id: id, head: head, body: body, noReplyBody: bytes.HasPrefix(head, []byte(fasthttp.MethodHead+" "))}
 }
 
 // Head returns the request line and the headers. The caller must not modify them.
