Keep the shares of a split when its weights change scale

A split kept its state in the scale of the old weights.

Change: the state counts requests, so it does not depend on the scale. A part whose weight is 0 for a while starts without credit.

Evidence: route.TestSplitWeightsChange before the change: "from [700 300] to [0.7 0.3]: got 200 of 200 requests for a, want 140 within 2". It passes now.

--- a/route/split.go
+++ b/route/split.go
@@ -5,7 +5,7 @@
 // requests stays within one request of its shares, which random selection does not
 // guarantee for short runs.
 type Splitter struct {
-	credits map[string][]float64 // by route name
+	credits map[string][]float64 // by route name; in requests, whatever the scale of the weights
 }
 
 // NewSplitter returns a Splitter without state.
@@ -18,13 +18,14 @@
 		credits = make([]float64, len(r.Split))
 		s.credits[r.Name] = credits
 	}
-	total, selected := 0.0, -1
+	total := totalWeight(r.Split)
+	selected := -1
 	for i, target := range r.Split {
 		if target.Weight <= 0 {
+			credits[i] = 0
 			continue
 		}
-		credits[i] += target.Weight
-		total += target.Weight
+		credits[i] += target.Weight / total
 		if selected < 0 || credits[i] > credits[selected] {
 			selected = i
 		}
@@ -32,10 +33,18 @@
 	if selected < 0 {
 		return ""
 	}
-	credits[selected] -= total
+	credits[selected]--
 	return r.Split[selected].Service
 }
 
+func totalWeight(split []WeightedService) float64 {
+	total := 0.0
+	for _, target := range split {
+		total += max(target.Weight, 0)
+	}
+	return total
+}
+
 // Prune deletes the state of routes that t no longer splits.
 func (s *Splitter) Prune(t *Table) {
 	kept := make(map[string][]float64, len(s.credits))
--- a/route/table_test.go
+++ b/route/table_test.go
@@ -63,6 +63,36 @@
 	}
 }
 
+// TestSplitWeightsChange guards against shares that follow the old weights after a change:
+// the state of the split must not depend on the scale of the weights.
+func TestSplitWeightsChange(t *testing.T) {
+	split := func(a, b float64) *route.Route {
+		return &route.Route{Name: "r", Split: []route.WeightedService{{Service: "a", Weight: a}, {Service: "b", Weight: b}}}
+	}
+	for _, tt := range []struct{ before, after [2]float64 }{
+		{[2]float64{700, 300}, [2]float64{0.7, 0.3}},
+		{[2]float64{0.7, 0.3}, [2]float64{700, 300}},
+		{[2]float64{1e9, 1}, [2]float64{1, 1}},
+		{[2]float64{1, 0}, [2]float64{1, 3}},
+	} {
+		s := route.NewSplitter()
+		for range 13 {
+			s.Next(split(tt.before[0], tt.before[1]))
+		}
+		const n = 200
+		got := 0
+		for range n {
+			if s.Next(split(tt.after[0], tt.after[1])) == "a" {
+				got++
+			}
+		}
+		want := n * tt.after[0] / (tt.after[0] + tt.after[1])
+		if float64(got) < want-2 || float64(got) > want+2 {
+			t.Errorf("from %v to %v: got %d of %d requests for a, want %.0f within 2", tt.before, tt.after, got, n, want)
+		}
+	}
+}
+
 // TestSplitPrune guards against a new configuration version that resets the state of
 // unchanged splits.
 func TestSplitPrune(t *testing.T) {
