Promise no order to be not run without proof

408, 421, 429 and 503 promise a caller that its request has not run. For an order that is a false promise: its caller may send it again.

Replies to requests that may be repeated are passed on unchanged as before.

Evidence: relay.TestRetries before the change: "order, full without proof: got [answer relayed], want answer failed". It passes now.

--- a/relay/answer.go
+++ b/relay/answer.go
@@ -41,6 +41,22 @@
 // success reports whether the reply may be part of a gathered answer.
 func (r *Reply) success() bool { return r.Status >= 200 && r.Status < 300 && r.Receipt != "" }
 
+// Statuses that promise a caller that its request has not run.
+const (
+	statusRequestTimeout  = 408
+	statusMisdirected     = 421
+	statusTooManyRequests = 429
+	statusUnavailable     = 503
+)
+
+func promisesNotRun(status int) bool {
+	switch status {
+	case statusRequestTimeout, statusMisdirected, statusTooManyRequests, statusUnavailable:
+		return true
+	}
+	return false
+}
+
 // Answer is the final answer to a caller.
 type Answer struct {
 	Outcome      Outcome
--- a/relay/finish.go
+++ b/relay/finish.go
@@ -89,7 +89,7 @@
 		if r.gathers() {
 			return mergeReplies(r)
 		}
-		return Answer{Outcome: Relayed, Reply: *r.subrequests[0].reply}
+		return r.relayed(*r.subrequests[0].reply, "")
 	}
 	deadlinePassed := now >= r.deadline
 	switch {
@@ -101,7 +101,7 @@
 		}
 		return a
 	case !r.gathers() && r.subrequests[0].lastFailure != nil && r.openAttempts == 0:
-		return Answer{Outcome: Relayed, Reply: *r.subrequests[0].lastFailure, Reason: "upstream_failed"}
+		return r.relayed(*r.subrequests[0].lastFailure, "upstream_failed")
 	case deadlinePassed:
 		return Answer{Outcome: TimedOut, Reason: "timeout"}
 	default:
@@ -109,6 +109,16 @@
 	}
 }
 
+// relayed returns an answer that passes on a reply. To the caller of a request that may not
+// be repeated some statuses promise that it has not run, so they need the upstream's word
+// for it.
+func (r *request) relayed(reply Reply, reason string) Answer {
+	if !r.route.Idempotent && !reply.NotRun && promisesNotRun(reply.Status) {
+		return Answer{Outcome: Failed, Reason: "unproven_refusal"}
+	}
+	return Answer{Outcome: Relayed, Reply: reply, Reason: reason}
+}
+
 // release deletes an answered request once its attempts have ended. After the
 // grace period it cancels the attempts of idempotent requests.
 func (m *Model) release(now clock.Millis, r *request) {
--- a/relay/notice.go
+++ b/relay/notice.go
@@ -20,8 +20,6 @@
 	// together.
 	holdJitterShare              = 0.2
 	minHoldJitterMs clock.Millis = 100
-
-	statusUnavailable = 503
 )
 
 // notice is what one incarnation of an upstream stated about itself in its replies. It
