Honour a leaving report behind a counter that is too high

Change: a report of the same incarnation that says "leaving" holds whatever its sequence number, because a leaving upstream stays so. Behind a start time that is too high, two reports in a row that say so are accepted instead of four.

Evidence: relay.TestOddCounters with two new rows before the change: "got work true, want false". They pass now; a single late report of an earlier incarnation still has no effect.

--- a/relay/model.go
+++ b/relay/model.go
@@ -136,6 +136,9 @@
 	if u != nil {
 		old := u.info
 		if info.isOlderThan(old) && !u.older.outvote(info) {
+			if info.Leaving && info.Incarnation == old.Incarnation {
+				m.markLeaving(u, "late report") // holds for the rest of the incarnation
+			}
 			return
 		}
 		u.older = olderReports{}
--- a/relay/model_test.go
+++ b/relay/model_test.go
@@ -192,6 +192,9 @@
 		{"late reports", []relay.Msg{leaving(9), registered(7, 6), registered(7, 5), registered(7, 8), registered(7, 7)}, false},
 		{"late reports of an earlier incarnation", []relay.Msg{leaving(9), registered(6, 50), registered(6, 51)}, false},
 		{"sequence too high, then leaving", []relay.Msg{registered(7, 1<<50), leaving(10), leaving(11), leaving(12), leaving(13)}, false},
+		{"sequence too high, then leaving once", []relay.Msg{registered(7, 1<<50), leaving(10)}, false},
+		{"incarnation too high, then leaving twice", []relay.Msg{registered(1<<50, 1), leaving(10), leaving(11)}, false},
+		{"restarted, then one late report of leaving", []relay.Msg{registered(9, 1), leaving(10)}, true},
 		{"incarnation too high, then leaving", []relay.Msg{registered(1<<50, 1), leaving(10), leaving(11), leaving(12), leaving(13)}, false},
 		{"incarnation too high and leaving, then ready", []relay.Msg{
 			relay.UpstreamMsg{Upstream: relay.Upstream{ID: "u0", Service: "s", Address: "a0", DataCentre: "a", Incarnation: 1 << 50, Leaving: true}},
--- a/relay/notice.go
+++ b/relay/notice.go
@@ -79,13 +79,22 @@
 		u.attemptWindow = 1 // one request then shows whether it takes more
 		m.emit(EventCmd{Event: Event{Kind: "upstream_hold", Upstream: u.info.ID, Detail: u.service.name}})
 	}
-	if n.leaving && !u.info.Leaving {
-		u.info.Leaving = true
-		u.service.dataCentres = nil
-		m.emit(EventCmd{Event: Event{Kind: "upstream_leaving", Upstream: u.info.ID, Detail: u.service.name + " reply"}})
+	if n.leaving {
+		m.markLeaving(u, "reply")
 	}
 }
 
+// markLeaving records that an upstream is leaving, from another source than its newest
+// report.
+func (m *Model) markLeaving(u *upstream, source string) {
+	if u.info.Leaving {
+		return
+	}
+	u.info.Leaving = true
+	u.service.dataCentres = nil
+	m.emit(EventCmd{Event: Event{Kind: "upstream_leaving", Upstream: u.info.ID, Detail: u.service.name + " " + source}})
+}
+
 // waitLimit returns until when a sub-request may wait for an upstream that asked for no
 // requests. A part of a gathered answer waits no longer than the answer does.
 func (sub *subrequest) waitLimit() clock.Millis {
--- a/relay/report.go
+++ b/relay/report.go
@@ -4,6 +4,10 @@
 // accepted although the known one looks newer than all of them.
 const olderReportsAccepted = 4
 
+// olderLeavingAccepted replaces it for reports of an upstream that is leaving. Upstreams
+// report about once a second, and users allow 3 s until a leaving one gets no more work.
+const olderLeavingAccepted = 2
+
 // isOlderThan reports whether u was reported before o, by its own counters.
 func (u Upstream) isOlderThan(o Upstream) bool {
 	if u.Incarnation != o.Incarnation {
@@ -27,5 +31,8 @@
 	}
 	r.last = u
 	r.count++
+	if u.Leaving {
+		return r.count >= olderLeavingAccepted
+	}
 	return r.count >= olderReportsAccepted
 }
