Keep a leaving reply behind a start time that is too high

A notice that an upstream gave under a start time made up by another writer was kept; later notices of its true incarnation looked older and were lost, so it got requests after it had said that it leaves (DRAIN).

Change: a reply is compared with the report in force instead of with the kept notice.

Evidence: relay.TestLeavingReplyBehindOddIncarnation before the change: "got a request at an upstream that said that it leaves". It passes now, as do the other notice tests.

--- a/relay/notice.go
+++ b/relay/notice.go
@@ -43,10 +43,17 @@
 		return
 	}
 	n := m.notices.get(u.info.ID)
-	if n.incarnation > u.info.Incarnation {
+	current := m.upstreams[u.info.ID]
+	// A kept notice may have a start time that is too high. The report in force does not,
+	// or is outvoted.
+	newest := n.incarnation
+	if current != nil {
+		newest = current.info.Incarnation
+	}
+	if newest > u.info.Incarnation {
 		return
 	}
-	if n.incarnation < u.info.Incarnation {
+	if n.incarnation != u.info.Incarnation {
 		n = notice{incarnation: u.info.Incarnation}
 	}
 	n.leaving = n.leaving || reply.Leaving
@@ -56,7 +63,7 @@
 	}
 	m.notices.set(u.info.ID, n)
 	m.applyNotice(u, n)
-	if current := m.upstreams[u.info.ID]; current != nil && current != u {
+	if current != nil && current != u {
 		m.applyNotice(current, n)
 	}
 }
--- a/relay/notice_test.go
+++ b/relay/notice_test.go
@@ -79,6 +79,26 @@
 	}
 }
 
+// TestLeavingReplyBehindOddIncarnation guards against a notice that is lost because one was
+// kept under a start time that another writer had made up.
+func TestLeavingReplyBehindOddIncarnation(t *testing.T) {
+	m := newSingleServiceModel(t, true, 0)
+	m.Update(1000, registered(7, 1))
+	m.Update(1000, registered(1<<50, 1))
+	reply := func(now clock.Millis, id uint64) {
+		a := firstSend(t, m.Update(now, arrival(id)))
+		m.Update(now+10, relay.ReplyMsg{Attempt: a.Attempt, Reply: relay.Reply{Status: 200, Receipt: "x", Leaving: true}})
+	}
+	reply(2000, 1)
+	for n := range uint64(4) { // outvotes the odd report
+		m.Update(3000, registered(7, 2+n))
+	}
+	reply(4000, 2)
+	if sendsTo(m, 5000, 3, "u0") {
+		t.Error("got a request at an upstream that said that it leaves, want none")
+	}
+}
+
 // TestLeavingReplyKeepsOpenWork guards against ending the work that a leaving upstream
 // already has.
 func TestLeavingReplyKeepsOpenWork(t *testing.T) {
