Reserve memory for the first part of a body before it is read

Cause, by the order of events: since the change that reserves what has arrived, a slow caller's first bytes could find the memory taken by another request for a moment; the slow one was refused halfway and its memory was free from then on.

The rest is reserved as it arrives.

--- a/gateway/body.go
+++ b/gateway/body.go
@@ -12,26 +12,41 @@
 
 var errBodyMemory = errors.New("bodies being read take too much memory")
 
-// bodyReader reads a caller's body and reserves memory for what has arrived. The length
-// that a caller states is not reserved: it may never come, and others would be refused
-// meanwhile.
+// bodyReader reads a caller's body and reserves memory for the part that arrives. The
+// length that a caller states is not reserved whole: the body may never come, and others
+// would be refused meanwhile.
 type bodyReader struct {
 	io.Reader
 	memory   *exchange.Memory
-	step     int64 // at most the size of the largest body
 	count    int64
 	reserved int64
 }
 
+// begin reserves memory for the first part of a body, so that a small body is not refused
+// halfway. length is that of the whole body, -1 if it is not known.
+func (b *bodyReader) begin(length, limit int64) bool {
+	if length < 0 {
+		length = limit
+	}
+	return b.reserve(min(length, limit, bodyStepBytes))
+}
+
+func (b *bodyReader) reserve(n int64) bool {
+	if !b.memory.Reserve(n) {
+		return false
+	}
+	b.reserved += n
+	return true
+}
+
 // Read reads from the body.
 func (b *bodyReader) Read(p []byte) (int, error) {
 	n, err := b.Reader.Read(p)
 	b.count += int64(n)
 	for b.count > b.reserved {
-		if !b.memory.Reserve(b.step) {
+		if !b.reserve(bodyStepBytes) {
 			return n, errBodyMemory
 		}
-		b.reserved += b.step
 	}
 	return n, err
 }
--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -94,9 +94,12 @@
 		w.Header().Set("Connection", "close")
 	}
 	limit := g.bodyLimit()
-	reader := &bodyReader{Reader: r.Body, memory: &g.bodies, step: min(bodyStepBytes, limit)}
+	reader := &bodyReader{Reader: r.Body, memory: &g.bodies}
 	defer reader.release()
-	body, status := g.readBody(w, r, reader, limit)
+	body, status := []byte(nil), http.StatusServiceUnavailable
+	if reader.begin(r.ContentLength, limit) {
+		body, status = g.readBody(w, r, reader, limit)
+	}
 	if status != 0 {
 		w.Header().Set("Connection", "close") // the rest of the request is not read
 		retryAfter := clock.Millis(0)
