--- a/cmd/lentillink/soak.go
+++ b/cmd/lentillink/soak.go
@@ -17,14 +17,21 @@
 	Seed    uint64 `long:"seed" default:"1" description:"first seed"`
 	Seeds   int    `long:"seeds" default:"1" description:"number of seeds, run one after the other"`
 	Seconds int    `long:"seconds" default:"10" description:"how long faults are injected for each seed"`
+	VMs     int    `long:"vms" default:"3" description:"number of VMs, each a process"`
 	Program string `long:"program" value-name:"FILE" description:"path of lentillinkd (default: in the directory of this program)"`
 	Logs    string `long:"logs" value-name:"DIR" description:"where logs of seeds that fail are kept (default: a new temporary directory)"`
 }
 
+// maxSoakVMs bounds the processes of one run.
+const maxSoakVMs = 300
+
 // Execute runs the seeds and keeps the logs of those that fail.
 func (c *soakCommand) Execute([]string) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	if c.VMs < 1 || c.VMs > maxSoakVMs {
+		return fmt.Errorf("--vms is %d, want 1 to %d", c.VMs, maxSoakVMs)
+	}
 	program, dir, err := c.paths()
 	if err != nil {
 		return err
@@ -36,7 +43,7 @@
 			return err
 		}
 		err := soak.Run(ctx, soak.Options{
-			Seed: seed, Duration: time.Duration(c.Seconds) * time.Second, Program: program, Dir: logs, Out: os.Stdout,
+			Seed: seed, Duration: time.Duration(c.Seconds) * time.Second, VMs: c.VMs, Program: program, Dir: logs, Out: os.Stdout,
 		})
 		if err == nil {
 			if err := os.RemoveAll(logs); err != nil {
