Replace a latency estimate by a median, not by one reply

The first reply to a probing query is the fastest of its shards. As the new estimate it would be too low while upstreams are still slow, and admit a burst of queries that end late.

Change: the reply in the middle of the probing query's replies replaces the estimate.

--- a/relay/arrive.go
+++ b/relay/arrive.go
@@ -250,7 +250,8 @@
 	if now-st.startedAt < estimateMaxAgeMs || float64(m.estimateRequest(now, r)) < probeTargetShare*float64(r.route.TargetMs) {
 		return false
 	}
-	st.relearn = true
+	// Replies to sub-requests that are sent together come in the order of their latency.
+	st.relearnIn = (len(r.subrequests) + 1) / 2
 	return true
 }
 
--- a/relay/stats.go
+++ b/relay/stats.go
@@ -35,7 +35,7 @@
 	medianMs  float64 // estimated median latency of an attempt, in milliseconds
 	samples   int
 	startedAt clock.Millis // when the last request was admitted
-	relearn   bool         // the next sample replaces the estimate
+	relearnIn int          // the sample of this number from now replaces the estimate; 0 if none does
 }
 
 func (m *Model) statsFor(r *route.Route) *routeStats {
@@ -51,8 +51,10 @@
 // the distance, so that it follows the median and not the mean: a few slow or pausing
 // upstreams must not raise it, or hedges against them would be sent too late.
 func (s *routeStats) add(sample clock.Millis) {
-	if s.relearn {
-		s.relearn, s.samples, s.medianMs = false, 1, max(float64(sample), 0.5)
+	if s.relearnIn > 0 {
+		if s.relearnIn--; s.relearnIn == 0 {
+			s.samples, s.medianMs = 1, max(float64(sample), 0.5)
+		}
 		return
 	}
 	s.samples++
