Count no short deadline as a failure of an upstream

On the product's own interface three attempts in a row that timed out marked an upstream dead for all callers of the VM, also if their callers allowed less time than its work takes.

Change: a timeout counts only if the attempt took as long as the slowest twentieth of the replies, or if there is no reply yet to compare with.

Evidence: upstream.TestPick, "callers that allow too little time", before the change: "0% of picks returned replica 1, want 40 to 60". It passes now, as do the experiments with their bounds (go test ./experiment).

--- a/upstream/latency.go
+++ b/upstream/latency.go
@@ -41,6 +41,13 @@
 	nextDecay     clock.Millis
 }
 
+// isOverdue reports whether an attempt without a reply has taken longer than nearly all
+// replies. One that ended sooner, because its caller allows little time, says nothing about
+// the upstream.
+func (l *latency) isOverdue(elapsed clock.Millis) bool {
+	return l.total == 0 || float64(elapsed) >= max(l.p95, l.mean)
+}
+
 // record adds ms to the histogram and meanMs to the moving average.
 func (l *latency) record(now clock.Millis, ms, meanMs float64) {
 	if now >= l.nextDecay {
--- a/upstream/record.go
+++ b/upstream/record.go
@@ -54,7 +54,11 @@
 		s.pauseAfterShed(now, r.RetryAfter)
 	case attempt.ConnRefused:
 		s.recordFailure(now, failuresUntilDead)
-	case attempt.Failed, attempt.TimedOut, attempt.Mismatched:
+	case attempt.TimedOut:
+		if s.latency.isOverdue(latencyMs) {
+			s.recordFailure(now, 1)
+		}
+	case attempt.Failed, attempt.Mismatched:
 		s.recordFailure(now, 1)
 	}
 	if fromUpstream(r.Status) {
