Share one reservation between replies and bodies

The reader of callers' bodies repeated what the reader of upstreams' replies does: reserve in steps as bytes arrive, and release all at the end. Both now use exchange.Reservation. readBody finds its own limit and begins the reservation, so serveCaller has one way to refuse.

No change of behaviour. go test ./exchange and the tests of bodies and limits in ./platform pass.

--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -70,7 +70,7 @@
 // read reads replies until the connection is closed.
 func (cn *conn) read() {
 	defer cn.recoverRead()
-	in := &replyReader{nc: cn.nc, memory: &cn.client.replyMemory, maxBytes: cn.client.maxReplyBytes + maxHeadBytes}
+	in := &replyReader{nc: cn.nc, memory: NewReservation(&cn.client.replyMemory), maxBytes: cn.client.maxReplyBytes + maxHeadBytes}
 	defer in.endReply()
 	br := bufio.NewReaderSize(in, readBufferBytes)
 	var h fasthttp.ResponseHeader
--- a/exchange/memory.go
+++ b/exchange/memory.go
@@ -48,14 +48,41 @@
 // Release adds n bytes.
 func (m *Memory) Release(n int64) { m.left.Add(n) }
 
+// Reservation is the part of a Memory that one user holds. It is not safe for concurrent
+// use.
+type Reservation struct {
+	memory *Memory
+	held   int64
+}
+
+// NewReservation returns a Reservation that holds nothing.
+func NewReservation(m *Memory) Reservation { return Reservation{memory: m} }
+
+// GrowTo reserves steps of some bytes until at least n are held. It reports whether they
+// were left.
+func (r *Reservation) GrowTo(n, step int64) bool {
+	for r.held < n {
+		if !r.memory.Reserve(step) {
+			return false
+		}
+		r.held += step
+	}
+	return true
+}
+
+// Release releases all that is held.
+func (r *Reservation) Release() {
+	r.memory.Release(r.held)
+	r.held = 0
+}
+
 // replyReader reads a connection. It fails once a reply is larger than its limit, or all
 // replies together need more memory than there is.
 type replyReader struct {
 	nc       net.Conn
-	memory   *Memory
-	maxBytes int   // of one reply with everything that comes with it
-	count    int   // bytes of the current reply
-	reserved int64 // for the current reply
+	memory   Reservation // for the current reply
+	maxBytes int         // of one reply with everything that comes with it
+	count    int         // bytes of the current reply
 }
 
 // Read reads from the connection.
@@ -65,17 +92,14 @@
 	if r.count > r.maxBytes {
 		return n, errTooLarge
 	}
-	for memoryFactor*int64(r.count-freeReplyBytes) > r.reserved {
-		if !r.memory.Reserve(memoryStep) {
-			return n, errNoMemory
-		}
-		r.reserved += memoryStep
+	if !r.memory.GrowTo(memoryFactor*int64(r.count-freeReplyBytes), memoryStep) {
+		return n, errNoMemory
 	}
 	return n, err
 }
 
 // endReply releases the memory of the current reply.
 func (r *replyReader) endReply() {
-	r.memory.Release(r.reserved)
-	r.count, r.reserved = 0, 0
+	r.memory.Release()
+	r.count = 0
 }
--- a/gateway/body.go
+++ b/gateway/body.go
@@ -17,9 +17,8 @@
 // would be refused meanwhile.
 type bodyReader struct {
 	io.Reader
-	memory   *exchange.Memory
-	count    int64
-	reserved int64
+	memory exchange.Reservation
+	count  int64
 }
 
 // begin reserves memory for the first part of a body, so that a small body is not refused
@@ -28,28 +27,16 @@
 	if length < 0 {
 		length = limit
 	}
-	return b.reserve(min(length, limit, bodyStepBytes))
-}
-
-func (b *bodyReader) reserve(n int64) bool {
-	if !b.memory.Reserve(n) {
-		return false
-	}
-	b.reserved += n
-	return true
+	first := min(length, limit, bodyStepBytes)
+	return b.memory.GrowTo(first, first)
 }
 
 // Read reads from the body.
 func (b *bodyReader) Read(p []byte) (int, error) {
 	n, err := b.Reader.Read(p)
 	b.count += int64(n)
-	for b.count > b.reserved {
-		if !b.reserve(bodyStepBytes) {
-			return n, errBodyMemory
-		}
+	if !b.memory.GrowTo(b.count, bodyStepBytes) {
+		return n, errBodyMemory
 	}
 	return n, err
 }
-
-// release releases the memory of the body.
-func (b *bodyReader) release() { b.memory.Release(b.reserved) }
--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -93,13 +93,9 @@
 	if g.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	limit := g.bodyLimit()
-	reader := &bodyReader{Reader: r.Body, memory: &g.bodies}
-	defer reader.release()
-	body, status := []byte(nil), http.StatusServiceUnavailable
-	if reader.begin(r.ContentLength, limit) {
-		body, status = g.readBody(w, r, reader, limit)
-	}
+	reader := &bodyReader{Reader: r.Body, memory: exchange.NewReservation(&g.bodies)}
+	defer reader.memory.Release()
+	body, status := g.readBody(w, r, reader)
 	if status != 0 {
 		w.Header().Set("Connection", "close") // the rest of the request is not read
 		retryAfter := clock.Millis(0)
@@ -146,7 +142,11 @@
 
 // readBody reads the whole body. If the request must be refused, it returns the status
 // of the refusal, else 0.
-func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, reader *bodyReader, limit int64) ([]byte, int) {
+func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, reader *bodyReader) ([]byte, int) {
+	limit := g.bodyLimit()
+	if !reader.begin(r.ContentLength, limit) {
+		return nil, http.StatusServiceUnavailable
+	}
 	if t := g.table.Load(); t != nil {
 		if n := t.Limits().HeaderBytes; n > 0 && headerBytes(r) > n {
 			return nil, http.StatusRequestHeaderFieldsTooLarge
