Bound a configuration and its delegations by the same constants

The largest times and counts stood in platform, for the operators' configuration, and again in peer, for delegations that carry its values. A change of one alone would make VMs drop each other's delegations.

No value changes. go test ./peer ./route and the tests of odd values in ./platform pass.

--- a/peer/delegation.go
+++ b/peer/delegation.go
@@ -7,6 +7,7 @@
 	"lentillink.example/lentillink/clock"
 	"lentillink.example/lentillink/peer/peerpb"
 	"lentillink.example/lentillink/relay"
+	"lentillink.example/lentillink/route"
 )
 
 func encodeDelegation(d relay.Delegation) *peerpb.HandOver {
@@ -18,16 +19,8 @@
 	}
 }
 
-const (
-	// maxDelegatedMs bounds the times of a delegation, as those of a route.
-	maxDelegatedMs = 24 * clock.Hour
-
-	// maxTerm bounds the counts in the terms of a delegation, as those of a route.
-	maxTerm = 1_000_000
-
-	// maxDelegatedShards bounds the shards of a delegation. Services have a few hundred.
-	maxDelegatedShards = 8192
-)
+// maxDelegatedShards bounds the shards of a delegation. Services have a few hundred.
+const maxDelegatedShards = 8192
 
 var errOutOfRange = errors.New("a number is out of range")
 
@@ -35,7 +28,7 @@
 	ratio := d.GetMinShardRatio()
 	if !inRange(d.GetLeftMs()) || !inRange(d.GetAnswerInMs()) || !inRange(d.GetTargetMs()) || !inRange(max(d.GetLateInMs(), -d.GetLateInMs())) ||
 		len(d.GetServices()) > maxDelegatedShards ||
-		max(d.GetPriority(), d.GetMaxAttempts(), d.GetTopK()) > maxTerm || math.IsNaN(ratio) || ratio < 0 || ratio > 1 {
+		max(d.GetPriority(), d.GetMaxAttempts(), d.GetTopK()) > route.MaxCount || math.IsNaN(ratio) || ratio < 0 || ratio > 1 {
 		return relay.Delegation{}, wrap("decode delegation", KindDecode, errOutOfRange)
 	}
 	return relay.Delegation{
@@ -50,7 +43,7 @@
 }
 
 // inRange reports whether a time in milliseconds is one that a VM sends.
-func inRange(ms int64) bool { return ms >= 0 && ms <= int64(maxDelegatedMs) }
+func inRange(ms int64) bool { return ms >= 0 && ms <= int64(route.MaxTimeMs) }
 
 func encodeDelegationResult(r relay.DelegationResult) *peerpb.HandBack {
 	a := r.Answer
--- a/route/config.go
+++ b/route/config.go
@@ -2,6 +2,13 @@
 
 import "lentillink.example/lentillink/clock"
 
+// Largest values of a configuration. They are far above any real one, and low enough that
+// sums and products of them do not overflow.
+const (
+	MaxTimeMs = 24 * clock.Hour
+	MaxCount  = 1_000_000
+)
+
 // Config is one version of the operators' configuration.
 type Config struct {
 	Version  uint64 // increases with each change, not always by one
