--- a/relay/accept.go
+++ b/relay/accept.go
@@ -40,7 +40,7 @@
 	m.selfIsCarrier = true
 	r := m.newDelegatedRequest(now, msg)
 	if r.deadline <= now {
-		m.rejectLate(msg, r)
+		m.refuse(msg, r, "waited_too_long", m.retryAfter(0, 0))
 		return
 	}
 	for _, name := range d.Services {
@@ -49,7 +49,7 @@
 	r.totalSubrequests, r.unresolved = len(r.subrequests), len(r.subrequests)
 	assignments := []assignment{{subrequests: r.subrequests}}
 	if excess, overloaded := m.wouldMissTarget(now, r, assignments); overloaded {
-		m.rejectFull(now, msg, r, excess)
+		m.refuseFull(now, msg, r, excess)
 		return
 	}
 	m.start(now, r, assignments)
--- a/relay/arrive.go
+++ b/relay/arrive.go
@@ -51,11 +51,11 @@
 	}
 	r := m.newRequest(now, rt, msg)
 	if r.deadline <= now {
-		m.rejectLate(msg, r)
+		m.refuse(msg, r, "waited_too_long", m.retryAfter(0, 0))
 		return
 	}
 	if m.outlastsStop(now, r) {
-		m.reject(msg, Answer{Outcome: Refused, Reason: "stopping", Route: rt.Name, Version: r.version, RetryAfterMs: m.retryAfter(0, r.deadline-now)})
+		m.refuse(msg, r, "stopping", m.retryAfter(0, r.deadline-now))
 		return
 	}
 	m.limitToStop(r)
@@ -66,18 +66,15 @@
 		assignments = m.distribute(now, r)
 	}
 	if m.policies.queueFull(rt.Priority) {
-		m.reject(msg, Answer{
-			Outcome: Refused, Reason: "queue_full", Route: rt.Name, Version: r.version, RetryAfterMs: m.retryAfter(rt.TargetMs, r.deadline-now),
-		})
+		m.refuse(msg, r, "queue_full", m.retryAfter(rt.TargetMs, r.deadline-now))
 		return
 	}
 	if r.gathers() && reachable(r.subrequests) < r.requiredReplies() {
-		wait := max(m.retryAfter(noUpstreamRetryMs, r.deadline-now), m.holdRemaining(now, r.subrequests, r.requiredReplies()))
-		m.reject(msg, Answer{Outcome: Refused, Reason: "no_upstream", Route: rt.Name, Version: r.version, RetryAfterMs: wait})
+		m.refuse(msg, r, "no_upstream", m.retryAfterHold(now, r, noUpstreamRetryMs))
 		return
 	}
 	if excess, overloaded := m.wouldMissTarget(now, r, assignments); overloaded {
-		m.rejectFull(now, msg, r, excess)
+		m.refuseFull(now, msg, r, excess)
 		return
 	}
 	m.start(now, r, assignments)
@@ -171,19 +168,25 @@
 	m.emit(AnswerCmd{ID: msg.ID, Answer: a, ExpectedMs: expected})
 }
 
-// rejectLate rejects a request whose time has run out before any of it was sent.
-func (m *Model) rejectLate(msg ArrivalMsg, r *request) {
-	m.reject(msg, Answer{
-		Outcome: Refused, Reason: "waited_too_long", Route: r.route.Name, Version: r.version, RetryAfterMs: m.retryAfter(0, 0),
-	})
+// refuse rejects a request of a known route before any of it was sent.
+func (m *Model) refuse(msg ArrivalMsg, r *request, reason string, retryAfter clock.Millis) {
+	m.reject(msg, refusal(r, reason, retryAfter))
 }
 
-// rejectFull rejects a request of which too much would exceed its time by excess.
-func (m *Model) rejectFull(now clock.Millis, msg ArrivalMsg, r *request, excess clock.Millis) {
-	wait := max(m.retryAfter(excess, r.deadline-now), m.holdRemaining(now, r.subrequests, r.requiredReplies()))
-	m.rejectWithEstimate(msg, Answer{
-		Outcome: Refused, Reason: "full", Route: r.route.Name, Version: r.version, RetryAfterMs: wait,
-	}, m.estimateRequest(now, r))
+// refuseFull refuses a request of which too much would exceed its time by excess.
+func (m *Model) refuseFull(now clock.Millis, msg ArrivalMsg, r *request, excess clock.Millis) {
+	a := refusal(r, "full", m.retryAfterHold(now, r, excess))
+	m.rejectWithEstimate(msg, a, m.estimateRequest(now, r))
+}
+
+func refusal(r *request, reason string, retryAfter clock.Millis) Answer {
+	return Answer{Outcome: Refused, Reason: reason, Route: r.route.Name, Version: r.version, RetryAfterMs: retryAfter}
+}
+
+// retryAfterHold returns the retry delay of a refused request: not before enough of its
+// upstreams take requests again.
+func (m *Model) retryAfterHold(now clock.Millis, r *request, wait clock.Millis) clock.Millis {
+	return max(m.retryAfter(wait, r.deadline-now), m.holdRemaining(now, r.subrequests, r.requiredReplies()))
 }
 
 // retryAfter returns the delay after which a refused caller should retry. It adds
--- a/relay/finish.go
+++ b/relay/finish.go
@@ -94,8 +94,7 @@
 	deadlinePassed := now >= r.deadline
 	switch {
 	case !r.mayHaveRun() && r.openAttempts == 0:
-		a := Answer{Outcome: Refused, Reason: "no_upstream", RetryAfterMs: m.retryAfter(max(noUpstreamRetryMs, r.retryAfterMs), r.deadline-now)}
-		a.RetryAfterMs = max(a.RetryAfterMs, m.holdRemaining(now, r.subrequests, r.requiredReplies()))
+		a := refusal(r, "no_upstream", m.retryAfterHold(now, r, max(noUpstreamRetryMs, r.retryAfterMs)))
 		if deadlinePassed {
 			a.Reason = "waited_too_long"
 		}
--- a/relay/request.go
+++ b/relay/request.go
@@ -132,3 +132,14 @@
 		}
 	}
 }
+
+// isOverdue reports whether the reply is overdue within the time that the upstream was
+// given.
+func (a *attempt) isOverdue(now clock.Millis) bool {
+	return min(now, a.expiresAt)-a.sentAt >= a.overdueAfter
+}
+
+// cutShort reports whether an attempt ended because the time that its caller allows ran
+// out before the reply was overdue. That says nothing about the upstream, which other
+// callers may give more time.
+func (a *attempt) cutShort(now clock.Millis) bool { return now >= a.expiresAt && !a.isOverdue(now) }
--- a/relay/stats.go
+++ b/relay/stats.go
@@ -51,15 +51,15 @@
 // the distance, so that it follows the median and not the mean: a few slow or pausing
 // upstreams must not raise it, or hedges against them would be sent too late.
 func (s *routeStats) add(sample clock.Millis) {
+	x := max(float64(sample), 0.5)
 	if s.relearnIn > 0 {
 		if s.relearnIn--; s.relearnIn == 0 {
-			s.samples, s.medianMs = 1, max(float64(sample), 0.5)
+			s.samples, s.medianMs = 1, x
 		}
 		return
 	}
 	s.samples++
 	step := max(initialStep/math.Sqrt(float64(s.samples)), minStep)
-	x := max(float64(sample), 0.5)
 	switch {
 	case x > s.medianMs*(1+step):
 		s.medianMs *= 1 + step
