Close streams that were opened before Mesh.Run

Seen: a test whose mesh sent its first message just before Run took 125 s to end.

Cause: the streams that a Mesh dials end with the context of Run, which Run stored at its start. A message sent before that opened a stream without an end, and Run waited for it until it was idle for 120 s. A VM starts its event loop and Run at the same time, so its planned stop could wait as long.

Change: the Mesh has its own context, which ends with that of Run.

Evidence: TestMeshSendBeforeRun fails before (Run has not returned within 10s), passes after.

--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -48,18 +48,20 @@
 
 	mu         sync.Mutex
 	links      map[string]*link
-	ctx        context.Context // set by Run; its end closes the dialed streams
+	ctx        context.Context // its end closes the dialed streams; it ends with the context of Run
+	cancel     context.CancelFunc
 	closed     bool            // Run has stopped accepting; no stream is dialed any more
 	goroutines sync.WaitGroup  // one count per stream goroutine
 }
 
-// New returns a Mesh for the VM with the ID self. Call Run before Send.
+// New returns a Mesh for the VM with the ID self. Its streams are closed at the end of Run.
 func New(self string, incarnation uint64, h Handler, opts ...Option) *Mesh {
 	m := &Mesh{
 		self: self, incarnation: incarnation, handler: h, clock: clock.System{},
 		queueLen: defaultQueueLen, idleTimeout: defaultIdleTimeout, dialTimeout: defaultDialTimeout, dial: dialTCP,
-		links: make(map[string]*link), ctx: context.Background(),
+		links: make(map[string]*link),
 	}
+	m.ctx, m.cancel = context.WithCancel(context.Background())
 	for _, opt := range opts {
 		opt(m)
 	}
@@ -68,14 +70,13 @@
 
 // Run accepts streams on lis until ctx is cancelled, then waits until all streams are closed.
 func (m *Mesh) Run(ctx context.Context, lis net.Listener) error {
-	m.mu.Lock()
-	m.ctx = ctx
-	m.mu.Unlock()
+	defer context.AfterFunc(ctx, m.cancel)()
 	mux := drpcmux.New()
 	if err := peerpb.DRPCRegisterPeer(mux, acceptor{m}); err != nil {
 		return wrap("register", KindServe, err)
 	}
 	err := drpcserver.New(mux).Serve(ctx, lis)
+	m.cancel()
 	m.mu.Lock()
 	m.closed = true
 	m.mu.Unlock()
@@ -117,8 +118,7 @@
 			return l
 		}
 		m.links[to] = l
-		ctx := m.ctx
-		m.startGoroutine(func() { m.dialLink(ctx, l, address) })
+		m.startGoroutine(func() { m.dialLink(m.ctx, l, address) })
 	}
 	return l
 }
--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -103,6 +103,31 @@
 	}
 }
 
+// TestMeshSendBeforeRun guards against a stream that was opened before Run and keeps Run
+// from returning until the stream is idle.
+func TestMeshSendBeforeRun(t *testing.T) {
+	b := startVM(t, "vm-b")
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := peer.New("vm-a", 1, newRecorder())
+	a.Send("vm-b", b.addr, clock.Timestamp{}, vm.FleetMessage{Payload: []byte("hi")})
+	await(t, b.recorder.received, "message at b")
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- a.Run(ctx, lis) }()
+	cancel()
+	select {
+	case err := <-ended:
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(waitLimit):
+		t.Errorf("Run has not returned within %s", waitLimit)
+	}
+}
+
 // TestMeshReportsUnsent guards against a message that was never sent but is
 // reported as possibly received, or not reported at all.
 func TestMeshReportsUnsent(t *testing.T) {
