Return results on the stream of a VM that is not a member yet

The first query through a VM that had just become ready lacked 4 of 20 groups after its 3 s, reason "deadline", without a retry.

Cause: a carrier sends a result to the address that its membership has for the requester. It did not know the new VM yet, so there was no address, and the result was dropped although the stream with the attempt was open. The requester's attempt stayed open until the deadline.

Ruled out: a starved machine (16 groups had answered, and the time was 3 s), the stand-ins' connection limit (resets count as refused and are retried).

Change: a message to a VM without an address is sent on the open stream, if there is one.

Evidence: entry.TestResultForUnknownVM fails before ("got no result"), passes after.

--- a/entry/perform.go
+++ b/entry/perform.go
@@ -31,7 +31,7 @@
 	case vm.StoreCmd:
 		go v.callStore(ioCtx, c.Request)
 	case vm.SendPeerCmd:
-		v.sendPeer(c)
+		v.mesh.Send(c.To, c.Address, c.Timestamp, c.Body)
 	case vm.EventCmd:
 		v.logEvent(c.Event)
 		v.metrics.countEvent(c.Event.Kind)
@@ -45,14 +45,6 @@
 	}
 }
 
-func (v *VM) sendPeer(cmd vm.SendPeerCmd) {
-	if cmd.Address == "" {
-		v.msgQueue = append(v.msgQueue, vm.PeerUnsentMsg{To: cmd.To, Body: cmd.Body})
-		return
-	}
-	v.mesh.Send(cmd.To, cmd.Address, cmd.Timestamp, cmd.Body)
-}
-
 // abort sends a cancel request to the upstream. The call that sent the attempt
 // still returns its reply.
 func (v *VM) abort(ioCtx context.Context, cmd vm.AbortCmd) {
--- a/entry/query_test.go
+++ b/entry/query_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"net"
@@ -11,8 +12,11 @@
 	"time"
 
 	"lentillink.example/lentillink/attempt"
+	"lentillink.example/lentillink/clock"
 	"lentillink.example/lentillink/coverage"
 	"lentillink.example/lentillink/entry"
+	"lentillink.example/lentillink/peer"
+	"lentillink.example/lentillink/vm"
 )
 
 // TestQueryCoverage guards against an answer that does not report missing keys
@@ -158,3 +162,51 @@
 		t.Errorf("outcomes %v, want at least 3/4 complete", got)
 	}
 }
+
+// TestResultForUnknownVM guards against results that are dropped because the carrier does
+// not know the VM yet that forwarded the attempt: it has just started.
+func TestResultForUnknownVM(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, 1)
+	status, err := f.Caller(0).Status()
+	if err != nil {
+		t.Fatal(err)
+	}
+	results := make(resultHandler, 1)
+	mesh := peer.New("vm-unknown", 1, results)
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- mesh.Run(ctx, lis) }()
+	up := string(f.Standins.Upstreams()[0])
+	mesh.Send(status.VM, status.Members[0].Address, clock.Timestamp{}, vm.Forward{Request: attempt.Request{
+		ID: attempt.ID{VM: "vm-unknown", Incarnation: 1, Seq: 1}, Upstream: up, Deadline: clock.System{}.Now() + 5000,
+	}})
+	select {
+	case got := <-results:
+		if got.Upstream != up || got.ID.Seq != 1 {
+			t.Errorf("got the result %+v, want one of attempt 1 at %s", got, up)
+		}
+	case <-time.After(waitLimit):
+		t.Error("got no result")
+	}
+	cancel()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
+
+// resultHandler is a peer.Handler that passes on the replies in results.
+type resultHandler chan attempt.Reply
+
+func (h resultHandler) Received(_ string, _ clock.Timestamp, body vm.PeerBody) {
+	if r, ok := body.(vm.Result); ok {
+		h <- r.Reply
+	}
+}
+func (h resultHandler) Malformed(string, error)    {}
+func (h resultHandler) Unsent(string, vm.PeerBody) {}
+func (h resultHandler) Disconnected(string)        {}
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -87,18 +87,24 @@
 	return nil
 }
 
-// Send queues a message for a peer and opens a stream if there is none. If the
-// queue is full, the message is reported as unsent.
+// Send queues a message for a peer and opens a stream if there is none. The message is
+// reported as unsent if the queue is full, or if there is no stream and the address is
+// empty, which means that it is not known.
 func (m *Mesh) Send(to, address string, stamp clock.Timestamp, body vm.PeerBody) {
-	m.mu.Lock()
-	l := m.link(to, address)
-	queued := l.enqueue(queuedMsg{stamp: stamp, body: body})
-	m.mu.Unlock()
-	if !queued {
+	if !m.enqueue(to, address, queuedMsg{stamp: stamp, body: body}) {
 		m.handler.Unsent(to, body)
 	}
 }
 
+func (m *Mesh) enqueue(to, address string, msg queuedMsg) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.links[to] == nil && address == "" {
+		return false
+	}
+	return m.link(to, address).enqueue(msg)
+}
+
 // Connect opens a stream to a peer if there is none, so that the first message
 // is not delayed by connecting.
 func (m *Mesh) Connect(to, address string) {
--- a/vm/member.go
+++ b/vm/member.go
@@ -127,8 +127,8 @@
 	}
 }
 
-// sendPeer sends a message to a member. The runtime reports a message to a VM
-// that is not a member as unsent, because it has no address.
+// sendPeer sends a message to a VM. A VM that has just started sends its first messages
+// before the others know it as a member; the results go back on its stream.
 func (c *Core) sendPeer(now clock.Millis, to string, body PeerBody) {
 	c.emit(SendPeerCmd{To: to, Address: c.fleet.Address(to), Timestamp: c.ring.NextTimestamp(now), Body: body})
 }
--- a/vm/peer.go
+++ b/vm/peer.go
@@ -65,7 +65,8 @@
 // sent before may or may not have arrived.
 type PeerDisconnectedMsg struct{ VM string }
 
-// SendPeerCmd sends a message to another VM.
+// SendPeerCmd sends a message to another VM. Address is empty if the VM is not a member.
+// An open stream from it still takes the message.
 type SendPeerCmd struct {
 	To        string
 	Address   string
