Handle queued replies before the timers that are due

Cause: Update of the gateway's and the query's state machine ran the timers after each message. An event loop that was late handled the first of several queued replies, then the request's deadline, and answered without the replies behind it; in the gateway it also sent hedges for parts whose replies were in the queue.

Change: only a TickMsg runs timers. The loops empty their queue, at most a batch, then tick.

TestHedge sends the TickMsg that the event loop now sends; what it requires is the same.

--- a/entry/loop.go
+++ b/entry/loop.go
@@ -32,10 +32,12 @@
 		case item := <-v.inbox:
 			v.acceptItem(ioCtx, item)
 			v.acceptQueued(ioCtx)
+			v.tickIfDue(ioCtx)
 		case read := <-v.reads:
 			read.read(v.core, v.clock.Now())
 			close(read.done)
 		case <-timer.C:
+			v.acceptQueued(ioCtx)
 			v.process(ioCtx, vm.TickMsg{})
 		case <-stop:
 			stop = nil
@@ -72,6 +74,14 @@
 	timer.Reset(max(wait, 0).Duration())
 }
 
+// tickIfDue passes a TickMsg to the core if one of its timers is due.
+func (v *VM) tickIfDue(ioCtx context.Context) {
+	if at, ok := v.core.NextWake(); ok && at <= v.clock.Now() {
+		v.process(ioCtx, vm.TickMsg{})
+	}
+}
+
+// acceptQueued handles the messages in the queue, at most maxBatch.
 func (v *VM) acceptQueued(ioCtx context.Context) {
 	for range maxBatch {
 		select {
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -35,8 +35,10 @@
 			g.checkPause(ioCtx, pauses)
 			g.handle(ioCtx, msg)
 			g.handleQueued(ioCtx)
+			g.tick(ioCtx)
 		case <-timer.C:
 			g.checkPause(ioCtx, pauses)
+			g.handleQueued(ioCtx)
 			g.tick(ioCtx)
 		case <-ioCtx.Done():
 			return nil
@@ -58,6 +60,7 @@
 	g.stepRegistrar(ioCtx, roster.ResumedMsg{})
 }
 
+// handleQueued handles the messages in the queue, at most maxBatch.
 func (g *Gateway) handleQueued(ioCtx context.Context) {
 	for range maxBatch {
 		select {
@@ -107,6 +110,7 @@
 	}}
 }
 
+// tick passes a TickMsg to the state machines that have a timer due.
 func (g *Gateway) tick(ioCtx context.Context) {
 	defer g.recoveredState("tick")
 	now := g.clock.Now()
--- a/query/tail_test.go
+++ b/query/tail_test.go
@@ -230,3 +230,18 @@
 	}
 	return reply
 }
+
+// TestQueuedReplies guards against an answer without replies that were queued behind
+// others while the event loop was late: they are handled before the deadline's timer.
+func TestQueuedReplies(t *testing.T) {
+	h := newHarness(3, 1)
+	h.start(0, 0)
+	h.now = 230 // the deadline is at 200
+	for i := range h.sent {
+		h.update(query.ReplyMsg{Reply: h.okReply(i)})
+	}
+	h.update(query.TickMsg{})
+	if len(h.answers) != 1 || h.answers[0].Outcome != query.Complete {
+		t.Errorf("got %+v, want a complete answer", h.answers)
+	}
+}
--- a/relay/delegation.go
+++ b/relay/delegation.go
@@ -214,14 +214,14 @@
 			r.unresolved -= len(d.subrequests) - len(a.Receipts)
 			m.endDelegation(d)
 		}
-		m.advance(now, r)
+		m.settle(now, r)
 	case Refused, Failed, TimedOut:
 		r.unresolved -= len(d.subrequests) - len(d.result.Receipts)
 		r.retryAfterMs = max(r.retryAfterMs, a.RetryAfterMs)
 		r.carrierMayHaveRun = r.carrierMayHaveRun || a.Outcome != Refused
 		d.notStarted = a.Outcome == Refused && !d.started
 		m.endDelegation(d)
-		m.advance(now, r)
+		m.settle(now, r)
 	default:
 		// The carrier ran nothing: it is stopping, or does not know a shard yet.
 		m.event("carrier_not_ready", r, nil, d.carrier.info.ID+" "+a.Reason, now-d.sentAt)
@@ -326,7 +326,7 @@
 	if r.answered || len(d.result.Receipts) > 0 {
 		// The replies in the result are kept. Shards without a receipt are missing.
 		r.unresolved -= len(d.subrequests) - len(d.result.Receipts)
-		m.advance(now, r)
+		m.settle(now, r)
 		return
 	}
 	for _, sub := range d.subrequests {
@@ -341,7 +341,7 @@
 		sub.service.budget.countRequest(now)
 		m.dispatch(now, sub)
 	}
-	m.advance(now, r)
+	m.settle(now, r)
 }
 
 // handleNotSent reclaims a delegation whose message never left this VM.
--- a/relay/finish.go
+++ b/relay/finish.go
@@ -11,37 +11,51 @@
 // restart takes seconds.
 const noUpstreamRetryMs clock.Millis = 300
 
-// advance answers a request when all sub-requests are resolved or its time is up.
-// Otherwise it sends hedges, checks the carriers and sets the next timers.
-func (m *Model) advance(now clock.Millis, r *request) {
-	if m.requests[r.id] != r {
-		return
-	}
-	if r.answered {
-		m.release(now, r)
-		return
+// settle answers a request that has nothing left to wait for. Any other request is left to
+// the next TickMsg, which comes after the messages that are already queued.
+func (m *Model) settle(now clock.Millis, r *request) {
+	if m.requests[r.id] == r && !m.finishSettled(now, r) {
+		m.wake(r, now)
 	}
+}
+
+// finishSettled answers a request that has nothing left to wait for, and releases one that
+// is answered. It reports whether the request was one of these.
+func (m *Model) finishSettled(now clock.Millis, r *request) bool {
 	switch {
+	case r.answered:
+		m.release(now, r)
 	case r.unresolved == 0:
 		m.finish(now, r)
 	case r.succeeded+r.unresolved < r.requiredReplies():
 		m.finish(now, r) // too many replies are missing
-	case r.delegated && now >= r.targetAt && !r.partialSent:
-		m.sendPartialResult(now, r)
-		m.advance(now, r)
-	case !r.delegated && r.gathers() && now >= r.targetAt && r.succeeded >= r.requiredReplies():
-		m.finish(now, r) // enough replies; waiting for more would miss the target
-	case now >= r.deadline:
-		m.finish(now, r)
 	default:
-		m.dispatchHeld(now, r)
-		m.hedge(now, r)
-		m.checkCarriers(now, r)
-		if r.gathers() && now < r.targetAt {
-			m.wake(r, r.targetAt)
-		}
-		m.wake(r, r.deadline)
+		return false
+	}
+	return true
+}
+
+// advance answers a request that has nothing left to wait for or whose time is up.
+// Otherwise it sends hedges, checks the carriers and sets the next timers.
+func (m *Model) advance(now clock.Millis, r *request) {
+	if m.finishSettled(now, r) {
+		return
+	}
+	if r.delegated && now >= r.targetAt && !r.partialSent {
+		m.sendPartialResult(now, r)
+	}
+	enough := !r.delegated && r.gathers() && r.succeeded >= r.requiredReplies()
+	if now >= r.deadline || now >= r.targetAt && enough {
+		m.finish(now, r) // waiting for more replies would miss the target
+		return
+	}
+	m.dispatchHeld(now, r)
+	m.hedge(now, r)
+	m.checkCarriers(now, r)
+	if r.gathers() && now < r.targetAt {
+		m.wake(r, r.targetAt)
 	}
+	m.wake(r, r.deadline)
 }
 
 // sendPartialResult sends the replies gathered up to the target time. The VM that
--- a/relay/model.go
+++ b/relay/model.go
@@ -51,7 +51,9 @@
 }
 
 // Update applies msg at now and returns the resulting commands. The slice is valid
-// until the next call.
+// until the next call. Only a TickMsg runs the timers that are due: a late event loop
+// handles the messages that wait in its queue first, so that no answer leaves out a reply
+// that has already arrived.
 func (m *Model) Update(now clock.Millis, msg Msg) []Cmd {
 	clear(m.cmds)
 	m.cmds = m.cmds[:0]
@@ -87,8 +89,8 @@
 	case StopMsg:
 		m.stop(t)
 	case TickMsg:
+		m.runTimers(now)
 	}
-	m.runTimers(now)
 	return m.cmds
 }
 
--- a/relay/model_test.go
+++ b/relay/model_test.go
@@ -222,6 +222,7 @@
 	wantCommands(t, first, "send s1a", "send s2a")
 	m.Update(2010, relay.ReplyMsg{Attempt: first[0].(relay.SendCmd).Attempt, Reply: relay.Reply{Status: 200, Receipt: "1"}})
 	m.Update(2000, relay.BudgetMsg{Ratio: 0.2, Extra: 58, WindowMs: 10 * clock.Second})
+	m.Update(2010, relay.TickMsg{})
 	at, ok := m.NextWake()
 	if !ok || at > 2025 {
 		t.Fatalf("got a wake at %d, want one well before the target at 2040", at)
@@ -355,3 +356,40 @@
 		wantCommands(t, newShardedModel(t, "va", "a").Update(2000, msg), "send s1a", "send s2a")
 	}
 }
+
+// TestQueuedReplies guards against an answer without replies that were queued behind
+// others while the event loop was late: they are handled before the request's timer.
+func TestQueuedReplies(t *testing.T) {
+	m := newGatherModel(t)
+	var sends []relay.SendCmd
+	for _, c := range m.Update(2000, arrival(1)) {
+		if s, ok := c.(relay.SendCmd); ok {
+			sends = append(sends, s)
+		}
+	}
+	var answer relay.Answer
+	for i, s := range sends {
+		reply := relay.Reply{Status: 200, Receipt: s.Upstream}
+		cmds := m.Update(2060, relay.ReplyMsg{Attempt: s.Attempt, Reply: reply}) // the target is at 2050
+		if got := commandNames(cmds); i < 3 && len(got) > 0 {
+			t.Errorf("got %v after %d of 4 replies, want nothing before a tick", got, i+1)
+		}
+		if i == 3 {
+			answer = firstAnswer(t, cmds)
+		}
+	}
+	if answer.Outcome != relay.Gathered || answer.Missing != 0 {
+		t.Errorf("got %s with %d of %d shards missing, want gathered with none", answer.Outcome, answer.Missing, len(sends))
+	}
+}
+
+func firstAnswer(t *testing.T, cmds []relay.Cmd) relay.Answer {
+	t.Helper()
+	for _, c := range cmds {
+		if a, ok := c.(relay.AnswerCmd); ok {
+			return a.Answer
+		}
+	}
+	t.Fatalf("got %v, want an answer", commandNames(cmds))
+	return relay.Answer{}
+}
--- a/relay/reply.go
+++ b/relay/reply.go
@@ -28,7 +28,7 @@
 	}
 	m.resolve(now, sub, reply)
 	m.dispatchQueued(now, u.service)
-	m.advance(now, sub.req)
+	m.settle(now, sub.req)
 }
 
 // handleNotRun handles an attempt that the upstream reports not to have run.
@@ -83,7 +83,7 @@
 	m.event("attempt_failed", sub.req, u, msg.Cause, now-a.sentAt)
 	m.retry(now, sub)
 	m.dispatchQueued(now, u.service)
-	m.advance(now, sub.req)
+	m.settle(now, sub.req)
 }
 
 // retry sends a sub-request again if it may be repeated, the budget allows it and an
--- a/relay/send.go
+++ b/relay/send.go
@@ -73,7 +73,7 @@
 		m.send(now, sub, u)
 	}
 	for _, r := range givenUp {
-		m.advance(now, r) // the request may have nothing left to wait for
+		m.settle(now, r) // the request may have nothing left to wait for
 	}
 }
 
