--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -50,8 +50,8 @@
 	links      map[string]*link
 	ctx        context.Context // its end closes the dialed streams; it ends with the context of Run
 	cancel     context.CancelFunc
-	closed     bool            // Run has stopped accepting; no stream is dialed any more
-	goroutines sync.WaitGroup  // one count per stream goroutine
+	closed     bool           // Run has stopped accepting; no stream is dialed any more
+	goroutines sync.WaitGroup // one count per stream goroutine
 }
 
 // New returns a Mesh for the VM with the ID self. Its streams are closed at the end of Run.
