Gather again before the target what a silent carrier has

Cause: after its acknowledgement a carrier was waited for until 25 ms after the target. A carrier paused in between sent nothing, and where the target is as late as the deadline the query ended first.

Change: a carrier without a result at half of the time to the target is probed; if nothing comes until three quarters, at least 100 ms later, its shards are gathered where the query arrived, as repeats within the budget. Targets below 400 ms keep the old rule. The soak can pause each VM in turn instead of injecting random faults, and then requires that other VMs serve everything.

--- a/cmd/lentillink/soak.go
+++ b/cmd/lentillink/soak.go
@@ -14,16 +14,22 @@
 )
 
 type soakCommand struct {
-	Seed    uint64 `long:"seed" default:"1" description:"first seed"`
-	Seeds   int    `long:"seeds" default:"1" description:"number of seeds, run one after the other"`
-	Seconds int    `long:"seconds" default:"10" description:"how long faults are injected for each seed"`
-	VMs     int    `long:"vms" default:"3" description:"number of VMs, each a process"`
+	Seed    uint64          `long:"seed" default:"1" description:"first seed"`
+	Seeds   int             `long:"seeds" default:"1" description:"number of seeds, run one after the other"`
+	Seconds int             `long:"seconds" default:"10" description:"how long faults are injected for each seed"`
+	VMs     int             `long:"vms" default:"3" description:"number of VMs, each a process"`
+	Pauses  []time.Duration `long:"pause" value-name:"TIME" description:"pause each VM in turn for this time, such as 3s, in place of random faults; may be repeated"`
+
 	Program string `long:"program" value-name:"FILE" description:"path of lentillinkd (default: in the directory of this program)"`
 	Logs    string `long:"logs" value-name:"DIR" description:"where logs of seeds that fail are kept (default: a new temporary directory)"`
 }
 
-// maxSoakVMs bounds the processes of one run.
-const maxSoakVMs = 300
+const (
+	// maxSoakVMs bounds the processes of one run.
+	maxSoakVMs = 300
+
+	maxSoakPause = time.Minute
+)
 
 // Execute runs the seeds and keeps the logs of those that fail.
 func (c *soakCommand) Execute([]string) error {
@@ -36,6 +42,11 @@
 	if err != nil {
 		return err
 	}
+	for _, d := range c.Pauses {
+		if d <= 0 || d > maxSoakPause {
+			return fmt.Errorf("--pause is %s, want more than 0s and at most %s", d, maxSoakPause)
+		}
+	}
 	failed := 0
 	for seed := c.Seed; seed < c.Seed+uint64(c.Seeds) && ctx.Err() == nil; seed++ {
 		logs := filepath.Join(dir, fmt.Sprint(seed))
@@ -44,6 +55,7 @@
 		}
 		err := soak.Run(ctx, soak.Options{
 			Seed: seed, Duration: time.Duration(c.Seconds) * time.Second, VMs: c.VMs, Program: program, Dir: logs, Out: os.Stdout,
+			Pauses: c.Pauses,
 		})
 		if err == nil {
 			if err := os.RemoveAll(logs); err != nil {
--- a/relay/carrier.go
+++ b/relay/carrier.go
@@ -43,9 +43,16 @@
 	probeAt       clock.Millis // earliest time of the next probe while suspect
 	resultLagMs   float64      // moving average of how late its partial results arrive, in milliseconds; 0 if not measured
 	lastMessageAt clock.Millis
+	probedAt      clock.Millis        // when it was last probed
+	probeOpen     bool                // it has sent no message since
 	estimates     map[string]estimate // by route
 }
 
+// recordMessage records a sign of life.
+func (c *peerVM) recordMessage(now clock.Millis) {
+	c.lastMessageAt, c.probeOpen = now, false
+}
+
 func (c *peerVM) recordFailure(now clock.Millis) {
 	if now < c.avoidUntil {
 		return // failures of requests that were open at the same time count once
--- a/relay/carrier_test.go
+++ b/relay/carrier_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"regexp"
+	"strings"
 	"testing"
 
 	"lentillink.example/lentillink/clock"
@@ -258,6 +260,59 @@
 	})
 }
 
+// TestSilentCarrier guards against a request that fails because its carrier is paused just
+// after it has acknowledged, and whose target is as late as its deadline.
+func TestSilentCarrier(t *testing.T) {
+	const target = 1000
+	m := newShardedModel(t, "vc", "c")
+	m.Update(1000, productionBudget)
+	m.Update(1000, relay.TableMsg{Table: route.NewTable(route.Config{Version: 8, Routes: []route.Route{{
+		Name: "q", Host: "h", Prefix: "/", Gather: []string{"s1", "s2"}, Idempotent: true,
+		TimeoutMs: target, TargetMs: target, MaxAttempts: 2, TopK: 5, MinShardRatio: 0.5,
+	}}})})
+	for id, tt := range []struct {
+		name         string
+		answersProbe bool
+		want         string
+	}{
+		{"alive", true, "[]"},
+		{"paused", false, "[withdraw CARRIER send s1 send s2]"},
+	} {
+		now := clock.Millis(2000 + 3000*id)
+		var carrier string
+		var got []string
+		var pending []relay.Cmd
+		step := func(msg relay.Msg) { pending = append(pending, m.Update(now, msg)...) }
+		step(arrivalWithin(uint64(id+1), target))
+		probed := false
+		for end := now + target*4/5; now < end; now++ {
+			cmds := pending
+			pending = nil
+			for _, c := range cmds {
+				d, ok := c.(relay.DelegateCmd)
+				switch {
+				case ok && len(d.Delegation.Services) > 0:
+					carrier = d.To
+					step(relay.DelegationAckMsg{From: d.To, ID: d.Delegation.ID})
+				case ok:
+					probed = true
+					if tt.answersProbe {
+						step(relay.DelegationAckMsg{From: d.To, ID: d.Delegation.ID})
+					}
+				default:
+					got = append(got, commandNames([]relay.Cmd{c})...)
+				}
+			}
+			step(relay.TickMsg{})
+		}
+		want := strings.NewReplacer("CARRIER", carrier).Replace(tt.want)
+		if names := regexp.MustCompile(`(s\d)[ab]`).ReplaceAllString(fmt.Sprint(got), "$1"); names != want || !probed {
+			t.Errorf("%s: got %s, probed %v, want %s after a probe", tt.name, names, probed, want)
+		}
+		m.Update(now, relay.CallerDisconnectedMsg{ID: uint64(id + 1)})
+	}
+}
+
 // newMixedFleetModel returns the model of a VM in a data centre with two strong and
 // twenty weak VMs. Its route has 90 shards.
 func newMixedFleetModel(self string) *relay.Model {
--- a/relay/delegation.go
+++ b/relay/delegation.go
@@ -77,6 +77,14 @@
 	// has passed.
 	resultTimeoutMs clock.Millis = 25
 
+	// A carrier that has acknowledged, and has sent no result when silentProbeShare of the
+	// time to the target has passed, is probed. It is lost at silentShare if it has sent no
+	// message since the probe. If less than minSilentMs is between the two, there is no
+	// probe: a busy carrier could not be told from a lost one.
+	silentProbeShare              = 0.5
+	silentShare                   = 0.75
+	minSilentMs      clock.Millis = 100
+
 	// initialLagMs is the result lag that is assumed before any has been measured: the trip
 	// back between data centres, and the work of both VMs. maxLeadMs limits what is
 	// subtracted from the time to the target for a lag.
@@ -112,6 +120,9 @@
 	ended          bool         // no further message is expected
 	ackDeadline    clock.Millis // when the carrier must have acknowledged
 	ackedAt        clock.Millis // when its acknowledgement arrived
+	probeAt        clock.Millis // when to probe the carrier
+	probed         bool         // probeAt has passed
+	silentAt       clock.Millis // earliest time at which a silent carrier is lost, 0 for the target
 }
 
 // leadMs returns how long before the target a carrier should send its result. In a large
@@ -174,7 +185,11 @@
 func (m *Model) delegate(now clock.Millis, r *request, c *peerVM, subrequests []*subrequest) {
 	m.nextID++
 	d := &delegation{id: m.nextID, req: r, carrier: c, subrequests: subrequests, sentAt: now}
-	d.ackDeadline = now + max(ackTimeoutMs, clock.Millis(ackTimeoutShare*float64(r.targetAt-now)))
+	toTarget := float64(r.targetAt - now)
+	d.ackDeadline = now + max(ackTimeoutMs, clock.Millis(ackTimeoutShare*toTarget))
+	if probeAt, silentAt := now+clock.Millis(silentProbeShare*toTarget), now+clock.Millis(silentShare*toTarget); silentAt-probeAt >= minSilentMs {
+		d.probeAt, d.silentAt = probeAt, silentAt
+	}
 	r.delegations = append(r.delegations, d)
 	m.delegations[d.id] = d
 	c.delegations[d.id] = d
@@ -200,7 +215,7 @@
 		m.recordLag(d.carrier, now-dueAt)
 	}
 	d.acked, d.resultReceived = true, true
-	d.carrier.lastMessageAt = now
+	d.carrier.recordMessage(now)
 	d.carrier.setEstimate(now, d.req.route.Name, msg.Result.ExpectedMs)
 	a, r := msg.Result.Answer, d.req
 	switch a.Outcome {
@@ -242,10 +257,11 @@
 func (m *Model) handleAck(now clock.Millis, msg DelegationAckMsg) {
 	if c := m.peers[msg.From]; c != nil {
 		c.suspect = false // also after a late acknowledgement, or that of a probe
+		c.recordMessage(now)
 	}
 	if d := m.openDelegation(msg.From, msg.ID); d != nil {
 		d.acked, d.ackedAt = true, now
-		d.carrier.lastMessageAt = now
+		d.carrier.recordMessage(now)
 	}
 }
 
@@ -279,11 +295,41 @@
 			continue
 		}
 		c.probeAt = now + probeMs
-		m.nextID++
-		m.emit(DelegateCmd{Request: r.id, To: id, Address: c.info.Address, Delegation: Delegation{
-			ID: m.nextID, Version: r.version, Name: r.name, RemainingMs: probeMs,
-		}})
+		m.probe(now, r, c)
+	}
+}
+
+// probe asks a carrier for an acknowledgement, on behalf of a request.
+func (m *Model) probe(now clock.Millis, r *request, c *peerVM) {
+	c.probedAt, c.probeOpen = now, true
+	m.nextID++
+	m.emit(DelegateCmd{Request: r.id, To: c.info.ID, Address: c.info.Address, Delegation: Delegation{
+		ID: m.nextID, Version: r.version, Name: r.name, RemainingMs: probeMs,
+	}})
+}
+
+// checkSilent reports whether the carrier of an acknowledged delegation has been silent for
+// so long that it is lost. It probes the carrier once before, and sets the next timer.
+func (m *Model) checkSilent(now clock.Millis, d *delegation) bool {
+	if d.silentAt == 0 {
+		return false
+	}
+	if now < d.probeAt {
+		m.wake(d.req, d.probeAt)
+		return false
+	}
+	if !d.probed && !d.carrier.probeOpen {
+		m.probe(now, d.req, d.carrier)
+	}
+	d.probed = true
+	if !d.carrier.probeOpen {
+		return false
+	}
+	lostAt := max(d.silentAt, d.carrier.probedAt+minSilentMs)
+	if now < lostAt {
+		m.wake(d.req, lostAt)
 	}
+	return now >= lostAt
 }
 
 // checkCarriers reclaims the delegations of carriers that have timed out.
@@ -300,7 +346,7 @@
 			m.carrierLost(now, d, "not_taken")
 		case !d.acked:
 			m.wake(r, d.ackDeadline)
-		case now >= timeoutAt:
+		case now >= timeoutAt || m.checkSilent(now, d):
 			m.carrierLost(now, d, "silent")
 		default:
 			m.wake(r, timeoutAt)
