Reject repeated fields and control characters, and name units in errors

An error about a field of the wrong type named a Go type ("must be a clock.Millis"), of a field that was given twice the last value counted without a word, an ID could hold control characters, which then stood in logs, and the help of experiment named no experiment.

--- a/cmd/lentillink/command_test.go
+++ b/cmd/lentillink/command_test.go
@@ -146,6 +146,7 @@
 		{"bench --plot x.gif", 2, []string{"--plot"}, false},
 		{"--help", 0, []string{"timeline", "GO_FLAGS_COMPLETION"}, false},
 		{"timeline --help", 0, []string{"--request"}, false},
+		{"experiment --help", 0, []string{"straggler", "matrix", "list"}, false},
 	} {
 		c.run(t, "")
 	}
--- a/cmd/lentillink/commands.go
+++ b/cmd/lentillink/commands.go
@@ -1,6 +1,10 @@
 package main
 
-import "github.com/jessevdk/go-flags"
+import (
+	"strings"
+
+	"github.com/jessevdk/go-flags"
+)
 
 const completionHelp = `Shell completion: with GO_FLAGS_COMPLETION=1 in its environment the program prints the completions of its last argument. For bash:
   _lentillink() { local IFS=$'\n'; COMPREPLY=($(GO_FLAGS_COMPLETION=1 "${COMP_WORDS[0]}" "${COMP_WORDS[@]:1:$COMP_CWORD}")); }
@@ -26,7 +30,10 @@
 	addCommand(p, "bench", "Measure one entry VM",
 		"Runs one entry VM and the stand-in upstreams of many shards in this process, and compares queries with hedging off and on.",
 		&benchCommand{})
-	addCommand(p, "experiment", "Run a seeded experiment", "Prints each figure beside its baseline and its bound; a bound is stated in docs/design.md. The name list prints all names. Exits with 1 if a bound is missed.", &experimentCommand{})
+	addCommand(p, "experiment", "Run a seeded experiment",
+		"Prints each figure beside its baseline and its bound; a bound is stated in docs/design.md. Exits with 1 if a bound is missed. The names are "+
+			strings.Join(experimentNames(), ", ")+", and list, which describes them.",
+		&experimentCommand{})
 	addConfig(p)
 	addPreset(p)
 	return p
--- a/entry/query_test.go
+++ b/entry/query_test.go
@@ -59,6 +59,10 @@
 		{"missing rank", "query", `{"id":"a","service":"search","query":{}}`, "rank"},
 		{"missing id", "query", `{"rank":"urgent","service":"search","query":{}}`, "id"},
 		{"long id", "query", `{"id":"` + strings.Repeat("a", 129) + `","rank":"urgent","service":"search","query":{}}`, "id"},
+		{"id with a line break", "query", `{"id":"a\nb","rank":"urgent","service":"search","query":{}}`, "id"},
+		{"field twice", "query", `{` + id + `"service":"search","query":{},"rank":"patient"}`, "rank"},
+		{"field twice in other case", "query", `{` + id + `"service":"search","query":{"a":1,"a":2},"Rank":"patient"}`, "Rank"},
+		{"order: field twice", "order", `{` + id + `"service":"orders","group":"desk-01","body":{},"group":"desk-02"}`, "group"},
 		{"missing service", "query", `{` + id + `"query":{}}`, "service"},
 		{"unknown service", "query", `{` + id + `"service":"nowhere","query":{}}`, "service"},
 		{"missing query", "query", `{` + id + `"service":"search"}`, "query"},
@@ -89,6 +93,9 @@
 		if err := json.Unmarshal(data, &doc); err != nil {
 			t.Errorf("%s: decode answer %q: %v", tt.name, data, err)
 		}
+		if strings.Contains(doc.Error, "clock.") || strings.Contains(doc.Error, "json.") || strings.Contains(doc.Error, "int64") {
+			t.Errorf("%s: error %q names a Go type", tt.name, doc.Error)
+		}
 		if status != http.StatusBadRequest || doc.Field != tt.field || doc.Execution != attempt.NotExecuted || doc.Error == "" {
 			t.Errorf("%s: got status %d, %+v, want 400 naming %s", tt.name, status, doc, tt.field)
 		}
--- a/entry/request.go
+++ b/entry/request.go
@@ -4,8 +4,11 @@
 	"bytes"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
+	"reflect"
 	"strings"
+	"unicode"
 
 	"lentillink.example/lentillink/clock"
 	"lentillink.example/lentillink/order"
@@ -93,6 +96,9 @@
 	if id == "" || len(id) > maxIDBytes {
 		return 0, invalid("id", "has %d bytes, must have 1 to %d", len(id), maxIDBytes)
 	}
+	if strings.ContainsFunc(id, unicode.IsControl) {
+		return 0, invalid("id", "%q has a control character", id)
+	}
 	r, err := rank.Parse(rankName)
 	if err != nil {
 		return 0, invalid("rank", "%q is not one of urgent, ordinary, patient", rankName)
@@ -112,9 +118,63 @@
 	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
 		return invalid("body", "has data after the JSON document")
 	}
+	if name, ok := repeatedField(body); ok {
+		return invalid(name, "is repeated")
+	}
 	return nil
 }
 
+// repeatedField returns the name of a field that a valid JSON object has twice, if there is
+// one. As encoding/json matches names, case makes no difference.
+func repeatedField(body []byte) (string, bool) {
+	dec := json.NewDecoder(bytes.NewReader(body))
+	if _, err := dec.Token(); err != nil {
+		return "", false
+	}
+	seen := make(map[string]bool)
+	for dec.More() {
+		tok, err := dec.Token()
+		if err != nil {
+			return "", false
+		}
+		name, _ := tok.(string)
+		folded := strings.ToLower(name)
+		if seen[folded] {
+			return name, true
+		}
+		seen[folded] = true
+		var value json.RawMessage
+		if err := dec.Decode(&value); err != nil {
+			return "", false
+		}
+	}
+	return "", false
+}
+
+// accepted describes the values that a field of a type accepts.
+func accepted(field string, t reflect.Type) string {
+	switch {
+	case field == "deadline_ms":
+		return fmt.Sprintf("a whole number of milliseconds from 1 to %d", maxDeadlineMs)
+	case t == reflect.TypeFor[clock.Millis]():
+		return "a whole number of milliseconds"
+	case t.Kind() == reflect.String:
+		return "a text"
+	case field == "min_coverage":
+		return "a number from 0 to 1"
+	case t.Kind() == reflect.Float64:
+		return "a number"
+	case t.Kind() == reflect.Bool:
+		return "true or false"
+	case t.Kind() == reflect.Struct, t.Kind() == reflect.Map:
+		return "an object"
+	case t.Kind() == reflect.Slice, t.Kind() == reflect.Array:
+		return "a list"
+	default:
+		return "a whole number"
+	}
+}
+
 // decodeError converts an error of encoding/json into one that names the field.
 func decodeError(err error) error {
 	var wrongType *json.UnmarshalTypeError
@@ -122,7 +182,7 @@
 		if wrongType.Field == "" { // the type of the document itself is wrong
 			return invalid("body", "is a JSON %s, must be an object", wrongType.Value)
 		}
-		return invalid(wrongType.Field, "is a %s, must be a %s", wrongType.Value, wrongType.Type)
+		return invalid(wrongType.Field, "is a %s, must be %s", wrongType.Value, accepted(wrongType.Field, wrongType.Type))
 	}
 	if name, ok := strings.CutPrefix(err.Error(), "json: unknown field "); ok {
 		if name == `""` {
