Send a hedge as soon as the other upstream has a free place

Cause: a hedge was tried at the moment when its part became overdue. If the other upstream had no free place then, nothing tried again until another reply of the same query happened to come.

Change: such a hedge waits with its service and is sent when an attempt there ends, after first attempts that wait, the most urgent first.

Evidence: relay.TestHedgeWaitsForPlace fails before ("got [answer relayed], want [send u1 answer relayed]").

--- a/relay/model_test.go
+++ b/relay/model_test.go
@@ -230,6 +230,29 @@
 	wantCommands(t, m.Update(at, relay.TickMsg{}), "send s2b")
 }
 
+// TestHedgeWaitsForPlace guards against an overdue request that is not sent again because
+// the other upstream had no free place at the moment when it became overdue.
+func TestHedgeWaitsForPlace(t *testing.T) {
+	capacity := 0
+	for m := newSingleServiceModel(t, true, 2); len(commandNames(m.Update(2000, arrivalWithin(uint64(capacity+1), 4000)))) > 0; {
+		capacity++
+	}
+	m := newSingleServiceModel(t, true, 2)
+	m.Update(1000, relay.BudgetMsg{Ratio: 0.2, Extra: 58, WindowMs: 10 * clock.Second})
+	attempts := make(map[string][]uint64) // by upstream, oldest first
+	for id := range capacity {
+		s := firstSend(t, m.Update(2000, arrivalWithin(uint64(id+1), 4000)))
+		attempts[s.Upstream] = append(attempts[s.Upstream], s.Attempt)
+	}
+	const overdueAt = 3000
+	for at, ok := m.NextWake(); ok && at < overdueAt; at, ok = m.NextWake() {
+		wantCommands(t, m.Update(at, relay.TickMsg{})) // no place is free
+	}
+	reply := relay.Reply{Status: 200, Receipt: "x"}
+	cmds := m.Update(overdueAt, relay.ReplyMsg{Attempt: attempts["u1"][0], Reply: reply})
+	wantCommands(t, cmds, "send u1", "answer relayed")
+}
+
 // TestMedianIgnoresSlowUpstreams guards against slow upstreams that raise the median
 // estimate, so that hedges against them are sent too late.
 func TestMedianIgnoresSlowUpstreams(t *testing.T) {
--- a/relay/request.go
+++ b/relay/request.go
@@ -51,6 +51,7 @@
 	heldUntil    clock.Millis // while queued: when an upstream that asked for no requests takes them again; 0 if none
 	deliveries   int          // attempts that reached or may have reached an upstream
 	hedged       bool
+	hedgeWaits   bool // is in waitingHedges of its service
 }
 
 // attempt is one transmission of a sub-request to one upstream.
--- a/relay/send.go
+++ b/relay/send.go
@@ -1,6 +1,10 @@
 package relay
 
-import "lentillink.example/lentillink/clock"
+import (
+	"slices"
+
+	"lentillink.example/lentillink/clock"
+)
 
 // hedgeTargetDivisor divides the time to the target; the result is the minimum delay
 // of a hedge, even if the reply is overdue sooner. This avoids a second attempt while
@@ -72,6 +76,7 @@
 		}
 		m.send(now, sub, u)
 	}
+	m.dispatchHedges(now, s)
 	for _, r := range givenUp {
 		m.settle(now, r) // the request may have nothing left to wait for
 	}
@@ -88,28 +93,66 @@
 
 // hedge sends overdue sub-requests to a second upstream.
 func (m *Model) hedge(now clock.Millis, r *request) {
-	if !r.route.Idempotent {
-		return
-	}
 	for _, sub := range r.subrequests {
-		if sub.resolved || sub.hedged || len(sub.open) != 1 || sub.possibleRuns >= r.route.MaxAttempts {
+		if !sub.mayHedge() {
 			continue
 		}
-		a := sub.open[0]
-		if now < a.hedgeAt {
+		if a := sub.open[0]; now < a.hedgeAt {
 			m.wake(r, a.hedgeAt)
 			continue
 		}
-		if sub.service.budget.remaining(now, m.vmCount, hedgeBudgetShare) < 1 || !m.policies.allows(now, &m.policies.hedges, r.route.Priority) {
-			continue
+		m.sendHedge(now, sub)
+	}
+}
+
+// mayHedge reports whether a second attempt beside the open one is allowed.
+func (sub *subrequest) mayHedge() bool {
+	r := sub.req
+	return r.route.Idempotent && !r.answered && !sub.resolved && !sub.hedged && len(sub.open) == 1 && sub.possibleRuns < r.route.MaxAttempts
+}
+
+// sendHedge sends the hedge of an overdue sub-request if the budgets allow it. If the other
+// upstreams have no free place, it waits for one.
+func (m *Model) sendHedge(now clock.Millis, sub *subrequest) {
+	r := sub.req
+	if sub.service.budget.remaining(now, m.vmCount, hedgeBudgetShare) < 1 || !m.policies.allows(now, &m.policies.hedges, r.route.Priority) {
+		return
+	}
+	u, available := m.chooseUpstream(now, sub, true)
+	if u == nil {
+		if available && !sub.hedgeWaits {
+			sub.hedgeWaits = true
+			sub.service.waitingHedges = append(sub.service.waitingHedges, sub)
 		}
-		u, _ := m.chooseUpstream(now, sub, true)
-		if u == nil {
-			continue
+		return
+	}
+	sub.hedged = true
+	m.policies.spend(now, &m.policies.hedges, r.route.Priority)
+	m.event("hedge", r, u, sub.service.name, now-sub.open[0].sentAt)
+	m.send(now, sub, u)
+}
+
+// dispatchHedges sends hedges that wait for a free place, the most urgent first. First
+// attempts that wait go before them.
+func (m *Model) dispatchHedges(now clock.Millis, s *service) {
+	if len(s.waitingHedges) == 0 || len(s.queue) > 0 {
+		return
+	}
+	waiting := s.waitingHedges
+	s.waitingHedges = nil
+	slices.SortFunc(waiting, func(a, b *subrequest) int {
+		switch {
+		case a.precedes(now, b):
+			return -1
+		case b.precedes(now, a):
+			return 1
+		}
+		return 0
+	})
+	for _, sub := range waiting {
+		sub.hedgeWaits = false
+		if sub.mayHedge() {
+			m.sendHedge(now, sub)
 		}
-		sub.hedged = true
-		m.policies.spend(now, &m.policies.hedges, r.route.Priority)
-		m.event("hedge", r, u, sub.service.name, now-a.sentAt)
-		m.send(now, sub, u)
 	}
 }
--- a/relay/service.go
+++ b/relay/service.go
@@ -35,11 +35,14 @@
 
 // service is the upstreams of one service and its queue.
 type service struct {
-	name        string
-	hash        uint64 // of the name
-	upstreams   []*upstream
-	queue       []*subrequest
-	budget      budget
+	name      string
+	hash      uint64 // of the name
+	upstreams []*upstream
+	queue     []*subrequest
+	budget    budget
+
+	waitingHedges []*subrequest // overdue, while no other upstream has a free place
+
 	maxConns    int
 	isShard     bool     // its work is delegated to carriers
 	assigned    bool     // this VM is its carrier in its data centre, by the last list of VMs
