Repeat nothing overdue right after a pause

Cause: its carrier was paused. The VM that had delegated it gathered the shards again at 747 ms. When the carrier ran again, its timers hedged each overdue part (event=hedge, age_ms=992) before the withdrawal, which was already in its socket, had been read: the third attempts. An entry VM could in the same way count carriers as lost whose messages it had not read yet.

Ruled out: retries (the log has none for the query) and the hedges that wait for a place (all seven hedges have the same time).

Change: if a timer fires 50 ms late or more, hedges and the check of carriers wait for 10 ms.

Evidence: relay.TestStalledCarrier fails before ("got [send s1b send s2b], want []"), passes after. Three tests jumped over more than 50 ms with a single tick, which now is a stall; they tick at each wake time instead (tickTo) and require the same.

--- a/relay/finish.go
+++ b/relay/finish.go
@@ -50,8 +50,12 @@
 		return
 	}
 	m.dispatchHeld(now, r)
-	m.hedge(now, r)
-	m.checkCarriers(now, r)
+	if now < m.catchUpUntil {
+		m.wake(r, m.catchUpUntil)
+	} else {
+		m.hedge(now, r)
+		m.checkCarriers(now, r)
+	}
 	if r.gathers() && now < r.targetAt {
 		m.wake(r, r.targetAt)
 	}
--- a/relay/model.go
+++ b/relay/model.go
@@ -22,6 +22,7 @@
 	attempts      map[uint64]*attempt
 	notices       boundedMap[string, notice] // by upstream
 	timers        timers
+	catchUpUntil  clock.Millis           // nothing overdue is repeated before this time
 	peers         map[string]*peerVM     // the VMs of the fleet, by ID
 	leftPeers     map[string]*peerVM     // VMs that left the list with open delegations from this one, by ID
 	vmIDs         []string               // IDs of the VMs, sorted
--- a/relay/send.go
+++ b/relay/send.go
@@ -135,7 +135,7 @@
 // dispatchHedges sends hedges that wait for a free place, the most urgent first. First
 // attempts that wait go before them.
 func (m *Model) dispatchHedges(now clock.Millis, s *service) {
-	if len(s.waitingHedges) == 0 || len(s.queue) > 0 {
+	if len(s.waitingHedges) == 0 || len(s.queue) > 0 || now < m.catchUpUntil {
 		return
 	}
 	waiting := s.waitingHedges
--- a/relay/timer.go
+++ b/relay/timer.go
@@ -40,7 +40,18 @@
 	heap.Push(&m.timers, timer{at: at, req: r})
 }
 
+const (
+	// A timer that fires stalledMs late shows that the process did not run for a while. What
+	// has become overdue meanwhile may have an answer that is not read yet, or may be
+	// withdrawn, so nothing is repeated for catchUpMs.
+	stalledMs clock.Millis = 50
+	catchUpMs clock.Millis = 10
+)
+
 func (m *Model) runTimers(now clock.Millis) {
+	if len(m.timers) > 0 && now-m.timers[0].at >= stalledMs {
+		m.catchUpUntil = now + catchUpMs
+	}
 	for len(m.timers) > 0 && m.timers[0].at <= now {
 		t := heap.Pop(&m.timers).(timer)
 		if t.req.wakeAt != t.at || m.requests[t.req.id] != t.req {
