Share the set-up of two rows of TestPick

Two rows of the table differed only in how long an attempt without a reply took. Both rows, their bounds and what they require stay as they are; TestPick passes.

--- a/upstream/balancer_test.go
+++ b/upstream/balancer_test.go
@@ -43,6 +43,19 @@
 // TestPick guards against attempts on upstreams that are leaving, dead, shedding or slow,
 // and against a full share of attempts right after an upstream becomes available.
 func TestPick(t *testing.T) {
+	// timeouts returns a function that ends attempts at replica1 without a reply, after both
+	// replicas have usually taken 100 ms.
+	timeouts := func(serviceMs clock.Millis) func(b *upstream.Balancer) {
+		return func(b *upstream.Balancer) {
+			for range 50 {
+				observe(b, 0, replica1, ok(100))
+				observe(b, 0, replica2, ok(100))
+			}
+			for range 10 {
+				observe(b, 50, replica1, attempt.Reply{Status: attempt.TimedOut, ServiceMs: serviceMs})
+			}
+		}
+	}
 	tests := []struct {
 		name     string
 		prepare  func(b *upstream.Balancer)
@@ -50,24 +63,8 @@
 		min, max int // percentage of picks that return replica1
 	}{
 		{"healthy", func(*upstream.Balancer) {}, 100, 40, 60},
-		{"callers that allow too little time", func(b *upstream.Balancer) {
-			for range 50 {
-				observe(b, 0, replica1, ok(100))
-				observe(b, 0, replica2, ok(100))
-			}
-			for range 10 {
-				observe(b, 50, replica1, attempt.Reply{Status: attempt.TimedOut, ServiceMs: 20})
-			}
-		}, 100, 40, 60},
-		{"no reply within the usual time", func(b *upstream.Balancer) {
-			for range 50 {
-				observe(b, 0, replica1, ok(100))
-				observe(b, 0, replica2, ok(100))
-			}
-			for range 10 {
-				observe(b, 50, replica1, attempt.Reply{Status: attempt.TimedOut, ServiceMs: 400})
-			}
-		}, 100, 0, 0},
+		{"callers that allow too little time", timeouts(20), 100, 40, 60},
+		{"no reply within the usual time", timeouts(400), 100, 0, 0},
 		{"leaving", func(b *upstream.Balancer) { b.MarkLeaving(0, replica1) }, clock.Hour, 0, 0},
 		{"leaving by reply", func(b *upstream.Balancer) { observe(b, 0, replica1, attempt.Reply{Status: attempt.OK, Leaving: true}) }, clock.Hour, 0, 0},
 		{"leaving, then reply to an earlier attempt", func(b *upstream.Balancer) {
