--- a/cmd/lentillink/soak.go
+++ b/cmd/lentillink/soak.go
@@ -38,15 +38,15 @@
 	if c.VMs < 1 || c.VMs > maxSoakVMs {
 		return fmt.Errorf("--vms is %d, want 1 to %d", c.VMs, maxSoakVMs)
 	}
-	program, dir, err := c.paths()
-	if err != nil {
-		return err
-	}
 	for _, d := range c.Pauses {
 		if d <= 0 || d > maxSoakPause {
 			return fmt.Errorf("--pause is %s, want more than 0s and at most %s", d, maxSoakPause)
 		}
 	}
+	program, dir, err := c.paths()
+	if err != nil {
+		return err
+	}
 	failed := 0
 	for seed := c.Seed; seed < c.Seed+uint64(c.Seeds) && ctx.Err() == nil; seed++ {
 		logs := filepath.Join(dir, fmt.Sprint(seed))
