Close the gap in what a returning publisher lists

A publisher that reaches the store again sends what its list shows to be new since it lost the store. A key that was created and removed meanwhile is in no list, so a subscriber that knew the key never received its removal, and its revision passed the removal. It went on using the upstream.

Updates from a list are marked now. A subscriber that knows more than the start of such an update and less than its end reads the store itself.

--- a/catalog/model.go
+++ b/catalog/model.go
@@ -240,7 +240,7 @@
 	for _, key := range absent {
 		changed = append(changed, store.Item{Key: key, Revision: b.Revision, Removed: true})
 	}
-	return m.applyChanges(now, changed, b.Revision, cmds)
+	return m.applyChanges(now, Update{Items: changed, To: b.Revision, Listed: true}, cmds)
 }
 
 func (m *Model) handleWatch(now clock.Millis, b store.Batch, cmds []Cmd) []Cmd {
@@ -250,22 +250,24 @@
 		m.nextCall = now // no burst of events is in progress
 	}
 	m.current = true
-	return m.applyChanges(now, b.Items, b.Revision, cmds)
+	return m.applyChanges(now, Update{Items: b.Items, To: b.Revision}, cmds)
 }
 
-// applyChanges applies the changes up to a revision and publishes them.
-func (m *Model) applyChanges(now clock.Millis, items []store.Item, revision uint64, cmds []Cmd) []Cmd {
-	items = m.withoutSuperseded(items)
-	for _, it := range items {
+// applyChanges applies the changes of an update from the revision known here, and publishes
+// them.
+func (m *Model) applyChanges(now clock.Millis, u Update, cmds []Cmd) []Cmd {
+	u.Items = m.withoutSuperseded(u.Items)
+	for _, it := range u.Items {
 		if !it.Removed {
 			cmds = m.putItem(it, cmds)
 		} else if it.Revision >= m.items[it.Key] {
 			m.holdRemoval(now, it)
 		}
 	}
-	from := m.revision
-	m.revision = max(m.revision, revision)
-	return m.publish(Update{From: from, To: m.revision, Items: items}, cmds)
+	u.From = m.revision
+	m.revision = max(m.revision, u.To)
+	u.To = m.revision
+	return m.publish(u, cmds)
 }
 
 // withoutSuperseded returns the items without those of superseded keys that a later one
--- a/catalog/publish.go
+++ b/catalog/publish.go
@@ -21,6 +21,7 @@
 type Update struct {
 	From, To  uint64
 	Items     []store.Item
+	Listed    bool // from a list: without the keys that were created after From and removed again
 	StoreLost bool // the publisher has lost contact with the store
 }
 
@@ -51,7 +52,7 @@
 		if u.From <= s.After {
 			break
 		}
-		u.From = r.From
+		u.From, u.Listed = r.From, r.Listed
 		u.Items = append(slices.Clone(r.Items), u.Items...)
 	}
 	u.Items = m.withoutSuperseded(u.Items)
--- a/catalog/subscription.go
+++ b/catalog/subscription.go
@@ -199,9 +199,10 @@
 	}
 	sub.lastUpdateAt = now
 	cmds = m.storeReached(now, cmds)
-	if u.From > m.revision {
-		// Changes that precede the update are missing here. The update is not applied,
-		// so that all later updates show the gap too, until a list has closed it.
+	if u.From > m.revision || u.Listed && u.From < m.revision && m.revision < u.To {
+		// Changes that precede the update are missing here, or it may lack the removal of a
+		// key that is known here. The update is not applied, so that all later updates show
+		// the gap too, until a list has closed it.
 		if !m.needRelist {
 			m.needRelist, m.needFresh, m.nextCall = true, true, min(m.nextCall, now)
 		}
@@ -210,7 +211,7 @@
 	m.needRelist, m.backoff, m.current = false, 0, true
 	// Changes up to the known revision were applied before, or a removal followed them.
 	news := slices.DeleteFunc(slices.Clone(u.Items), func(it store.Item) bool { return it.Revision <= m.revision })
-	return m.applyChanges(now, news, u.To, cmds)
+	return m.applyChanges(now, Update{Items: news, To: u.To, Listed: u.Listed}, cmds)
 }
 
 // subscriptionWake returns the time at which the subscription needs a tick, if any.
--- a/catalog/subscription_test.go
+++ b/catalog/subscription_test.go
@@ -462,3 +462,30 @@
 		}
 	}
 }
+
+// TestReturningPublisher guards against a removal that is lost if it happens just before a
+// publisher reaches the store again. Its list has never had the key, so the update that
+// follows from the list says nothing about it to subscribers that know more.
+func TestReturningPublisher(t *testing.T) {
+	for offset := clock.Millis(0); offset < 1200; offset += 40 {
+		t.Run(fmt.Sprintf("removal after %d ms", offset), func(t *testing.T) {
+			g := newCluster(20)
+			root := g.root()
+			root.storeFails, root.watch = true, nil
+			g.update(root, catalog.FailedMsg{Kind: store.KindUnavailable})
+			g.advance(5000)
+			g.change("upstream")
+			g.advance(5000 + offset)
+			g.change("config") // the watch that follows comes after the removal
+			g.advance(50)
+			g.remove("upstream")
+			root.storeFails = false
+			g.advance(2 * changeBoundMs)
+			for _, v := range g.vms {
+				if _, ok := v.known["upstream"]; ok {
+					t.Errorf("%s: still has an upstream that was removed 6 s ago", v.id)
+				}
+			}
+		})
+	}
+}
--- a/peer/update.go
+++ b/peer/update.go
@@ -65,7 +65,7 @@
 }
 
 func encodeUpdate(u catalog.Update) *peerpb.Update {
-	out := &peerpb.Update{From: u.From, To: u.To, Lost: u.StoreLost}
+	out := &peerpb.Update{From: u.From, To: u.To, Lost: u.StoreLost, Listed: u.Listed}
 	for _, it := range u.Items {
 		out.Items = append(out.Items, &peerpb.Item{Key: it.Key, Value: it.Value, Revision: it.Revision, Removed: it.Removed})
 	}
@@ -86,7 +86,7 @@
 	if u.GetTo() > maxRevision {
 		return catalog.Update{}, wrap("decode update", KindDecode, errOutOfRange)
 	}
-	out := catalog.Update{From: u.GetFrom(), To: u.GetTo(), StoreLost: u.GetLost()}
+	out := catalog.Update{From: u.GetFrom(), To: u.GetTo(), StoreLost: u.GetLost(), Listed: u.GetListed()}
 	for _, it := range u.GetItems() {
 		if it.GetRevision() > maxRevision || it.GetKey() == "" {
 			return catalog.Update{}, wrap("decode update", KindDecode, errOutOfRange)
