Take a reply without a valid status for no reply

fasthttp reads a status of any three digits and reports 000 as 200, so `HTTP/1.1 000 OK` with a receipt reached the caller as a success, and 007 and 099 as answers. The store's client took 000 for a change that was made, and the callers' client took such a VM for ready.

The start of a reply must now be a protocol, one blank and three digits from 100 on; fasthttp checks the rest of the line. Anything else is a broken reply: the attempt may have run, its connection is closed, and a request that may be repeated goes to another upstream. exchange looks at its read buffer, httpcall and the callers' client at the bytes they read. Interim replies stay as they were: exchange skips up to eight and delivers what follows, 101 is invalid; httpcall, whose peers send none, rejects them. Delegations hold an outcome and no HTTP status, and their decoder rejects unknown ones, so nothing changes there.

Two blanks before the status, and an empty line before the reply, were accepted and are not now.

--- a/caller/client.go
+++ b/caller/client.go
@@ -3,12 +3,14 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/url"
 
 	"github.com/valyala/fasthttp"
 
 	"lentillink.example/lentillink/clock"
 	"lentillink.example/lentillink/entry"
+	"lentillink.example/lentillink/httpcall"
 	"lentillink.example/lentillink/preset"
 	"lentillink.example/lentillink/vm"
 )
@@ -42,11 +44,20 @@
 		MaxConnsPerHost: defaultMaxConns, ReadTimeout: c.timeout.Duration(), WriteTimeout: c.timeout.Duration(),
 		// Never retry here. A repeated order would be harmless, but retries are left
 		// to the code that calls the client.
-		MaxIdemponentCallAttempts: 1, RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+		Dial: dial, MaxIdemponentCallAttempts: 1, RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 	}
 	return c
 }
 
+// dial connects to a VM. A reply without a valid status must not count as an answer.
+func dial(address string) (net.Conn, error) {
+	nc, err := fasthttp.Dial(address)
+	if err != nil {
+		return nil, err
+	}
+	return httpcall.CheckedConn(nc), nil
+}
+
 // Query submits a query. The outcome in the answer tells whether it is complete.
 func (c *Client) Query(q entry.QueryRequest) (entry.QueryDocument, error) {
 	return call[entry.QueryDocument](c, "query", fasthttp.MethodPost, "/v1/query", q)
--- a/exchange/read.go
+++ b/exchange/read.go
@@ -7,6 +7,8 @@
 	"net/http/httputil"
 
 	"github.com/valyala/fasthttp"
+
+	"lentillink.example/lentillink/httpcall"
 )
 
 // Lengths of a body that fasthttp reports without a Content-Length.
@@ -28,6 +30,13 @@
 // whose pool keeps large buffers and hands them to small replies.
 func readReply(br *bufio.Reader, h *fasthttp.ResponseHeader, skipBody bool, maxBytes int) ([]byte, error) {
 	for n := 0; ; n++ {
+		start, err := br.Peek(httpcall.StatusEnd)
+		if err != nil {
+			return nil, unexpectedEOF(err)
+		}
+		if err := httpcall.CheckStatus(start); err != nil {
+			return nil, err
+		}
 		if err := h.Read(br); err != nil {
 			return nil, err
 		}
--- a/exchange/reply_test.go
+++ b/exchange/reply_test.go
@@ -111,3 +111,82 @@
 		t.Error("got no result, want a reply")
 	}
 }
+
+// TestStatus guards against a reply that an upstream in trouble sends with a status that is
+// none, and that reaches the caller as an answer: only three digits from 100 on are a status.
+func TestStatus(t *testing.T) {
+	const final = "HTTP/1.1 200 OK\r\nRequest: %s\r\nReceipt: x\r\nContent-Length: 2\r\n\r\nok"
+	tests := []struct {
+		name, line string
+		before     string // an interim reply
+		want       int    // 0 if it is no reply
+		ends       bool   // whether the upstream closes the connection
+	}{
+		{name: "success", line: "HTTP/1.1 200 OK", want: 200},
+		{name: "no reason", line: "HTTP/1.1 200", want: 200},
+		{name: "empty reason", line: "HTTP/1.1 204 ", want: 204},
+		{name: "of no class", line: "HTTP/1.1 999 Odd", want: 999},
+		{name: "older version", line: "HTTP/1.0 200 OK", want: 200},
+		{name: "000", line: "HTTP/1.1 000 OK"},
+		{name: "000 without a reason", line: "HTTP/1.1 000"},
+		{name: "007", line: "HTTP/1.1 007 OK"},
+		{name: "099", line: "HTTP/1.1 099 OK"},
+		{name: "two digits", line: "HTTP/1.1 20 OK"},
+		{name: "two digits and a blank", line: "HTTP/1.1 20  OK"},
+		{name: "four digits", line: "HTTP/1.1 2000 OK"},
+		{name: "1000", line: "HTTP/1.1 1000 OK"},
+		{name: "plus", line: "HTTP/1.1 +200 OK"},
+		{name: "plus and two digits", line: "HTTP/1.1 +20 OK"},
+		{name: "minus", line: "HTTP/1.1 -20 OK"},
+		{name: "blank between digits", line: "HTTP/1.1 2 0 OK"},
+		{name: "letter", line: "HTTP/1.1 2O0 OK"},
+		{name: "tab after it", line: "HTTP/1.1 200\tOK"},
+		{name: "two blanks before it", line: "HTTP/1.1  200 OK"},
+		{name: "000 after two blanks", line: "HTTP/1.1  000 OK"},
+		{name: "only a reason", line: "HTTP/1.1 OK"},
+		{name: "only blanks", line: "HTTP/1.1    "},
+		{name: "none", line: "HTTP/1.1"},
+		{name: "success after an empty line", line: "\r\nHTTP/1.1 200 OK"},
+		{name: "000 after an empty line", line: "\r\nHTTP/1.1 000 OK"},
+		{name: "000 after an interim reply", before: "HTTP/1.1 103 Early Hints\r\nA: x\r\n\r\n", line: "HTTP/1.1 000 OK"},
+		{name: "success after an interim reply", before: "HTTP/1.1 100 Continue\r\n\r\n", line: "HTTP/1.1 200 OK", want: 200},
+		{name: "success after an interim reply of no name", before: "HTTP/1.1 199 Odd\r\n\r\n", line: "HTTP/1.1 200 OK", want: 200},
+		{name: "interim reply that is none", before: "HTTP/1.1 000 Continue\r\n\r\n", line: "HTTP/1.1 200 OK"},
+		{name: "only an interim reply", line: "HTTP/1.1 100 Continue", ends: true},
+		{name: "another protocol", line: "HTTP/1.1 101 Switching Protocols"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			head, rest, _ := strings.Cut(final, "\r\n")
+			u := startRaw(t, func(w io.Writer, id string, _ int) bool {
+				line := tt.line
+				if id == "next" {
+					line = head
+				}
+				_, err := fmt.Fprintf(w, tt.before+line+"\r\n"+rest, id)
+				return err == nil && !tt.ends
+			})
+			c, results := newClient(t)
+			send(c, u, 1, "first")
+			res := nextResult(t, results)
+			if tt.want != 0 {
+				if res.Err != nil || res.Reply.Status != tt.want {
+					t.Errorf("got status %d, %v, want %d", res.Reply.Status, res.Err, tt.want)
+				}
+				return
+			}
+			if res.Err == nil {
+				t.Fatalf("got status %d with %q, want no reply", res.Reply.Status, res.Reply.Body)
+			}
+			if !res.Err.Kind().MaybeSent() {
+				t.Errorf("got %s, want a kind that may have been sent", res.Err.Kind())
+			}
+			send(c, u, 2, "next")
+			nextResult(t, results)
+			if conns, _ := u.counts(); conns != 2 {
+				t.Errorf("got %d connections after a reply that is none, want a new one", conns)
+			}
+		})
+	}
+}
--- a/httpcall/conn.go
+++ b/httpcall/conn.go
@@ -31,6 +31,7 @@
 	receivedBytes int  // bytes read in the current exchange
 	matchedBytes  int  // length of the prefix of headerEnd that the last bytes match
 	headerLen     int  // length of the reply up to its body, 0 until headerEnd is read
+	start         replyStart
 }
 
 // RemoteAddr returns the remote address together with the connection itself.
@@ -65,9 +66,13 @@
 	return errStale
 }
 
-// Read receives bytes and searches them for the end of the reply's headers.
+// Read receives bytes, checks the status of the reply and searches for the end of its headers.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if statusErr := c.start.add(p[:n]); statusErr != nil {
+		c.receivedBytes += n
+		return 0, statusErr
+	}
 	for i := 0; i < n && c.headerLen == 0; i++ {
 		c.matchHeaderEnd(p[i])
 		if c.matchedBytes == len(headerEnd) {
@@ -95,7 +100,7 @@
 // endExchange resets the state of the exchange, so that the connection can be reused.
 func (c *conn) endExchange() {
 	c.firstWrite, c.usedBefore, c.sent = true, true, false
-	c.receivedBytes, c.matchedBytes, c.headerLen = 0, 0, 0
+	c.receivedBytes, c.matchedBytes, c.headerLen, c.start.n = 0, 0, 0, 0
 }
 
 // Close closes the connection. The first call removes it from its host.
--- a/httpcall/do.go
+++ b/httpcall/do.go
@@ -99,6 +99,8 @@
 		return KindNotSent // also if the host is closed or no connection became free
 	case isTimeout(err):
 		return KindTimeout
+	case errors.Is(err, errStatus):
+		return KindInvalid
 	case c.receivedBytes > 0:
 		return KindTruncated
 	default:
--- a/httpcall/error.go
+++ b/httpcall/error.go
@@ -16,10 +16,11 @@
 	KindTooLarge                 // the body of the reply exceeds the limit
 	KindTrailingData             // further bytes followed the reply
 	KindRejected                 // the caller's check rejected the reply
+	KindInvalid                  // the reply has no valid status
 )
 
 var kindNames = [...]string{
-	"not_sent", "dial", "stale", "timeout", "broken", "cut", "too_large", "doubled", "refused",
+	"not_sent", "dial", "stale", "timeout", "broken", "cut", "too_large", "doubled", "refused", "invalid",
 }
 
 // String returns the name of k.
