Evacuate a data centre at the operators' request

Operators could not ask that the upstreams of a data centre get nothing more: the key op/evacuate/NAME of the platform's store was ignored, so every VM went on sending there.

The adapter decodes the key, whatever its value, into the name of a data centre; the gateway passes its writing and removal to the relay as EvacuationMsg. An upstream of an evacuated data centre is not usable, which all paths check already: first attempts, the queue, hedges, retries, probes, connections ahead of need, reclaimed shards and the choice of carriers. Queued work is dispatched anew, open attempts finish, and a request with nothing but evacuated upstreams is refused at once, with a time.

--- a/experiment/replay/pattern.go
+++ b/experiment/replay/pattern.go
@@ -69,6 +69,10 @@
 			w.slowDownFor(6, 1, w.now+2000, 6000)
 			w.slowDownFor(6, 2, w.now+10_000, 6000)
 		}},
+		{"grown, a data centre evacuated and taken back", Grown, 0.85 * 0.85, 0.95 * 0.95, 0.15, 0, func(w *Simulation) {
+			w.addPauses()
+			w.evacuate("a", w.now+5000, 8000, 2000)
+		}},
 	}
 }
 
--- a/experiment/replay/simulation.go
+++ b/experiment/replay/simulation.go
@@ -32,6 +32,7 @@
 	delegations   map[uint64]delegation // open delegations, by the carrier's request number
 	requestNames  map[uint64]string     // by the number of the request or delegation
 	urgent        map[string]bool       // by request name
+	evacuated     []string              // by VM: the data centre that it knows to be evacuated
 	size          Size
 }
 
@@ -97,6 +98,7 @@
 	for i := range vms {
 		fleet = append(fleet, relay.VM{ID: fmt.Sprintf("vm%d", i), Address: fmt.Sprint(i), DataCentre: centres[i%3]})
 	}
+	w.evacuated = make([]string, vms)
 	for i := range vms {
 		m := relay.New(relay.WithSeed(seed+uint64(i)), relay.WithSelf(fleet[i].ID, fleet[i].DataCentre), relay.WithBudget(budget))
 		w.vms = append(w.vms, m)
@@ -180,6 +182,7 @@
 func (w *Simulation) perform(vm int, c relay.Cmd) {
 	switch c := c.(type) {
 	case relay.SendCmd:
+		w.checkEvacuated(vm, c)
 		w.at(w.now+oneWayMs, func() { w.receive(vm, c) })
 	case relay.CancelCmd:
 		w.at(w.now+oneWayMs, func() { w.cancel(vm, c.Attempt) })
--- a/gateway/decoder.go
+++ b/gateway/decoder.go
@@ -17,10 +17,11 @@
 
 // DecodedItem is the decoded value of an item of the store. At most one field is set.
 type DecodedItem struct {
-	Table    *route.Table
-	Upstream *relay.Upstream
-	VM       *relay.VM
-	Presets  *preset.Record
+	Table     *route.Table
+	Upstream  *relay.Upstream
+	VM        *relay.VM
+	Presets   *preset.Record
+	Evacuated string // data centre whose upstreams must get nothing new while the item exists
 }
 
 // ItemDecoder decodes items of the store.
@@ -33,6 +34,8 @@
 	UpstreamID(key string) (string, bool)
 	// VMID returns the ID of the VM that a key names.
 	VMID(key string) (string, bool)
+	// EvacuatedDataCentre returns the data centre that is evacuated while a key exists.
+	EvacuatedDataCentre(key string) (string, bool)
 	// VMKey returns the key of a VM's entry.
 	VMKey(id string) string
 }
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -284,6 +284,15 @@
 	if id, ok := g.decoder.VMID(key); ok {
 		g.setVM(id, nil)
 	}
+	if dataCentre, ok := g.decoder.EvacuatedDataCentre(key); ok {
+		g.setEvacuation(dataCentre, false)
+	}
+}
+
+// setEvacuation starts or ends the evacuation of a data centre.
+func (g *Gateway) setEvacuation(dataCentre string, active bool) {
+	g.stepRelay(relay.EvacuationMsg{DataCentre: dataCentre, Active: active})
+	g.metrics.evacuated.Set(float64(len(g.relayModel.Evacuated())))
 }
 
 // decodeItem decodes an item. A panic of the decoder is an error.
@@ -321,6 +330,8 @@
 		if id, ok := g.decoder.VMID(item.Key); ok && id == decoded.VM.ID {
 			g.setVM(id, decoded.VM)
 		}
+	case decoded.Evacuated != "":
+		g.setEvacuation(decoded.Evacuated, true)
 	case decoded.Upstream != nil:
 		g.stepRelay(relay.UpstreamMsg{Upstream: *decoded.Upstream})
 	}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -27,6 +27,7 @@
 	skippedItems  prometheus.Counter
 	panics        prometheus.Counter
 	configVersion prometheus.Gauge
+	evacuated     prometheus.Gauge
 	ready         prometheus.Gauge
 }
 
@@ -62,6 +63,7 @@
 	m.skippedItems = counter("skipped_items_total", "Values of the store and messages of other VMs that could not be decoded and were left out.")
 	m.panics = counter("panics_total", "Unexpected errors that ended one request, item, message or call.")
 	m.configVersion = gauge("config_version", "Version of the configuration in force.")
+	m.evacuated = gauge("evacuated_data_centres", "Data centres whose upstreams get nothing new.")
 	m.ready = gauge("ready", "1 if the VM is ready for the balancer.")
 	return m
 }
--- a/relay/arrive.go
+++ b/relay/arrive.go
@@ -70,7 +70,7 @@
 		return
 	}
 	if r.gathers() && reachable(r.subrequests) < r.requiredReplies() {
-		m.refuse(msg, r, "no_upstream", m.retryAfterHold(now, r, noUpstreamRetryMs))
+		m.refuse(msg, r, unavailableReason(r.subrequests), m.retryAfterHold(now, r, noUpstreamRetryMs))
 		return
 	}
 	if excess, overloaded := m.wouldMissTarget(now, r, assignments); overloaded {
--- a/relay/finish.go
+++ b/relay/finish.go
@@ -112,7 +112,7 @@
 	deadlinePassed := now >= r.deadline
 	switch {
 	case !r.mayHaveRun() && r.openAttempts == 0:
-		a := refusal(r, "no_upstream", m.retryAfterHold(now, r, max(noUpstreamRetryMs, r.retryAfterMs)))
+		a := refusal(r, unavailableReason(r.subrequests), m.retryAfterHold(now, r, max(noUpstreamRetryMs, r.retryAfterMs)))
 		if deadlinePassed {
 			a.Reason = "waited_too_long"
 		}
--- a/relay/model.go
+++ b/relay/model.go
@@ -17,6 +17,7 @@
 	splitter      *route.Splitter
 	services      map[string]*service
 	upstreams     map[string]*upstream
+	evacuated     map[string]bool // data centres that are evacuated
 	routeStats    map[string]*routeStats
 	requests      map[uint64]*request
 	attempts      map[uint64]*attempt
@@ -45,7 +46,7 @@
 	cfg := newConfig(opts)
 	return &Model{
 		cfg: cfg, rng: rand.New(rand.NewPCG(cfg.seed, cfg.seed)), vmCount: cfg.vmCount, budgetLimit: cfg.budget,
-		splitter: route.NewSplitter(), services: make(map[string]*service), upstreams: make(map[string]*upstream),
+		splitter: route.NewSplitter(), services: make(map[string]*service), upstreams: make(map[string]*upstream), evacuated: make(map[string]bool),
 		routeStats: make(map[string]*routeStats), requests: make(map[uint64]*request), attempts: make(map[uint64]*attempt),
 		notices: newBoundedMap[string, notice](maxNotices), peers: make(map[string]*peerVM), leftPeers: make(map[string]*peerVM), resultLagMs: initialLagMs, delegations: make(map[uint64]*delegation),
 	}
@@ -85,6 +86,8 @@
 		m.handlePeerDisconnected(now, t.VM)
 	case BudgetMsg:
 		m.setBudget(t)
+	case EvacuationMsg:
+		m.setEvacuation(now, t)
 	case PresetMsg:
 		m.setPreset(t.Preset)
 	case StopMsg:
@@ -164,6 +167,7 @@
 		m.emit(EventCmd{Event: Event{Kind: "upstream_leaving", Upstream: info.ID, Detail: info.Service}})
 	}
 	u.info = info
+	u.evacuated = m.evacuated[info.DataCentre]
 	u.service.dataCentres = nil
 	u.coldUntil = now + info.ColdMs
 	m.applyNotice(u, m.notices.get(info.ID))
--- a/relay/query.go
+++ b/relay/query.go
@@ -14,6 +14,9 @@
 // known.
 func (m *Model) Ready() bool { return m.table != nil && len(m.upstreams) > 0 }
 
+// Evacuated returns the data centres that are evacuated, sorted.
+func (m *Model) Evacuated() []string { return sortedKeys(m.evacuated) }
+
 // Version returns the version of the active configuration, 0 if there is none.
 func (m *Model) Version() uint64 {
 	if m.table == nil {
--- a/relay/service.go
+++ b/relay/service.go
@@ -172,4 +172,5 @@
 	}
 }
 
-func (u *upstream) usable() bool { return !u.removed && !u.info.Leaving }
+// usable reports whether the upstream may get new requests.
+func (u *upstream) usable() bool { return !u.removed && !u.info.Leaving && !u.evacuated }
--- a/relay/upstream.go
+++ b/relay/upstream.go
@@ -71,6 +71,7 @@
 	holdUntil      clock.Millis // the upstream asked for no requests before this time
 	coldUntil      clock.Millis
 	removed        bool
+	evacuated      bool // its data centre is evacuated
 	older          olderReports
 }
 
