Give carriers their part of the extra attempts

Most of a service's fixed allowance of extra attempts could not be used: each of 77 VMs had an equal part, while three carriers send nearly all attempts. The shipped preset also bounded extra attempts at a fifth of a rank's requests on each VM, below the allowance of the fleet, so dividing the allowance alone changed nothing.

The budget is a package of its own now. The carriers of a service share 0.4 of its fixed allowance, all other VMs 0.5, enough for each to reclaim one query from a lost carrier; the rest covers lists of VMs that differ. The shipped preset leaves the bound to the fleet's budget. An operator's preset may lower it as before.

Two load patterns are replayed now: most upstreams shed, and half of them lose replies.

--- a/experiment/replay/pattern.go
+++ b/experiment/replay/pattern.go
@@ -73,6 +73,14 @@
 			w.addPauses()
 			w.evacuate("a", w.now+5000, 8000, 2000)
 		}},
+		{"grown, most upstreams shed", Spread, 0, 0, 1, 5000, func(w *Simulation) {
+			w.addPauses()
+			w.disturb(5, 4, w.now+5000, 9000, func(u *upstream, on float64) { u.shedShare = 0.6 * on })
+		}},
+		{"grown, half of the upstreams lose replies", Spread, 0, 0, 1, 5000, func(w *Simulation) {
+			w.addPauses()
+			w.disturb(2, 1, w.now+5000, 9000, func(u *upstream, on float64) { u.loseShare = 0.4 * on })
+		}},
 	}
 }
 
@@ -121,3 +129,13 @@
 		}
 	}
 }
+
+// disturb applies a fault for a while to a random part of the upstreams: bad of each total.
+func (w *Simulation) disturb(total, bad int, from, duration clock.Millis, set func(u *upstream, on float64)) {
+	for _, id := range w.sortedUpstreamIDs() {
+		if u := w.upstreams[id]; w.rng.IntN(total) < bad {
+			w.at(from, func() { set(u, 1) })
+			w.at(from+duration, func() { set(u, 0) })
+		}
+	}
+}
--- a/experiment/replay/simulation.go
+++ b/experiment/replay/simulation.go
@@ -60,6 +60,9 @@
 var (
 	Today = Size{VMs: 9, Shards: 20, Replicas: 2, Budget: relay.BudgetMsg{Ratio: 0.2, Extra: 58, WindowMs: 10 * clock.Second}}
 	Grown = Size{VMs: 24, Shards: 90, Replicas: 3, Budget: relay.BudgetMsg{Ratio: 0.2, Extra: 166, WindowMs: 10 * clock.Second}}
+
+	// Spread has so many VMs that most of them gather for no one.
+	Spread = Size{VMs: 77, Shards: 90, Replicas: 3, Budget: relay.BudgetMsg{Ratio: 0.2, Extra: 194, WindowMs: 10 * clock.Second}}
 )
 
 // New returns a simulation with VMs spread over three data centres and shards whose
--- a/experiment/replay/upstream.go
+++ b/experiment/replay/upstream.go
@@ -20,6 +20,8 @@
 	pauseIntervalMs clock.Millis
 	pauseEnd        clock.Millis
 	down            bool
+	shedShare       float64 // share of the attempts that it refuses as full
+	loseShare       float64 // share of the replies that are lost with their connection
 }
 
 type job struct {
@@ -52,7 +54,7 @@
 		serviceMs *= 5
 	}
 	j := &job{vm: vm, attempt: c.Attempt, name: name, serviceMs: clock.Millis(serviceMs * u.factor)}
-	if len(u.queue) >= u.queueCap {
+	if len(u.queue) >= u.queueCap || w.happens(u.shedShare) {
 		w.reply(j, relay.Reply{Status: 503, NotRun: true})
 		return
 	}
@@ -80,12 +82,20 @@
 		w.started[j.name] = true
 		w.at(w.now+max(j.serviceMs, 1), func() {
 			u.busy--
+			if w.happens(u.loseShare) {
+				w.at(w.now+oneWayMs, func() { w.update(j.vm, relay.AttemptFailedMsg{Attempt: j.attempt, Cause: "broken"}) })
+				w.serve(u)
+				return
+			}
 			w.reply(j, relay.Reply{Status: 200, Receipt: fmt.Sprintf("%s.%s.%d", u.info.ID, j.name, j.attempt)})
 			w.serve(u)
 		})
 	}
 }
 
+// happens draws an event with a share of all cases. It draws nothing if the share is 0.
+func (w *Simulation) happens(share float64) bool { return share > 0 && w.rng.Float64() < share }
+
 func (w *Simulation) reply(j *job, rep relay.Reply) {
 	if !j.dropped {
 		w.at(w.now+oneWayMs, func() { w.update(j.vm, relay.ReplyMsg{Attempt: j.attempt, Reply: rep}) })
--- a/preset/defaults.go
+++ b/preset/defaults.go
@@ -78,4 +78,4 @@
 
 // gatewayExtraPercent is the users' upper bound of extra attempts, as a share of
 // the requests.
-const gatewayExtraPercent = 20
+const gatewayExtraPercent = 100
--- a/relay/arrive.go
+++ b/relay/arrive.go
@@ -94,7 +94,7 @@
 		r.subrequests = append(r.subrequests, a.subrequests...)
 	}
 	for _, sub := range r.subrequests {
-		sub.service.budget.countRequest(now)
+		sub.service.budget.CountRequest(now)
 		m.policies.countRequest(now, r.route.Priority)
 		m.dispatch(now, sub)
 	}
--- a/relay/carrier.go
+++ b/relay/carrier.go
@@ -94,6 +94,7 @@
 	m.peers = newPeers
 	m.inFleet = inFleet
 	m.vmCount = max(len(vms), 1)
+	m.carriersChanged()
 	m.preconnectAssigned(now)
 	m.connectCarriers(now)
 	m.releasePeers(now, old)
@@ -336,26 +337,8 @@
 	return s.dataCentres
 }
 
-// carriers returns the VMs of a data centre that gather n shards of a request: those
-// with the most CPU first, then by highest rendezvous hash, until their capacity
-// suffices.
+// carriers returns the VMs of a data centre that gather n shards of a request and are not
+// avoided after a failure.
 func (m *Model) carriers(now clock.Millis, dc string, n int) []*peerVM {
-	var list []*peerVM
-	for _, id := range m.vmIDs {
-		if c := m.peers[id]; c.info.DataCentre == dc && now >= c.avoidUntil && !c.suspect {
-			list = append(list, c)
-		}
-	}
-	slices.SortFunc(list, func(a, b *peerVM) int {
-		if a.info.CPUMilli != b.info.CPUMilli {
-			return cmp.Compare(b.info.CPUMilli, a.info.CPUMilli)
-		}
-		return cmp.Compare(b.hash, a.hash)
-	})
-	for i, c := range list {
-		if n -= c.info.shards(); n <= 0 {
-			return list[:i+1]
-		}
-	}
-	return list
+	return m.strongest(dc, n, func(c *peerVM) bool { return now >= c.avoidUntil && !c.suspect })
 }
--- a/relay/delegation.go
+++ b/relay/delegation.go
@@ -384,7 +384,7 @@
 			m.retryWithin(now, sub, false)
 			continue
 		}
-		sub.service.budget.countRequest(now)
+		sub.service.budget.CountRequest(now)
 		m.dispatch(now, sub)
 	}
 	m.settle(now, r)
--- a/relay/evacuation.go
+++ b/relay/evacuation.go
@@ -53,7 +53,7 @@
 	for _, u := range m.upstreams {
 		if u.info.DataCentre == msg.DataCentre {
 			u.evacuated = msg.Active
-			u.service.dataCentres = nil
+			u.service.upstreamsChanged()
 			affected++
 		}
 	}
--- a/relay/model.go
+++ b/relay/model.go
@@ -5,40 +5,42 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"lentillink.example/lentillink/budget"
 	"lentillink.example/lentillink/clock"
 	"lentillink.example/lentillink/route"
 )
 
 // Model is the state of one VM.
 type Model struct {
-	cfg           config
-	rng           *rand.Rand
-	table         *route.Table
-	splitter      *route.Splitter
-	services      map[string]*service
-	upstreams     map[string]*upstream
-	evacuated     map[string]bool // data centres that are evacuated
-	routeStats    map[string]*routeStats
-	requests      map[uint64]*request
-	attempts      map[uint64]*attempt
-	notices       boundedMap[string, notice] // by upstream
-	timers        timers
-	catchUpUntil  clock.Millis           // nothing overdue is repeated before this time
-	peers         map[string]*peerVM     // the VMs of the fleet, by ID
-	leftPeers     map[string]*peerVM     // VMs that left the list with open delegations from this one, by ID
-	vmIDs         []string               // IDs of the VMs, sorted
-	inFleet       bool                   // this VM is in the list
-	delegations   map[uint64]*delegation // open delegations to carriers, by ID
-	resultLagMs   float64                // as peerVM.resultLagMs, over all carriers
-	rotation      int
-	selfIsCarrier bool // this VM was a carrier when carriers were last selected
-	vmCount       int
-	budgetLimit   BudgetMsg
-	policies      policies
-	nextID        uint64
-	stopAt        clock.Millis // 0 while the VM is not stopping
-	callersUntil  clock.Millis // while stopping: when no new callers are expected
-	cmds          []Cmd
+	cfg            config
+	rng            *rand.Rand
+	table          *route.Table
+	splitter       *route.Splitter
+	services       map[string]*service
+	upstreams      map[string]*upstream
+	evacuated      map[string]bool // data centres that are evacuated
+	routeStats     map[string]*routeStats
+	requests       map[uint64]*request
+	attempts       map[uint64]*attempt
+	notices        boundedMap[string, notice] // by upstream
+	timers         timers
+	catchUpUntil   clock.Millis           // nothing overdue is repeated before this time
+	peers          map[string]*peerVM     // the VMs of the fleet, by ID
+	leftPeers      map[string]*peerVM     // VMs that left the list with open delegations from this one, by ID
+	vmIDs          []string               // IDs of the VMs, sorted
+	inFleet        bool                   // this VM is in the list
+	delegations    map[uint64]*delegation // open delegations to carriers, by ID
+	resultLagMs    float64                // as peerVM.resultLagMs, over all carriers
+	rotation       int
+	selfIsCarrier  bool      // this VM was a carrier when carriers were last selected
+	listedCarriers []*peerVM // of this VM's data centre while none is avoided; nil if not computed
+	vmCount        int
+	budgetLimit    BudgetMsg
+	policies       policies
+	nextID         uint64
+	stopAt         clock.Millis // 0 while the VM is not stopping
+	callersUntil   clock.Millis // while stopping: when no new callers are expected
+	cmds           []Cmd
 }
 
 // New returns a Model without a configuration.
@@ -104,7 +106,7 @@
 	}
 	m.budgetLimit = b
 	for _, s := range m.services {
-		s.budget.setLimit(b)
+		s.budget.SetLimit(budget.Limit(b))
 	}
 }
 
@@ -131,6 +133,7 @@
 		s.configure(t)
 		s.isShard = t.IsShard(s.name)
 	}
+	m.carriersChanged()
 	m.emit(EventCmd{Event: Event{Kind: "config_in_force", Version: t.Version()}})
 }
 
@@ -168,7 +171,7 @@
 	}
 	u.info = info
 	u.evacuated = m.evacuated[info.DataCentre]
-	u.service.dataCentres = nil
+	u.service.upstreamsChanged()
 	u.coldUntil = now + info.ColdMs
 	m.applyNotice(u, m.notices.get(info.ID))
 	if u.usable() {
@@ -190,7 +193,7 @@
 // detach removes an upstream from its service. Its open attempts continue.
 func (m *Model) detach(now clock.Millis, u *upstream) {
 	u.removed = true
-	u.service.dataCentres = nil
+	u.service.upstreamsChanged()
 	list := u.service.upstreams
 	for i, o := range list {
 		if o == u {
--- a/relay/notice.go
+++ b/relay/notice.go
@@ -98,7 +98,7 @@
 		return
 	}
 	u.info.Leaving = true
-	u.service.dataCentres = nil
+	u.service.upstreamsChanged()
 	m.emit(EventCmd{Event: Event{Kind: "upstream_leaving", Upstream: u.info.ID, Detail: u.service.name + " " + source}})
 }
 
--- a/relay/preset.go
+++ b/relay/preset.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"lentillink.example/lentillink/budget"
 	"lentillink.example/lentillink/clock"
 	"lentillink.example/lentillink/preset"
 	"lentillink.example/lentillink/rank"
@@ -28,8 +29,8 @@
 type policies struct {
 	active  preset.Preset
 	loaded  bool
-	hedges  rank.Table[budget]
-	retries rank.Table[budget]
+	hedges  rank.Table[budget.Window]
+	retries rank.Table[budget.Window]
 	open    rank.Table[int] // requests without an answer
 }
 
@@ -43,12 +44,12 @@
 	m.policies.active, m.policies.loaded = p, true
 	for _, r := range rank.All() {
 		policy := p.Policy(r)
-		set := func(b *budget, percentage float64) {
-			limit := BudgetMsg{Ratio: percentage / percent, WindowMs: rankWindowMs}
+		set := func(b *budget.Window, percentage float64) {
+			limit := budget.Limit{Ratio: percentage / percent, WindowMs: rankWindowMs}
 			if percentage > 0 {
 				limit.Extra = rankExtra
 			}
-			b.setLimit(limit)
+			b.SetLimit(limit)
 		}
 		set(m.policies.hedges.Ref(r), policy.HedgeBudgetPercent)
 		set(m.policies.retries.Ref(r), policy.RetryBudgetPercent)
@@ -58,20 +59,20 @@
 // countRequest counts one sub-request of a rank for its budgets.
 func (p *policies) countRequest(now clock.Millis, priority int) {
 	if p.loaded {
-		p.hedges.Ref(rankOf(priority)).countRequest(now)
-		p.retries.Ref(rankOf(priority)).countRequest(now)
+		p.hedges.Ref(rankOf(priority)).CountRequest(now)
+		p.retries.Ref(rankOf(priority)).CountRequest(now)
 	}
 }
 
 // allows reports whether a rank's budget allows one more extra attempt.
-func (p *policies) allows(now clock.Millis, budgets *rank.Table[budget], priority int) bool {
-	return !p.loaded || budgets.Ref(rankOf(priority)).remaining(now, 1, 1/localBudgetShare) >= 1
+func (p *policies) allows(now clock.Millis, budgets *rank.Table[budget.Window], priority int) bool {
+	return !p.loaded || budgets.Ref(rankOf(priority)).RemainingOfRatio(now) >= 1
 }
 
 // spend counts one extra attempt of a rank.
-func (p *policies) spend(now clock.Millis, budgets *rank.Table[budget], priority int) {
+func (p *policies) spend(now clock.Millis, budgets *rank.Table[budget.Window], priority int) {
 	if p.loaded {
-		budgets.Ref(rankOf(priority)).spend(now)
+		budgets.Ref(rankOf(priority)).Spend(now)
 	}
 }
 
--- a/relay/reply.go
+++ b/relay/reply.go
@@ -104,7 +104,7 @@
 		m.giveUp(now, sub, "max_attempts")
 	case now >= r.deadline:
 		m.giveUp(now, sub, "deadline")
-	case sub.deliveries > 0 && (sub.service.budget.remaining(now, m.vmCount, 1) < 1 || byPreset && !m.policies.allows(now, &m.policies.retries, r.route.Priority)):
+	case sub.deliveries > 0 && (sub.service.budget.Remaining(now, m.allowancePart(sub.service), 1) < 1 || byPreset && !m.policies.allows(now, &m.policies.retries, r.route.Priority)):
 		m.event("retry_denied", r, nil, sub.service.name, now-r.arrived)
 		m.giveUp(now, sub, "budget")
 	default:
--- a/relay/send.go
+++ b/relay/send.go
@@ -6,6 +6,10 @@
 	"lentillink.example/lentillink/clock"
 )
 
+// hedgeBudgetShare is the share of the budget that hedges may use. The rest is reserved
+// for retries, each of which prevents a failed answer.
+const hedgeBudgetShare = 0.8
+
 // hedgeTargetDivisor divides the time to the target; the result is the minimum delay
 // of a hedge, even if the reply is overdue sooner. This avoids a second attempt while
 // much time is left.
@@ -37,7 +41,7 @@
 	a := &attempt{id: m.nextID, subrequest: sub, upstream: u, sentAt: now, overdueAfter: st.overdueAfter(u.slowness(now)), expiresAt: sub.req.deadline}
 	a.hedgeAt = now + max(a.overdueAfter, (sub.req.targetAt-now)/hedgeTargetDivisor)
 	if sub.deliveries > 0 {
-		sub.service.budget.spend(now)
+		sub.service.budget.Spend(now)
 	}
 	sub.deliveries++
 	sub.possibleRuns++
@@ -115,7 +119,7 @@
 // upstreams have no free place, it waits for one.
 func (m *Model) sendHedge(now clock.Millis, sub *subrequest) {
 	r := sub.req
-	if sub.service.budget.remaining(now, m.vmCount, hedgeBudgetShare) < 1 || !m.policies.allows(now, &m.policies.hedges, r.route.Priority) {
+	if sub.service.budget.Remaining(now, m.allowancePart(sub.service), hedgeBudgetShare) < 1 || !m.policies.allows(now, &m.policies.hedges, r.route.Priority) {
 		return
 	}
 	u, available := m.chooseUpstream(now, sub, true)
--- a/relay/service.go
+++ b/relay/service.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/cespare/xxhash/v2"
 
+	"lentillink.example/lentillink/budget"
 	"lentillink.example/lentillink/clock"
 	"lentillink.example/lentillink/route"
 )
@@ -39,7 +40,7 @@
 	hash      uint64 // of the name
 	upstreams []*upstream
 	queue     []*subrequest
-	budget    budget
+	budget    budget.Window
 
 	waitingHedges []*subrequest // overdue, while no other upstream has a free place
 
@@ -47,6 +48,8 @@
 	isShard     bool     // its work is delegated to carriers
 	assigned    bool     // this VM is its carrier in its data centre, by the last list of VMs
 	dataCentres []string // with usable upstreams, sorted; nil if not computed
+
+	allowancePart float64 // of the fixed allowance of extra attempts; 0 if not computed
 }
 
 // attemptLimit returns how many attempts of a priority this VM may have open at u. A
@@ -99,7 +102,7 @@
 func (m *Model) service(name string) *service {
 	s := m.services[name]
 	if s == nil {
-		s = &service{name: name, hash: xxhash.Sum64String(name), budget: newBudget(m.budgetLimit)}
+		s = &service{name: name, hash: xxhash.Sum64String(name), budget: budget.New(budget.Limit(m.budgetLimit))}
 		m.services[name] = s
 		if m.table != nil {
 			s.configure(m.table)
@@ -115,7 +118,7 @@
 	if s := m.services[name]; s != nil {
 		return s
 	}
-	return &service{name: name, budget: newBudget(m.budgetLimit)}
+	return &service{name: name, budget: budget.New(budget.Limit(m.budgetLimit))}
 }
 
 func (s *service) configure(t *route.Table) {
