Choose upstreams by how often they fail

An upstream that refuses or fails a part of its requests answers the others fast, so it was chosen like any other: it was avoided for 30 to 100 ms after a failure, and a success ended that. Each failure cost one of the few extra attempts.

The share of failed attempts, faded with a half-life of 3 s, now counts in the choice, as six times the cost of another data centre.

--- a/relay/choose.go
+++ b/relay/choose.go
@@ -16,6 +16,10 @@
 	// sharedAttemptFactor replaces openAttemptFactor at an upstream that other VMs use
 	// too, where one open attempt of this VM implies several from other VMs.
 	sharedAttemptFactor = 0.5
+
+	// failureFactor is the cost of a failed attempt, in terms of what an upstream in
+	// another data centre costs. It takes time and one of the few extra attempts.
+	failureFactor = 6
 )
 
 // chooseUpstream returns the upstream with the lowest expected latency for a
@@ -71,9 +75,11 @@
 	if u.overdue(now) > 0 {
 		score += medianMs
 	}
+	remoteMs := max(crossCentreMs, crossCentreFactor*medianMs)
 	if !m.isLocal(u) {
-		score += max(crossCentreMs, crossCentreFactor*medianMs)
+		score += remoteMs
 	}
+	score += failureFactor * remoteMs * u.reliability.FailingShare(now)
 	// Jitter breaks ties, so that VMs do not all prefer the same upstream.
 	return score + m.rng.Float64()*0.1*medianMs
 }
--- a/relay/upstream.go
+++ b/relay/upstream.go
@@ -2,6 +2,7 @@
 
 import (
 	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/reliability"
 )
 
 // Upstream is the state that an upstream reports about itself.
@@ -71,6 +72,7 @@
 	holdUntil      clock.Millis // the upstream asked for no requests before this time
 	coldUntil      clock.Millis
 	removed        bool
+	reliability    reliability.Estimate
 	evacuated      bool // its data centre is evacuated
 	older          olderReports
 }
@@ -109,6 +111,7 @@
 
 // recordLatency records the latency of a reply as a multiple of the median.
 func (u *upstream) recordLatency(now clock.Millis, ratio float64) {
+	u.reliability.Record(now, false)
 	u.failures = 0
 	u.avoidUntil = min(u.avoidUntil, now)
 	u.attemptWindow = min(u.attemptWindow+1/max(u.attemptWindow, 1), maxAttemptWindow)
@@ -126,6 +129,7 @@
 
 // recordFailure records an attempt without a reply or with a server error.
 func (u *upstream) recordFailure(now clock.Millis) {
+	u.reliability.Record(now, true)
 	u.failures++
 	avoid := min(firstAvoidMs<<min(u.failures-1, 8), maxAvoidMs)
 	u.avoidUntil = max(u.avoidUntil, now+avoid)
@@ -133,6 +137,7 @@
 
 // recordShed records a reply that the upstream is full.
 func (u *upstream) recordShed(now clock.Millis) {
+	u.reliability.Record(now, true)
 	u.attemptWindow = max(u.attemptWindow/2, 1)
 	u.avoidUntil = max(u.avoidUntil, now+shedAvoidMs)
 }
