Decide the customer of a request from its key

A deployment with customers was served as one without: any key was accepted, and both the key and a customer header of the caller's own went to upstreams.

The VM that the caller reaches now finds the customer once, by the version of the configuration that the request keeps, and answers an unknown or missing key with 401 unless the route is anonymous. A delegation carries the customer and its priority, so a carrier's version, older or newer, decides nothing. Every attempt names the customer in the upstream's header; the stored request head holds neither the caller's credentials nor a customer that it claims. Queues order work by the customer's priority before that of the route.

A carrier of an earlier release would send shards without the customer. Such a delegation has no max_attempts for it, so it refuses and the VM gathers itself.

--- a/exchange/client.go
+++ b/exchange/client.go
@@ -46,8 +46,9 @@
 	Address       string
 	Request       *Request
 	RemainingMs   clock.Millis
-	NonIdempotent bool // must not be repeated: needs a new or recently used connection
-	NeedHeader    bool // whether the Reply is to hold the headers
+	NonIdempotent bool   // must not be repeated: needs a new or recently used connection
+	NeedHeader    bool   // whether the Reply is to hold the headers
+	Customer      string // name of the caller's customer; empty if none
 }
 
 // Result reports the end of a call: a Reply, or an Error.
@@ -331,7 +332,7 @@
 
 // write sends the request of p. The caller holds c.mu.
 func (c *Client) write(cn *conn, p *pendingCall) {
-	b := p.call.Request.appendTo(nil, c.headers, p.call.Upstream, p.call.RemainingMs)
+	b := p.call.Request.appendTo(nil, c.headers, &p.call)
 	p.sent = true
 	if len(b) <= maxInlineBytes {
 		n, err := cn.nc.Write(b)
--- a/exchange/request.go
+++ b/exchange/request.go
@@ -5,8 +5,6 @@
 	"strconv"
 
 	"github.com/valyala/fasthttp"
-
-	"lentillink.example/lentillink/clock"
 )
 
 // Headers holds the names of the headers that upstreams and this VM exchange.
@@ -17,6 +15,7 @@
 	Receipt        string // identifies the upstream and the request that it answered
 	NotRun         string // present if the upstream did not execute the request
 	Leaving        string // present with the value 1 if the upstream is leaving
+	Customer       string // name of the caller's customer, set by this VM only
 }
 
 // Request is a request to forward. It is immutable, so that several attempts can share
@@ -68,12 +67,15 @@
 func (r *Request) Body() []byte { return r.body }
 
 // appendTo appends the wire form of the request for one upstream to b.
-func (r *Request) appendTo(b []byte, h Headers, upstream string, remaining clock.Millis) []byte {
+func (r *Request) appendTo(b []byte, h Headers, c *Call) []byte {
 	b = append(b, r.head...)
-	b = appendField(b, h.ExpectInstance, upstream)
+	b = appendField(b, h.ExpectInstance, c.Upstream)
+	if c.Customer != "" {
+		b = appendField(b, h.Customer, c.Customer)
+	}
 	b = append(b, h.DeadlineMs...)
 	b = append(b, ": "...)
-	b = strconv.AppendInt(b, int64(remaining), 10)
+	b = strconv.AppendInt(b, int64(c.RemainingMs), 10)
 	b = append(b, "\r\n\r\n"...)
 	return append(b, r.body...)
 }
--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -118,7 +118,7 @@
 	c := &call{answer: make(chan relay.Answer, 1)}
 	c.request = exchange.NewRequest(g.headers.Headers, r.Method, uri, r.Host, id, g.forwardedFields(r.Header), body)
 	callID := g.lastCallID.Add(1)
-	g.post(loopMsg{call: c, at: g.clock.Now(), relay: relay.ArrivalMsg{ID: callID, Name: id, Host: r.Host, Path: uri, RemainingMs: remaining, RoundTripMs: roundTripOf(r)}})
+	g.post(loopMsg{call: c, at: g.clock.Now(), relay: relay.ArrivalMsg{ID: callID, Name: id, Host: r.Host, Path: uri, RemainingMs: remaining, Key: g.keyOf(r), RoundTripMs: roundTripOf(r)}})
 	select {
 	case a := <-c.answer:
 		g.writeAnswer(w, id, a)
@@ -196,40 +196,15 @@
 	return clock.Millis(max(n, 1)), nil
 }
 
-// forwardedFields returns the headers that are forwarded unchanged.
-func (g *Gateway) forwardedFields(h http.Header) []exchange.Field {
-	dropped := make(map[string]bool)
-	for _, line := range h["Connection"] {
-		for _, name := range strings.Split(line, ",") {
-			dropped[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
-		}
-	}
-	var out []exchange.Field
-	for name, values := range h {
-		if dropped[name] || exchange.IsHopByHop(name) || g.setsHeader(name) {
-			continue
-		}
-		for _, v := range values {
-			out = append(out, exchange.Field{Name: name, Value: v})
-		}
-	}
-	return out
-}
-
-// setsHeader reports whether the header is not forwarded because this VM sets it itself
-// or answers it (Expect).
-func (g *Gateway) setsHeader(name string) bool {
-	h := g.headers.Headers
-	return name == h.RequestID || name == h.DeadlineMs || name == h.ExpectInstance || name == "Expect"
-}
-
 // statusOf maps outcomes to HTTP statuses. 503 guarantees that the request was not executed.
 var statusOf = map[relay.Outcome]int{
-	relay.Refused:  http.StatusServiceUnavailable,
-	relay.NotReady: http.StatusServiceUnavailable,
-	relay.Failed:   http.StatusBadGateway,
-	relay.TimedOut: http.StatusGatewayTimeout,
-	relay.NoRoute:  http.StatusNotFound,
+	relay.Refused:      http.StatusServiceUnavailable,
+	relay.NotReady:     http.StatusServiceUnavailable,
+	relay.Failed:       http.StatusBadGateway,
+	relay.TimedOut:     http.StatusGatewayTimeout,
+	relay.NoRoute:      http.StatusNotFound,
+	relay.Unauthorized: http.StatusUnauthorized,
+	relay.OverLimit:    http.StatusTooManyRequests,
 }
 
 func (g *Gateway) writeAnswer(w http.ResponseWriter, id string, a relay.Answer) {
@@ -257,6 +232,9 @@
 		w.WriteHeader(http.StatusOK)
 		_, _ = w.Write(a.Body)
 	default:
+		if a.Outcome == relay.Unauthorized {
+			h.Set("WWW-Authenticate", g.headers.CredentialScheme)
+		}
 		refuse(w, statusOf[a.Outcome], a.RetryAfterMs)
 	}
 }
--- a/gateway/decoder.go
+++ b/gateway/decoder.go
@@ -13,6 +13,10 @@
 	exchange.Headers
 	Receipts      string // of a gathered answer: the receipts of its sub-requests
 	MissingShards string // of a gathered answer: the number of shards that are missing
+
+	// Credential holds the caller's key, after CredentialScheme. It is not forwarded.
+	Credential       string
+	CredentialScheme string
 }
 
 // DecodedItem is the decoded value of an item of the store. At most one field is set.
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -161,7 +161,7 @@
 		}
 		g.client.Send(exchange.Call{
 			Attempt: c.Attempt, Upstream: c.Upstream, Address: c.Address, Request: pending.request,
-			RemainingMs: c.RemainingMs, NonIdempotent: c.NonIdempotent, NeedHeader: !c.Gather,
+			RemainingMs: c.RemainingMs, NonIdempotent: c.NonIdempotent, NeedHeader: !c.Gather, Customer: c.Customer,
 		})
 	case relay.CancelCmd:
 		g.client.Cancel(c.Attempt)
@@ -379,6 +379,9 @@
 	g.metrics.events.WithLabelValues(ev.Kind).Inc()
 	fields := []any{"event", ev.Kind, "request", ev.Request, "route", ev.Route, "upstream", ev.Upstream,
 		"version", ev.Version, "age_ms", int64(ev.AgeMs), "detail", ev.Detail}
+	if ev.Customer != "" {
+		fields = append(fields, "customer", ev.Customer)
+	}
 	if ev.Cause != "" {
 		fields = append(fields, "cause", ev.Cause)
 	}
--- a/peer/delegation.go
+++ b/peer/delegation.go
@@ -5,39 +5,57 @@
 	"math"
 
 	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/customer"
 	"lentillink.example/lentillink/peer/peerpb"
 	"lentillink.example/lentillink/relay"
 	"lentillink.example/lentillink/route"
 )
 
 func encodeDelegation(d relay.Delegation) *peerpb.HandOver {
-	return &peerpb.HandOver{
+	out := &peerpb.HandOver{
 		Id: d.ID, Version: d.Version, Name: d.Name, Head: d.Head, Body: d.Body,
 		LeftMs: int64(d.RemainingMs), AnswerInMs: int64(d.TargetInMs), LateInMs: int64(d.LateInMs), Services: d.Services,
 		Route: d.Terms.Route, TargetMs: int64(d.Terms.TargetMs), Priority: uint32(d.Terms.Priority),
 		MaxAttempts: uint32(d.Terms.MaxAttempts), TopK: uint32(d.Terms.TopK), MinShardRatio: d.Terms.MinShardRatio,
 	}
+	if d.Terms.Customer != "" {
+		out.Customer, out.CustomerPriority = d.Terms.Customer, uint32(d.Terms.CustomerPriority)
+		// An earlier release refuses a delegation without max_attempts.
+		out.MaxAttempts, out.CustomerMaxAttempts = 0, out.MaxAttempts
+	}
+	return out
 }
 
 // maxDelegatedShards bounds the shards of a delegation. Services have a few hundred.
 const maxDelegatedShards = 8192
 
-var errOutOfRange = errors.New("a number is out of range")
+var (
+	errOutOfRange = errors.New("a number is out of range")
+	errCustomer   = errors.New("the name of the customer is not fit for a header")
+)
 
 func decodeDelegation(d *peerpb.HandOver) (relay.Delegation, error) {
 	ratio := d.GetMinShardRatio()
+	maxAttempts := d.GetMaxAttempts()
+	if d.GetCustomer() != "" {
+		maxAttempts = d.GetCustomerMaxAttempts()
+	}
 	if !inRange(d.GetLeftMs()) || !inRange(d.GetAnswerInMs()) || !inRange(d.GetTargetMs()) || !inRange(max(d.GetLateInMs(), -d.GetLateInMs())) ||
 		len(d.GetServices()) > maxDelegatedShards ||
-		max(d.GetPriority(), d.GetMaxAttempts(), d.GetTopK()) > route.MaxCount || math.IsNaN(ratio) || ratio < 0 || ratio > 1 {
+		max(d.GetPriority(), d.GetCustomerPriority(), maxAttempts, d.GetTopK()) > route.MaxCount || math.IsNaN(ratio) || ratio < 0 || ratio > 1 {
 		return relay.Delegation{}, wrap("decode delegation", KindDecode, errOutOfRange)
 	}
+	if d.GetCustomer() != "" && !customer.ValidName(d.GetCustomer()) {
+		return relay.Delegation{}, wrap("decode delegation", KindDecode, errCustomer)
+	}
 	return relay.Delegation{
 		ID: d.GetId(), Version: d.GetVersion(), Name: d.GetName(), Head: d.GetHead(), Body: d.GetBody(),
 		RemainingMs: clock.Millis(d.GetLeftMs()), TargetInMs: clock.Millis(d.GetAnswerInMs()), LateInMs: clock.Millis(d.GetLateInMs()),
 		Services: d.GetServices(),
 		Terms: relay.Terms{
 			Route: d.GetRoute(), TargetMs: clock.Millis(d.GetTargetMs()), Priority: int(d.GetPriority()),
-			MaxAttempts: int(d.GetMaxAttempts()), TopK: int(d.GetTopK()), MinShardRatio: ratio,
+			MaxAttempts: int(maxAttempts), TopK: int(d.GetTopK()), MinShardRatio: ratio,
+			Customer: d.GetCustomer(), CustomerPriority: int(d.GetCustomerPriority()),
 		},
 	}, nil
 }
--- a/peer/delegation_test.go
+++ b/peer/delegation_test.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"reflect"
+	"strings"
 	"testing"
 
 	"lentillink.example/lentillink/catalog"
@@ -23,6 +24,7 @@
 			RemainingMs: 3, TargetInMs: 4, LateInMs: -6,
 			Terms: relay.Terms{Route: "q", TargetMs: 5, Priority: 1, MaxAttempts: 2, TopK: 10, MinShardRatio: 0.75},
 		},
+		relay.Delegation{ID: 1, Services: []string{"a"}, Terms: relay.Terms{MaxAttempts: 3, Customer: "nyla", CustomerPriority: 4}},
 		relay.DelegationAck{ID: 5},
 		relay.DelegationResult{ID: 6, Partial: true, ExpectedMs: 9, Answer: relay.Answer{
 			Outcome: relay.Gathered, Body: []byte("records"), Receipts: []string{"x", "y"}, Missing: 1, Version: 2,
@@ -45,7 +47,7 @@
 // TestDelegationResultRejectsOutcome guards against a delegation result whose
 // outcome is unknown or not allowed, and which would reach the caller as an answer.
 func TestDelegationResultRejectsOutcome(t *testing.T) {
-	for _, outcome := range []uint32{uint32(relay.Relayed), 99} {
+	for _, outcome := range []uint32{uint32(relay.Relayed), uint32(relay.Unauthorized), uint32(relay.OverLimit), 99} {
 		env := &peerpb.Envelope{Body: &peerpb.Envelope_HandBack{HandBack: &peerpb.HandBack{Id: 1, Outcome: outcome}}}
 		if _, _, err := peer.Decode(0, env); err == nil {
 			t.Errorf("outcome %d: got no error, want one", outcome)
@@ -70,6 +72,11 @@
 		relay.Delegation{ID: 1, Terms: relay.Terms{TopK: -1}},
 		relay.Delegation{ID: 1, Terms: relay.Terms{MinShardRatio: math.NaN()}},
 		relay.Delegation{ID: 1, Terms: relay.Terms{MinShardRatio: 1.1}},
+		relay.Delegation{ID: 1, Terms: relay.Terms{Customer: "nyla", CustomerPriority: -1}},
+		relay.Delegation{ID: 1, Terms: relay.Terms{Customer: "nyla", MaxAttempts: 1 << 31}},
+		relay.Delegation{ID: 1, Terms: relay.Terms{Customer: "nyla\r\nX-Injected: 1"}},
+		relay.Delegation{ID: 1, Terms: relay.Terms{Customer: " "}},
+		relay.Delegation{ID: 1, Terms: relay.Terms{Customer: strings.Repeat("n", 1000)}},
 		relay.DelegationResult{ID: 1, ExpectedMs: huge},
 		relay.DelegationResult{ID: 1, Answer: relay.Answer{Outcome: relay.Refused, RetryAfterMs: huge}},
 		relay.DelegationResult{ID: 1, Answer: relay.Answer{Outcome: relay.Refused, RetryAfterMs: -huge}},
@@ -82,3 +89,23 @@
 		}
 	}
 }
+
+// TestDelegationAcrossReleases guards against a carrier of a release without customers that
+// sends shards without naming the customer, and against a delegation of such a release that
+// is not understood.
+func TestDelegationAcrossReleases(t *testing.T) {
+	for _, tt := range []struct {
+		customer string
+		want     uint32 // max_attempts; an earlier release refuses 0
+	}{{"nyla", 0}, {"", 2}} {
+		d := relay.Delegation{ID: 1, Services: []string{"a"}, Terms: relay.Terms{Route: "q", MaxAttempts: 2, Customer: tt.customer}}
+		if got := peer.Encode(0, clock.Timestamp{}, d).GetHandOver().GetMaxAttempts(); got != tt.want {
+			t.Errorf("customer %q: got max_attempts %d, want %d", tt.customer, got, tt.want)
+		}
+	}
+	env := &peerpb.Envelope{Body: &peerpb.Envelope_HandOver{HandOver: &peerpb.HandOver{Id: 1, Services: []string{"a"}, MaxAttempts: 2, Priority: 1}}}
+	got, _, err := peer.Decode(0, env)
+	if d, ok := got.(relay.Delegation); err != nil || !ok || d.Terms.MaxAttempts != 2 || d.Terms.Customer != "" {
+		t.Errorf("got %+v, %v, want a delegation without a customer", got, err)
+	}
+}
--- a/relay/accept.go
+++ b/relay/accept.go
@@ -9,10 +9,14 @@
 
 // terms returns the conditions under which carriers gather shards of r.
 func (r *request) terms() Terms {
-	return Terms{
+	t := Terms{
 		Route: r.route.Name, TargetMs: r.route.TargetMs, Priority: r.route.Priority,
 		MaxAttempts: max(r.route.MaxAttempts, 1), TopK: r.route.TopK, MinShardRatio: r.minShardRatio,
 	}
+	if r.customer != "" {
+		t.Customer, t.CustomerPriority = r.customer, r.priority.customer
+	}
+	return t
 }
 
 // asRoute returns a route that gathers the delegated shards. The carrier's own
@@ -89,6 +93,7 @@
 	r := &request{
 		id: msg.ID, name: msg.Name, hash: xxhash.Sum64String(msg.Name), arrived: now, route: d.asRoute(), version: d.Version,
 		minShardRatio: d.Terms.MinShardRatio, delegated: true,
+		customer: d.Terms.Customer, priority: d.Terms.priority(),
 	}
 	r.deadline = now + d.RemainingMs - msg.WaitedMs
 	r.targetAt = min(now+max(d.TargetInMs-msg.WaitedMs, 0), r.deadline)
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -7,16 +7,18 @@
 
 // The outcomes of a request.
 const (
-	Relayed  Outcome = iota // reply of one upstream, unchanged
-	Gathered                // merged replies of the shards
-	Refused                 // not run and will not run
-	Failed                  // may have run
-	TimedOut                // may have run, or may still be running
-	NoRoute                 // no route in the configuration matches
-	NotReady                // no configuration loaded yet; not run
+	Relayed      Outcome = iota // reply of one upstream, unchanged
+	Gathered                    // merged replies of the shards
+	Refused                     // not run and will not run
+	Failed                      // may have run
+	TimedOut                    // may have run, or may still be running
+	NoRoute                     // no route in the configuration matches
+	NotReady                    // no configuration loaded yet; not run
+	Unauthorized                // no customer has the key; not run
+	OverLimit                   // beyond the limit of its customer; not run
 )
 
-var outcomeNames = [...]string{"relayed", "gathered", "refused", "failed", "timed_out", "no_route", "not_ready"}
+var outcomeNames = [...]string{"relayed", "gathered", "refused", "failed", "timed_out", "no_route", "not_ready", "unauthorized", "over_limit"}
 
 // String returns the name of o.
 func (o Outcome) String() string {
--- a/relay/arrive.go
+++ b/relay/arrive.go
@@ -49,7 +49,13 @@
 		m.reject(msg, Answer{Outcome: NoRoute, Reason: "no_route", Version: m.table.Version()})
 		return
 	}
+	c, ok := m.identify(rt, msg.Key)
+	if !ok {
+		m.reject(msg, Answer{Outcome: Unauthorized, Reason: "unknown_key", Route: rt.Name, Version: m.table.Version()})
+		return
+	}
 	r := m.newRequest(now, rt, msg)
+	r.setCustomer(c)
 	if r.deadline <= now {
 		m.refuse(msg, r, "waited_too_long", m.retryAfter(0, 0))
 		return
@@ -116,7 +122,7 @@
 func (m *Model) newRequest(now clock.Millis, rt *route.Route, msg ArrivalMsg) *request {
 	r := &request{
 		id: msg.ID, name: msg.Name, hash: xxhash.Sum64String(msg.Name), arrived: now, route: rt,
-		version: m.table.Version(), minShardRatio: m.policies.minShardRatio(rt.MinShardRatio, rt.Priority),
+		priority: routePriority(rt.Priority), version: m.table.Version(), minShardRatio: m.policies.minShardRatio(rt.MinShardRatio, rt.Priority),
 	}
 	timeout := rt.TimeoutMs
 	if timeout <= 0 {
@@ -293,7 +299,7 @@
 		// no queue, and dispatch handles this case.
 		return max(sub.service.heldUntil(now)-now, 0)
 	}
-	ahead := sub.service.queuedAhead(sub.req.route.Priority)
+	ahead := sub.service.queuedAhead(sub.req.priority)
 	wait := 0.0
 	if open+ahead >= capacity {
 		wait = medianMs * minSlowness * float64(open+ahead-capacity+1) / float64(capacity)
--- a/relay/command.go
+++ b/relay/command.go
@@ -15,6 +15,7 @@
 	RemainingMs   clock.Millis // timeout of the upstream's work
 	Gather        bool         // only the receipt and the body of the reply are used
 	NonIdempotent bool         // must not run twice: prefer a connection that is known to be open
+	Customer      string       // to name to the upstream; empty if none
 }
 
 // CancelCmd cancels an attempt. No message about it needs to follow.
@@ -83,6 +84,7 @@
 	Request  string
 	Route    string
 	Upstream string
+	Customer string // empty if none
 	Version  uint64
 	Detail   string
 	Cause    string       // why a part is missing; empty for other kinds
--- a/relay/delegation.go
+++ b/relay/delegation.go
@@ -34,6 +34,11 @@
 	MaxAttempts   int          // per shard, at least 1
 	TopK          int          // number of records in the result
 	MinShardRatio float64      // share of the shards, 0 to 1, that an answer needs
+
+	// Customer is the one that the VM reached by the caller has found; empty if there is
+	// none. Carriers see no key.
+	Customer         string
+	CustomerPriority int // 0 is the most urgent
 }
 
 // DelegationAck acknowledges a Delegation on arrival.
--- a/relay/message.go
+++ b/relay/message.go
@@ -25,6 +25,7 @@
 	Host        string
 	Path        string       // with its query string
 	RemainingMs clock.Millis // caller's timeout; 0 if not stated
+	Key         string       // that the caller sent; empty if none
 
 	// RoundTripMs is the network time of the request and its answer, plus that of
 	// opening the connection if it was opened for this request; 0 if not known.
--- a/relay/model.go
+++ b/relay/model.go
@@ -110,7 +110,7 @@
 func (m *Model) event(kind string, r *request, u *upstream, detail string, age clock.Millis) {
 	ev := Event{Kind: kind, Detail: detail, AgeMs: age}
 	if r != nil {
-		ev.Request, ev.Route, ev.Version = r.name, r.route.Name, r.version
+		ev.Request, ev.Route, ev.Version, ev.Customer = r.name, r.route.Name, r.version, r.customer
 	}
 	if u != nil {
 		ev.Upstream = u.info.ID
--- a/relay/reply.go
+++ b/relay/reply.go
@@ -123,7 +123,7 @@
 	sub.resolved = true
 	sub.req.unresolved--
 	m.emit(EventCmd{Event: Event{
-		Kind: "part_missing", Request: sub.req.name, Route: sub.req.route.Name, Version: sub.req.version,
+		Kind: "part_missing", Request: sub.req.name, Route: sub.req.route.Name, Version: sub.req.version, Customer: sub.req.customer,
 		Detail: sub.service.name, Cause: cause, AgeMs: now - sub.req.arrived,
 	}})
 }
--- a/relay/request.go
+++ b/relay/request.go
@@ -13,6 +13,8 @@
 	name               string
 	hash               uint64 // of the name
 	route              *route.Route
+	customer           string // name of the caller's customer; empty if none
+	priority           priority
 	version            uint64
 	minShardRatio      float64 // share of the shards below which a gathered answer fails
 	arrived            clock.Millis
@@ -106,8 +108,8 @@
 func (sub *subrequest) precedes(now clock.Millis, other *subrequest) bool {
 	a, b := sub.req, other.req
 	switch {
-	case a.route.Priority != b.route.Priority:
-		return a.route.Priority < b.route.Priority
+	case a.priority != b.priority:
+		return a.priority.precedes(b.priority)
 	case (now > a.lateAt) != (now > b.lateAt):
 		return now <= a.lateAt // late requests yield to those that are not
 	case a.lateAt != b.lateAt:
--- a/relay/send.go
+++ b/relay/send.go
@@ -49,6 +49,7 @@
 	m.emit(SendCmd{
 		Attempt: a.id, Request: sub.req.id, Upstream: u.info.ID, Address: u.info.Address,
 		RemainingMs: max(sub.req.deadline-now, 1), Gather: sub.req.gathers(), NonIdempotent: !sub.req.route.Idempotent,
+		Customer: sub.req.customer,
 	})
 	if sub.req.route.Idempotent {
 		m.wake(sub.req, a.hedgeAt)
--- a/relay/service.go
+++ b/relay/service.go
@@ -126,13 +126,13 @@
 
 // queuedAhead returns how many queued sub-requests are served before a new one of a
 // priority.
-func (s *service) queuedAhead(priority int) int {
+func (s *service) queuedAhead(p priority) int {
 	n := 0
 	for _, sub := range s.queue {
 		if sub.req.answered {
 			continue
 		}
-		if sub.req.route.Priority <= priority {
+		if !p.precedes(sub.req.priority) {
 			n++
 		}
 	}
--- a/route/config.go
+++ b/route/config.go
@@ -1,6 +1,9 @@
 package route
 
-import "lentillink.example/lentillink/clock"
+import (
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/customer"
+)
 
 // Largest values of a configuration. They are far above any real one, and low enough that
 // sums and products of them do not overflow.
@@ -11,10 +14,11 @@
 
 // Config is one version of the operators' configuration.
 type Config struct {
-	Version  uint64 // increases with each change, not always by one
-	Routes   []Route
-	Services []Service
-	Limits   Limits
+	Version   uint64 // increases with each change, not always by one
+	Routes    []Route
+	Services  []Service
+	Customers []customer.Customer // if there are any, requests need a key of one
+	Limits    Limits
 }
 
 // Route defines where requests of one host and path prefix are sent, and how.
@@ -33,6 +37,7 @@
 	MaxAttempts   int          // maximum number of upstreams that may run one request, per shard
 	TopK          int          // number of records in a gathered answer
 	MinShardRatio float64      // share of the shards, 0 to 1, below which a gathered answer fails
+	Anonymous     bool         // requests need no key
 }
 
 // WeightedService is one target of a split route.
--- a/route/table.go
+++ b/route/table.go
@@ -2,19 +2,24 @@
 
 import (
 	"strings"
+
+	"lentillink.example/lentillink/customer"
 )
 
 // Table finds the route of a request. It is immutable.
 type Table struct {
-	config   Config
-	hosts    map[string]map[string]*Route // by host, then by prefix
-	services map[string]Service
-	shards   map[string]bool
+	config    Config                       // without the customers, whose keys are not kept
+	hosts     map[string]map[string]*Route // by host, then by prefix
+	services  map[string]Service
+	shards    map[string]bool
+	customers *customer.Directory
 }
 
 // NewTable returns the index of cfg. The caller must not modify cfg afterwards.
 func NewTable(cfg Config) *Table {
-	t := &Table{config: cfg, hosts: make(map[string]map[string]*Route), services: make(map[string]Service), shards: make(map[string]bool)}
+	customers := customer.NewDirectory(cfg.Customers)
+	cfg.Customers = nil
+	t := &Table{config: cfg, hosts: make(map[string]map[string]*Route), services: make(map[string]Service), shards: make(map[string]bool), customers: customers}
 	for i := range cfg.Routes {
 		r := &cfg.Routes[i]
 		host := normalizeHost(r.Host)
@@ -38,6 +43,9 @@
 // Limits returns the limits for callers.
 func (t *Table) Limits() Limits { return t.config.Limits }
 
+// Customers returns the customers. It is never nil, and empty if the deployment has none.
+func (t *Table) Customers() *customer.Directory { return t.customers }
+
 // IsShard reports whether the service is a shard of some route.
 func (t *Table) IsShard(name string) bool { return t.shards[name] }
 
