Use every upstream of a shard, and ask again after a refusal

A part of a query used two of three upstreams, fixed by a hash of the request, so that a VM that gathers it again after its carrier was lost uses none beyond the attempts of the route. Where both refused it, it failed, although the third was free and a refused attempt has not run.

Only MaxAttempts-1 upstreams are fixed now, the nearest first: a VM that gathers again uses only these. A carrier may use one other at a time, chosen like any, and replace it once it is known not to have run the request. An upstream that refused a part without naming a time is asked again after the 30 ms for which it is avoided, while the request has time and the budget allows it.

The replay counts the upstreams on which each part ran. With the rule disabled, "half lose replies, carriers killed" reports parts that ran on 3 upstreams; with it none.

--- a/experiment/replay/caller.go
+++ b/experiment/replay/caller.go
@@ -12,6 +12,7 @@
 	route       *route.Route
 	firstSentAt clock.Millis // time of the first attempt
 	attempts    int
+	vm          int
 }
 
 // Outcome counts the answers to the callers of one route.
@@ -90,12 +91,15 @@
 	w.nextID++
 	id := w.nextID
 	w.requestNames[id] = fmt.Sprintf("r%d", id)
-	w.openRequests[id] = &callerRequest{route: r, firstSentAt: firstSentAt, attempts: attempt}
 	w.urgent[w.requestNames[id]] = r.Priority == 0
 	for _, s := range r.Gather {
 		w.requestCounts[s]++
 	}
 	vm := w.rng.IntN(len(w.vms))
+	for w.dead[vm] {
+		vm = w.rng.IntN(len(w.vms))
+	}
+	w.openRequests[id] = &callerRequest{route: r, firstSentAt: firstSentAt, attempts: attempt, vm: vm}
 	roundTrip := clock.Millis(2 * callerOneWayMs)
 	if w.rng.Float64() < newConnectionRatio {
 		roundTrip *= 2
--- a/experiment/replay/pattern.go
+++ b/experiment/replay/pattern.go
@@ -40,6 +40,9 @@
 const (
 	todayFloor = 0.46
 	grownFloor = 0.33
+
+	// spreadUnserved is 0.6 of the requests, the largest share that the users accept.
+	spreadUnserved = 535
 )
 
 // Patterns returns all patterns.
@@ -73,11 +76,16 @@
 			w.addPauses()
 			w.evacuate("a", w.now+5000, 8000, 2000)
 		}},
-		{"grown, most upstreams shed", Spread, 0, 0, 1, 5000, func(w *Simulation) {
+		{"grown, most upstreams shed", Spread, grownFloor, grownFloor, 0.15, spreadUnserved, func(w *Simulation) {
 			w.addPauses()
 			w.disturb(5, 4, w.now+5000, 9000, func(u *upstream, on float64) { u.shedShare = 0.6 * on })
 		}},
-		{"grown, half of the upstreams lose replies", Spread, 0, 0, 1, 5000, func(w *Simulation) {
+		{"grown, half lose replies, carriers killed", Spread, grownFloor, grownFloor, 0.15, spreadUnserved, func(w *Simulation) {
+			w.addPauses()
+			w.disturb(2, 1, w.now+5000, 9000, func(u *upstream, on float64) { u.loseShare = 0.4 * on })
+			w.killCarriers(30, w.now+6000, 200)
+		}},
+		{"grown, half of the upstreams lose replies", Spread, grownFloor, grownFloor, 0.15, spreadUnserved, func(w *Simulation) {
 			w.addPauses()
 			w.disturb(2, 1, w.now+5000, 9000, func(u *upstream, on float64) { u.loseShare = 0.4 * on })
 		}},
--- a/experiment/replay/simulation.go
+++ b/experiment/replay/simulation.go
@@ -32,6 +32,9 @@
 	delegations   map[uint64]delegation // open delegations, by the carrier's request number
 	requestNames  map[uint64]string     // by the number of the request or delegation
 	urgent        map[string]bool       // by request name
+	ranOn         map[string][]string   // upstreams that began to execute a request, by service and request name
+	dead          map[int]bool          // VMs that were killed
+	gathered      map[int]int           // delegations received, by VM
 	evacuated     []string              // by VM: the data centre that it knows to be evacuated
 	size          Size
 }
@@ -75,7 +78,7 @@
 	w := &Simulation{
 		now: startMs, rng: rand.New(rand.NewPCG(seed, seed)), upstreams: make(map[string]*upstream), openRequests: make(map[uint64]*callerRequest),
 		outcomes: make(map[string]*Outcome), extraArrivals: make(map[string]int), requestCounts: make(map[string]int), size: size,
-		arrived: make(map[string]bool), started: make(map[string]bool), delegations: make(map[uint64]delegation), requestNames: make(map[uint64]string), urgent: make(map[string]bool),
+		arrived: make(map[string]bool), started: make(map[string]bool), delegations: make(map[uint64]delegation), requestNames: make(map[uint64]string), urgent: make(map[string]bool), ranOn: make(map[string][]string), dead: make(map[int]bool), gathered: make(map[int]int),
 	}
 	names := make([]string, shards)
 	centres := []string{"a", "b", "c"}
@@ -168,6 +171,9 @@
 
 // update passes a message to a VM and performs its commands.
 func (w *Simulation) update(vm int, msg relay.Msg) {
+	if w.dead[vm] {
+		return
+	}
 	m := w.vms[vm]
 	cmds := append([]relay.Cmd(nil), m.Update(w.now, msg)...)
 	for _, c := range cmds {
@@ -200,6 +206,7 @@
 		w.requestNames[id] = c.Delegation.Name
 		w.at(w.now+oneWayMs, func() {
 			d := c.Delegation
+			w.gathered[to]++
 			w.update(to, relay.ArrivalMsg{ID: id, Name: d.Name, Delegation: &d})
 		})
 	case relay.AckDelegationCmd:
--- a/experiment/replay/upstream.go
+++ b/experiment/replay/upstream.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"lentillink.example/lentillink/clock"
 	"lentillink.example/lentillink/relay"
@@ -80,6 +81,7 @@
 		}
 		u.busy++
 		w.started[j.name] = true
+		w.recordRun(u, j)
 		w.at(w.now+max(j.serviceMs, 1), func() {
 			u.busy--
 			if w.happens(u.loseShare) {
@@ -93,6 +95,19 @@
 	}
 }
 
+// recordRun records that an upstream begins to execute a request, and a violation if
+// that are more upstreams of the service than the routes allow.
+func (w *Simulation) recordRun(u *upstream, j *job) {
+	key := u.info.Service + "/" + j.name
+	if slices.Contains(w.ranOn[key], u.info.ID) {
+		return
+	}
+	w.ranOn[key] = append(w.ranOn[key], u.info.ID)
+	if n := len(w.ranOn[key]); n > w.routes[0].MaxAttempts {
+		w.violations = append(w.violations, fmt.Sprintf("%s ran on %d upstreams, want at most %d", key, n, w.routes[0].MaxAttempts))
+	}
+}
+
 // happens draws an event with a share of all cases. It draws nothing if the share is 0.
 func (w *Simulation) happens(share float64) bool { return share > 0 && w.rng.Float64() < share }
 
--- /dev/null
+++ b/relay/candidate.go
@@ -0,0 +1,90 @@
+package relay
+
+import (
+	"cmp"
+	"slices"
+)
+
+// mayUse reports whether another attempt of a sub-request may go to u.
+//
+// One request may run on MaxAttempts upstreams of a shard, also if its carrier is lost and
+// the VM that delegated it gathers the shard again without knowing where it ran. So all
+// VMs agree on MaxAttempts-1 common upstreams. A VM that gathers again uses only these. A
+// carrier uses one other at a time, which it may replace if that one has not run the
+// request.
+func (m *Model) mayUse(sub *subrequest, u *upstream) bool {
+	if sub.dataCentre == "" || sub.outside == nil && !sub.reclaimed {
+		return true
+	}
+	return m.isCommon(sub, u)
+}
+
+// isCommon reports whether u is one of the common upstreams of a sub-request.
+func (m *Model) isCommon(sub *subrequest, u *upstream) bool {
+	limit := max(sub.req.route.MaxAttempts, 1)
+	if usable := sub.service.usableUpstreams(); usable <= limit {
+		return true
+	}
+	ahead := 0
+	for _, o := range sub.service.upstreams {
+		if o != u && o.usable() && m.compareCandidates(sub, o, u) < 0 {
+			ahead++
+		}
+	}
+	return ahead < limit-1
+}
+
+// compareCandidates orders upstreams in a way on which all VMs agree: those in the data
+// centre of the carrier first, then by a hash of the request.
+func (m *Model) compareCandidates(sub *subrequest, a, b *upstream) int {
+	if near := a.info.DataCentre == sub.dataCentre; near != (b.info.DataCentre == sub.dataCentre) {
+		if near {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Compare(mix(sub.req.hash^a.hash), mix(sub.req.hash^b.hash))
+}
+
+// usableUpstreams returns the number of upstreams that may get new requests.
+func (s *service) usableUpstreams() int {
+	n := 0
+	for _, u := range s.upstreams {
+		if u.usable() {
+			n++
+		}
+	}
+	return n
+}
+
+// recordUse records that an attempt of the sub-request goes to u.
+func (m *Model) recordUse(sub *subrequest, u *upstream) {
+	sub.tried = append(sub.tried, u)
+	if sub.dataCentre != "" && !m.isCommon(sub, u) {
+		sub.outside = u
+	}
+}
+
+// recordNotRun records that u has not run the sub-request.
+func (sub *subrequest) recordNotRun(u *upstream) {
+	sub.possibleRuns--
+	if sub.outside == u {
+		sub.outside = nil
+	}
+}
+
+// recordShed records that u has refused the sub-request for now.
+func (sub *subrequest) recordShed(u *upstream) {
+	if !sub.refusedBy(u) {
+		sub.refusals = append(sub.refusals, u)
+	}
+}
+
+// refusedBy reports whether u has refused the sub-request for now. It may be asked again
+// once it is no longer avoided.
+func (sub *subrequest) refusedBy(u *upstream) bool { return slices.Contains(sub.refusals, u) }
+
+// hasTried reports whether u must not be asked, or not asked again.
+func (sub *subrequest) hasTried(u *upstream) bool {
+	return slices.Contains(sub.tried, u) && !sub.refusedBy(u)
+}
--- a/relay/carrier.go
+++ b/relay/carrier.go
@@ -282,31 +282,6 @@
 	return x ^ x>>31
 }
 
-// candidates returns the upstreams to which one request may go for a shard, in an
-// order on which all VMs agree. Their number is at most MaxAttempts: a VM that
-// reclaims a sub-request from a lost carrier must not use yet another upstream.
-func (m *Model) candidates(sub *subrequest) []*upstream {
-	list := make([]*upstream, 0, len(sub.service.upstreams))
-	for _, u := range sub.service.upstreams {
-		if u.usable() {
-			list = append(list, u)
-		}
-	}
-	if sub.dataCentre == "" || len(list) <= max(sub.req.route.MaxAttempts, 1) {
-		return list
-	}
-	slices.SortFunc(list, func(a, b *upstream) int {
-		if near := a.info.DataCentre == sub.dataCentre; near != (b.info.DataCentre == sub.dataCentre) {
-			if near {
-				return -1
-			}
-			return 1
-		}
-		return cmp.Compare(mix(sub.req.hash^a.hash), mix(sub.req.hash^b.hash))
-	})
-	return list[:max(sub.req.route.MaxAttempts, 1)]
-}
-
 // carrierDataCentre returns the data centre whose carrier gathers a shard: the local
 // one if it has an upstream of the shard, otherwise a data centre that has one, by
 // round robin. All shards of a request use the same rotation, so that few messages cross
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -30,8 +30,12 @@
 	bestScore := 0.0
 	mayProbe := !hedge && sub.req.route.Idempotent && !sub.req.probed && float64(sub.req.targetAt-now) >= probeMinMedians*medianMs
 	var avoided *upstream
-	for _, u := range m.candidates(sub) {
-		if sub.hasTried(u) || u.holdUntil > now && u.holdUntil >= sub.waitLimit() {
+	for _, u := range sub.service.upstreams {
+		if !u.usable() || sub.hasTried(u) || !m.mayUse(sub, u) || u.holdUntil > now && u.holdUntil >= sub.waitLimit() {
+			continue
+		}
+		if now < u.avoidUntil && sub.refusedBy(u) {
+			available = available || u.avoidUntil < sub.req.deadline
 			continue
 		}
 		available = true
--- a/relay/delegation.go
+++ b/relay/delegation.go
@@ -383,7 +383,7 @@
 	for _, sub := range d.subrequests {
 		r.subrequests = append(r.subrequests, sub)
 		if mayHaveRun {
-			sub.deliveries, sub.possibleRuns = 1, 1
+			sub.deliveries, sub.possibleRuns, sub.reclaimed = 1, 1, true
 			// The preset bounds retries by the sub-requests that this VM gathers, which are
 			// few on a VM that delegates. The fleet's budget holds.
 			m.retryWithin(now, sub, false)
--- a/relay/finish.go
+++ b/relay/finish.go
@@ -50,6 +50,7 @@
 		return
 	}
 	m.dispatchHeld(now, r)
+	m.resumePaused(now, r)
 	if now < m.catchUpUntil {
 		m.wake(r, m.catchUpUntil)
 	} else {
--- a/relay/reply.go
+++ b/relay/reply.go
@@ -12,7 +12,7 @@
 	m.recordNotice(now, u, reply)
 	switch {
 	case reply.NotRun:
-		sub.possibleRuns--
+		sub.recordNotRun(u)
 		m.handleNotRun(now, a, reply)
 	case reply.Status >= 500:
 		if !a.cutShort(now) {
@@ -47,6 +47,9 @@
 		return
 	}
 	u.recordShed(now)
+	if holdTime(reply) == 0 { // one that names a time is left to other requests after it
+		a.subrequest.recordShed(u)
+	}
 	m.event("upstream_shed", a.subrequest.req, u, a.subrequest.service.name, now-a.sentAt)
 }
 
@@ -76,7 +79,7 @@
 	m.endAttempt(a)
 	sub, u := a.subrequest, a.upstream
 	if msg.NotSent {
-		sub.possibleRuns--
+		sub.recordNotRun(u)
 		sub.deliveries--
 	}
 	u.recordFailure(now)
--- a/relay/request.go
+++ b/relay/request.go
@@ -47,7 +47,11 @@
 	reply        *Reply
 	lastFailure  *Reply // last unsuccessful reply
 	tried        []*upstream
-	possibleRuns int // attempts that may have run
+	refusals     []*upstream  // those of tried that have refused it for now
+	outside      *upstream    // that may have run it and is not a common one, see mayUse
+	reclaimed    bool         // gathered again after its carrier was lost
+	pausedUntil  clock.Millis // when it is sent again; 0 if it does not wait for that
+	possibleRuns int          // attempts that may have run
 	open         []*attempt
 	queued       bool
 	heldUntil    clock.Millis // while queued: when an upstream that asked for no requests takes them again; 0 if none
@@ -118,15 +122,6 @@
 	return a.id < b.id
 }
 
-func (sub *subrequest) hasTried(u *upstream) bool {
-	for _, t := range sub.tried {
-		if t == u {
-			return true
-		}
-	}
-	return false
-}
-
 func (sub *subrequest) removeAttempt(a *attempt) {
 	for i, o := range sub.open {
 		if o == a {
--- a/relay/send.go
+++ b/relay/send.go
@@ -24,6 +24,8 @@
 	switch {
 	case u != nil:
 		m.send(now, sub, u)
+	case available && len(sub.refusals) > 0:
+		m.pause(sub, sub.refusalsEnd(now))
 	case available:
 		sub.queued = true
 		sub.service.queue = append(sub.service.queue, sub)
@@ -45,7 +47,7 @@
 	}
 	sub.deliveries++
 	sub.possibleRuns++
-	sub.tried = append(sub.tried, u)
+	m.recordUse(sub, u)
 	sub.open = append(sub.open, a)
 	sub.req.openAttempts++
 	u.open = append(u.open, a)
