Keep carriers' estimates apart by priority

A carrier's estimate of how long a request takes was kept by route. Since queues serve customers by priority, the long wait of a low priority was the reason to refuse the requests of a higher one at once.

--- a/relay/arrive.go
+++ b/relay/arrive.go
@@ -236,7 +236,7 @@
 		for _, sub := range a.subrequests {
 			wait := m.estimateSubrequest(now, sub)
 			if a.carrier != nil {
-				wait = a.carrier.estimateFor(now, r.route.Name)
+				wait = a.carrier.estimateFor(now, r)
 			}
 			if end := now + wait; end > limit {
 				lateCount++
--- a/relay/carrier.go
+++ b/relay/carrier.go
@@ -43,9 +43,9 @@
 	probeAt       clock.Millis // earliest time of the next probe while suspect
 	resultLagMs   float64      // moving average of how late its partial results arrive, in milliseconds; 0 if not measured
 	lastMessageAt clock.Millis
-	probedAt      clock.Millis        // when it was last probed
-	probeOpen     bool                // it has sent no message since
-	estimates     map[string]estimate // by route
+	probedAt      clock.Millis // when it was last probed
+	probeOpen     bool         // it has sent no message since
+	estimates     boundedMap[workClass, estimate]
 }
 
 // recordMessage records a sign of life.
@@ -83,7 +83,7 @@
 		c := m.peers[v.ID]
 		if c == nil || c.info != v {
 			c = &peerVM{
-				info: v, delegations: make(map[uint64]*delegation), estimates: make(map[string]estimate), hash: xxhash.Sum64String(v.DataCentre + "\x00" + v.ID),
+				info: v, delegations: make(map[uint64]*delegation), estimates: newBoundedMap[workClass, estimate](maxEstimates), hash: xxhash.Sum64String(v.DataCentre + "\x00" + v.ID),
 			}
 		}
 		newPeers[v.ID] = c
--- a/relay/customer_test.go
+++ b/relay/customer_test.go
@@ -253,3 +253,21 @@
 		}
 	}
 }
+
+// TestEstimateOfOtherPriority guards against a customer whose requests are refused because
+// a carrier's queue is long for customers of a lower priority.
+func TestEstimateOfOtherPriority(t *testing.T) {
+	m := newShardedModelWithBudget(t)
+	m.Update(1000, shardedTable(8, false, customer.Customer{Name: "first", Keys: []string{"k0"}}, customer.Customer{Name: "last", Keys: []string{"k3"}, Priority: 3}))
+	for i, key := range []string{"k3", "k3"} { // each of the two carriers once
+		cmds := m.Update(2000, arrivalWithKey(uint64(i+1), key))
+		cmd := cmds[len(cmds)-1].(relay.DelegateCmd)
+		m.Update(2010, relay.DelegationResultMsg{From: cmd.To, Result: relay.DelegationResult{ID: cmd.Delegation.ID, ExpectedMs: 5000, Answer: relay.Answer{Outcome: relay.Refused, Reason: "full"}}})
+	}
+	if got, want := customersOf(m.Update(2020, arrivalWithKey(3, "k3"))), "refused full"; got != want {
+		t.Errorf("same priority: got %q, want %q", got, want)
+	}
+	if got, want := customersOf(m.Update(2020, arrivalWithKey(4, "k0"))), "delegate first"; got != want {
+		t.Errorf("higher priority: got %q, want %q", got, want)
+	}
+}
--- a/relay/delegation.go
+++ b/relay/delegation.go
@@ -161,31 +161,6 @@
 	return estimate + weight*(sample-estimate)
 }
 
-// setEstimate stores the latency that a carrier estimates for a request of a route.
-func (c *peerVM) setEstimate(now clock.Millis, route string, ms clock.Millis) {
-	c.estimates[route] = estimate{ms: ms, at: now}
-}
-
-// estimate is the latency that a carrier estimates for a request of one route.
-type estimate struct {
-	ms clock.Millis
-	at clock.Millis
-}
-
-// estimateMaxAgeMs is the age from which an estimate is stale.
-const estimateMaxAgeMs clock.Millis = 300
-
-// estimateFor returns the estimated latency of a request of a route at a carrier
-// from now. Since the estimate, the carrier's queue has become shorter by at most
-// the elapsed time.
-func (c *peerVM) estimateFor(now clock.Millis, route string) clock.Millis {
-	e, ok := c.estimates[route]
-	if age := now - e.at; ok && age < estimateMaxAgeMs {
-		return max(e.ms-age, 0)
-	}
-	return 0
-}
-
 // delegate sends sub-requests of a request to a carrier.
 func (m *Model) delegate(now clock.Millis, r *request, c *peerVM, subrequests []*subrequest) {
 	m.nextID++
@@ -221,7 +196,7 @@
 	}
 	d.acked, d.resultReceived = true, true
 	d.carrier.recordMessage(now)
-	d.carrier.setEstimate(now, d.req.route.Name, msg.Result.ExpectedMs)
+	d.carrier.setEstimate(now, d.req, msg.Result.ExpectedMs)
 	a, r := msg.Result.Answer, d.req
 	switch a.Outcome {
 	case Gathered:
