Bound what cold upstreams get from all VMs together

A cold upstream bears cold-per-s requests a second, whoever sends them, and may crash well above. Every VM only expected it to be slower, and together they sent it its full load.

The relay treats an upstream as held until its next turn, so requests go elsewhere, wait if that is in time, or are refused with the time; shards are gathered in data centres with a warm upstream. A delegation names the cold upstreams of its shards and the evacuated data centres, for carriers that have not heard of them: new fields of HandOver, ignored by earlier releases.

--- a/experiment/replay/pattern.go
+++ b/experiment/replay/pattern.go
@@ -73,6 +73,18 @@
 			w.addPauses()
 			w.evacuate("a", w.now+5000, 8000, 2000)
 		}},
+		{"9 VMs, a data centre comes back cold", sized(Grown, 9, 0), grownFloor, grownFloor, 0.15, 0, func(w *Simulation) {
+			w.returnCold(w.now+5000, 2000, "a")
+		}},
+		{"77 VMs, a data centre comes back cold", sized(Grown, 77, 192), grownFloor, grownFloor, 0.15, 0, func(w *Simulation) {
+			w.returnCold(w.now+5000, 4500, "a")
+		}},
+		{"135 VMs, a data centre comes back cold", sized(Grown, 135, 134), grownFloor, grownFloor, 0.15, 0, func(w *Simulation) {
+			w.returnCold(w.now+5000, 4500, "a")
+		}},
+		{"77 VMs, all upstreams come back cold", sized(Grown, 77, 192), grownFloor, grownFloor, 0.15, 1000, func(w *Simulation) {
+			w.returnCold(w.now+5000, 4500, "a", "b", "c")
+		}},
 	}
 }
 
@@ -121,3 +133,9 @@
 		}
 	}
 }
+
+// sized returns a size with other VMs whose upstreams bear only a low rate while cold.
+func sized(s Size, vms, cpuMilli int) Size {
+	s.VMs, s.CPUMilli, s.WarmupPerSecond = vms, cpuMilli, 4
+	return s
+}
--- a/experiment/replay/simulation.go
+++ b/experiment/replay/simulation.go
@@ -33,6 +33,7 @@
 	requestNames  map[uint64]string     // by the number of the request or delegation
 	urgent        map[string]bool       // by request name
 	evacuated     []string              // by VM: the data centre that it knows to be evacuated
+	fleet         []relay.VM
 	size          Size
 }
 
@@ -52,6 +53,9 @@
 	VMs, Shards, Replicas int
 	Budget                relay.BudgetMsg
 
+	CPUMilli        int     // of each VM, in thousandths of a core; 0 if not known
+	WarmupPerSecond float64 // requests that a cold upstream bears; 0 for no bound
+
 	// Independent disables cooperation and extra attempts: each VM gathers all shards itself and sends nothing twice.
 	Independent bool
 }
@@ -62,6 +66,15 @@
 	Grown = Size{VMs: 24, Shards: 90, Replicas: 3, Budget: relay.BudgetMsg{Ratio: 0.2, Extra: 166, WindowMs: 10 * clock.Second}}
 )
 
+// connections returns how many connections an upstream accepts.
+func (s Size) connections() int {
+	const today, large = 26, 60
+	if s.VMs > Grown.VMs {
+		return large
+	}
+	return today
+}
+
 // New returns a simulation with VMs spread over three data centres and shards whose
 // replicas are in different data centres.
 func New(seed uint64, size Size) *Simulation {
@@ -91,14 +104,14 @@
 	}
 	services := make([]route.Service, shards)
 	for i, n := range names {
-		services[i] = route.Service{Name: n, MaxConnections: 26}
+		services[i] = route.Service{Name: n, MaxConnections: size.connections(), WarmupPerSecond: size.WarmupPerSecond, WarmupMs: warmupMs}
 	}
 	table := route.NewTable(route.Config{Version: 1, Routes: w.routes, Services: services})
 	var fleet []relay.VM
 	for i := range vms {
-		fleet = append(fleet, relay.VM{ID: fmt.Sprintf("vm%d", i), Address: fmt.Sprint(i), DataCentre: centres[i%3]})
+		fleet = append(fleet, relay.VM{ID: fmt.Sprintf("vm%d", i), Address: fmt.Sprint(i), DataCentre: centres[i%3], CPUMilli: size.CPUMilli})
 	}
-	w.evacuated = make([]string, vms)
+	w.fleet, w.evacuated = fleet, make([]string, vms)
 	for i := range vms {
 		m := relay.New(relay.WithSeed(seed+uint64(i)), relay.WithSelf(fleet[i].ID, fleet[i].DataCentre), relay.WithBudget(budget))
 		w.vms = append(w.vms, m)
--- a/experiment/replay/upstream.go
+++ b/experiment/replay/upstream.go
@@ -20,6 +20,8 @@
 	pauseIntervalMs clock.Millis
 	pauseEnd        clock.Millis
 	down            bool
+	coldUntil       clock.Millis
+	coldArrivals    []clock.Millis // of the last second
 }
 
 type job struct {
@@ -37,6 +39,7 @@
 		w.at(w.now+oneWayMs, func() { w.update(vm, relay.AttemptFailedMsg{Attempt: c.Attempt, NotSent: true, Cause: "down"}) })
 		return
 	}
+	w.countCold(u)
 	name := w.requestNames[c.Request]
 	key := u.info.Service + "/" + name
 	if w.arrived[key] {
--- a/peer/delegation.go
+++ b/peer/delegation.go
@@ -16,6 +16,7 @@
 		LeftMs: int64(d.RemainingMs), AnswerInMs: int64(d.TargetInMs), LateInMs: int64(d.LateInMs), Services: d.Services,
 		Route: d.Terms.Route, TargetMs: int64(d.Terms.TargetMs), Priority: uint32(d.Terms.Priority),
 		MaxAttempts: uint32(d.Terms.MaxAttempts), TopK: uint32(d.Terms.TopK), MinShardRatio: d.Terms.MinShardRatio,
+		Evacuated: d.Limits.Evacuated, Cold: d.Limits.Cold, ColdMs: int64(d.Limits.ColdMs),
 	}
 }
 
@@ -27,7 +28,7 @@
 func decodeDelegation(d *peerpb.HandOver) (relay.Delegation, error) {
 	ratio := d.GetMinShardRatio()
 	if !inRange(d.GetLeftMs()) || !inRange(d.GetAnswerInMs()) || !inRange(d.GetTargetMs()) || !inRange(max(d.GetLateInMs(), -d.GetLateInMs())) ||
-		len(d.GetServices()) > maxDelegatedShards ||
+		!inRange(d.GetColdMs()) || max(len(d.GetServices()), len(d.GetEvacuated()), len(d.GetCold())) > maxDelegatedShards ||
 		max(d.GetPriority(), d.GetMaxAttempts(), d.GetTopK()) > route.MaxCount || math.IsNaN(ratio) || ratio < 0 || ratio > 1 {
 		return relay.Delegation{}, wrap("decode delegation", KindDecode, errOutOfRange)
 	}
@@ -39,6 +40,7 @@
 			Route: d.GetRoute(), TargetMs: clock.Millis(d.GetTargetMs()), Priority: int(d.GetPriority()),
 			MaxAttempts: int(d.GetMaxAttempts()), TopK: int(d.GetTopK()), MinShardRatio: ratio,
 		},
+		Limits: relay.Limits{Evacuated: d.GetEvacuated(), Cold: d.GetCold(), ColdMs: clock.Millis(d.GetColdMs())},
 	}, nil
 }
 
--- a/peer/delegation_test.go
+++ b/peer/delegation_test.go
@@ -21,7 +21,8 @@
 		relay.Delegation{
 			ID: 1, Version: 2, Name: "r", Services: []string{"a", "b"}, Head: []byte("GET"), Body: []byte("x"),
 			RemainingMs: 3, TargetInMs: 4, LateInMs: -6,
-			Terms: relay.Terms{Route: "q", TargetMs: 5, Priority: 1, MaxAttempts: 2, TopK: 10, MinShardRatio: 0.75},
+			Terms:  relay.Terms{Route: "q", TargetMs: 5, Priority: 1, MaxAttempts: 2, TopK: 10, MinShardRatio: 0.75},
+			Limits: relay.Limits{Evacuated: []string{"a"}, Cold: []string{"i-1", "i-2"}, ColdMs: 700},
 		},
 		relay.DelegationAck{ID: 5},
 		relay.DelegationResult{ID: 6, Partial: true, ExpectedMs: 9, Answer: relay.Answer{
@@ -62,6 +63,9 @@
 		relay.Delegation{ID: 1, RemainingMs: -1},
 		relay.Delegation{ID: 1, TargetInMs: huge},
 		relay.Delegation{ID: 1, Services: make([]string, 10_000)},
+		relay.Delegation{ID: 1, Limits: relay.Limits{Evacuated: make([]string, 10_000)}},
+		relay.Delegation{ID: 1, Limits: relay.Limits{Cold: make([]string, 10_000)}},
+		relay.Delegation{ID: 1, Limits: relay.Limits{ColdMs: -1}},
 		relay.Delegation{ID: 1, LateInMs: huge},
 		relay.Delegation{ID: 1, LateInMs: -huge - 1},
 		relay.Delegation{ID: 1, Terms: relay.Terms{TargetMs: -1}},
--- a/relay/accept.go
+++ b/relay/accept.go
@@ -38,6 +38,7 @@
 		return
 	}
 	m.selfIsCarrier = true
+	m.learnCold(now, d.Limits)
 	r := m.newDelegatedRequest(now, msg)
 	if r.deadline <= now {
 		m.refuse(msg, r, "waited_too_long", m.retryAfter(0, 0))
@@ -88,7 +89,7 @@
 	d := msg.Delegation
 	r := &request{
 		id: msg.ID, name: msg.Name, hash: xxhash.Sum64String(msg.Name), arrived: now, route: d.asRoute(), version: d.Version,
-		minShardRatio: d.Terms.MinShardRatio, delegated: true,
+		minShardRatio: d.Terms.MinShardRatio, delegated: true, limits: d.Limits,
 	}
 	r.deadline = now + d.RemainingMs - msg.WaitedMs
 	r.targetAt = min(now+max(d.TargetInMs-msg.WaitedMs, 0), r.deadline)
--- a/relay/arrive.go
+++ b/relay/arrive.go
@@ -277,10 +277,13 @@
 // time in the queue.
 func (m *Model) estimateSubrequest(now clock.Millis, sub *subrequest) clock.Millis {
 	medianMs := m.statsFor(sub.req.route).medianMs
+	if wait := sub.service.coldWait(now, sub.req.route.Priority); wait > 0 {
+		return wait + clock.Millis(medianMs*coldFactor)
+	}
 	capacity, open := 0, 0
 	minSlowness := maxSlowRatio
 	for _, u := range sub.service.upstreams {
-		if !u.usable() || now < u.holdUntil {
+		if !u.usable() || now < u.notBefore(now) {
 			continue
 		}
 		n := m.attemptLimit(now, u, sub.req.route.Priority)
--- a/relay/carrier.go
+++ b/relay/carrier.go
@@ -92,8 +92,14 @@
 	slices.Sort(m.vmIDs)
 	old := m.peers
 	m.peers = newPeers
+	m.peersIn = make(map[string][]*peerVM)
+	for _, id := range m.vmIDs {
+		c := newPeers[id]
+		m.peersIn[c.info.DataCentre] = append(m.peersIn[c.info.DataCentre], c)
+	}
 	m.inFleet = inFleet
 	m.vmCount = max(len(vms), 1)
+	m.assignWarmups(now)
 	m.preconnectAssigned(now)
 	m.connectCarriers(now)
 	m.releasePeers(now, old)
@@ -124,12 +130,12 @@
 func (m *Model) preconnectAssigned(now clock.Millis) {
 	var carriers []*peerVM
 	if m.inFleet {
-		carriers = m.carriers(now, m.cfg.dataCentre, m.localShards())
+		carriers = m.carriers(now, m.cfg.dataCentre, m.localShards(now))
 	}
 	for _, name := range sortedKeys(m.services) {
 		s := m.services[name]
 		before := s.assigned
-		s.assigned = s.isShard && len(carriers) > 0 && slices.Contains(m.dataCentres(s), m.cfg.dataCentre) &&
+		s.assigned = s.isShard && len(carriers) > 0 && slices.Contains(m.dataCentres(now, s), m.cfg.dataCentre) &&
 			carriers[carrierFor(s, carriers)].info.ID == m.cfg.self
 		if !s.assigned || before {
 			continue
@@ -148,10 +154,10 @@
 }
 
 // localShards returns the number of shards with an upstream in this VM's data centre.
-func (m *Model) localShards() int {
+func (m *Model) localShards(now clock.Millis) int {
 	n := 0
 	for _, s := range m.services {
-		if s.isShard && slices.Contains(m.dataCentres(s), m.cfg.dataCentre) {
+		if s.isShard && slices.Contains(m.dataCentres(now, s), m.cfg.dataCentre) {
 			n++
 		}
 	}
@@ -167,7 +173,7 @@
 		if !s.isShard {
 			continue
 		}
-		dataCentres := m.dataCentres(s)
+		dataCentres := m.dataCentres(now, s)
 		if slices.Contains(dataCentres, m.cfg.dataCentre) {
 			dataCentres = []string{m.cfg.dataCentre}
 		}
@@ -213,7 +219,7 @@
 	byDataCentre := make(map[string][]*subrequest)
 	var local assignment
 	for _, sub := range r.subrequests {
-		if dc, ok := m.carrierDataCentre(sub.service); ok {
+		if dc, ok := m.carrierDataCentre(now, sub.service); ok {
 			byDataCentre[dc] = append(byDataCentre[dc], sub)
 			continue
 		}
@@ -249,11 +255,26 @@
 	for _, sub := range subrequests {
 		sub.dataCentre = dc
 		i := carrierFor(sub.service, carriers)
+		if c := m.coldCarrier(now, sub.service, dc); c != nil {
+			assignments, i = m.assignmentOf(assignments, c)
+		}
 		assignments[i].subrequests = append(assignments[i].subrequests, sub)
 	}
 	return assignments
 }
 
+// assignmentOf returns the index of a VM's assignment, which it adds if there is none.
+func (m *Model) assignmentOf(assignments []assignment, c *peerVM) ([]assignment, int) {
+	if c.info.ID == m.cfg.self {
+		c = nil
+		m.selfIsCarrier = true
+	}
+	if i := slices.IndexFunc(assignments, func(a assignment) bool { return a.carrier == c }); i >= 0 {
+		return assignments, i
+	}
+	return append(assignments, assignment{carrier: c}), len(assignments)
+}
+
 // carrierFor selects the carrier of a shard by weighted rendezvous hashing: if the
 // set of carriers changes, only the shards of the changed carriers move.
 func carrierFor(s *service, carriers []*peerVM) int {
@@ -287,14 +308,21 @@
 func (m *Model) candidates(sub *subrequest) []*upstream {
 	list := make([]*upstream, 0, len(sub.service.upstreams))
 	for _, u := range sub.service.upstreams {
-		if u.usable() {
+		if u.usable() && !sub.req.limits.excludes(u) {
 			list = append(list, u)
 		}
 	}
 	if sub.dataCentre == "" || len(list) <= max(sub.req.route.MaxAttempts, 1) {
 		return list
 	}
+	now := sub.req.arrived // the order must not change while the request runs
 	slices.SortFunc(list, func(a, b *upstream) int {
+		if cold := a.isCold(now); cold != b.isCold(now) {
+			if cold {
+				return 1
+			}
+			return -1
+		}
 		if near := a.info.DataCentre == sub.dataCentre; near != (b.info.DataCentre == sub.dataCentre) {
 			if near {
 				return -1
@@ -310,8 +338,8 @@
 // one if it has an upstream of the shard, otherwise a data centre that has one, by
 // round robin. All shards of a request use the same rotation, so that few messages cross
 // data centres.
-func (m *Model) carrierDataCentre(s *service) (string, bool) {
-	dataCentres := m.dataCentres(s)
+func (m *Model) carrierDataCentre(now clock.Millis, s *service) (string, bool) {
+	dataCentres := m.dataCentres(now, s)
 	if len(dataCentres) == 0 {
 		return "", false
 	}
@@ -321,14 +349,24 @@
 	return dataCentres[m.rotation%len(dataCentres)], true
 }
 
-// dataCentres returns the data centres with upstreams of a service, sorted.
-func (m *Model) dataCentres(s *service) []string {
-	if s.dataCentres != nil {
+// dataCentres returns the data centres with upstreams of a service, sorted. Those with
+// nothing but cold upstreams are left out while others have warm ones.
+func (m *Model) dataCentres(now clock.Millis, s *service) []string {
+	if s.dataCentres != nil && now < s.dataCentresUntil {
 		return s.dataCentres
 	}
 	seen := make(map[string]bool)
+	s.dataCentresUntil = math.MaxInt64
+	hasWarm := s.hasWarm(now)
 	for _, u := range s.upstreams {
-		if u.usable() {
+		if !u.usable() {
+			continue
+		}
+		cold := u.isCold(now)
+		if cold {
+			s.dataCentresUntil = min(s.dataCentresUntil, u.coldEnd(now))
+		}
+		if !cold || !hasWarm {
 			seen[u.info.DataCentre] = true
 		}
 	}
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -27,11 +27,12 @@
 	mayProbe := !hedge && sub.req.route.Idempotent && !sub.req.probed && float64(sub.req.targetAt-now) >= probeMinMedians*medianMs
 	var avoided *upstream
 	for _, u := range m.candidates(sub) {
-		if sub.hasTried(u) || u.holdUntil > now && u.holdUntil >= sub.waitLimit() {
+		notBefore := u.notBefore(now)
+		if sub.hasTried(u) || notBefore > now && notBefore >= sub.waitLimit() {
 			continue
 		}
 		available = true
-		if now < u.holdUntil || len(u.open) >= m.attemptLimit(now, u, sub.req.route.Priority) {
+		if now < notBefore || len(u.open) >= m.attemptLimit(now, u, sub.req.route.Priority) {
 			continue
 		}
 		if now < u.avoidUntil {
--- a/relay/delegation.go
+++ b/relay/delegation.go
@@ -23,6 +23,7 @@
 	RemainingMs clock.Millis
 	TargetInMs  clock.Millis // time until the result is due
 	LateInMs    clock.Millis // time until the route's target has passed, negative after it; for the order in queues
+	Limits      Limits
 }
 
 // Terms are the conditions of the route under which a request was admitted, as far as
@@ -201,6 +202,7 @@
 	m.emit(DelegateCmd{Request: r.id, To: c.info.ID, Address: c.info.Address, Delegation: Delegation{
 		ID: d.id, Version: r.version, Name: r.name, Services: names, Terms: r.terms(),
 		RemainingMs: max(r.deadline-now-d.leadMs, 1), TargetInMs: max(r.targetAt-now-d.leadMs, 0), LateInMs: r.lateAt - now,
+		Limits: m.limitsFor(now, subrequests),
 	}})
 	m.wake(r, d.ackDeadline)
 }
--- a/relay/model.go
+++ b/relay/model.go
@@ -27,6 +27,7 @@
 	peers         map[string]*peerVM     // the VMs of the fleet, by ID
 	leftPeers     map[string]*peerVM     // VMs that left the list with open delegations from this one, by ID
 	vmIDs         []string               // IDs of the VMs, sorted
+	peersIn       map[string][]*peerVM   // the VMs by data centre
 	inFleet       bool                   // this VM is in the list
 	delegations   map[uint64]*delegation // open delegations to carriers, by ID
 	resultLagMs   float64                // as peerVM.resultLagMs, over all carriers
@@ -61,7 +62,7 @@
 	m.cmds = m.cmds[:0]
 	switch t := msg.(type) {
 	case TableMsg:
-		m.setTable(t.Table)
+		m.setTable(now, t.Table)
 	case UpstreamMsg:
 		m.setUpstream(now, t.Upstream)
 	case UpstreamRemovedMsg:
@@ -121,7 +122,7 @@
 	m.emit(EventCmd{Event: ev})
 }
 
-func (m *Model) setTable(t *route.Table) {
+func (m *Model) setTable(now clock.Millis, t *route.Table) {
 	if m.table != nil && t.Version() <= m.table.Version() {
 		return
 	}
@@ -131,6 +132,7 @@
 		s.configure(t)
 		s.isShard = t.IsShard(s.name)
 	}
+	m.assignWarmups(now)
 	m.emit(EventCmd{Event: Event{Kind: "config_in_force", Version: t.Version()}})
 }
 
@@ -169,7 +171,8 @@
 	u.info = info
 	u.evacuated = m.evacuated[info.DataCentre]
 	u.service.dataCentres = nil
-	u.coldUntil = now + info.ColdMs
+	u.reportedAt = now
+	m.setCold(now, u, now+info.ColdMs, false)
 	m.applyNotice(u, m.notices.get(info.ID))
 	if u.usable() {
 		if isNew && u.service.assigned {
--- a/relay/notice.go
+++ b/relay/notice.go
@@ -116,12 +116,12 @@
 func (s *service) heldUntil(now clock.Millis) clock.Millis {
 	first := clock.Millis(0)
 	for _, u := range s.upstreams {
-		switch {
+		switch at := u.notBefore(now); {
 		case !u.usable():
-		case now >= u.holdUntil:
+		case now >= at:
 			return 0
-		case first == 0 || u.holdUntil < first:
-			first = u.holdUntil
+		case first == 0 || at < first:
+			first = at
 		}
 	}
 	return first
@@ -154,5 +154,10 @@
 		}
 		sub.heldUntil = 0
 		m.dispatchQueued(now, sub.service)
+		if sub.queued { // a cold upstream takes one at a time
+			if sub.heldUntil = sub.service.heldUntil(now); sub.heldUntil > 0 {
+				m.wake(r, sub.heldUntil)
+			}
+		}
 	}
 }
--- a/relay/reply.go
+++ b/relay/reply.go
@@ -10,6 +10,7 @@
 	m.endAttempt(a)
 	sub, u, reply := a.subrequest, a.upstream, msg.Reply
 	m.recordNotice(now, u, reply)
+	m.endSuspicion(now, u)
 	switch {
 	case reply.NotRun:
 		sub.possibleRuns--
@@ -80,6 +81,7 @@
 		sub.deliveries--
 	}
 	u.recordFailure(now)
+	m.suspectRestart(now, u)
 	m.event("attempt_failed", sub.req, u, msg.Cause, now-a.sentAt)
 	m.retry(now, sub)
 	m.dispatchQueued(now, u.service)
--- a/relay/request.go
+++ b/relay/request.go
@@ -29,6 +29,7 @@
 	delegations        []*delegation // sub-requests that carriers gather
 	probed             bool          // has probed an upstream that was slow
 	delegated          bool          // gathered here for another VM
+	limits             Limits        // known to the VM that delegated it
 	partialSent        bool          // the partial result at the target time was sent
 	retryAfterMs       clock.Millis  // longest retry delay that a carrier returned
 	carrierMayHaveRun  bool          // a carrier reported an outcome other than refused
--- a/relay/send.go
+++ b/relay/send.go
@@ -39,6 +39,7 @@
 	if sub.deliveries > 0 {
 		sub.service.budget.spend(now)
 	}
+	u.warming.schedule.Spend(now)
 	sub.deliveries++
 	sub.possibleRuns++
 	sub.tried = append(sub.tried, u)
--- a/relay/service.go
+++ b/relay/service.go
@@ -43,10 +43,15 @@
 
 	waitingHedges []*subrequest // overdue, while no other upstream has a free place
 
+	warmupPerSecond float64 // that an upstream bears while it is cold; 0 for no bound
+	warmupMs        clock.Millis
+
 	maxConns    int
 	isShard     bool     // its work is delegated to carriers
 	assigned    bool     // this VM is its carrier in its data centre, by the last list of VMs
 	dataCentres []string // with usable upstreams, sorted; nil if not computed
+
+	dataCentresUntil clock.Millis // when dataCentres must be computed again
 }
 
 // attemptLimit returns how many attempts of a priority this VM may have open at u. A
@@ -67,7 +72,7 @@
 			limit = min(limit, slots)
 		}
 		if maxConns > 0 {
-			limit = min(limit, int(maxConns*carrierConnectionShare)/max(len(m.dataCentres(u.service)), 1))
+			limit = min(limit, int(maxConns*carrierConnectionShare)/max(len(m.dataCentres(now, u.service)), 1))
 		}
 	case u.service.isShard && m.inFleet:
 		if maxConns > 0 {
@@ -88,7 +93,7 @@
 // centre that takes requests and is neither failing nor slow.
 func (m *Model) hasHealthyLocal(now clock.Millis, s *service) bool {
 	for _, u := range s.upstreams {
-		if u.usable() && m.isLocal(u) && now >= u.holdUntil && u.failures == 0 && u.slowAvoidMs == 0 {
+		if u.usable() && m.isLocal(u) && now >= u.notBefore(now) && u.failures == 0 && u.slowAvoidMs == 0 {
 			return true
 		}
 	}
@@ -121,6 +126,7 @@
 func (s *service) configure(t *route.Table) {
 	if cfg, ok := t.Service(s.name); ok {
 		s.maxConns = cfg.MaxConnections
+		s.warmupPerSecond, s.warmupMs = cfg.WarmupPerSecond, cfg.WarmupMs
 	}
 }
 
--- a/relay/upstream.go
+++ b/relay/upstream.go
@@ -69,7 +69,9 @@
 	failures       int     // in a row
 	avoidUntil     clock.Millis
 	holdUntil      clock.Millis // the upstream asked for no requests before this time
+	reportedAt     clock.Millis // when its last report arrived
 	coldUntil      clock.Millis
+	warming        warming
 	removed        bool
 	evacuated      bool // its data centre is evacuated
 	older          olderReports
--- a/route/config.go
+++ b/route/config.go
@@ -46,6 +46,9 @@
 	Name           string
 	HealthPath     string
 	MaxConnections int // connections that one upstream accepts from all its clients together
+
+	WarmupPerSecond float64      // requests that one upstream bears from all VMs while it is cold; 0 for no bound
+	WarmupMs        clock.Millis // how long an upstream is cold after its start
 }
 
 // Limits bound the size and duration of requests from callers.
