--- a/experiment/replay/pattern.go
+++ b/experiment/replay/pattern.go
@@ -89,6 +89,18 @@
 			w.addPauses()
 			w.disturb(2, 1, w.now+5000, 9000, func(u *upstream, on float64) { u.loseShare = 0.4 * on })
 		}},
+		{"9 VMs, a data centre comes back cold", sized(Grown, 9, 0), grownFloor, grownFloor, 0.15, 0, func(w *Simulation) {
+			w.returnCold(w.now+5000, 2000, "a")
+		}},
+		{"77 VMs, a data centre comes back cold", sized(Grown, 77, 192), grownFloor, grownFloor, 0.15, 0, func(w *Simulation) {
+			w.returnCold(w.now+5000, 4500, "a")
+		}},
+		{"135 VMs, a data centre comes back cold", sized(Grown, 135, 134), grownFloor, grownFloor, 0.15, 0, func(w *Simulation) {
+			w.returnCold(w.now+5000, 4500, "a")
+		}},
+		{"77 VMs, all upstreams come back cold", sized(Grown, 77, 192), grownFloor, grownFloor, 0.15, 1000, func(w *Simulation) {
+			w.returnCold(w.now+5000, 4500, "a", "b", "c")
+		}},
 	}
 }
 
@@ -147,3 +159,9 @@
 		}
 	}
 }
+
+// sized returns a size with other VMs whose upstreams bear only a low rate while cold.
+func sized(s Size, vms, cpuMilli int) Size {
+	s.VMs, s.CPUMilli, s.WarmupPerSecond = vms, cpuMilli, 4
+	return s
+}
--- a/experiment/replay/simulation.go
+++ b/experiment/replay/simulation.go
@@ -36,6 +36,7 @@
 	dead          map[int]bool          // VMs that were killed
 	gathered      map[int]int           // delegations received, by VM
 	evacuated     []string              // by VM: the data centre that it knows to be evacuated
+	fleet         []relay.VM
 	size          Size
 }
 
@@ -55,6 +56,9 @@
 	VMs, Shards, Replicas int
 	Budget                relay.BudgetMsg
 
+	CPUMilli        int     // of each VM, in thousandths of a core; 0 if not known
+	WarmupPerSecond float64 // requests that a cold upstream bears; 0 for no bound
+
 	// Independent disables cooperation and extra attempts: each VM gathers all shards itself and sends nothing twice.
 	Independent bool
 }
@@ -68,6 +72,15 @@
 	Spread = Size{VMs: 77, Shards: 90, Replicas: 3, Budget: relay.BudgetMsg{Ratio: 0.2, Extra: 194, WindowMs: 10 * clock.Second}}
 )
 
+// connections returns how many connections an upstream accepts.
+func (s Size) connections() int {
+	const today, large = 26, 60
+	if s.VMs > Grown.VMs {
+		return large
+	}
+	return today
+}
+
 // New returns a simulation with VMs spread over three data centres and shards whose
 // replicas are in different data centres.
 func New(seed uint64, size Size) *Simulation {
@@ -97,14 +110,14 @@
 	}
 	services := make([]route.Service, shards)
 	for i, n := range names {
-		services[i] = route.Service{Name: n, MaxConnections: 26}
+		services[i] = route.Service{Name: n, MaxConnections: size.connections(), WarmupPerSecond: size.WarmupPerSecond, WarmupMs: warmupMs}
 	}
 	table := route.NewTable(route.Config{Version: 1, Routes: w.routes, Services: services})
 	var fleet []relay.VM
 	for i := range vms {
-		fleet = append(fleet, relay.VM{ID: fmt.Sprintf("vm%d", i), Address: fmt.Sprint(i), DataCentre: centres[i%3]})
+		fleet = append(fleet, relay.VM{ID: fmt.Sprintf("vm%d", i), Address: fmt.Sprint(i), DataCentre: centres[i%3], CPUMilli: size.CPUMilli})
 	}
-	w.evacuated = make([]string, vms)
+	w.fleet, w.evacuated = fleet, make([]string, vms)
 	for i := range vms {
 		m := relay.New(relay.WithSeed(seed+uint64(i)), relay.WithSelf(fleet[i].ID, fleet[i].DataCentre), relay.WithBudget(budget))
 		w.vms = append(w.vms, m)
--- a/experiment/replay/upstream.go
+++ b/experiment/replay/upstream.go
@@ -23,6 +23,8 @@
 	down            bool
 	shedShare       float64 // share of the attempts that it refuses as full
 	loseShare       float64 // share of the replies that are lost with their connection
+	coldUntil       clock.Millis
+	coldArrivals    []clock.Millis // of the last second
 }
 
 type job struct {
@@ -40,6 +42,7 @@
 		w.at(w.now+oneWayMs, func() { w.update(vm, relay.AttemptFailedMsg{Attempt: c.Attempt, NotSent: true, Cause: "down"}) })
 		return
 	}
+	w.countCold(u)
 	name := w.requestNames[c.Request]
 	key := u.info.Service + "/" + name
 	if w.arrived[key] {
--- a/relay/allowance.go
+++ b/relay/allowance.go
@@ -5,19 +5,20 @@
 	"slices"
 
 	"lentillink.example/lentillink/budget"
+	"lentillink.example/lentillink/clock"
 )
 
 // allowancePart returns the part of the fixed allowance of extra attempts of a service
 // that this VM may use. It follows from the list of VMs alone, so that the sum over all
 // VMs with the same list stays within the allowance.
-func (m *Model) allowancePart(s *service) float64 {
+func (m *Model) allowancePart(now clock.Millis, s *service) float64 {
 	if s.allowancePart > 0 {
 		return s.allowancePart
 	}
 	s.allowancePart = budget.EqualPart(m.vmCount)
-	if dataCentres := m.dataCentres(s); s.isShard && m.inFleet && len(m.peers) > 1 && len(dataCentres) > 0 {
+	if dataCentres := m.dataCentres(now, s); s.isShard && m.inFleet && len(m.peers) > 1 && len(dataCentres) > 0 {
 		s.allowancePart = budget.OtherPart(m.vmCount)
-		if m.isListedCarrier(s, dataCentres) {
+		if m.isListedCarrier(now, s, dataCentres) {
 			s.allowancePart = budget.CarrierPart(len(dataCentres))
 		}
 	}
@@ -26,12 +27,12 @@
 
 // isListedCarrier reports whether this VM is the carrier of a shard in its data centre
 // while no VM is avoided.
-func (m *Model) isListedCarrier(s *service, dataCentres []string) bool {
+func (m *Model) isListedCarrier(now clock.Millis, s *service, dataCentres []string) bool {
 	if !slices.Contains(dataCentres, m.cfg.dataCentre) {
 		return false
 	}
 	if m.listedCarriers == nil {
-		m.listedCarriers = m.strongest(m.cfg.dataCentre, m.localShards(), func(*peerVM) bool { return true })
+		m.listedCarriers = m.strongest(m.cfg.dataCentre, m.localShards(now), func(*peerVM) bool { return true })
 	}
 	carriers := m.listedCarriers
 	return len(carriers) > 0 && carriers[carrierFor(s, carriers)].info.ID == m.cfg.self
--- a/relay/candidate.go
+++ b/relay/candidate.go
@@ -22,21 +22,32 @@
 // isCommon reports whether u is one of the common upstreams of a sub-request.
 func (m *Model) isCommon(sub *subrequest, u *upstream) bool {
 	limit := max(sub.req.route.MaxAttempts, 1)
-	if usable := sub.service.usableUpstreams(); usable <= limit {
-		return true
-	}
-	ahead := 0
+	others, ahead := 0, 0
 	for _, o := range sub.service.upstreams {
-		if o != u && o.usable() && m.compareCandidates(sub, o, u) < 0 {
+		if o == u || !sub.mayGoTo(o) {
+			continue
+		}
+		others++
+		if m.compareCandidates(sub, o, u) < 0 {
 			ahead++
 		}
 	}
-	return ahead < limit-1
+	return others < limit || ahead < limit-1
 }
 
-// compareCandidates orders upstreams in a way on which all VMs agree: those in the data
-// centre of the carrier first, then by a hash of the request.
+// mayGoTo reports whether u accepts new requests and the request may go there.
+func (sub *subrequest) mayGoTo(u *upstream) bool { return u.usable() && !sub.req.limits.excludes(u) }
+
+// compareCandidates orders upstreams in a way on which all VMs agree: cold ones last,
+// those in the data centre of the carrier first, then by a hash of the request.
 func (m *Model) compareCandidates(sub *subrequest, a, b *upstream) int {
+	now := sub.req.arrived // the order must not change while the request runs
+	if cold := a.isCold(now); cold != b.isCold(now) {
+		if cold {
+			return 1
+		}
+		return -1
+	}
 	if near := a.info.DataCentre == sub.dataCentre; near != (b.info.DataCentre == sub.dataCentre) {
 		if near {
 			return -1
@@ -46,17 +57,6 @@
 	return cmp.Compare(mix(sub.req.hash^a.hash), mix(sub.req.hash^b.hash))
 }
 
-// usableUpstreams returns the number of upstreams that may get new requests.
-func (s *service) usableUpstreams() int {
-	n := 0
-	for _, u := range s.upstreams {
-		if u.usable() {
-			n++
-		}
-	}
-	return n
-}
-
 // recordUse records that an attempt of the sub-request goes to u.
 func (m *Model) recordUse(sub *subrequest, u *upstream) {
 	sub.tried = append(sub.tried, u)
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -31,7 +31,8 @@
 	mayProbe := !hedge && sub.req.route.Idempotent && !sub.req.probed && float64(sub.req.targetAt-now) >= probeMinMedians*medianMs
 	var avoided *upstream
 	for _, u := range sub.service.upstreams {
-		if !u.usable() || sub.hasTried(u) || !m.mayUse(sub, u) || u.holdUntil > now && u.holdUntil >= sub.waitLimit() {
+		notBefore := u.notBefore(now)
+		if !sub.mayGoTo(u) || sub.hasTried(u) || !m.mayUse(sub, u) || notBefore > now && notBefore >= sub.waitLimit() {
 			continue
 		}
 		if now < u.avoidUntil && sub.refusedBy(u) {
@@ -39,7 +40,7 @@
 			continue
 		}
 		available = true
-		if now < u.holdUntil || len(u.open) >= m.attemptLimit(now, u, sub.req.route.Priority) {
+		if now < notBefore || len(u.open) >= m.attemptLimit(now, u, sub.req.route.Priority) {
 			continue
 		}
 		if now < u.avoidUntil {
--- a/relay/reply.go
+++ b/relay/reply.go
@@ -10,6 +10,7 @@
 	m.endAttempt(a)
 	sub, u, reply := a.subrequest, a.upstream, msg.Reply
 	m.recordNotice(now, u, reply)
+	m.endSuspicion(now, u)
 	switch {
 	case reply.NotRun:
 		sub.recordNotRun(u)
@@ -83,6 +84,7 @@
 		sub.deliveries--
 	}
 	u.recordFailure(now)
+	m.suspectRestart(now, u)
 	m.event("attempt_failed", sub.req, u, msg.Cause, now-a.sentAt)
 	m.retry(now, sub)
 	m.dispatchQueued(now, u.service)
@@ -107,7 +109,7 @@
 		m.giveUp(now, sub, "max_attempts")
 	case now >= r.deadline:
 		m.giveUp(now, sub, "deadline")
-	case sub.deliveries > 0 && (sub.service.budget.Remaining(now, m.allowancePart(sub.service), 1) < 1 || byPreset && !m.policies.allows(now, &m.policies.retries, r.route.Priority)):
+	case sub.deliveries > 0 && (sub.service.budget.Remaining(now, m.allowancePart(now, sub.service), 1) < 1 || byPreset && !m.policies.allows(now, &m.policies.retries, r.route.Priority)):
 		m.event("retry_denied", r, nil, sub.service.name, now-r.arrived)
 		m.giveUp(now, sub, "budget")
 	default:
--- a/relay/send.go
+++ b/relay/send.go
@@ -45,6 +45,7 @@
 	if sub.deliveries > 0 {
 		sub.service.budget.Spend(now)
 	}
+	u.warming.schedule.Spend(now)
 	sub.deliveries++
 	sub.possibleRuns++
 	m.recordUse(sub, u)
@@ -122,7 +123,7 @@
 // upstreams have no free place, it waits for one.
 func (m *Model) sendHedge(now clock.Millis, sub *subrequest) {
 	r := sub.req
-	if sub.service.budget.Remaining(now, m.allowancePart(sub.service), hedgeBudgetShare) < 1 || !m.policies.allows(now, &m.policies.hedges, r.route.Priority) {
+	if sub.service.budget.Remaining(now, m.allowancePart(now, sub.service), hedgeBudgetShare) < 1 || !m.policies.allows(now, &m.policies.hedges, r.route.Priority) {
 		return
 	}
 	u, available := m.chooseUpstream(now, sub, true)
