Hold the entry of a removed upstream that an older copy of the store brings back

Cause: an upstream is forgotten when it is removed. If the store comes back from a copy of some seconds before, the copy has the entry again, and the upstream gets new work although it has left.

In a later era of the store an entry is held if the upstream's own counters are not above those known at its removal and its revision is not above that of its last entry. An entry that is written again after a lapse has a higher revision or sequence number and counts at once. A VM that started after the removal holds an entry that appears only with the copy, unless the upstream is newer than all others.

Stores that state no era are served as before.

--- a/relay/message.go
+++ b/relay/message.go
@@ -12,11 +12,21 @@
 // one is ignored.
 type TableMsg struct{ Table *route.Table }
 
-// UpstreamMsg carries the state that an upstream reports about itself.
-type UpstreamMsg struct{ Upstream Upstream }
+// UpstreamMsg carries the state that an upstream reports about itself. Era and Revision are
+// those of its entry in the store. Returned is set if there was no entry before the store
+// came back from an older copy, and this one may be that of the copy.
+type UpstreamMsg struct {
+	Upstream Upstream
+	Era      uint64
+	Revision uint64
+	Returned bool
+}
 
-// UpstreamRemovedMsg reports that an upstream was removed.
-type UpstreamRemovedMsg struct{ ID string }
+// UpstreamRemovedMsg reports that an upstream was removed, as the store shows in an era.
+type UpstreamRemovedMsg struct {
+	ID  string
+	Era uint64
+}
 
 // ArrivalMsg reports a request that was read completely. ID is unique on this VM.
 type ArrivalMsg struct {
--- a/relay/model.go
+++ b/relay/model.go
@@ -21,6 +21,7 @@
 	requests      map[uint64]*request
 	attempts      map[uint64]*attempt
 	notices       boundedMap[string, notice] // by upstream
+	departures    departures
 	timers        timers
 	catchUpUntil  clock.Millis           // nothing overdue is repeated before this time
 	peers         map[string]*peerVM     // the VMs of the fleet, by ID
@@ -47,7 +48,7 @@
 		cfg: cfg, rng: rand.New(rand.NewPCG(cfg.seed, cfg.seed)), vmCount: cfg.vmCount, budgetLimit: cfg.budget,
 		splitter: route.NewSplitter(), services: make(map[string]*service), upstreams: make(map[string]*upstream),
 		routeStats: make(map[string]*routeStats), requests: make(map[uint64]*request), attempts: make(map[uint64]*attempt),
-		notices: newBoundedMap[string, notice](maxNotices), peers: make(map[string]*peerVM), leftPeers: make(map[string]*peerVM), resultLagMs: initialLagMs, delegations: make(map[uint64]*delegation),
+		notices: newBoundedMap[string, notice](maxNotices), departures: newDepartures(), peers: make(map[string]*peerVM), leftPeers: make(map[string]*peerVM), resultLagMs: initialLagMs, delegations: make(map[uint64]*delegation),
 	}
 }
 
@@ -62,9 +63,10 @@
 	case TableMsg:
 		m.setTable(t.Table)
 	case UpstreamMsg:
-		m.setUpstream(now, t.Upstream)
+		m.setUpstream(now, t)
 	case UpstreamRemovedMsg:
-		m.removeUpstream(now, t.ID)
+		delete(m.departures.held, t.ID)
+		m.removeUpstream(now, t.ID, t.Era)
 	case ArrivalMsg:
 		m.admit(now, t)
 	case ReplyMsg:
@@ -134,8 +136,13 @@
 // setUpstream applies an upstream's report. Reports of an earlier incarnation, or
 // with a lower sequence number in the same one, are ignored: reports can arrive
 // late, and a leaving upstream never accepts new work again.
-func (m *Model) setUpstream(now clock.Millis, info Upstream) {
+func (m *Model) setUpstream(now clock.Millis, msg UpstreamMsg) {
+	info := msg.Upstream
 	u := m.upstreams[info.ID]
+	if u == nil && m.holdReturned(now, &msg) {
+		return
+	}
+	info = msg.Upstream
 	if u != nil {
 		old := u.info
 		if info.isOlderThan(old) && !u.older.outvote(info) {
@@ -163,7 +170,8 @@
 	if info.Leaving && !u.info.Leaving {
 		m.emit(EventCmd{Event: Event{Kind: "upstream_leaving", Upstream: info.ID, Detail: info.Service}})
 	}
-	u.info = info
+	m.departures.newestIncarnation = max(m.departures.newestIncarnation, info.Incarnation)
+	u.info, u.era, u.revision = info, msg.Era, msg.Revision
 	u.service.dataCentres = nil
 	u.coldUntil = now + info.ColdMs
 	m.applyNotice(u, m.notices.get(info.ID))
@@ -175,8 +183,9 @@
 	}
 }
 
-func (m *Model) removeUpstream(now clock.Millis, id string) {
+func (m *Model) removeUpstream(now clock.Millis, id string, era uint64) {
 	if u := m.upstreams[id]; u != nil {
+		m.departures.record(now, u, era)
 		delete(m.upstreams, id)
 		m.detach(now, u)
 		m.emit(EventCmd{Event: Event{Kind: "upstream_removed", Upstream: id, Detail: u.service.name}})
--- a/relay/query.go
+++ b/relay/query.go
@@ -4,10 +4,11 @@
 
 // NextWake returns when the model needs the next TickMsg.
 func (m *Model) NextWake() (clock.Millis, bool) {
-	if len(m.timers) == 0 {
-		return 0, false
+	at, ok := m.departures.nextWake()
+	if len(m.timers) > 0 && (!ok || m.timers[0].at < at) {
+		at, ok = m.timers[0].at, true
 	}
-	return m.timers[0].at, true
+	return at, ok
 }
 
 // Ready reports whether a configuration is active and at least one upstream is
--- a/relay/reply.go
+++ b/relay/reply.go
@@ -39,7 +39,7 @@
 		// attempt would count as load of the new owner's service.
 		m.event("address_reused", a.subrequest.req, u, u.info.Address, now-a.sentAt)
 		if m.upstreams[u.info.ID] == u {
-			m.removeUpstream(now, u.info.ID)
+			m.removeUpstream(now, u.info.ID, u.era)
 		}
 		return
 	}
--- a/relay/timer.go
+++ b/relay/timer.go
@@ -49,6 +49,7 @@
 )
 
 func (m *Model) runTimers(now clock.Millis) {
+	m.acceptHeld(now)
 	if len(m.timers) > 0 && now-m.timers[0].at >= stalledMs {
 		m.catchUpUntil = now + catchUpMs
 	}
--- a/relay/upstream.go
+++ b/relay/upstream.go
@@ -72,6 +72,7 @@
 	coldUntil      clock.Millis
 	removed        bool
 	older          olderReports
+	era, revision  uint64 // of its entry in the store
 }
 
 // slowness returns the expected latency as a multiple of the median latency.
