Order what the store says by its era, then by revision

Cause: a store that comes back from an older copy gives revisions out again. VMs ordered by revision alone, so they ignored what followed until the revisions had passed those that they knew.

Change: every reply of the store, refusals too, states its era (header Store-Era). Lists whose pages are of two eras are read again. In a new era, what is in force stays, removals are held as after an outage (entries of VMs for the time to live of a lease), and one fresh list shows the state. Publishers read it and send only what differs by value; a subscriber that was at exactly the same state applies that, others read the store themselves after a random wait. Late replies and updates of an ended era are dropped. Updates and subscriptions between VMs have the era in new fields; a publisher of an earlier release is not followed once an era is known.

Measured: go test ./catalog ./platform -run 'Return|Era|Leased' passes; 3 lists of the store at most by groups of 6 and of 60 VMs at a return (TestStoreReturnCalls).

--- /dev/null
+++ b/catalog/era.go
@@ -0,0 +1,158 @@
+package catalog
+
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/store"
+)
+
+const (
+	// leasedGraceMs is the time after the store's return during which the entry of a VM is
+	// kept although it is missing. It is the time to live of its lease: so much later does
+	// the list show a lost VM at other times too.
+	leasedGraceMs = 15 * clock.Second
+
+	// crossingWaitMs is how long a subscriber waits for its publisher to send what a new era
+	// has changed, before it reads the store itself. A publisher notices the new era when its
+	// watch ends and needs a list of all pages. crossingSpreadMs spreads the lists of
+	// subscribers that wait in vain.
+	crossingWaitMs   clock.Millis = 1500
+	crossingSpreadMs clock.Millis = 1500
+)
+
+// enterEra records an era of the store. In a later one than known, all revisions start from
+// those of an older copy. What is in force stays so until a fresh list, or the publisher,
+// has shown the state in the new era.
+func (m *Model) enterEra(now clock.Millis, era uint64, cmds []Cmd) []Cmd {
+	if era <= m.era {
+		return cmds
+	}
+	m.era = era
+	returned := m.pos.revision > 0
+	cmds = append(cmds, EraCmd{Era: era, Returned: returned})
+	if !returned {
+		m.pos.era = era
+		return cmds
+	}
+	m.holdRemovalsUntil = max(m.holdRemovalsUntil, now+recoveryGraceMs)
+	m.holdLeasedUntil = now + leasedGraceMs
+	m.listAfresh(now)
+	return cmds
+}
+
+// listAfresh schedules the list that shows the state in a new era.
+func (m *Model) listAfresh(now clock.Millis) {
+	m.needRelist, m.needFresh, m.nextCall = true, true, now
+	if m.subscription.replacesWatch(now) {
+		m.nextCall = now + crossingWaitMs + clock.Millis(m.rng.Int64N(int64(crossingSpreadMs)))
+	}
+}
+
+// holdUntil returns the time until which the removal of a key is not believed.
+func (m *Model) holdUntil(key string) clock.Millis {
+	if m.leased(key) {
+		return max(m.holdRemovalsUntil, m.holdLeasedUntil)
+	}
+	return m.holdRemovalsUntil
+}
+
+// handleListed handles a list, unless it is of an era that has ended, or is the first of a
+// new era and may be stale. A reply that states no era counts as one of the newest.
+func (m *Model) handleListed(now clock.Millis, b store.Batch, cmds []Cmd) []Cmd {
+	if b.Era == 0 {
+		b.Era = m.era
+	}
+	cmds = m.enterEra(now, b.Era, cmds)
+	switch {
+	case b.Era < m.era:
+		m.needRelist, m.needFresh = true, true
+		return cmds
+	case m.pos.era < m.era && m.staleList:
+		m.listAfresh(now)
+		return cmds
+	case m.pos.era < m.era:
+		return m.crossByList(now, b, cmds)
+	case !m.staleList && b.Revision < m.callPos.revision && m.callPos.era == m.era:
+		// A list that is not stale is never older than what was known when it was asked for.
+		// So what is known is from before a return that showed no new era.
+		return m.crossByList(now, b, cmds)
+	}
+	return m.handleList(now, b, cmds)
+}
+
+// handleWatched handles the changes of a watch, unless it began, or the reply is, in another
+// era than the newest.
+func (m *Model) handleWatched(now clock.Millis, b store.Batch, cmds []Cmd) []Cmd {
+	if b.Era == 0 {
+		b.Era = m.era
+	}
+	cmds = m.enterEra(now, b.Era, cmds)
+	switch {
+	case b.Era < m.era:
+		return cmds
+	case m.callPos.era < m.era:
+		if m.pos.era < m.era {
+			m.listAfresh(now)
+		}
+		return cmds
+	}
+	return m.handleWatch(now, b, cmds)
+}
+
+// crossByList takes over the state in a new era from a fresh list, and publishes what
+// differs from the state before.
+func (m *Model) crossByList(now clock.Millis, b store.Batch, cmds []Cmd) []Cmd {
+	m.listedAt, m.current = now, true
+	u := newUpdate(m.pos, position{m.era, b.Revision}, nil)
+	present := make(map[string]bool, len(b.Items))
+	for _, it := range b.Items {
+		present[it.Key] = true
+		k, ok := m.items[it.Key]
+		_, pending := m.pendingRemovals[it.Key]
+		if !ok || pending || k.hash != xxhash.Sum64(it.Value) {
+			u.Items = append(u.Items, it)
+		}
+	}
+	var absent []string
+	for key := range m.items {
+		if !present[key] {
+			absent = append(absent, key)
+		}
+	}
+	slices.Sort(absent)
+	for _, key := range absent {
+		u.Items = append(u.Items, store.Item{Key: key, Revision: b.Revision, Removed: true})
+	}
+	return m.crossEra(now, u, cmds)
+}
+
+// crossEra applies the difference between a state and one of a new era, and publishes it.
+// Keys that it does not name have the same value in both.
+func (m *Model) crossEra(now clock.Millis, u Update, cmds []Cmd) []Cmd {
+	m.needRelist, m.needFresh, m.nextCall = false, false, now
+	m.pos = u.to()
+	// The revisions of the new era are at most u.To; a later change has a higher one.
+	for key, k := range m.items {
+		m.items[key] = known{revision: u.To, hash: k.hash}
+	}
+	for key, r := range m.pendingRemovals {
+		m.pendingRemovals[key] = removal{revision: u.To, reportAt: r.reportAt}
+	}
+	for _, it := range u.Items {
+		if it.Removed {
+			m.holdRemoval(now, it)
+			continue
+		}
+		delete(m.pendingRemovals, it.Key)
+		_, existed := m.items[it.Key]
+		cmds = m.reportItem(it, !existed && it.Revision <= u.From, cmds)
+	}
+	if !u.crossesEras() {
+		// Subscribers cannot follow revisions that go back within an era.
+		return m.publish(Update{FromEra: m.era, Era: m.era, StoreLost: true}, cmds)
+	}
+	return m.publish(u, cmds)
+}
--- a/catalog/message.go
+++ b/catalog/message.go
@@ -17,6 +17,9 @@
 // FailedMsg reports that the last store call failed.
 type FailedMsg struct{ Kind store.Kind }
 
+// EraMsg reports the highest era that the store has stated in any reply.
+type EraMsg struct{ Era uint64 }
+
 // PublishersMsg sets the VMs that this one may subscribe to, best first, and
 // whether others may subscribe to this one.
 type PublishersMsg struct {
@@ -50,6 +53,7 @@
 func (ListedMsg) catalogMsg()     {}
 func (WatchedMsg) catalogMsg()    {}
 func (FailedMsg) catalogMsg()     {}
+func (EraMsg) catalogMsg()        {}
 func (PublishersMsg) catalogMsg() {}
 func (SubscribeMsg) catalogMsg()  {}
 func (UpdateMsg) catalogMsg()     {}
@@ -70,11 +74,28 @@
 	WaitMs clock.Millis
 }
 
-// PutCmd reports a new or changed key.
-type PutCmd struct{ Item store.Item }
+// PutCmd reports a new or changed key. Era is the one to which the item's revision belongs.
+// Returned is set if the key did not exist before the store came back from an older copy,
+// and the item may be that of the copy: its removal is then lost.
+type PutCmd struct {
+	Item     store.Item
+	Era      uint64
+	Returned bool
+}
 
-// DeleteCmd reports that a key was removed.
-type DeleteCmd struct{ Key string }
+// DeleteCmd reports that a key was removed, as the store shows in an era.
+type DeleteCmd struct {
+	Key string
+	Era uint64
+}
+
+// EraCmd reports that the store is in another era. Returned is set if it came back from
+// an older copy: leases have ended, and what was written after the copy was made is lost.
+// It is not set for the first era that is known.
+type EraCmd struct {
+	Era      uint64
+	Returned bool
+}
 
 // StoreStatusCmd reports that contact with the store was lost or restored.
 type StoreStatusCmd struct {
@@ -102,6 +123,7 @@
 func (WatchCmd) catalogCmd()       {}
 func (PutCmd) catalogCmd()         {}
 func (DeleteCmd) catalogCmd()      {}
+func (EraCmd) catalogCmd()         {}
 func (StoreStatusCmd) catalogCmd() {}
 func (SubscribeCmd) catalogCmd()   {}
 func (PublishCmd) catalogCmd()     {}
--- a/catalog/model.go
+++ b/catalog/model.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
+
 	"lentillink.example/lentillink/clock"
 	"lentillink.example/lentillink/store"
 )
@@ -60,6 +62,7 @@
 	rng           *rand.Rand
 	watchInterval clock.Millis // minimum interval between two watches
 	superseded    func(key string) bool
+	leased        func(key string) bool
 	phase         phase
 	needRelist    bool // the next call is a list
 	needFresh     bool // the next list must not be stale
@@ -68,19 +71,28 @@
 	listedAt      clock.Millis
 	nextCall      clock.Millis
 	backoff       clock.Millis
-	revision      uint64
-	items         map[string]uint64 // revision of each key reported as present
+	era           uint64           // newest era of the store that is known
+	pos           position         // what is known of the store; its era is behind era until a list or an update has caught up
+	callPos       position         // pos when the outstanding call began
+	items         map[string]known // the keys reported as present
 
 	storeLost         bool
 	lossPublished     bool // the subscribers were told of the loss
 	contacted         bool
 	holdRemovalsUntil clock.Millis       // removals are not reported before this time
+	holdLeasedUntil   clock.Millis       // those of keys under leases of VMs
 	pendingRemovals   map[string]removal // removed keys that are not reported yet
 
 	subscription subscription
 	subscribers  subscribers
 }
 
+// known is what was last reported of a key.
+type known struct {
+	revision uint64 // in the era of Model.pos
+	hash     uint64 // of the value
+}
+
 // removal is the removal of a key.
 type removal struct {
 	revision uint64       // of the store; the key did not exist at it
@@ -107,13 +119,19 @@
 	return func(m *Model) { m.superseded = superseded }
 }
 
+// WithLeased names the keys that VMs write under leases. After the store has returned from
+// an older copy, they are written again over some time.
+func WithLeased(leased func(key string) bool) Option {
+	return func(m *Model) { m.leased = leased }
+}
+
 // New returns an empty Model. The seed randomizes the backoff, so that VMs
 // with different seeds that lost the store together do not retry together.
 func New(seed uint64, opts ...Option) *Model {
 	m := &Model{
 		rng: rand.New(rand.NewPCG(seed, seed)), watchInterval: defaultWatchIntervalMs, needRelist: true,
-		superseded: func(string) bool { return false },
-		items:      make(map[string]uint64), pendingRemovals: make(map[string]removal),
+		superseded: func(string) bool { return false }, leased: func(string) bool { return false },
+		items: make(map[string]known), pendingRemovals: make(map[string]removal),
 		subscription: subscription{backoffUntil: make(map[string]clock.Millis)}, subscribers: subscribers{byID: make(map[string]subscriber)},
 	}
 	for _, opt := range opts {
@@ -129,12 +147,14 @@
 	switch t := msg.(type) {
 	case ListedMsg:
 		cmds = m.callSucceeded(now, cmds)
-		cmds = m.handleList(now, t.Batch, cmds)
+		cmds = m.handleListed(now, t.Batch, cmds)
 	case WatchedMsg:
 		cmds = m.callSucceeded(now, cmds)
-		cmds = m.handleWatch(now, t.Batch, cmds)
+		cmds = m.handleWatched(now, t.Batch, cmds)
 	case FailedMsg:
 		cmds = m.callFailed(now, t.Kind, cmds)
+	case EraMsg:
+		cmds = m.enterEra(now, t.Era, cmds)
 	case PublishersMsg:
 		cmds = m.setCandidates(now, t, cmds)
 	case UpdateMsg:
@@ -213,7 +233,7 @@
 		return cmds
 	}
 	m.lossPublished = true
-	return m.publish(Update{StoreLost: true}, cmds)
+	return m.publish(Update{Era: m.era, FromEra: m.era, StoreLost: true}, cmds)
 }
 
 func (m *Model) handleList(now clock.Millis, b store.Batch, cmds []Cmd) []Cmd {
@@ -230,9 +250,9 @@
 		}
 	}
 	var absent []string
-	for key, known := range m.items {
+	for key, k := range m.items {
 		// A stale list may be older than the known revision of a key.
-		if !present[key] && known <= b.Revision {
+		if !present[key] && k.revision <= b.Revision {
 			absent = append(absent, key)
 		}
 	}
@@ -259,13 +279,13 @@
 	for _, it := range items {
 		if !it.Removed {
 			cmds = m.putItem(it, cmds)
-		} else if it.Revision >= m.items[it.Key] {
+		} else if it.Revision >= m.items[it.Key].revision {
 			m.holdRemoval(now, it)
 		}
 	}
-	from := m.revision
-	m.revision = max(m.revision, revision)
-	return m.publish(Update{From: from, To: m.revision, Items: items}, cmds)
+	from := m.pos
+	m.pos.revision = max(m.pos.revision, revision)
+	return m.publish(newUpdate(from, m.pos, items), cmds)
 }
 
 // withoutSuperseded returns the items without those of superseded keys that a later one
@@ -290,10 +310,10 @@
 // isNewer reports whether an item of a list is news. A list may be older than what is
 // known here; a key that it has and this Model does not was removed since.
 func (m *Model) isNewer(it store.Item, listRevision uint64) bool {
-	if known, ok := m.items[it.Key]; ok {
-		return it.Revision > max(known, m.pendingRemovals[it.Key].revision)
+	if k, ok := m.items[it.Key]; ok {
+		return it.Revision > max(k.revision, m.pendingRemovals[it.Key].revision)
 	}
-	return listRevision >= m.revision || it.Revision > m.revision
+	return listRevision >= m.pos.revision || it.Revision > m.pos.revision
 }
 
 // putItem reports an item if it is newer than the known revision of its key, and cancels a pending removal.
@@ -302,11 +322,16 @@
 		return cmds
 	}
 	delete(m.pendingRemovals, it.Key)
-	if known, ok := m.items[it.Key]; ok && it.Revision <= known {
+	if k, ok := m.items[it.Key]; ok && it.Revision <= k.revision {
 		return cmds
 	}
-	m.items[it.Key] = it.Revision
-	return append(cmds, PutCmd{Item: it})
+	return m.reportItem(it, false, cmds)
+}
+
+// reportItem reports an item as present.
+func (m *Model) reportItem(it store.Item, returned bool, cmds []Cmd) []Cmd {
+	m.items[it.Key] = known{revision: it.Revision, hash: xxhash.Sum64(it.Value)}
+	return append(cmds, PutCmd{Item: it, Era: m.pos.era, Returned: returned})
 }
 
 // holdRemoval records a removal; flushRemovals reports it once the hold has ended.
@@ -315,17 +340,17 @@
 		return
 	}
 	if _, ok := m.pendingRemovals[it.Key]; !ok {
-		m.pendingRemovals[it.Key] = removal{revision: it.Revision, reportAt: max(now, m.holdRemovalsUntil)}
+		m.pendingRemovals[it.Key] = removal{revision: it.Revision, reportAt: max(now, m.holdUntil(it.Key))}
 	}
 }
 
 func (m *Model) flushRemovals(now clock.Millis, cmds []Cmd) []Cmd {
-	if m.storeLost {
+	if m.storeLost || m.pos.era != m.era {
 		return cmds
 	}
 	var due []string
 	for key, r := range m.pendingRemovals {
-		if max(r.reportAt, m.holdRemovalsUntil) <= now {
+		if max(r.reportAt, m.holdUntil(key)) <= now {
 			due = append(due, key)
 		}
 	}
@@ -333,7 +358,7 @@
 	for _, key := range due {
 		delete(m.pendingRemovals, key)
 		delete(m.items, key)
-		cmds = append(cmds, DeleteCmd{Key: key})
+		cmds = append(cmds, DeleteCmd{Key: key, Era: m.pos.era})
 	}
 	return cmds
 }
@@ -344,16 +369,16 @@
 		return cmds
 	}
 	if m.needRelist || now-m.listedAt >= relistIntervalMs {
-		m.phase, m.staleList = phaseListing, !m.needFresh
+		m.phase, m.staleList, m.callPos = phaseListing, !m.needFresh, m.pos
 		return append(cmds, ListCmd{AllowStale: m.staleList})
 	}
 	if m.subscription.replacesWatch(now) {
 		return cmds
 	}
-	m.phase = phaseWatching
+	m.phase, m.callPos = phaseWatching, m.pos
 	wait := watchWaitMs
 	if !m.current {
 		wait = firstWatchWaitMs
 	}
-	return append(cmds, WatchCmd{After: m.revision, WaitMs: wait})
+	return append(cmds, WatchCmd{After: m.pos.revision, WaitMs: wait})
 }
--- a/catalog/model_test.go
+++ b/catalog/model_test.go
@@ -39,6 +39,8 @@
 			r.commands = append(r.commands, "put "+c.Item.Key)
 		case catalog.DeleteCmd:
 			r.commands = append(r.commands, "delete "+c.Key)
+		case catalog.EraCmd:
+			r.commands = append(r.commands, fmt.Sprintf("era %d %v", c.Era, c.Returned))
 		case catalog.StoreStatusCmd:
 			r.commands = append(r.commands, fmt.Sprintf("reachable %v", c.Reachable))
 		}
--- a/catalog/publish.go
+++ b/catalog/publish.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"cmp"
 	"slices"
 
 	"lentillink.example/lentillink/clock"
@@ -17,9 +18,14 @@
 	maxRecentUpdates = 32
 )
 
-// Update carries the changes between two revisions of the store to a subscriber.
+// Update carries the changes between two revisions of the store to a subscriber. If they
+// are of different eras, it holds what differs between the two states, and fits only a
+// subscriber that is exactly at From.
 type Update struct {
-	From, To  uint64
+	FromEra   uint64
+	From      uint64
+	Era       uint64 // 0 if the sender does not know of eras, or the store states none
+	To        uint64
 	Items     []store.Item
 	StoreLost bool // the publisher has lost contact with the store
 }
@@ -43,15 +49,18 @@
 // subscriber tries another one.
 func (m *Model) handleSubscribe(now clock.Millis, from string, s Subscribe, cmds []Cmd) []Cmd {
 	m.subscribers.byID[from] = subscriber{expiresAt: now + subscriptionTTLMs, compressed: s.Compressed}
+	cmds = m.enterEra(now, s.Era, cmds)
 	if m.storeLost || !m.contacted || m.needRelist {
 		return cmds
 	}
-	u := Update{From: m.revision, To: m.revision}
+	// A subscriber of an earlier release states no era and orders by revision alone.
+	after := position{era: cmp.Or(s.Era, m.pos.era), revision: s.After}
+	u := newUpdate(m.pos, m.pos, nil)
 	for _, r := range slices.Backward(m.subscribers.recent) {
-		if u.From <= s.After {
+		if !after.isBefore(u.from()) {
 			break
 		}
-		u.From = r.From
+		u.FromEra, u.From = r.FromEra, r.From
 		u.Items = append(slices.Clone(r.Items), u.Items...)
 	}
 	u.Items = m.withoutSuperseded(u.Items)
@@ -60,10 +69,10 @@
 
 // publish sends an update to all subscribers.
 func (m *Model) publish(u Update, cmds []Cmd) []Cmd {
-	if u.StoreLost || len(m.subscribers.recent) > 0 && m.subscribers.recent[len(m.subscribers.recent)-1].To != u.From {
-		m.subscribers.recent = nil // the kept updates must be contiguous
+	if n := len(m.subscribers.recent); u.StoreLost || u.crossesEras() || n > 0 && m.subscribers.recent[n-1].to() != u.from() {
+		m.subscribers.recent = nil // the kept updates must be contiguous, and only the first may cross eras
 	}
-	if !u.StoreLost && u.To > u.From && u.From > 0 { // excludes the first list, which is large
+	if !u.StoreLost && u.from().isBefore(u.to()) && u.From > 0 { // excludes the first list, which is large
 		m.subscribers.recent = append(m.subscribers.recent, u)
 		m.subscribers.recent = m.subscribers.recent[max(0, len(m.subscribers.recent)-maxRecentUpdates):]
 	}
--- a/catalog/query.go
+++ b/catalog/query.go
@@ -7,6 +7,9 @@
 // confirmed it.
 func (m *Model) Current() bool { return m.current }
 
+// Era returns the newest era of the store that is known, or 0.
+func (m *Model) Era() uint64 { return m.era }
+
 // NextWake returns the time of the next due work, at which the Model needs a TickMsg, if any.
 func (m *Model) NextWake() (clock.Millis, bool) {
 	at, ok := clock.Millis(0), false
@@ -19,11 +22,11 @@
 	if due, subscribed := m.subscriptionWake(); subscribed && (!ok || due < at) {
 		at, ok = due, true
 	}
-	if m.storeLost {
+	if m.storeLost || m.pos.era != m.era {
 		return at, ok
 	}
-	for _, r := range m.pendingRemovals {
-		due := max(r.reportAt, m.holdRemovalsUntil)
+	for key, r := range m.pendingRemovals {
+		due := max(r.reportAt, m.holdUntil(key))
 		if !ok || due < at {
 			at, ok = due, true
 		}
--- a/catalog/subscription.go
+++ b/catalog/subscription.go
@@ -77,8 +77,9 @@
 
 // Subscribe requests the changes after a revision from a publisher.
 type Subscribe struct {
-	After      uint64
-	Compressed bool // the sender reads compressed updates
+	Era        uint64 // 0 if the sender does not know of eras, or the store states none
+	After      uint64 // revision of that era
+	Compressed bool   // the sender reads compressed updates
 }
 
 // PeerBody marks Subscribe as the body of a message between VMs.
@@ -170,7 +171,7 @@
 		sub.pending = candidate
 	}
 	sub.subscribedAt = now
-	return append(cmds, SubscribeCmd{To: candidate, Subscribe: Subscribe{After: m.revision, Compressed: true}})
+	return append(cmds, SubscribeCmd{To: candidate, Subscribe: Subscribe{Era: m.pos.era, After: m.pos.revision, Compressed: true}})
 }
 
 // handleUpdate handles an update from a publisher.
@@ -190,6 +191,14 @@
 		}
 		return cmds
 	}
+	if u.Era == 0 && m.era > 0 {
+		// A publisher of an earlier release does not notice that revisions have gone back.
+		return m.publisherLost(now, from, cmds)
+	}
+	cmds = m.enterEra(now, u.Era, cmds)
+	if u.Era < m.era {
+		return cmds // the publisher is behind
+	}
 	if returned {
 		sub.pending, sub.subscribedAt = from, now
 	}
@@ -199,17 +208,23 @@
 	}
 	sub.lastUpdateAt = now
 	cmds = m.storeReached(now, cmds)
-	if u.From > m.revision {
+	if !u.follows(m.pos) {
 		// Changes that precede the update are missing here. The update is not applied,
 		// so that all later updates show the gap too, until a list has closed it.
-		if !m.needRelist {
+		switch {
+		case !m.needRelist:
 			m.needRelist, m.needFresh, m.nextCall = true, true, min(m.nextCall, now)
+		case m.pos.era < m.era: // it would have led there
+			m.nextCall = min(m.nextCall, now+clock.Millis(m.rng.Int64N(int64(crossingSpreadMs))))
 		}
 		return cmds
 	}
 	m.needRelist, m.backoff, m.current = false, 0, true
 	// Changes up to the known revision were applied before, or a removal followed them.
-	news := slices.DeleteFunc(slices.Clone(u.Items), func(it store.Item) bool { return it.Revision <= m.revision })
+	if m.pos.era < u.Era {
+		return m.crossEra(now, u, cmds)
+	}
+	news := slices.DeleteFunc(slices.Clone(u.Items), func(it store.Item) bool { return it.Revision <= m.pos.revision })
 	return m.applyChanges(now, news, u.To, cmds)
 }
 
--- a/catalog/subscription_test.go
+++ b/catalog/subscription_test.go
@@ -18,6 +18,8 @@
 	now    clock.Millis
 	vms    []*testVM
 	events []store.Item // event history of the store
+	era    uint64       // of the store
+	writes int          // values written so far
 	calls  int          // store calls of all VMs since the last reset
 	queue  []delivery
 }
@@ -31,6 +33,8 @@
 	storeHangs bool // its store calls get no reply
 	muted      bool // its messages to other VMs are lost
 	known      map[string]uint64
+	values     map[string]string
+	lists      int // of the store
 	watch      *catalog.WatchCmd
 	watchAt    clock.Millis
 	compacted  bool // the history that the watch needs was compacted, which the store reports when the watch ends
@@ -45,7 +49,7 @@
 func newCluster(n int) *cluster {
 	g := &cluster{now: 1000}
 	for i := range n {
-		g.vms = append(g.vms, &testVM{id: fmt.Sprint("vm", i), m: catalog.New(uint64(i)), known: make(map[string]uint64)})
+		g.vms = append(g.vms, &testVM{id: fmt.Sprint("vm", i), m: catalog.New(uint64(i)), known: make(map[string]uint64), values: make(map[string]string)})
 	}
 	g.change("config")
 	for _, v := range g.vms {
@@ -88,7 +92,12 @@
 func (g *cluster) revision() uint64 { return uint64(len(g.events)) }
 
 func (g *cluster) change(key string) {
-	g.events = append(g.events, store.Item{Key: key, Revision: g.revision() + 1})
+	g.writes++
+	g.put(key, fmt.Sprint(key, g.writes))
+}
+
+func (g *cluster) put(key, value string) {
+	g.events = append(g.events, store.Item{Key: key, Value: []byte(value), Revision: g.revision() + 1})
 }
 
 func (g *cluster) remove(key string) {
@@ -96,7 +105,7 @@
 }
 
 func (g *cluster) eventsAfter(after uint64) store.Batch {
-	return store.Batch{Items: slices.Clone(g.events[after:]), Revision: g.revision()}
+	return store.Batch{Items: slices.Clone(g.events[after:]), Era: g.era, Revision: g.revision()}
 }
 
 // state returns all items in the store.
@@ -105,7 +114,7 @@
 	for _, it := range g.events {
 		last[it.Key] = it
 	}
-	b := store.Batch{Revision: g.revision()}
+	b := store.Batch{Era: g.era, Revision: g.revision()}
 	for _, it := range last {
 		if !it.Removed {
 			b.Items = append(b.Items, it)
@@ -137,6 +146,7 @@
 	switch c := c.(type) {
 	case catalog.ListCmd:
 		g.calls++
+		v.lists++
 		switch {
 		case v.storeHangs:
 			g.send(callMs, v, catalog.FailedMsg{Kind: store.KindUnavailable})
@@ -160,8 +170,10 @@
 		}
 	case catalog.PutCmd:
 		v.known[c.Item.Key] = c.Item.Revision
+		v.values[c.Item.Key] = string(c.Item.Value)
 	case catalog.DeleteCmd:
 		delete(v.known, c.Key)
+		delete(v.values, c.Key)
 	}
 }
 
@@ -190,6 +202,10 @@
 					v.watch = nil
 					g.update(v, catalog.FailedMsg{Kind: store.KindConflict})
 				}
+			} else if w != nil && !v.storeHangs && w.After > g.revision() {
+				v.watch = nil // the store does not have this revision
+				g.update(v, catalog.EraMsg{Era: g.era})
+				g.update(v, catalog.FailedMsg{Kind: store.KindConflict})
 			} else if w != nil && !v.storeHangs && (g.revision() > w.After || g.now >= v.watchAt+w.WaitMs) {
 				v.watch = nil
 				g.update(v, catalog.WatchedMsg{Batch: g.eventsAfter(w.After)})
@@ -301,7 +317,7 @@
 func (g *cluster) restart(v *testVM) {
 	g.kill(v)
 	g.advance(10)
-	v.dead, v.watch, v.m, v.known = false, nil, catalog.New(99), make(map[string]uint64)
+	v.dead, v.watch, v.m, v.known, v.values = false, nil, catalog.New(99), make(map[string]uint64), make(map[string]string)
 	g.update(v, catalog.TickMsg{})
 	g.assignPublishers()
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -71,7 +71,8 @@
 	calls         map[uint64]*call         // owned by the event loop
 	delegations   map[delegationKey]uint64 // requests of other VMs, owned by the event loop
 	vmList        map[string]relay.VM      // owned by the event loop
-	unapplied     []store.Item             // changes that are not in force yet; owned by the event loop
+	unapplied     []change                 // changes that are not in force yet; owned by the event loop
+	postedEra     atomic.Uint64            // newest era of the store that the event loop was told of
 	vmListChanged bool                     // vmList was changed and is to be applied; owned by the event loop
 }
 
@@ -114,7 +115,7 @@
 	g.metrics = newMetrics()
 	g.registrar = roster.NewRegistrar(g.seed)
 	g.mesh = peer.New(g.self.ID, g.seed, meshHandler{g})
-	g.catalog = catalog.New(g.seed, catalog.WithWatchInterval(g.watchInterval), catalog.WithSuperseded(g.isSuperseded))
+	g.catalog = catalog.New(g.seed, catalog.WithWatchInterval(g.watchInterval), catalog.WithSuperseded(g.isSuperseded), catalog.WithLeased(g.isLeased))
 	g.client = exchange.New(func(r exchange.Result) { g.post(loopMsg{result: &r}) },
 		exchange.WithHeaders(g.headers.Headers), exchange.WithClock(g.clock), exchange.WithReplyMemory(g.memoryBytes/replyMemoryShare))
 	g.bodies.Release(g.memoryBytes / bodyMemoryShare)
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -232,9 +232,11 @@
 			_ = g.logger.Log("event", "catalog_feeder", "feeder", c.VM)
 			g.stepRegistrar(ioCtx, roster.SubscriptionMsg{Subscribed: c.VM != ""})
 		case catalog.PutCmd:
-			g.unapplied = append(g.unapplied, c.Item)
+			g.unapplied = append(g.unapplied, change{item: c.Item, era: c.Era, returned: c.Returned})
 		case catalog.DeleteCmd:
-			g.unapplied = append(g.unapplied, store.Item{Key: c.Key, Removed: true})
+			g.unapplied = append(g.unapplied, change{item: store.Item{Key: c.Key, Removed: true}, era: c.Era})
+		case catalog.EraCmd:
+			g.enterEra(ioCtx, c)
 		case catalog.StoreStatusCmd:
 			_ = g.logger.Log("event", "store_contact", "reached", c.Reachable, "cause", c.Kind)
 			if c.Reachable {
@@ -268,18 +270,18 @@
 func (g *Gateway) applyItems() {
 	items := g.unapplied
 	g.unapplied = nil
-	for _, it := range items {
-		if it.Removed {
-			g.applyRemoval(it.Key)
+	for _, c := range items {
+		if c.item.Removed {
+			g.applyRemoval(c.item.Key, c.era)
 		} else {
-			g.applyItem(it)
+			g.applyItem(c)
 		}
 	}
 }
 
-func (g *Gateway) applyRemoval(key string) {
+func (g *Gateway) applyRemoval(key string, era uint64) {
 	if id, ok := g.decoder.UpstreamID(key); ok {
-		g.stepRelay(relay.UpstreamRemovedMsg{ID: id})
+		g.stepRelay(relay.UpstreamRemovedMsg{ID: id, Era: era})
 	}
 	if id, ok := g.decoder.VMID(key); ok {
 		g.setVM(id, nil)
@@ -299,13 +301,14 @@
 
 // applyItem applies an item of the store. If the item of an upstream cannot be
 // decoded, the upstream is removed. Other undecodable items change nothing.
-func (g *Gateway) applyItem(item store.Item) {
+func (g *Gateway) applyItem(c change) {
+	item := c.item
 	decoded, err := g.decodeItem(item)
 	if err != nil {
 		g.metrics.skippedItems.Inc()
 		_ = g.logger.Log("event", "item_skipped", "key", item.Key, "revision", item.Revision, "err", shorten(err))
 		if id, ok := g.decoder.UpstreamID(item.Key); ok {
-			g.stepRelay(relay.UpstreamRemovedMsg{ID: id})
+			g.stepRelay(relay.UpstreamRemovedMsg{ID: id, Era: c.era})
 		}
 		return
 	}
@@ -322,7 +325,7 @@
 			g.setVM(id, decoded.VM)
 		}
 	case decoded.Upstream != nil:
-		g.stepRelay(relay.UpstreamMsg{Upstream: *decoded.Upstream})
+		g.stepRelay(relay.UpstreamMsg{Upstream: *decoded.Upstream, Era: c.era, Revision: item.Revision, Returned: c.returned})
 	}
 }
 
@@ -332,6 +335,7 @@
 	defer func() { g.post(loopMsg{catalog: msg}) }()
 	defer g.recovered("store call")
 	msg = call()
+	g.postEra()
 }
 
 func (g *Gateway) list(ctx context.Context, allowStale bool) catalog.Msg {
@@ -354,6 +358,10 @@
 
 // reportSkipped logs and counts the items that a store call left out.
 func (g *Gateway) reportSkipped(b store.Batch) {
+	if b.EraErr != nil {
+		g.metrics.skippedItems.Inc()
+		_ = g.logger.Log("event", "store_era_skipped", "err", shorten(b.EraErr))
+	}
 	if b.Skipped > 0 {
 		g.metrics.skippedItems.Add(float64(b.Skipped))
 		_ = g.logger.Log("event", "items_skipped", "count", b.Skipped, "revision", b.Revision)
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -28,6 +28,7 @@
 	panics        prometheus.Counter
 	configVersion prometheus.Gauge
 	ready         prometheus.Gauge
+	storeEra      prometheus.Gauge
 }
 
 func newMetrics() *metrics {
@@ -63,6 +64,7 @@
 	m.panics = counter("panics_total", "Unexpected errors that ended one request, item, message or call.")
 	m.configVersion = gauge("config_version", "Version of the configuration in force.")
 	m.ready = gauge("ready", "1 if the VM is ready for the balancer.")
+	m.storeEra = gauge("store_era", "Era of the store: it rises each time the store comes back from an older copy.")
 	return m
 }
 
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -178,6 +178,7 @@
 			defer func() { g.post(loopMsg{registrar: result}) }()
 			defer g.recovered("lease call")
 			result = g.callLeases(ioCtx, cmd)
+			g.postEra()
 		}()
 	}
 }
--- a/gateway/presets.go
+++ b/gateway/presets.go
@@ -37,6 +37,7 @@
 	}
 	change.At = clock.System{}.Now()
 	result := entry.ApplyChange(r.Context(), g.store, clock.System{}, change, *g.presets.Load())
+	g.postEra()
 	if result.Record.Revision > 0 {
 		g.post(loopMsg{presets: &result.Record})
 	}
--- a/httpcall/do.go
+++ b/httpcall/do.go
@@ -16,12 +16,14 @@
 	Path    string // including the query string
 	Body    []byte // JSON; may be empty
 	Timeout time.Duration
+	Header  string // name of the reply's header to return; may be empty
 }
 
 // Reply is a complete reply.
 type Reply struct {
 	Status int
 	Body   []byte // a copy that the caller owns
+	Header string // value of the header that the call names
 }
 
 // CheckReply returns an error if a reply does not match the call. Such a reply is
@@ -49,6 +51,9 @@
 	if err != nil {
 		return Reply{}, &Error{op: op, kind: kind, err: err}
 	}
+	if call.Header != "" {
+		reply.Header = string(resp.Header.Peek(call.Header))
+	}
 	return reply, nil
 }
 
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -43,7 +43,7 @@
 	case relay.DelegationCancel:
 		env.Body = &peerpb.Envelope_Withdraw{Withdraw: &peerpb.Withdraw{Id: b.ID}}
 	case catalog.Subscribe:
-		env.Body = &peerpb.Envelope_Subscribe{Subscribe: &peerpb.Subscribe{After: b.After, Compressed: b.Compressed}}
+		env.Body = &peerpb.Envelope_Subscribe{Subscribe: &peerpb.Subscribe{Era: b.Era, After: b.After, Compressed: b.Compressed}}
 	case catalog.Update:
 		env.Body = &peerpb.Envelope_Update{Update: encodeUpdate(b)}
 	case compressedUpdate:
@@ -88,7 +88,10 @@
 	case *peerpb.Envelope_Withdraw:
 		return relay.DelegationCancel{ID: b.Withdraw.GetId()}, stamp, nil
 	case *peerpb.Envelope_Subscribe:
-		return catalog.Subscribe{After: b.Subscribe.GetAfter(), Compressed: b.Subscribe.GetCompressed()}, stamp, nil
+		if b.Subscribe.GetEra() > maxRevision {
+			return nil, stamp, wrap("decode subscription", KindDecode, errOutOfRange)
+		}
+		return catalog.Subscribe{Era: b.Subscribe.GetEra(), After: b.Subscribe.GetAfter(), Compressed: b.Subscribe.GetCompressed()}, stamp, nil
 	case *peerpb.Envelope_Update:
 		u, err := decodeUpdate(b.Update)
 		return u, stamp, err
--- a/peer/update.go
+++ b/peer/update.go
@@ -65,14 +65,14 @@
 }
 
 func encodeUpdate(u catalog.Update) *peerpb.Update {
-	out := &peerpb.Update{From: u.From, To: u.To, Lost: u.StoreLost}
+	out := &peerpb.Update{FromEra: u.FromEra, From: u.From, Era: u.Era, To: u.To, Lost: u.StoreLost}
 	for _, it := range u.Items {
 		out.Items = append(out.Items, &peerpb.Item{Key: it.Key, Value: it.Value, Revision: it.Revision, Removed: it.Removed})
 	}
 	return out
 }
 
-// maxRevision is the highest revision of the store that is accepted. After a higher one
+// maxRevision is the highest revision, or era, of the store that is accepted. After a higher one
 // all true changes would look old.
 const maxRevision = 1 << 53
 
@@ -83,10 +83,10 @@
 			return catalog.Update{}, err
 		}
 	}
-	if u.GetTo() > maxRevision {
+	if u.GetTo() > maxRevision || u.GetEra() > maxRevision || u.GetFromEra() > u.GetEra() {
 		return catalog.Update{}, wrap("decode update", KindDecode, errOutOfRange)
 	}
-	out := catalog.Update{From: u.GetFrom(), To: u.GetTo(), StoreLost: u.GetLost()}
+	out := catalog.Update{FromEra: u.GetFromEra(), From: u.GetFrom(), Era: u.GetEra(), To: u.GetTo(), StoreLost: u.GetLost()}
 	for _, it := range u.GetItems() {
 		if it.GetRevision() > maxRevision || it.GetKey() == "" {
 			return catalog.Update{}, wrap("decode update", KindDecode, errOutOfRange)
