Write the preset record again when the store has lost its newest change

Cause: a preset change that the store has acknowledged stays in force on the VMs when the store comes back from an older copy, but VMs that start later read the older record, and the next change is based on it.

Change: a VM that sees an older record in the store than it knows, or none, writes its own with a compare-and-swap on the store's revision, only over a record of a lower revision of its own: the first of the VM list after 0.5 s, each further one 0.5 s later, those after the twentieth at a random time from 10 to 20 s. Event preset_restored. A record with the revision of a lost one that operators wrote after the return replaces that one.

--- a/gateway/decoder.go
+++ b/gateway/decoder.go
@@ -35,4 +35,6 @@
 	VMID(key string) (string, bool)
 	// VMKey returns the key of a VM's entry.
 	VMKey(id string) string
+	// IsPresets reports whether a key is that of the preset record.
+	IsPresets(key string) bool
 }
--- a/gateway/era.go
+++ b/gateway/era.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"lentillink.example/lentillink/catalog"
+	"lentillink.example/lentillink/preset"
 	"lentillink.example/lentillink/roster"
 	"lentillink.example/lentillink/store"
 )
@@ -26,7 +27,8 @@
 }
 
 // enterEra handles the start of an era of the store. If it came back from an older copy,
-// this VM's lease and its entry in the VM list are lost and made again.
+// this VM's lease and its entry in the VM list are lost and made again, and so may be the
+// preset record.
 func (g *Gateway) enterEra(ioCtx context.Context, c catalog.EraCmd) {
 	g.metrics.storeEra.Set(float64(c.Era))
 	if !c.Returned {
@@ -35,6 +37,7 @@
 	g.metrics.events.WithLabelValues("store_returned").Inc()
 	_ = g.logger.Log("event", "store_returned", "era", c.Era)
 	g.stepRegistrar(ioCtx, roster.StoreReturnedMsg{VMs: len(g.vmList)})
+	g.stepRestorer(ioCtx, preset.StoreReturnedMsg{Rank: g.rank()})
 }
 
 // isLeased reports whether VMs write a key under their leases.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -47,6 +47,7 @@
 	relayModel    *relay.Model
 	catalog       *catalog.Model
 	registrar     *roster.Registrar
+	restorer      *preset.Restorer
 	mesh          *peer.Mesh
 	metrics       *metrics
 	client        *exchange.Client
@@ -86,6 +87,7 @@
 	registrar roster.RegistrarMsg
 	peer      *peerEvent
 	presets   *preset.Record
+	restorer  preset.RestorerMsg
 	result    *exchange.Result
 }
 
@@ -114,6 +116,7 @@
 	g.relayModel.Update(g.clock.Now(), relay.PresetMsg{Preset: defaults.CurrentPreset()})
 	g.metrics = newMetrics()
 	g.registrar = roster.NewRegistrar(g.seed)
+	g.restorer = preset.NewRestorer(g.seed)
 	g.mesh = peer.New(g.self.ID, g.seed, meshHandler{g})
 	g.catalog = catalog.New(g.seed, catalog.WithWatchInterval(g.watchInterval), catalog.WithSuperseded(g.isSuperseded), catalog.WithLeased(g.isLeased))
 	g.client = exchange.New(func(r exchange.Result) { g.post(loopMsg{result: &r}) },
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -9,6 +9,7 @@
 	"lentillink.example/lentillink/clock"
 	"lentillink.example/lentillink/exchange"
 	"lentillink.example/lentillink/peer"
+	"lentillink.example/lentillink/preset"
 	"lentillink.example/lentillink/relay"
 	"lentillink.example/lentillink/roster"
 	"lentillink.example/lentillink/store"
@@ -80,7 +81,9 @@
 	case msg.catalog != nil:
 		g.stepCatalog(ioCtx, msg.catalog)
 	case msg.presets != nil:
-		g.setPresets(*msg.presets)
+		g.setPresets(ioCtx, *msg.presets)
+	case msg.restorer != nil:
+		g.stepRestorer(ioCtx, msg.restorer)
 	case msg.peer != nil:
 		g.handlePeer(ioCtx, msg.peer)
 	case msg.registrar != nil:
@@ -125,6 +128,9 @@
 	if at, ok := g.registrar.NextWake(); ok && at <= now {
 		g.stepRegistrar(ioCtx, roster.TickMsg{})
 	}
+	if at, ok := g.restorer.NextWake(); ok && at <= now {
+		g.stepRestorer(ioCtx, preset.RestoreTickMsg{})
+	}
 }
 
 // timeToWake returns the time until the next wake-up of a state machine, at most maxWaitMs.
@@ -140,6 +146,9 @@
 	if at, ok := g.catalog.NextWake(); ok {
 		wait = min(wait, at-now)
 	}
+	if at, ok := g.restorer.NextWake(); ok {
+		wait = min(wait, at-now)
+	}
 	return max(wait, 0)
 }
 
@@ -245,7 +254,7 @@
 		}
 	}
 	if g.catalog.Current() {
-		g.applyItems()
+		g.applyItems(ioCtx)
 	}
 	if g.vmListChanged {
 		g.vmListChanged = false
@@ -267,25 +276,28 @@
 }
 
 // applyItems applies the changes that the catalog has reported.
-func (g *Gateway) applyItems() {
+func (g *Gateway) applyItems(ioCtx context.Context) {
 	items := g.unapplied
 	g.unapplied = nil
 	for _, c := range items {
 		if c.item.Removed {
-			g.applyRemoval(c.item.Key, c.era)
+			g.applyRemoval(ioCtx, c.item.Key, c.era)
 		} else {
-			g.applyItem(c)
+			g.applyItem(ioCtx, c)
 		}
 	}
 }
 
-func (g *Gateway) applyRemoval(key string, era uint64) {
+func (g *Gateway) applyRemoval(ioCtx context.Context, key string, era uint64) {
 	if id, ok := g.decoder.UpstreamID(key); ok {
 		g.stepRelay(relay.UpstreamRemovedMsg{ID: id, Era: era})
 	}
 	if id, ok := g.decoder.VMID(key); ok {
 		g.setVM(id, nil)
 	}
+	if g.decoder.IsPresets(key) {
+		g.stepRestorer(ioCtx, preset.StoredMsg{Rank: g.rank()})
+	}
 }
 
 // decodeItem decodes an item. A panic of the decoder is an error.
@@ -301,7 +313,7 @@
 
 // applyItem applies an item of the store. If the item of an upstream cannot be
 // decoded, the upstream is removed. Other undecodable items change nothing.
-func (g *Gateway) applyItem(c change) {
+func (g *Gateway) applyItem(ioCtx context.Context, c change) {
 	item := c.item
 	decoded, err := g.decodeItem(item)
 	if err != nil {
@@ -319,7 +331,8 @@
 			g.table.Store(decoded.Table)
 		}
 	case decoded.Presets != nil:
-		g.setPresets(*decoded.Presets)
+		g.setPresets(ioCtx, *decoded.Presets)
+		g.stepRestorer(ioCtx, preset.StoredMsg{Revision: decoded.Presets.Revision, Rank: g.rank()})
 	case decoded.VM != nil:
 		if id, ok := g.decoder.VMID(item.Key); ok && id == decoded.VM.ID {
 			g.setVM(id, decoded.VM)
--- a/gateway/presets.go
+++ b/gateway/presets.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
 
@@ -10,17 +11,25 @@
 	"lentillink.example/lentillink/relay"
 )
 
-// setPresets applies a preset record if it is newer than the one in force.
-func (g *Gateway) setPresets(rec preset.Record) {
-	if old := g.presets.Load(); old != nil && rec.Revision <= old.Revision {
+// setPresets applies a committed preset record if it is newer than the one in force.
+func (g *Gateway) setPresets(ioCtx context.Context, rec preset.Record) {
+	if old := g.presets.Load(); old != nil && !supersedes(rec, *old) {
 		return
 	}
 	g.presets.Store(&rec)
+	g.stepRestorer(ioCtx, preset.KnownMsg{Record: rec})
 	g.stepRelay(relay.PresetMsg{Preset: rec.CurrentPreset()})
 	_ = g.logger.Log("event", "preset_in_force", "preset", rec.InForce, "revision", rec.Revision,
 		"author", rec.Author, "reason", rec.Reason)
 }
 
+// supersedes reports whether a record is newer than another one. After a return of the store
+// from an older copy, operators may make another change with the revision of a lost one. Of
+// the two only that one is read from the store.
+func supersedes(rec, old preset.Record) bool {
+	return rec.Revision > old.Revision || rec.Revision == old.Revision && rec.ChangeID != old.ChangeID
+}
+
 // servePresets answers with the preset record in force.
 func (g *Gateway) servePresets(w http.ResponseWriter, _ *http.Request) {
 	writeJSON(w, http.StatusOK, g.presets.Load())
