--- a/relay/upstream.go
+++ b/relay/upstream.go
@@ -77,6 +77,7 @@
 	reliability    reliability.Estimate
 	evacuated      bool // its data centre is evacuated
 	older          olderReports
+	era, revision  uint64 // of its entry in the store
 }
 
 // slowness returns the expected latency as a multiple of the median latency.
