Drop a customer's priority without a customer

A delegation with a priority of a customer and no customer was accepted, and changed when it was encoded again, which FuzzDecode forbids. The priority is now read only beside a customer.

--- a/peer/delegation.go
+++ b/peer/delegation.go
@@ -36,13 +36,13 @@
 
 func decodeDelegation(d *peerpb.HandOver) (relay.Delegation, error) {
 	ratio := d.GetMinShardRatio()
-	maxAttempts := d.GetMaxAttempts()
+	maxAttempts, customerPriority := d.GetMaxAttempts(), uint32(0)
 	if d.GetCustomer() != "" {
-		maxAttempts = d.GetCustomerMaxAttempts()
+		maxAttempts, customerPriority = d.GetCustomerMaxAttempts(), d.GetCustomerPriority()
 	}
 	if !inRange(d.GetLeftMs()) || !inRange(d.GetAnswerInMs()) || !inRange(d.GetTargetMs()) || !inRange(max(d.GetLateInMs(), -d.GetLateInMs())) ||
 		len(d.GetServices()) > maxDelegatedShards ||
-		max(d.GetPriority(), d.GetCustomerPriority(), maxAttempts, d.GetTopK()) > route.MaxCount || math.IsNaN(ratio) || ratio < 0 || ratio > 1 {
+		max(d.GetPriority(), customerPriority, maxAttempts, d.GetTopK()) > route.MaxCount || math.IsNaN(ratio) || ratio < 0 || ratio > 1 {
 		return relay.Delegation{}, wrap("decode delegation", KindDecode, errOutOfRange)
 	}
 	if d.GetCustomer() != "" && !customer.ValidName(d.GetCustomer()) {
@@ -55,7 +55,7 @@
 		Terms: relay.Terms{
 			Route: d.GetRoute(), TargetMs: clock.Millis(d.GetTargetMs()), Priority: int(d.GetPriority()),
 			MaxAttempts: int(maxAttempts), TopK: int(d.GetTopK()), MinShardRatio: ratio,
-			Customer: d.GetCustomer(), CustomerPriority: int(d.GetCustomerPriority()),
+			Customer: d.GetCustomer(), CustomerPriority: int(customerPriority),
 		},
 	}, nil
 }
--- a/peer/delegation_test.go
+++ b/peer/delegation_test.go
@@ -103,9 +103,9 @@
 			t.Errorf("customer %q: got max_attempts %d, want %d", tt.customer, got, tt.want)
 		}
 	}
-	env := &peerpb.Envelope{Body: &peerpb.Envelope_HandOver{HandOver: &peerpb.HandOver{Id: 1, Services: []string{"a"}, MaxAttempts: 2, Priority: 1}}}
+	env := &peerpb.Envelope{Body: &peerpb.Envelope_HandOver{HandOver: &peerpb.HandOver{Id: 1, Services: []string{"a"}, MaxAttempts: 2, Priority: 1, CustomerPriority: 5}}}
 	got, _, err := peer.Decode(0, env)
-	if d, ok := got.(relay.Delegation); err != nil || !ok || d.Terms.MaxAttempts != 2 || d.Terms.Customer != "" {
+	if d, ok := got.(relay.Delegation); err != nil || !ok || d.Terms.MaxAttempts != 2 || d.Terms.Customer != "" || d.Terms.CustomerPriority != 0 {
 		t.Errorf("got %+v, %v, want a delegation without a customer", got, err)
 	}
 }
--- a/peer/fuzz_test.go
+++ b/peer/fuzz_test.go
@@ -12,6 +12,7 @@
 	"lentillink.example/lentillink/order"
 	"lentillink.example/lentillink/peer"
 	"lentillink.example/lentillink/peer/peerpb"
+	"lentillink.example/lentillink/relay"
 	"lentillink.example/lentillink/vm"
 )
 
@@ -25,6 +26,8 @@
 			ID: id, Upstream: "s/g/a", Execution: attempt.Executed, Ranges: []coverage.Range{{From: 1, To: 5}},
 			Rows: []coverage.Row{{Key: 1, Value: "x"}}, HeldVersions: []uint64{1, 2},
 		}},
+		relay.Delegation{ID: 1, Services: []string{"a"}, Terms: relay.Terms{MaxAttempts: 2}},
+		relay.Delegation{ID: 1, Services: []string{"a"}, Terms: relay.Terms{MaxAttempts: 2, Customer: "nyla", CustomerPriority: 3}},
 		vm.CancelForward{ID: id, Upstream: "s/g/a"}, vm.FleetMessage{Payload: []byte("x")},
 		vm.ClaimRequest{Msg: order.ClaimRequestMsg{From: "vm-1", ID: order.HashOf("a"), IssuedAt: 5, Timeout: 7}},
 		vm.ClaimResponse{Msg: order.ClaimResponseMsg{Result: order.ResultExists}}, vm.AdminRequest{ID: 1, Payload: []byte("{}")}, vm.AdminResponse{ID: 1},
