Ask for customers' keys at the product's own interface

Customers were known only to the gateway. The settings now take customers with names and keys; queries and orders without the key of one get 401 and nothing runs. The customer's name is in every attempt, also in those that another VM forwards, and upstreams get it as 'customer', left out if there is none. Keys are in no answer, log line, metric or printed settings. The library's client takes a key with WithKey and the commands from LENTILLINK_KEY.

--- a/attempt/request.go
+++ b/attempt/request.go
@@ -28,6 +28,7 @@
 	Version  uint64       // snapshot version to read; 0 for orders
 	Body     []byte
 	OrderID  string // only for orders
+	Customer string // of the caller; empty if none
 }
 
 // Reply is the result of an attempt.
--- a/caller/client.go
+++ b/caller/client.go
@@ -22,6 +22,7 @@
 // for concurrent use.
 type Client struct {
 	address string
+	key     string // empty for none
 	timeout clock.Millis
 	http    *fasthttp.Client
 }
@@ -32,6 +33,9 @@
 // WithTimeout sets the read timeout and the write timeout of each call.
 func WithTimeout(d clock.Millis) Option { return func(c *Client) { c.timeout = d } }
 
+// WithKey sets the key of the customer that makes the calls.
+func WithKey(key string) Option { return func(c *Client) { c.key = key } }
+
 // New returns a client for the VM at address, given as host:port.
 func New(address string, opts ...Option) *Client {
 	c := &Client{address: address, timeout: defaultTimeout}
@@ -135,6 +139,9 @@
 	req.Header.SetMethod(method)
 	req.SetRequestURI("http://" + c.address + path)
 	req.SetBody(body)
+	if c.key != "" {
+		req.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+c.key)
+	}
 	// Do returns only after the exchange has ended, so that the buffers can be
 	// released. DoTimeout could return while they are still in use.
 	if err := c.http.Do(req, resp); err != nil {
--- a/cmd/lentillink/connect.go
+++ b/cmd/lentillink/connect.go
@@ -16,8 +16,12 @@
 	TimeoutMs clock.Millis `long:"timeout-ms" default:"30000" description:"longest wait for an answer, in milliseconds"`
 }
 
+// keyVariable names the environment variable with the key of a customer. There is no flag
+// for it, because other users see the arguments of a process.
+const keyVariable = "LENTILLINK_KEY"
+
 func (f *vmFlags) client() *caller.Client {
-	return caller.New(f.VM, caller.WithTimeout(f.TimeoutMs))
+	return caller.New(f.VM, caller.WithTimeout(f.TimeoutMs), caller.WithKey(os.Getenv(keyVariable)))
 }
 
 // jsonFlag selects machine-readable output.
--- a/entry/helper_test.go
+++ b/entry/helper_test.go
@@ -34,6 +34,12 @@
 // startFleet starts a fleet with a search service of 20 groups of 2 upstreams and
 // an order service of 6 groups of 2. It stops the fleet when the test ends.
 func startFleet(t *testing.T, vms int, opts ...entry.Option) *demo.Fleet {
+	t.Helper()
+	return startFleetOf(t, vms, nil, opts...)
+}
+
+// startFleetOf is startFleet with customers.
+func startFleetOf(t *testing.T, vms int, customers []settings.Customer, opts ...entry.Option) *demo.Fleet {
 	t.Helper()
 	example, err := settings.Example("hautakukka")
 	if err != nil {
@@ -42,7 +48,7 @@
 	doc := example.Document()
 	search, orders := doc.Services[0], doc.Services[1]
 	orders.Groups = orders.Groups[:orderGroups]
-	doc.Services = []settings.Service{search, orders}
+	doc.Services, doc.Customers = []settings.Service{search, orders}, customers
 	cfg, err := settings.New(doc)
 	if err != nil {
 		t.Fatal(err)
--- a/entry/http.go
+++ b/entry/http.go
@@ -89,6 +89,11 @@
 }
 
 func (v *VM) serveQuery(r *fasthttp.RequestCtx) {
+	customer, ok := v.identify(r)
+	if !ok {
+		writeUnauthorized(r)
+		return
+	}
 	q, rk, err := DecodeQuery(r.PostBody())
 	if err != nil {
 		writeInvalid(r, err)
@@ -99,7 +104,7 @@
 		return
 	}
 	msg := vm.QueryMsg{
-		CallID: v.lastCallID.Add(1), ID: q.ID, Rank: rk, Service: q.Service, Body: q.Query, MinCoverage: -1,
+		CallID: v.lastCallID.Add(1), ID: q.ID, Rank: rk, Service: q.Service, Body: q.Query, Customer: customer, MinCoverage: -1,
 	}
 	if q.DeadlineMs != nil {
 		msg.BudgetMs = *q.DeadlineMs
@@ -117,6 +122,11 @@
 }
 
 func (v *VM) serveOrder(r *fasthttp.RequestCtx) {
+	customer, ok := v.identify(r)
+	if !ok {
+		writeUnauthorized(r)
+		return
+	}
 	o, rk, err := DecodeOrder(r.PostBody())
 	if err != nil {
 		writeInvalid(r, err)
@@ -126,7 +136,7 @@
 		writeInvalid(r, err)
 		return
 	}
-	msg := vm.OrderMsg{CallID: v.lastCallID.Add(1), ID: o.ID, Rank: rk, Service: o.Service, Group: o.Group, Body: o.Body}
+	msg := vm.OrderMsg{CallID: v.lastCallID.Add(1), ID: o.ID, Rank: rk, Service: o.Service, Group: o.Group, Body: o.Body, Customer: customer}
 	a, ok := v.callCore(msg.CallID, msg).(vm.AnswerOrderCmd)
 	if !ok {
 		writeJSON(r, fasthttp.StatusBadGateway, ErrorDocument{Error: "the VM has stopped", Execution: attempt.ExecutionUnknown})
--- a/entry/vm.go
+++ b/entry/vm.go
@@ -13,6 +13,7 @@
 
 	"lentillink.example/lentillink/attempt"
 	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/customer"
 	"lentillink.example/lentillink/fleet"
 	"lentillink.example/lentillink/peer"
 	"lentillink.example/lentillink/preset"
@@ -53,6 +54,7 @@
 	adminRequests *pendingRequests
 	attempts      chan attempt.Request       // to idle workers; unbuffered
 	groups        map[string]map[string]bool // group names by service
+	customers     *customer.Directory
 
 	waiters  map[uint64]chan<- vm.Cmd // answer channels by call ID; owned by the event loop
 	msgQueue []vm.Msg                 // messages that process has still to handle; owned by the event loop
@@ -79,7 +81,7 @@
 		settings: s, clock: clock.System{}, logger: log.NewNopLogger(), registry: prometheus.NewRegistry(),
 		drainLimit: defaultDrainLimit, balancerWait: defaultBalancerWait, initial: preset.Default(),
 		inbox: make(chan inboxItem, inboxSize), reads: make(chan coreRead), stopped: make(chan struct{}),
-		adminRequests: newPendingRequests(), attempts: make(chan attempt.Request), groups: groupsOf(s), waiters: make(map[uint64]chan<- vm.Cmd),
+		adminRequests: newPendingRequests(), attempts: make(chan attempt.Request), groups: groupsOf(s), customers: s.Customers(), waiters: make(map[uint64]chan<- vm.Cmd),
 	}
 	for _, opt := range opts {
 		opt(v)
--- a/order/attempt.go
+++ b/order/attempt.go
@@ -42,7 +42,7 @@
 	return attempt.Request{
 		ID: o.currentAttempt, Upstream: string(target), Kind: attempt.Order,
 		Service: o.msg.Service, Group: o.msg.Group, Rank: o.msg.Rank,
-		Deadline: o.msg.Deadline, Body: o.msg.Body, OrderID: o.msg.ID,
+		Deadline: o.msg.Deadline, Body: o.msg.Body, OrderID: o.msg.ID, Customer: o.msg.Customer,
 	}
 }
 
--- a/order/message.go
+++ b/order/message.go
@@ -24,6 +24,7 @@
 	Service  string
 	Group    string
 	Body     []byte
+	Customer string // of the caller; empty if none
 	Deadline clock.Millis
 	Outage   preset.OutageRule
 }
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -110,7 +110,7 @@
 	return &peerpb.Forward{
 		Id: encodeID(r.ID), Upstream: r.Upstream, Kind: uint32(r.Kind), Service: r.Service, Group: r.Group,
 		Rank: uint32(r.Rank), Priority: r.Priority, BudgetMs: int64(r.Deadline - now),
-		Version: r.Version, Body: r.Body, OrderId: r.OrderID,
+		Version: r.Version, Body: r.Body, OrderId: r.OrderID, Customer: r.Customer,
 	}
 }
 
@@ -122,6 +122,7 @@
 		ID: decodeID(f.GetId()), Upstream: f.GetUpstream(), Kind: attempt.Kind(f.GetKind()),
 		Service: f.GetService(), Group: f.GetGroup(), Rank: rank.Rank(f.GetRank()), Priority: f.GetPriority(),
 		Deadline: now + clock.Millis(f.GetBudgetMs()), Version: f.GetVersion(), Body: f.GetBody(), OrderID: f.GetOrderId(),
+		Customer: f.GetCustomer(),
 	}, nil
 }
 
--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -209,6 +209,7 @@
 			Rank: rank.Rank(rapid.IntRange(0, 2).Draw(t, "rank")), Priority: rapid.Uint32().Draw(t, "priority"),
 			Deadline: now + clock.Millis(rapid.IntRange(-10, 100000).Draw(t, "budget")),
 			Version:  rapid.Uint64().Draw(t, "version"), Body: []byte("b"), OrderID: rapid.String().Draw(t, "order"),
+			Customer: rapid.String().Draw(t, "customer"),
 		}}
 		reply := vm.Result{Reply: attempt.Reply{
 			ID: id.Draw(t, "id"), Upstream: "s/g/1", Status: attempt.Shed, Execution: attempt.NotExecuted, Version: 3, Epoch: 4,
--- a/query/message.go
+++ b/query/message.go
@@ -17,6 +17,7 @@
 	Rank        rank.Rank
 	Service     string
 	Body        []byte
+	Customer    string // of the caller; empty if none
 	Deadline    clock.Millis
 	MinCoverage float64 // percent of the keys; with less coverage the query fails
 	Priority    uint32
--- a/query/start.go
+++ b/query/start.go
@@ -90,7 +90,7 @@
 	m.balancer.RecordSent(now, up)
 	m.emit(SendCmd{attempt.Request{
 		ID: m.attemptID(a.seq), Upstream: string(up), Kind: attempt.Query, Service: q.Service, Group: q.service.groups[g],
-		Rank: q.Rank, Priority: q.Priority, Deadline: q.answerAt, Version: q.version, Body: q.Body,
+		Rank: q.Rank, Priority: q.Priority, Deadline: q.answerAt, Version: q.version, Body: q.Body, Customer: q.Customer,
 	}})
 	if q.version != 0 && sub.openCount < maxOpenAttempts {
 		m.setTimer(now+m.hedgeDelay(now, q, up, kind == kindHedge), timerHedge, q, g, a.seq)
--- a/settings/check.go
+++ b/settings/check.go
@@ -39,6 +39,7 @@
 	c.checkNumber("limits.request_body_bytes", int64(doc.Limits.RequestBodyBytes), 1, MaxRequestBodyBytes)
 	c.checkNumber("limits.ring_events", int64(doc.Limits.RingEvents), MinRingEvents, MaxRingEvents)
 	c.checkServices(doc.Services)
+	c.checkCustomers(doc.Customers)
 }
 
 func (c *checker) checkTimeouts(t *Timeouts) {
--- a/settings/document.go
+++ b/settings/document.go
@@ -4,14 +4,15 @@
 
 // Document is the JSON document with the settings of one VM.
 type Document struct {
-	VM         string    `json:"vm"`
-	DataCentre string    `json:"data_centre"`
-	Addresses  Addresses `json:"addresses"`
-	Store      string    `json:"store"`
-	VMList     string    `json:"vm_list"`
-	Services   []Service `json:"services"`
-	Timeouts   Timeouts  `json:"timeouts"`
-	Limits     Limits    `json:"limits"`
+	VM         string     `json:"vm"`
+	DataCentre string     `json:"data_centre"`
+	Addresses  Addresses  `json:"addresses"`
+	Store      string     `json:"store"`
+	VMList     string     `json:"vm_list"`
+	Services   []Service  `json:"services"`
+	Customers  []Customer `json:"customers"`
+	Timeouts   Timeouts   `json:"timeouts"`
+	Limits     Limits     `json:"limits"`
 }
 
 // Addresses are the addresses on which the VM listens. Admin may equal Callers.
@@ -63,7 +64,8 @@
 // defaults returns a document that holds the default of every optional field.
 func defaults() Document {
 	return Document{
-		Timeouts: Timeouts{StoreMs: 1000, VMListMs: 1000, PeerMs: 1000, ConnectMs: 500, IdleConnectionMs: 60_000},
-		Limits:   Limits{RequestBodyBytes: 1 << 20, RingEvents: 4096},
+		Customers: []Customer{},
+		Timeouts:  Timeouts{StoreMs: 1000, VMListMs: 1000, PeerMs: 1000, ConnectMs: 500, IdleConnectionMs: 60_000},
+		Limits:    Limits{RequestBodyBytes: 1 << 20, RingEvents: 4096},
 	}
 }
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
@@ -41,6 +42,11 @@
 		{"zero timeout", `"vm":`, `"timeouts":{"store_ms":0},"vm":`, []string{"timeouts.store_ms: is 0, want 1 to 600000"}},
 		{"host name", `127.0.0.1:1002`, `store:1002`, []string{"store: is \"store:1002\", want an IP address"}},
 		{"repeated field", `"vm":`, `"vm":"vm-1","vm":`, []string{"vm: is given more than once"}},
+		{"customer without a name", `"vm":`, `"customers":[{"keys":["q7secret"]}],"vm":`, []string{"customers[0].name: has 0 bytes"}},
+		{"customer twice", `"vm":`, `"customers":[{"name":"a"},{"name":"a"}],"vm":`, []string{"customers[1].name: is"}},
+		{"key of two customers", `"vm":`, `"customers":[{"name":"a","keys":["q7secret"]},{"name":"b","keys":["q7secret"]}],"vm":`, []string{"customers[1].keys[0]: is the same as customers[0].keys[0]"}},
+		{"key with a space", `"vm":`, `"customers":[{"name":"a","keys":["q7secret q7secret"]}],"vm":`, []string{"customers[0].keys[0]: has 17 bytes"}},
+		{"key not in a list", `"vm":`, `"customers":[{"name":"a","keys":"q7secret"}],"vm":`, []string{"customers[0].keys: is a string, want an array"}},
 		{"two problems", `"vm":"vm-1","data_centre":"dc-1"`, `"vm":"VM","data_centre":1`, []string{"vm: is", "data_centre: is a number, want a string"}},
 	}
 	for _, tt := range tests {
@@ -50,6 +56,9 @@
 			if !errors.As(err, &serr) || serr.Kind() != settings.KindInvalid {
 				t.Fatalf("Decode error = %v, want kind invalid", err)
 			}
+			if strings.Contains(err.Error(), "q7secret") {
+				t.Errorf("got a key in %v", err)
+			}
 			if got := len(serr.Problems()); got != len(tt.want) {
 				t.Errorf("got %d problems, want %d: %v", got, len(tt.want), err)
 			}
@@ -131,3 +140,24 @@
 		}
 	})
 }
+
+// TestKeysAreHidden guards against keys in what is printed of the settings, and against a
+// customer that is not found by its key.
+func TestKeysAreHidden(t *testing.T) {
+	s, err := settings.Decode([]byte(strings.Replace(valid, `"vm":`, `"customers":[{"name":"nyla","keys":["q7secret"]}],"vm":`, 1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c, ok := s.Customers().Find("q7secret"); !ok || c.Name != "nyla" {
+		t.Errorf("got %v, %t, want nyla", c, ok)
+	}
+	document, err := json.Marshal(s.Document())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, text := range []string{string(document), fmt.Sprintf("%v %+v %#v", s.Document(), s.Document(), s.Document())} {
+		if strings.Contains(text, "q7secret") {
+			t.Errorf("got a key in %s", text)
+		}
+	}
+}
--- a/standin/serve.go
+++ b/standin/serve.go
@@ -42,9 +42,16 @@
 		writeError(ctx, fasthttp.StatusBadRequest, "order_id is %q, want a name for an order and none for a query", req.OrderID)
 		return
 	}
+	u.countCustomer(req.Customer)
 	u.sendReply(ctx, u.process(req, kind))
 }
 
+func (u *Upstream) countCustomer(name string) {
+	u.dataMu.Lock()
+	defer u.dataMu.Unlock()
+	u.customers[name]++
+}
+
 // process rejects, queues or executes one attempt and returns its reply.
 func (u *Upstream) process(req httpup.RequestDoc, kind attempt.Kind) httpup.ReplyDoc {
 	deadline := time.Now().Add(req.DeadlineMs.Duration())
--- a/standin/upstream.go
+++ b/standin/upstream.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -31,6 +32,7 @@
 	queue          *queue
 	jobs           map[attempt.ID]*job
 	executions     map[string]int // executions by order ID
+	customers      map[string]int // attempts by the customer that they name
 	counts         AttemptCounts
 	lastReply      *httpup.ReplyDoc // sent in place of the reply to another attempt by crossed_share
 	reportedLoad   upstream.Load    // as last reported by the load endpoint
@@ -89,6 +91,7 @@
 		rowsPerRange: 4,
 		jobs:         make(map[attempt.ID]*job),
 		executions:   make(map[string]int),
+		customers:    make(map[string]int),
 		behaviour: behaviour{
 			medianMs: 8, sigma: 0.35, slowFactor: 1, slowShareFactor: 10, coldFactor: 5,
 			heldVersions: []uint64{1}, epoch: 1,
@@ -130,6 +133,13 @@
 	return u.counts
 }
 
+// Customers returns the number of attempts by the customer that they name.
+func (u *Upstream) Customers() map[string]int {
+	u.dataMu.Lock()
+	defer u.dataMu.Unlock()
+	return maps.Clone(u.customers)
+}
+
 // HeldVersions returns the snapshot versions that the upstream holds.
 func (u *Upstream) HeldVersions() []uint64 {
 	u.dataMu.Lock()
--- a/upstream/httpup/doc.go
+++ b/upstream/httpup/doc.go
@@ -7,7 +7,7 @@
 //	  {"attempt": {"vm": "vm-1", "incarnation": 1, "seq": 7},
 //	   "service": "search", "group": "planner-01", "version": 3,
 //	   "deadline_ms": 180, "rank": "urgent", "priority": 5,
-//	   "order_id": "", "body": "e30="}
+//	   "order_id": "", "customer": "", "body": "e30="}
 //	  200 {"attempt": {...}, "status": "ok", "ran": "yes", "version": 3, "epoch": 1,
 //	   "ranges": [{"from": 0, "to": 1000}], "held": [2, 3],
 //	   "rows": [{"key": 4, "value": "v3"}], "body": "", "leaving": false, "retry_after_ms": 0}
--- a/upstream/httpup/send.go
+++ b/upstream/httpup/send.go
@@ -71,6 +71,7 @@
 		Rank:       req.Rank,
 		Priority:   req.Priority,
 		OrderID:    req.OrderID,
+		Customer:   req.Customer,
 		Body:       req.Body,
 	}
 }
--- a/upstream/httpup/wire.go
+++ b/upstream/httpup/wire.go
@@ -22,6 +22,7 @@
 	Rank       rank.Rank    `json:"rank"`
 	Priority   uint32       `json:"priority"`
 	OrderID    string       `json:"order_id,omitempty"`
+	Customer   string       `json:"customer,omitempty"`
 	Body       []byte       `json:"body,omitempty"`
 }
 
--- a/vm/call.go
+++ b/vm/call.go
@@ -113,7 +113,7 @@
 	if cl.isOrder {
 		c.enqueue(order.SubmitMsg{
 			CallID: callID, ID: cl.order.ID, Rank: cl.rank, Service: cl.service, Group: cl.order.Group,
-			Body: cl.order.Body, Deadline: m.Deadline, Outage: c.preset.OrdersOnStoreOutage,
+			Body: cl.order.Body, Customer: cl.order.Customer, Deadline: m.Deadline, Outage: c.preset.OrdersOnStoreOutage,
 		})
 		return
 	}
@@ -123,7 +123,7 @@
 		coverage = policy.MinCoveragePercent
 	}
 	c.enqueue(query.StartMsg{
-		ID: m.ID, Rank: cl.rank, Service: cl.service, Body: cl.query.Body, Deadline: m.Deadline,
+		ID: m.ID, Rank: cl.rank, Service: cl.service, Body: cl.query.Body, Customer: cl.query.Customer, Deadline: m.Deadline,
 		MinCoverage: coverage, Priority: c.rng.Uint32(), Policy: policy, Preset: c.preset.Name, Revision: c.revision,
 	})
 }
--- a/vm/message.go
+++ b/vm/message.go
@@ -21,6 +21,7 @@
 	Rank        rank.Rank
 	Service     string
 	Body        []byte
+	Customer    string       // of the caller; empty if none
 	BudgetMs    clock.Millis // 0 selects the default of the preset
 	MinCoverage float64      // percent; negative selects the default of the preset
 }
@@ -33,6 +34,9 @@
 	Service string
 	Group   string
 	Body    []byte
+
+	// Customer is the one of the caller; empty if none.
+	Customer string
 }
 
 // CallerDisconnectedMsg reports that the caller disconnected and no longer needs
