--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -9,6 +9,7 @@
 	"lentillink.example/lentillink/clock"
 	"lentillink.example/lentillink/exchange"
 	"lentillink.example/lentillink/peer"
+	"lentillink.example/lentillink/preset"
 	"lentillink.example/lentillink/relay"
 	"lentillink.example/lentillink/roster"
 	"lentillink.example/lentillink/store"
@@ -80,7 +81,9 @@
 	case msg.catalog != nil:
 		g.stepCatalog(ioCtx, msg.catalog)
 	case msg.presets != nil:
-		g.setPresets(*msg.presets)
+		g.setPresets(ioCtx, *msg.presets)
+	case msg.restorer != nil:
+		g.stepRestorer(ioCtx, msg.restorer)
 	case msg.peer != nil:
 		g.handlePeer(ioCtx, msg.peer)
 	case msg.registrar != nil:
@@ -125,6 +128,9 @@
 	if at, ok := g.registrar.NextWake(); ok && at <= now {
 		g.stepRegistrar(ioCtx, roster.TickMsg{})
 	}
+	if at, ok := g.restorer.NextWake(); ok && at <= now {
+		g.stepRestorer(ioCtx, preset.RestoreTickMsg{})
+	}
 }
 
 // timeToWake returns the time until the next wake-up of a state machine, at most maxWaitMs.
@@ -140,6 +146,9 @@
 	if at, ok := g.catalog.NextWake(); ok {
 		wait = min(wait, at-now)
 	}
+	if at, ok := g.restorer.NextWake(); ok {
+		wait = min(wait, at-now)
+	}
 	return max(wait, 0)
 }
 
@@ -232,9 +241,11 @@
 			_ = g.logger.Log("event", "catalog_feeder", "feeder", c.VM)
 			g.stepRegistrar(ioCtx, roster.SubscriptionMsg{Subscribed: c.VM != ""})
 		case catalog.PutCmd:
-			g.unapplied = append(g.unapplied, c.Item)
+			g.unapplied = append(g.unapplied, change{item: c.Item, era: c.Era, returned: c.Returned})
 		case catalog.DeleteCmd:
-			g.unapplied = append(g.unapplied, store.Item{Key: c.Key, Removed: true})
+			g.unapplied = append(g.unapplied, change{item: store.Item{Key: c.Key, Removed: true}, era: c.Era})
+		case catalog.EraCmd:
+			g.enterEra(ioCtx, c)
 		case catalog.StoreStatusCmd:
 			_ = g.logger.Log("event", "store_contact", "reached", c.Reachable, "cause", c.Kind)
 			if c.Reachable {
@@ -243,7 +254,7 @@
 		}
 	}
 	if g.catalog.Current() {
-		g.applyItems()
+		g.applyItems(ioCtx)
 	}
 	if g.vmListChanged {
 		g.vmListChanged = false
@@ -265,25 +276,28 @@
 }
 
 // applyItems applies the changes that the catalog has reported.
-func (g *Gateway) applyItems() {
+func (g *Gateway) applyItems(ioCtx context.Context) {
 	items := g.unapplied
 	g.unapplied = nil
-	for _, it := range items {
-		if it.Removed {
-			g.applyRemoval(it.Key)
+	for _, c := range items {
+		if c.item.Removed {
+			g.applyRemoval(ioCtx, c.item.Key, c.era)
 		} else {
-			g.applyItem(it)
+			g.applyItem(ioCtx, c)
 		}
 	}
 }
 
-func (g *Gateway) applyRemoval(key string) {
+func (g *Gateway) applyRemoval(ioCtx context.Context, key string, era uint64) {
 	if id, ok := g.decoder.UpstreamID(key); ok {
-		g.stepRelay(relay.UpstreamRemovedMsg{ID: id})
+		g.stepRelay(relay.UpstreamRemovedMsg{ID: id, Era: era})
 	}
 	if id, ok := g.decoder.VMID(key); ok {
 		g.setVM(id, nil)
 	}
+	if g.decoder.IsPresets(key) {
+		g.stepRestorer(ioCtx, preset.StoredMsg{Rank: g.rank()})
+	}
 	if dataCentre, ok := g.decoder.EvacuatedDataCentre(key); ok {
 		g.setEvacuation(dataCentre, false)
 	}
@@ -308,13 +322,14 @@
 
 // applyItem applies an item of the store. If the item of an upstream cannot be
 // decoded, the upstream is removed. Other undecodable items change nothing.
-func (g *Gateway) applyItem(item store.Item) {
+func (g *Gateway) applyItem(ioCtx context.Context, c change) {
+	item := c.item
 	decoded, err := g.decodeItem(item)
 	if err != nil {
 		g.metrics.skippedItems.Inc()
 		_ = g.logger.Log("event", "item_skipped", "key", item.Key, "revision", item.Revision, "err", shorten(err))
 		if id, ok := g.decoder.UpstreamID(item.Key); ok {
-			g.stepRelay(relay.UpstreamRemovedMsg{ID: id})
+			g.stepRelay(relay.UpstreamRemovedMsg{ID: id, Era: c.era})
 		}
 		return
 	}
@@ -325,7 +340,8 @@
 			g.table.Store(decoded.Table)
 		}
 	case decoded.Presets != nil:
-		g.setPresets(*decoded.Presets)
+		g.setPresets(ioCtx, *decoded.Presets)
+		g.stepRestorer(ioCtx, preset.StoredMsg{Revision: decoded.Presets.Revision, Rank: g.rank()})
 	case decoded.VM != nil:
 		if id, ok := g.decoder.VMID(item.Key); ok && id == decoded.VM.ID {
 			g.setVM(id, decoded.VM)
@@ -333,7 +349,7 @@
 	case decoded.Evacuated != "":
 		g.setEvacuation(decoded.Evacuated, true)
 	case decoded.Upstream != nil:
-		g.stepRelay(relay.UpstreamMsg{Upstream: *decoded.Upstream})
+		g.stepRelay(relay.UpstreamMsg{Upstream: *decoded.Upstream, Era: c.era, Revision: item.Revision, Returned: c.returned})
 	}
 }
 
@@ -343,6 +359,7 @@
 	defer func() { g.post(loopMsg{catalog: msg}) }()
 	defer g.recovered("store call")
 	msg = call()
+	g.postEra()
 }
 
 func (g *Gateway) list(ctx context.Context, allowStale bool) catalog.Msg {
@@ -365,6 +382,10 @@
 
 // reportSkipped logs and counts the items that a store call left out.
 func (g *Gateway) reportSkipped(b store.Batch) {
+	if b.EraErr != nil {
+		g.metrics.skippedItems.Inc()
+		_ = g.logger.Log("event", "store_era_skipped", "err", shorten(b.EraErr))
+	}
 	if b.Skipped > 0 {
 		g.metrics.skippedItems.Add(float64(b.Skipped))
 		_ = g.logger.Log("event", "items_skipped", "count", b.Skipped, "revision", b.Revision)
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -29,6 +29,7 @@
 	configVersion prometheus.Gauge
 	evacuated     prometheus.Gauge
 	ready         prometheus.Gauge
+	storeEra      prometheus.Gauge
 }
 
 func newMetrics() *metrics {
@@ -65,6 +66,7 @@
 	m.configVersion = gauge("config_version", "Version of the configuration in force.")
 	m.evacuated = gauge("evacuated_data_centres", "Data centres whose upstreams get nothing new.")
 	m.ready = gauge("ready", "1 if the VM is ready for the balancer.")
+	m.storeEra = gauge("store_era", "Era of the store: it rises each time the store comes back from an older copy.")
 	return m
 }
 
--- a/peer/delegation.go
+++ b/peer/delegation.go
@@ -17,6 +17,7 @@
 		LeftMs: int64(d.RemainingMs), AnswerInMs: int64(d.TargetInMs), LateInMs: int64(d.LateInMs), Services: d.Services,
 		Route: d.Terms.Route, TargetMs: int64(d.Terms.TargetMs), Priority: uint32(d.Terms.Priority),
 		MaxAttempts: uint32(d.Terms.MaxAttempts), TopK: uint32(d.Terms.TopK), MinShardRatio: d.Terms.MinShardRatio,
+		Evacuated: d.Limits.Evacuated, Cold: d.Limits.Cold, ColdMs: int64(d.Limits.ColdMs),
 	}
 	if d.Terms.Customer != "" {
 		out.Customer, out.CustomerPriority = d.Terms.Customer, uint32(d.Terms.CustomerPriority)
@@ -41,7 +42,7 @@
 		maxAttempts = d.GetCustomerMaxAttempts()
 	}
 	if !inRange(d.GetLeftMs()) || !inRange(d.GetAnswerInMs()) || !inRange(d.GetTargetMs()) || !inRange(max(d.GetLateInMs(), -d.GetLateInMs())) ||
-		len(d.GetServices()) > maxDelegatedShards ||
+		!inRange(d.GetColdMs()) || max(len(d.GetServices()), len(d.GetEvacuated()), len(d.GetCold())) > maxDelegatedShards ||
 		max(d.GetPriority(), d.GetCustomerPriority(), maxAttempts, d.GetTopK()) > route.MaxCount || math.IsNaN(ratio) || ratio < 0 || ratio > 1 {
 		return relay.Delegation{}, wrap("decode delegation", KindDecode, errOutOfRange)
 	}
@@ -57,6 +58,7 @@
 			MaxAttempts: int(maxAttempts), TopK: int(d.GetTopK()), MinShardRatio: ratio,
 			Customer: d.GetCustomer(), CustomerPriority: int(d.GetCustomerPriority()),
 		},
+		Limits: relay.Limits{Evacuated: d.GetEvacuated(), Cold: d.GetCold(), ColdMs: clock.Millis(d.GetColdMs())},
 	}, nil
 }
 
--- a/relay/model.go
+++ b/relay/model.go
@@ -5,40 +5,44 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"lentillink.example/lentillink/budget"
 	"lentillink.example/lentillink/clock"
 	"lentillink.example/lentillink/route"
 )
 
 // Model is the state of one VM.
 type Model struct {
-	cfg           config
-	rng           *rand.Rand
-	table         *route.Table
-	splitter      *route.Splitter
-	services      map[string]*service
-	upstreams     map[string]*upstream
-	evacuated     map[string]bool // data centres that are evacuated
-	routeStats    map[string]*routeStats
-	requests      map[uint64]*request
-	attempts      map[uint64]*attempt
-	notices       boundedMap[string, notice] // by upstream
-	timers        timers
-	catchUpUntil  clock.Millis           // nothing overdue is repeated before this time
-	peers         map[string]*peerVM     // the VMs of the fleet, by ID
-	leftPeers     map[string]*peerVM     // VMs that left the list with open delegations from this one, by ID
-	vmIDs         []string               // IDs of the VMs, sorted
-	inFleet       bool                   // this VM is in the list
-	delegations   map[uint64]*delegation // open delegations to carriers, by ID
-	resultLagMs   float64                // as peerVM.resultLagMs, over all carriers
-	rotation      int
-	selfIsCarrier bool // this VM was a carrier when carriers were last selected
-	vmCount       int
-	budgetLimit   BudgetMsg
-	policies      policies
-	nextID        uint64
-	stopAt        clock.Millis // 0 while the VM is not stopping
-	callersUntil  clock.Millis // while stopping: when no new callers are expected
-	cmds          []Cmd
+	cfg            config
+	rng            *rand.Rand
+	table          *route.Table
+	splitter       *route.Splitter
+	services       map[string]*service
+	upstreams      map[string]*upstream
+	evacuated      map[string]bool // data centres that are evacuated
+	routeStats     map[string]*routeStats
+	requests       map[uint64]*request
+	attempts       map[uint64]*attempt
+	notices        boundedMap[string, notice] // by upstream
+	departures     departures
+	timers         timers
+	catchUpUntil   clock.Millis           // nothing overdue is repeated before this time
+	peers          map[string]*peerVM     // the VMs of the fleet, by ID
+	leftPeers      map[string]*peerVM     // VMs that left the list with open delegations from this one, by ID
+	vmIDs          []string               // IDs of the VMs, sorted
+	peersIn        map[string][]*peerVM   // the VMs by data centre
+	inFleet        bool                   // this VM is in the list
+	delegations    map[uint64]*delegation // open delegations to carriers, by ID
+	resultLagMs    float64                // as peerVM.resultLagMs, over all carriers
+	rotation       int
+	selfIsCarrier  bool      // this VM was a carrier when carriers were last selected
+	listedCarriers []*peerVM // of this VM's data centre while none is avoided; nil if not computed
+	vmCount        int
+	budgetLimit    BudgetMsg
+	policies       policies
+	nextID         uint64
+	stopAt         clock.Millis // 0 while the VM is not stopping
+	callersUntil   clock.Millis // while stopping: when no new callers are expected
+	cmds           []Cmd
 }
 
 // New returns a Model without a configuration.
@@ -48,7 +52,7 @@
 		cfg: cfg, rng: rand.New(rand.NewPCG(cfg.seed, cfg.seed)), vmCount: cfg.vmCount, budgetLimit: cfg.budget,
 		splitter: route.NewSplitter(), services: make(map[string]*service), upstreams: make(map[string]*upstream), evacuated: make(map[string]bool),
 		routeStats: make(map[string]*routeStats), requests: make(map[uint64]*request), attempts: make(map[uint64]*attempt),
-		notices: newBoundedMap[string, notice](maxNotices), peers: make(map[string]*peerVM), leftPeers: make(map[string]*peerVM), resultLagMs: initialLagMs, delegations: make(map[uint64]*delegation),
+		notices: newBoundedMap[string, notice](maxNotices), departures: newDepartures(), peers: make(map[string]*peerVM), leftPeers: make(map[string]*peerVM), resultLagMs: initialLagMs, delegations: make(map[uint64]*delegation),
 	}
 }
 
@@ -61,11 +65,12 @@
 	m.cmds = m.cmds[:0]
 	switch t := msg.(type) {
 	case TableMsg:
-		m.setTable(t.Table)
+		m.setTable(now, t.Table)
 	case UpstreamMsg:
-		m.setUpstream(now, t.Upstream)
+		m.setUpstream(now, t)
 	case UpstreamRemovedMsg:
-		m.removeUpstream(now, t.ID)
+		delete(m.departures.held, t.ID)
+		m.removeUpstream(now, t.ID, t.Era)
 	case ArrivalMsg:
 		m.admit(now, t)
 	case ReplyMsg:
@@ -104,7 +109,7 @@
 	}
 	m.budgetLimit = b
 	for _, s := range m.services {
-		s.budget.setLimit(b)
+		s.budget.SetLimit(budget.Limit(b))
 	}
 }
 
@@ -121,7 +126,7 @@
 	m.emit(EventCmd{Event: ev})
 }
 
-func (m *Model) setTable(t *route.Table) {
+func (m *Model) setTable(now clock.Millis, t *route.Table) {
 	if m.table != nil && t.Version() <= m.table.Version() {
 		return
 	}
@@ -131,14 +136,21 @@
 		s.configure(t)
 		s.isShard = t.IsShard(s.name)
 	}
+	m.carriersChanged()
+	m.assignWarmups(now)
 	m.emit(EventCmd{Event: Event{Kind: "config_in_force", Version: t.Version()}})
 }
 
 // setUpstream applies an upstream's report. Reports of an earlier incarnation, or
 // with a lower sequence number in the same one, are ignored: reports can arrive
 // late, and a leaving upstream never accepts new work again.
-func (m *Model) setUpstream(now clock.Millis, info Upstream) {
+func (m *Model) setUpstream(now clock.Millis, msg UpstreamMsg) {
+	info := msg.Upstream
 	u := m.upstreams[info.ID]
+	if u == nil && m.holdReturned(now, &msg) {
+		return
+	}
+	info = msg.Upstream
 	if u != nil {
 		old := u.info
 		if info.isOlderThan(old) && !u.older.outvote(info) {
@@ -166,10 +178,12 @@
 	if info.Leaving && !u.info.Leaving {
 		m.emit(EventCmd{Event: Event{Kind: "upstream_leaving", Upstream: info.ID, Detail: info.Service}})
 	}
-	u.info = info
+	m.departures.newestIncarnation = max(m.departures.newestIncarnation, info.Incarnation)
+	u.info, u.era, u.revision = info, msg.Era, msg.Revision
 	u.evacuated = m.evacuated[info.DataCentre]
-	u.service.dataCentres = nil
-	u.coldUntil = now + info.ColdMs
+	u.service.upstreamsChanged()
+	u.reportedAt = now
+	m.setCold(now, u, now+info.ColdMs, false)
 	m.applyNotice(u, m.notices.get(info.ID))
 	if u.usable() {
 		if isNew && u.service.assigned {
@@ -179,8 +193,9 @@
 	}
 }
 
-func (m *Model) removeUpstream(now clock.Millis, id string) {
+func (m *Model) removeUpstream(now clock.Millis, id string, era uint64) {
 	if u := m.upstreams[id]; u != nil {
+		m.departures.record(now, u, era)
 		delete(m.upstreams, id)
 		m.detach(now, u)
 		m.emit(EventCmd{Event: Event{Kind: "upstream_removed", Upstream: id, Detail: u.service.name}})
@@ -190,7 +205,7 @@
 // detach removes an upstream from its service. Its open attempts continue.
 func (m *Model) detach(now clock.Millis, u *upstream) {
 	u.removed = true
-	u.service.dataCentres = nil
+	u.service.upstreamsChanged()
 	list := u.service.upstreams
 	for i, o := range list {
 		if o == u {
--- a/relay/reply.go
+++ b/relay/reply.go
@@ -10,9 +10,10 @@
 	m.endAttempt(a)
 	sub, u, reply := a.subrequest, a.upstream, msg.Reply
 	m.recordNotice(now, u, reply)
+	m.endSuspicion(now, u)
 	switch {
 	case reply.NotRun:
-		sub.possibleRuns--
+		sub.recordNotRun(u)
 		m.handleNotRun(now, a, reply)
 	case reply.Status >= 500:
 		if !a.cutShort(now) {
@@ -39,7 +40,7 @@
 		// attempt would count as load of the new owner's service.
 		m.event("address_reused", a.subrequest.req, u, u.info.Address, now-a.sentAt)
 		if m.upstreams[u.info.ID] == u {
-			m.removeUpstream(now, u.info.ID)
+			m.removeUpstream(now, u.info.ID, u.era)
 		}
 		return
 	}
@@ -47,6 +48,9 @@
 		return
 	}
 	u.recordShed(now)
+	if holdTime(reply) == 0 { // one that names a time is left to other requests after it
+		a.subrequest.recordShed(u)
+	}
 	m.event("upstream_shed", a.subrequest.req, u, a.subrequest.service.name, now-a.sentAt)
 }
 
@@ -76,10 +80,11 @@
 	m.endAttempt(a)
 	sub, u := a.subrequest, a.upstream
 	if msg.NotSent {
-		sub.possibleRuns--
+		sub.recordNotRun(u)
 		sub.deliveries--
 	}
 	u.recordFailure(now)
+	m.suspectRestart(now, u)
 	m.event("attempt_failed", sub.req, u, msg.Cause, now-a.sentAt)
 	m.retry(now, sub)
 	m.dispatchQueued(now, u.service)
@@ -104,7 +109,7 @@
 		m.giveUp(now, sub, "max_attempts")
 	case now >= r.deadline:
 		m.giveUp(now, sub, "deadline")
-	case sub.deliveries > 0 && (sub.service.budget.remaining(now, m.vmCount, 1) < 1 || byPreset && !m.policies.allows(now, &m.policies.retries, r.route.Priority)):
+	case sub.deliveries > 0 && (sub.service.budget.Remaining(now, m.allowancePart(now, sub.service), 1) < 1 || byPreset && !m.policies.allows(now, &m.policies.retries, r.route.Priority)):
 		m.event("retry_denied", r, nil, sub.service.name, now-r.arrived)
 		m.giveUp(now, sub, "budget")
 	default:
