Limit a customer's requests over the whole fleet

Cause: a customer's rate and burst hold summed over all VMs, however the fleet is split. Equal shares refuse what is allowed, and VMs that count alone let too much run.

Change: package quota, a state machine without I/O. The owner of a group, by a claim under a lease of the store, grants credit from token buckets; its right runs out by itself.

--- /dev/null
+++ b/quota/fleet.go
@@ -0,0 +1,91 @@
+package quota
+
+import (
+	"slices"
+
+	"lentillink.example/lentillink/clock"
+)
+
+// setFleet applies the list of VMs.
+func (m *Model) setFleet(now clock.Millis, vms []VM) {
+	if len(m.members) == 0 {
+		for g := range m.rights {
+			m.rights[g].emptyAt = max(m.rights[g].emptyAt, now)
+		}
+	}
+	m.members = m.members[:0]
+	for _, v := range vms {
+		m.members = append(m.members, newMember(v))
+	}
+	for vm := range m.links {
+		if !slices.ContainsFunc(vms, func(v VM) bool { return v.ID == vm }) {
+			m.unreachable(now, vm)
+			delete(m.links, vm)
+		}
+	}
+	if m.limited {
+		m.updateDeputies(now)
+	}
+}
+
+// updateDeputies works out of which groups this VM is a deputy.
+func (m *Model) updateDeputies(now clock.Millis) {
+	m.deputyCache = [Groups][]member{}
+	m.targetCache = [Groups][]string{}
+	for g := range Groups {
+		switch {
+		case !slices.ContainsFunc(m.deputies(g), func(d member) bool { return d.ID == m.cfg.self }):
+			m.deputySince[g] = 0
+		case m.deputySince[g] == 0:
+			m.deputySince[g] = max(now, 1)
+		}
+	}
+}
+
+// isActiveDeputy reports whether this VM may grant from the reserve. A new deputy waits
+// until what the one before it has granted is no longer in the window.
+func (m *Model) isActiveDeputy(now clock.Millis, group int) bool {
+	since := m.deputySince[group]
+	return since != 0 && !m.inactive() && now >= since+m.cfg.bounds.WindowMs+maxValidityMs
+}
+
+// deputies returns the deputies of a group, the best one first.
+func (m *Model) deputies(group int) []member {
+	if m.deputyCache[group] == nil {
+		m.deputyCache[group] = rankDeputies(m.members, group)
+	}
+	return m.deputyCache[group]
+}
+
+// targets returns the VMs to ask for credit of a group, in order: the owner, or the VM that
+// claims the group, then this VM if it is a deputy, then near deputies before far ones.
+func (m *Model) targets(group int) []string {
+	if t := m.targetCache[group]; t != nil {
+		return t
+	}
+	deputies := m.deputies(group)
+	t := make([]string, 0, deputyCount+1)
+	add := func(vm string) {
+		if !slices.Contains(t, vm) {
+			t = append(t, vm)
+		}
+	}
+	if owner := m.claims[group].VM; owner != "" {
+		add(owner)
+	} else if len(deputies) > 0 {
+		add(deputies[0].ID)
+	}
+	for _, match := range []func(member) bool{
+		func(d member) bool { return d.ID == m.cfg.self },
+		func(d member) bool { return d.DataCentre == m.cfg.dataCentre },
+		func(member) bool { return true },
+	} {
+		for _, d := range deputies {
+			if match(d) {
+				add(d.ID)
+			}
+		}
+	}
+	m.targetCache[group] = t
+	return t
+}
