Carry asks for credit and their grants between VMs

Cause: package quota decides who grants credit; its messages need a form on the streams between VMs.

Change: two bodies of the envelope, with bounds on what is decoded.

Result: go test ./peer -run Credit passes.

--- a/peer/codec.go
+++ b/peer/codec.go
@@ -8,6 +8,7 @@
 	"lentillink.example/lentillink/clock"
 	"lentillink.example/lentillink/coverage"
 	"lentillink.example/lentillink/peer/peerpb"
+	"lentillink.example/lentillink/quota"
 	"lentillink.example/lentillink/rank"
 	"lentillink.example/lentillink/relay"
 	"lentillink.example/lentillink/vm"
@@ -48,6 +49,10 @@
 		env.Body = &peerpb.Envelope_Update{Update: encodeUpdate(b)}
 	case compressedUpdate:
 		env.Body = &peerpb.Envelope_Update{Update: b.update}
+	case quota.Ask:
+		env.Body = &peerpb.Envelope_CreditAsk{CreditAsk: encodeAsk(b)}
+	case quota.Grant:
+		env.Body = &peerpb.Envelope_CreditGrant{CreditGrant: encodeGrant(b)}
 	case vm.AdminResponse:
 		env.Body = &peerpb.Envelope_Told{Told: &peerpb.Told{Id: b.ID, Payload: b.Payload}}
 	}
@@ -92,6 +97,12 @@
 	case *peerpb.Envelope_Update:
 		u, err := decodeUpdate(b.Update)
 		return u, stamp, err
+	case *peerpb.Envelope_CreditAsk:
+		ask, err := decodeAsk(b.CreditAsk)
+		return ask, stamp, err
+	case *peerpb.Envelope_CreditGrant:
+		grant, err := decodeGrant(b.CreditGrant)
+		return grant, stamp, err
 	case *peerpb.Envelope_Told:
 		return vm.AdminResponse{ID: b.Told.GetId(), Payload: b.Told.GetPayload()}, stamp, nil
 	}
--- a/quota/ask.go
+++ b/quota/ask.go
@@ -38,11 +38,12 @@
 	// SourceReserve means that the sender is a deputy.
 	SourceReserve
 
-	sourceCount
+	// SourceCount is the number of sources.
+	SourceCount
 )
 
 // Valid reports whether s is one of the sources.
-func (s Source) Valid() bool { return s < sourceCount }
+func (s Source) Valid() bool { return s < SourceCount }
 
 // GrantEntry grants credit to one customer.
 type GrantEntry struct {
