Run requests of a customer with a limit on its credit

Cause: nothing held the limits of the configuration.

Change: the relay parks such a request before anything of it is sent, asks the quota for credit, and runs, refuses (429, reason over_limit, or 503, reason no_credit) or drops it. Credit of a request that did not run goes back. The gateway keeps the claims of owners in the store (lentillink/limits/GROUP, under a lease) and carries asks and grants. Settings: quota, from the platform's bounds.

--- a/cmd/lentillinkd/gateway.go
+++ b/cmd/lentillinkd/gateway.go
@@ -15,6 +15,7 @@
 	"lentillink.example/lentillink/clock"
 	"lentillink.example/lentillink/gateway"
 	"lentillink.example/lentillink/platform"
+	"lentillink.example/lentillink/quota"
 	"lentillink.example/lentillink/relay"
 	"lentillink.example/lentillink/settings"
 )
@@ -64,7 +65,9 @@
 		}),
 		gateway.WithAddresses(s.Callers, s.Ready), gateway.WithReadyPath(platform.ReadyPath), gateway.WithMetricsAddress(s.Metrics),
 		gateway.WithLogger(logger), gateway.WithLimits(reloadableLimits(s)), gateway.WithSeed(rand.Uint64()), gateway.WithWatchInterval(watchInterval(s)),
-		gateway.WithMemory(s.MemoryMB*bytesPerMB),
+		gateway.WithMemory(s.MemoryMB*bytesPerMB), gateway.WithQuotaBounds(quota.Bounds{
+			WindowMs: clock.Millis(s.Quota.WindowSeconds) * clock.Second, Overshoot: s.Quota.Overshoot, Slack: s.Quota.Slack,
+		}),
 		gateway.WithRelayOptions(relay.WithVMs(s.ExpectedVMs)),
 	)
 	watchDone := make(chan error, 1)
@@ -113,5 +116,5 @@
 func restartNeeded(current, next *settings.Gateway) bool {
 	return current.VM != next.VM || current.DataCentre != next.DataCentre || current.Callers != next.Callers ||
 		current.Ready != next.Ready || current.Peers != next.Peers ||
-		current.ExpectedVMs != next.ExpectedVMs || current.MemoryMB != next.MemoryMB
+		current.ExpectedVMs != next.ExpectedVMs || current.MemoryMB != next.MemoryMB || current.Quota != next.Quota
 }
--- a/gateway/decoder.go
+++ b/gateway/decoder.go
@@ -3,6 +3,7 @@
 import (
 	"lentillink.example/lentillink/exchange"
 	"lentillink.example/lentillink/preset"
+	"lentillink.example/lentillink/quota"
 	"lentillink.example/lentillink/relay"
 	"lentillink.example/lentillink/route"
 	"lentillink.example/lentillink/store"
@@ -25,6 +26,7 @@
 	Upstream  *relay.Upstream
 	VM        *relay.VM
 	Presets   *preset.Record
+	Claim     *quota.Claim
 	Evacuated string // data centre whose upstreams must get nothing new while the item exists
 }
 
@@ -40,6 +42,10 @@
 	VMID(key string) (string, bool)
 	// EvacuatedDataCentre returns the data centre that is evacuated while a key exists.
 	EvacuatedDataCentre(key string) (string, bool)
+	// ClaimGroup returns the group of customers whose claim a key holds.
+	ClaimGroup(key string) (int, bool)
+	// ClaimKey returns the key of a group's claim.
+	ClaimKey(group int) string
 	// VMKey returns the key of a VM's entry.
 	VMKey(id string) string
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"lentillink.example/lentillink/exchange"
 	"lentillink.example/lentillink/peer"
 	"lentillink.example/lentillink/preset"
+	"lentillink.example/lentillink/quota"
 	"lentillink.example/lentillink/relay"
 	"lentillink.example/lentillink/roster"
 	"lentillink.example/lentillink/route"
@@ -43,10 +44,12 @@
 	listeners     *listeners // nil: listen on the addresses
 	seed          uint64
 	relayOptions  []relay.Option
+	quotaBounds   quota.Bounds
 
 	relayModel    *relay.Model
 	catalog       *catalog.Model
 	registrar     *roster.Registrar
+	quota         *quota.Model
 	mesh          *peer.Mesh
 	metrics       *metrics
 	client        *exchange.Client
@@ -72,6 +75,8 @@
 	delegations   map[delegationKey]uint64 // requests of other VMs, owned by the event loop
 	vmList        map[string]relay.VM      // owned by the event loop
 	unapplied     []store.Item             // changes that are not in force yet; owned by the event loop
+	quotaMsgs     []quota.Msg              // for the quota, see postQuota; owned by the event loop
+	credits       []relay.CreditMsg        // decisions for the relay, see handleQuota; owned by the event loop
 	vmListChanged bool                     // vmList was changed and is to be applied; owned by the event loop
 }
 
@@ -83,6 +88,7 @@
 	at        clock.Millis // of an ArrivalMsg: when the request was read
 	catalog   catalog.Msg
 	registrar roster.RegistrarMsg
+	quota     quota.Msg
 	peer      *peerEvent
 	presets   *preset.Record
 	result    *exchange.Result
@@ -113,6 +119,7 @@
 	g.relayModel.Update(g.clock.Now(), relay.PresetMsg{Preset: defaults.CurrentPreset()})
 	g.metrics = newMetrics()
 	g.registrar = roster.NewRegistrar(g.seed)
+	g.quota = quota.New(quota.WithSelf(g.self.ID, g.self.DataCentre), quota.WithSeed(g.seed), quota.WithBounds(g.quotaBounds))
 	g.mesh = peer.New(g.self.ID, g.seed, meshHandler{g})
 	g.catalog = catalog.New(g.seed, catalog.WithWatchInterval(g.watchInterval), catalog.WithSuperseded(g.isSuperseded))
 	g.client = exchange.New(func(r exchange.Result) { g.post(loopMsg{result: &r}) },
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -9,6 +9,7 @@
 	"lentillink.example/lentillink/clock"
 	"lentillink.example/lentillink/exchange"
 	"lentillink.example/lentillink/peer"
+	"lentillink.example/lentillink/quota"
 	"lentillink.example/lentillink/relay"
 	"lentillink.example/lentillink/roster"
 	"lentillink.example/lentillink/store"
@@ -60,6 +61,7 @@
 	g.stepRelay(relay.TickMsg{})
 	g.stepCatalog(ioCtx, catalog.ResumedMsg{})
 	g.stepRegistrar(ioCtx, roster.ResumedMsg{})
+	g.stepQuota(ioCtx, quota.ResumedMsg{})
 }
 
 // handleQueued handles the messages in the queue, at most maxBatch.
@@ -76,6 +78,11 @@
 
 func (g *Gateway) handle(ioCtx context.Context, msg loopMsg) {
 	defer g.recoveredState("message")
+	g.handleMsg(ioCtx, msg)
+	g.handleQuota(ioCtx)
+}
+
+func (g *Gateway) handleMsg(ioCtx context.Context, msg loopMsg) {
 	switch {
 	case msg.catalog != nil:
 		g.stepCatalog(ioCtx, msg.catalog)
@@ -85,6 +92,8 @@
 		g.handlePeer(ioCtx, msg.peer)
 	case msg.registrar != nil:
 		g.stepRegistrar(ioCtx, msg.registrar)
+	case msg.quota != nil:
+		g.stepQuota(ioCtx, msg.quota)
 	case msg.result != nil:
 		g.stepRelay(attemptMsg(*msg.result))
 	case msg.call != nil:
@@ -125,6 +134,10 @@
 	if at, ok := g.registrar.NextWake(); ok && at <= now {
 		g.stepRegistrar(ioCtx, roster.TickMsg{})
 	}
+	if at, ok := g.quota.NextWake(); ok && at <= now {
+		g.stepQuota(ioCtx, quota.TickMsg{})
+	}
+	g.handleQuota(ioCtx)
 }
 
 // timeToWake returns the time until the next wake-up of a state machine, at most maxWaitMs.
@@ -140,6 +153,9 @@
 	if at, ok := g.catalog.NextWake(); ok {
 		wait = min(wait, at-now)
 	}
+	if at, ok := g.quota.NextWake(); ok {
+		wait = min(wait, at-now)
+	}
 	return max(wait, 0)
 }
 
@@ -184,6 +200,12 @@
 		g.sendPeer(c.To, c.Address, c.Delegation)
 	case relay.CancelDelegationCmd:
 		g.sendPeer(c.To, "", relay.DelegationCancel{ID: c.ID})
+	case relay.CreditCmd:
+		g.postQuota(quota.AcquireMsg{Request: c.Request, Limit: c.Limit})
+	case relay.CancelCreditCmd:
+		g.postQuota(quota.CancelMsg{Request: c.Request})
+	case relay.ReturnCreditCmd:
+		g.postQuota(quota.ReturnMsg{Customer: c.Customer})
 	case relay.ConnectPeerCmd:
 		g.mesh.Connect(c.VM, c.Address)
 	case relay.ConnectUpstreamCmd:
@@ -287,6 +309,7 @@
 	if dataCentre, ok := g.decoder.EvacuatedDataCentre(key); ok {
 		g.setEvacuation(dataCentre, false)
 	}
+	g.applyClaim(key, 0, quota.Claim{})
 }
 
 // setEvacuation starts or ends the evacuation of a data centre.
@@ -323,6 +346,7 @@
 		g.stepRelay(relay.TableMsg{Table: decoded.Table})
 		if t := g.table.Load(); t == nil || t.Version() < decoded.Table.Version() {
 			g.table.Store(decoded.Table)
+			g.setLimited(decoded.Table)
 		}
 	case decoded.Presets != nil:
 		g.setPresets(*decoded.Presets)
@@ -330,6 +354,8 @@
 		if id, ok := g.decoder.VMID(item.Key); ok && id == decoded.VM.ID {
 			g.setVM(id, decoded.VM)
 		}
+	case decoded.Claim != nil:
+		g.applyClaim(item.Key, item.Revision, *decoded.Claim)
 	case decoded.Evacuated != "":
 		g.setEvacuation(decoded.Evacuated, true)
 	case decoded.Upstream != nil:
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -22,6 +22,7 @@
 	missingShards prometheus.Counter
 	duration      *prometheus.HistogramVec
 	events        *prometheus.CounterVec
+	credit        *prometheus.CounterVec
 	attempts      prometheus.Counter
 	delegations   prometheus.Counter
 	skippedItems  prometheus.Counter
@@ -29,6 +30,10 @@
 	configVersion prometheus.Gauge
 	evacuated     prometheus.Gauge
 	ready         prometheus.Gauge
+
+	creditAsks     prometheus.Counter
+	reserveCredits prometheus.Counter
+	ownedGroups    prometheus.Gauge
 }
 
 func newMetrics() *metrics {
@@ -44,6 +49,9 @@
 		events: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: "lentillink", Subsystem: "gateway", Name: "events_total", Help: "Decisions, by kind.",
 		}, []string{"kind"}),
+		credit: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: "lentillink", Subsystem: "gateway", Name: "credit_decisions_total", Help: "Requests of customers with a limit, by decision.",
+		}, []string{"decision"}),
 	}
 	counter := func(name, help string) prometheus.Counter {
 		c := prometheus.NewCounter(prometheus.CounterOpts{Namespace: "lentillink", Subsystem: "gateway", Name: name, Help: help})
@@ -55,7 +63,7 @@
 		m.registry.MustRegister(g)
 		return g
 	}
-	m.registry.MustRegister(m.requests, m.duration, m.events)
+	m.registry.MustRegister(m.requests, m.duration, m.events, m.credit)
 	m.lateAnswers = counter("late_answers_total", "Answers after the target of their route.")
 	m.missingShards = counter("missing_parts_total", "Shards that were left out of gathered answers.")
 	m.attempts = counter("attempts_total", "Attempts sent to upstreams.")
@@ -64,6 +72,9 @@
 	m.panics = counter("panics_total", "Unexpected errors that ended one request, item, message or call.")
 	m.configVersion = gauge("config_version", "Version of the configuration in force.")
 	m.evacuated = gauge("evacuated_data_centres", "Data centres whose upstreams get nothing new.")
+	m.creditAsks = counter("credit_asks_total", "Messages to other VMs that ask for or return credit of customers.")
+	m.reserveCredits = counter("reserve_credits_total", "Credit that this VM granted as a deputy.")
+	m.ownedGroups = gauge("owned_groups", "Groups of customers whose credit this VM grants.")
 	m.ready = gauge("ready", "1 if the VM is ready for the balancer.")
 	return m
 }
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -6,6 +6,7 @@
 	"github.com/go-kit/log"
 
 	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/quota"
 	"lentillink.example/lentillink/relay"
 	"lentillink.example/lentillink/store"
 )
@@ -60,6 +61,9 @@
 // the default.
 func WithWatchInterval(ms clock.Millis) Option { return func(g *Gateway) { g.watchInterval = ms } }
 
+// WithQuotaBounds sets by how much the limits of customers may be exceeded.
+func WithQuotaBounds(b quota.Bounds) Option { return func(g *Gateway) { g.quotaBounds = b } }
+
 // WithSeed sets the seed of random numbers.
 func WithSeed(seed uint64) Option { return func(g *Gateway) { g.seed = seed } }
 
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -7,6 +7,7 @@
 	"lentillink.example/lentillink/catalog"
 	"lentillink.example/lentillink/clock"
 	"lentillink.example/lentillink/exchange"
+	"lentillink.example/lentillink/quota"
 	"lentillink.example/lentillink/relay"
 	"lentillink.example/lentillink/roster"
 	"lentillink.example/lentillink/store"
@@ -57,6 +58,17 @@
 		g.stepRelay(relay.PeerDisconnectedMsg{VM: m.vm})
 		g.cancelDelegationsFrom(m.vm)
 		g.stepCatalog(ioCtx, catalog.PeerLostMsg{VM: m.vm})
+		g.postQuota(quota.UnreachableMsg{VM: m.vm})
+	case quota.Ask:
+		if m.unsent {
+			g.postQuota(quota.UnreachableMsg{VM: m.vm})
+			return
+		}
+		g.postQuota(quota.AskMsg{From: m.vm, Ask: b})
+	case quota.Grant:
+		if !m.unsent {
+			g.postQuota(quota.GrantMsg{From: m.vm, Grant: b})
+		}
 	case catalog.Subscribe:
 		if m.unsent {
 			g.stepCatalog(ioCtx, catalog.PeerLostMsg{VM: m.vm})
@@ -148,6 +160,7 @@
 		list = append(list, v)
 	}
 	g.stepRelay(relay.FleetMsg{VMs: list})
+	g.postQuota(quota.FleetMsg{VMs: quotaVMs(list)})
 	publishers, mayPublish := catalog.Publishers(g.self.ID, g.publisherCandidates(list))
 	g.stepCatalog(ioCtx, catalog.PublishersMsg{VMs: publishers, MayPublish: mayPublish})
 }
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/quota"
 	"lentillink.example/lentillink/relay"
 	"lentillink.example/lentillink/roster"
 )
@@ -41,6 +42,7 @@
 	g.ready.Store(false)
 	_ = g.logger.Log("event", "stopping", "grace_ms", int64(grace))
 	g.post(loopMsg{registrar: roster.LeaveMsg{}})
+	g.post(loopMsg{quota: quota.StopMsg{}})
 	g.post(loopMsg{relay: relay.StopMsg{Deadline: deadline, CallersUntil: callersUntil}})
 	g.awaitIdle(callersUntil, deadline)
 	_ = callers.Close()
--- a/quota/fleet.go
+++ b/quota/fleet.go
@@ -8,11 +8,7 @@
 
 // setFleet applies the list of VMs.
 func (m *Model) setFleet(now clock.Millis, vms []VM) {
-	if len(m.members) == 0 {
-		for g := range m.rights {
-			m.rights[g].emptyAt = max(m.rights[g].emptyAt, now)
-		}
-	}
+	m.markKnown(now)
 	m.members = m.members[:0]
 	for _, v := range vms {
 		m.members = append(m.members, newMember(v))
@@ -28,6 +24,18 @@
 	}
 }
 
+// markKnown records that what the store holds is known from now on. Earlier owners may have
+// granted everything until then.
+func (m *Model) markKnown(now clock.Millis) {
+	if m.known {
+		return
+	}
+	m.known = true
+	for g := range m.rights {
+		m.rights[g].emptyAt = max(m.rights[g].emptyAt, now)
+	}
+}
+
 // updateDeputies works out of which groups this VM is a deputy.
 func (m *Model) updateDeputies(now clock.Millis) {
 	m.deputyCache = [Groups][]member{}
@@ -49,10 +57,14 @@
 	return since != 0 && !m.inactive() && now >= since+m.cfg.bounds.WindowMs+maxValidityMs
 }
 
-// deputies returns the deputies of a group, the best one first.
+// deputies returns the deputies of a group, the best one first. Until a VM is listed, this
+// one is.
 func (m *Model) deputies(group int) []member {
 	if m.deputyCache[group] == nil {
 		m.deputyCache[group] = rankDeputies(m.members, group)
+		if len(m.members) == 0 {
+			m.deputyCache[group] = []member{newMember(VM{ID: m.cfg.self, DataCentre: m.cfg.dataCentre})}
+		}
 	}
 	return m.deputyCache[group]
 }
--- a/quota/limit.go
+++ b/quota/limit.go
@@ -26,10 +26,11 @@
 
 // Bounds of a Limit.
 const (
-	minRate  = 1e-4
-	maxRate  = 1e7
+	maxRate  = 1e9
 	maxBurst = 1e9
 
+	maxFillMs = 24 * clock.Hour
+
 	// MaxNameBytes bounds the name of a customer.
 	MaxNameBytes = 256
 )
@@ -37,15 +38,15 @@
 // Valid reports whether the fields are within their bounds.
 func (l Limit) Valid() bool {
 	return l.Customer != "" && len(l.Customer) <= MaxNameBytes &&
-		l.Rate >= minRate && l.Rate <= maxRate && l.Burst >= 0 && l.Burst <= maxBurst
+		l.Rate > 0 && l.Rate <= maxRate && l.Burst >= 0 && l.Burst <= maxBurst
 }
 
 // capacity returns the size of the token bucket, which holds at least one request.
 func (l Limit) capacity() float64 { return max(l.Burst, 1) }
 
-// fillMs returns the time in which n requests become available.
+// fillMs returns the time in which n requests become available, at most maxFillMs.
 func (l Limit) fillMs(n float64) clock.Millis {
-	return clock.Millis(math.Ceil(max(n, 0) / l.Rate * float64(clock.Second)))
+	return clock.Millis(min(math.Ceil(max(n, 0)/l.Rate*float64(clock.Second)), float64(maxFillMs)))
 }
 
 // Bounds states by how much a limit may be exceeded: in any window, at most
--- a/quota/message.go
+++ b/quota/message.go
@@ -44,7 +44,7 @@
 	CPUMilli   int // processor share in thousandths of a core
 }
 
-// FleetMsg lists the VMs. What the store holds is known from the first one on.
+// FleetMsg lists the VMs. The first one comes after the claims that the store holds.
 type FleetMsg struct{ VMs []VM }
 
 // Claim is the value of a group's key in the store. It lasts as long as the lease.
@@ -79,7 +79,7 @@
 type FailedMsg struct{ Kind store.Kind }
 
 // LimitedMsg reports whether the configuration has customers with a limit. Without one the
-// Model does nothing.
+// Model does nothing. The first one comes after the claims that the store holds.
 type LimitedMsg struct{ Limited bool }
 
 // ResumedMsg reports that the process did not run for a while, so that times which were
--- a/quota/model.go
+++ b/quota/model.go
@@ -51,6 +51,7 @@
 	forwards map[uint64]forward // by the ID of the Ask to the owner
 
 	// Who may grant credit.
+	known       bool // what the store holds
 	members     []member
 	claims      [Groups]Claim  // as the store holds them
 	revisions   [Groups]uint64 // of the claims
@@ -164,6 +165,7 @@
 	started := limited && !m.limited
 	m.limited = limited
 	if started {
+		m.markKnown(now)
 		m.updateDeputies(now)
 	}
 }
--- a/relay/abandon.go
+++ b/relay/abandon.go
@@ -15,8 +15,11 @@
 	m.cmds = m.cmds[:0]
 	r := m.requestOf(msg)
 	if r == nil {
-		if a, ok := msg.(ArrivalMsg); ok {
-			m.emit(AnswerCmd{ID: a.ID, Answer: Answer{Outcome: Failed, Reason: internalError}})
+		switch t := msg.(type) {
+		case ArrivalMsg:
+			m.abandonUnopened(t.ID)
+		case CreditMsg:
+			m.abandonUnopened(t.Request)
 		}
 		return m.cmds
 	}
@@ -42,6 +45,12 @@
 	return m.cmds
 }
 
+// abandonUnopened answers a request that was not opened yet.
+func (m *Model) abandonUnopened(id uint64) {
+	delete(m.parked, id)
+	m.emit(AnswerCmd{ID: id, Answer: Answer{Outcome: Failed, Reason: internalError}})
+}
+
 // internalError is the reason of an answer after an unexpected error.
 const internalError = "internal_error"
 
@@ -52,6 +61,8 @@
 		return m.requests[t.ID]
 	case CallerDisconnectedMsg:
 		return m.requests[t.ID]
+	case CreditMsg:
+		return m.requests[t.Request]
 	case ReplyMsg:
 		return m.requestOfAttempt(t.Attempt)
 	case AttemptFailedMsg:
--- a/relay/arrive.go
+++ b/relay/arrive.go
@@ -56,23 +56,36 @@
 	}
 	r := m.newRequest(now, rt, msg)
 	r.setCustomer(c)
+	if m.stillInTime(now, msg, r) && !m.acquireCredit(msg, r, c) {
+		m.admitInTime(now, msg, r)
+	}
+}
+
+// stillInTime reports whether a request can end before its deadline and before this VM
+// stops. If it cannot, it is refused.
+func (m *Model) stillInTime(now clock.Millis, msg ArrivalMsg, r *request) bool {
 	if r.deadline <= now {
 		m.refuse(msg, r, "waited_too_long", m.retryAfter(0, 0))
-		return
+		return false
 	}
 	if m.outlastsStop(now, r) {
 		m.refuse(msg, r, "stopping", m.retryAfter(0, r.deadline-now))
-		return
+		return false
 	}
 	m.limitToStop(r)
+	return true
+}
+
+// admitInTime starts a request that has time left, unless it would probably miss its target.
+func (m *Model) admitInTime(now clock.Millis, msg ArrivalMsg, r *request) {
 	m.addSubrequests(r)
 	assignments := []assignment{{subrequests: r.subrequests}}
 	if r.gathers() {
 		m.probeSuspects(now, r)
 		assignments = m.distribute(now, r)
 	}
-	if m.policies.queueFull(rt.Priority) {
-		m.refuse(msg, r, "queue_full", m.retryAfter(rt.TargetMs, r.deadline-now))
+	if m.policies.queueFull(r.route.Priority) {
+		m.refuse(msg, r, "queue_full", m.retryAfter(r.route.TargetMs, r.deadline-now))
 		return
 	}
 	if r.gathers() && reachable(r.subrequests) < r.requiredReplies() {
@@ -176,11 +189,13 @@
 
 // refuse rejects a request of a known route before any of it was sent.
 func (m *Model) refuse(msg ArrivalMsg, r *request, reason string, retryAfter clock.Millis) {
+	m.returnCredit(r)
 	m.reject(msg, refusal(r, reason, retryAfter))
 }
 
 // refuseFull refuses a request of which too much would exceed its time by excess.
 func (m *Model) refuseFull(now clock.Millis, msg ArrivalMsg, r *request, excess clock.Millis) {
+	m.returnCredit(r)
 	a := refusal(r, "full", m.retryAfterHold(now, r, excess))
 	m.rejectWithEstimate(msg, a, m.estimateRequest(now, r))
 }
--- a/relay/command.go
+++ b/relay/command.go
@@ -1,6 +1,9 @@
 package relay
 
-import "lentillink.example/lentillink/clock"
+import (
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/quota"
+)
 
 // Cmd is an output of a Model.
 type Cmd interface{ relayCmd() }
@@ -54,6 +57,19 @@
 	ID uint64
 }
 
+// CreditCmd asks for credit to run a request of a customer with a limit. One CreditMsg must
+// follow, unless a CancelCreditCmd comes first.
+type CreditCmd struct {
+	Request uint64
+	Limit   quota.Limit
+}
+
+// CancelCreditCmd reports that a request no longer waits for credit.
+type CancelCreditCmd struct{ Request uint64 }
+
+// ReturnCreditCmd returns the credit of a request that did not run.
+type ReturnCreditCmd struct{ Customer string }
+
 // ConnectPeerCmd opens a stream to another VM before it is needed.
 type ConnectPeerCmd struct{ VM, Address string }
 
@@ -73,6 +89,9 @@
 func (PartialResultCmd) relayCmd()    {}
 func (AckDelegationCmd) relayCmd()    {}
 func (CancelDelegationCmd) relayCmd() {}
+func (CreditCmd) relayCmd()           {}
+func (CancelCreditCmd) relayCmd()     {}
+func (ReturnCreditCmd) relayCmd()     {}
 func (ConnectPeerCmd) relayCmd()      {}
 func (ConnectUpstreamCmd) relayCmd()  {}
 func (CloseIdleCmd) relayCmd()        {}
--- /dev/null
+++ b/relay/credit.go
@@ -0,0 +1,64 @@
+package relay
+
+import (
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/customer"
+	"lentillink.example/lentillink/quota"
+)
+
+// parkedRequest waits for the credit of its customer. Nothing of it has run.
+type parkedRequest struct {
+	msg ArrivalMsg
+	req *request
+}
+
+// acquireCredit asks for the credit of a request whose customer has a limit, and parks it.
+// It returns false if the request needs none.
+func (m *Model) acquireCredit(msg ArrivalMsg, r *request, c *customer.Customer) bool {
+	if c == nil || c.RatePerS <= 0 {
+		return false
+	}
+	m.parked[msg.ID] = parkedRequest{msg: msg, req: r}
+	m.emit(CreditCmd{Request: msg.ID, Limit: quota.Limit{Customer: c.Name, Rate: c.RatePerS, Burst: c.Burst, Version: r.version}})
+	return true
+}
+
+// handleCredit resumes or refuses a parked request.
+func (m *Model) handleCredit(now clock.Millis, t CreditMsg) {
+	p, ok := m.parked[t.Request]
+	if !ok {
+		return
+	}
+	delete(m.parked, t.Request)
+	r := p.req
+	switch {
+	case t.Granted:
+		r.hasCredit = true
+		if m.stillInTime(now, p.msg, r) {
+			m.admitInTime(now, p.msg, r)
+		}
+	case t.OverLimit:
+		m.reject(p.msg, Answer{Outcome: OverLimit, Reason: "over_limit", Route: r.route.Name, Version: r.version, RetryAfterMs: t.RetryAfterMs})
+	default:
+		m.refuse(p.msg, r, "no_credit", m.retryAfter(t.RetryAfterMs, r.deadline-now))
+	}
+}
+
+// cancelParked forgets a parked request whose caller has gone.
+func (m *Model) cancelParked(now clock.Millis, id uint64) {
+	p, ok := m.parked[id]
+	if !ok {
+		return
+	}
+	delete(m.parked, id)
+	m.event("caller_gone", p.req, nil, "", now-p.req.arrived)
+	m.emit(CancelCreditCmd{Request: id})
+}
+
+// returnCredit returns the credit of a request that has ended and did not run.
+func (m *Model) returnCredit(r *request) {
+	if r.hasCredit && r.openAttempts == 0 && !r.mayHaveRun() {
+		r.hasCredit = false
+		m.emit(ReturnCreditCmd{Customer: r.customer})
+	}
+}
--- a/relay/finish.go
+++ b/relay/finish.go
@@ -99,6 +99,7 @@
 // markAnswered records that no caller waits for the request any more.
 func (m *Model) markAnswered(now clock.Millis, r *request) {
 	r.answered, r.answeredAt = true, now
+	m.returnCredit(r)
 	*m.policies.open.Ref(rankOf(r.route.Priority))--
 }
 
--- a/relay/message.go
+++ b/relay/message.go
@@ -55,6 +55,14 @@
 // CallerDisconnectedMsg reports that the caller has disconnected.
 type CallerDisconnectedMsg struct{ ID uint64 }
 
+// CreditMsg decides about a request that waits for credit.
+type CreditMsg struct {
+	Request      uint64
+	Granted      bool
+	OverLimit    bool         // the customer's credit is used up
+	RetryAfterMs clock.Millis // of a request that is refused
+}
+
 // FleetMsg lists the VMs that share the upstreams, including this one.
 type FleetMsg struct{ VMs []VM }
 
@@ -105,6 +113,7 @@
 func (ReplyMsg) relayMsg()              {}
 func (AttemptFailedMsg) relayMsg()      {}
 func (CallerDisconnectedMsg) relayMsg() {}
+func (CreditMsg) relayMsg()             {}
 func (FleetMsg) relayMsg()              {}
 func (DelegationAckMsg) relayMsg()      {}
 func (DelegationResultMsg) relayMsg()   {}
--- a/relay/reply.go
+++ b/relay/reply.go
@@ -131,6 +131,7 @@
 func (m *Model) handleCallerDisconnected(now clock.Millis, id uint64) {
 	r := m.requests[id]
 	if r == nil {
+		m.cancelParked(now, id)
 		return
 	}
 	r.callerDisconnected = true
--- a/relay/request.go
+++ b/relay/request.go
@@ -14,6 +14,7 @@
 	hash               uint64 // of the name
 	route              *route.Route
 	customer           string // name of the caller's customer; empty if none
+	hasCredit          bool   // of its customer, which counts the request unless it does not run
 	priority           priority
 	version            uint64
 	minShardRatio      float64 // share of the shards below which a gathered answer fails
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -21,6 +21,7 @@
 	Store        string       `json:"store"`   // address of the platform's store
 	GraceSeconds int64        `json:"grace_s"` // time from the stop signal until the process is killed
 	Retry        RetryBudget  `json:"retry_budget"`
+	Quota        Quota        `json:"quota"`
 	MemoryMB     int64        `json:"memory_mb"` // memory limit of the process
 	ExpectedVMs  int          `json:"expected_vms"`
 	CPUShare     float64      `json:"cpu_share"` // number of cores that the VM may use
@@ -35,6 +36,14 @@
 	WindowSeconds int64   `json:"window_s"`
 }
 
+// Quota states by how much the limits of customers may be exceeded: in any window, at most
+// (rate times the window + burst) x (1 + Overshoot) + Slack requests of one run.
+type Quota struct {
+	WindowSeconds int64   `json:"window_s"`
+	Overshoot     float64 `json:"overshoot"`
+	Slack         float64 `json:"slack"`
+}
+
 // Bounds and defaults of the fields of Gateway.
 const (
 	maxGraceSeconds  = 600
@@ -43,6 +52,8 @@
 	maxMemoryMB      = 1 << 20
 	maxVMs           = 10_000
 	maxCPUShare      = 1024
+	maxOvershoot     = 10
+	maxSlack         = 1_000_000
 
 	defaultGraceSeconds = 6
 	defaultMemoryMB     = 284 // memory of the users' smallest VMs
@@ -68,7 +79,8 @@
 	g := &Gateway{
 		GraceSeconds: defaultGraceSeconds, MemoryMB: defaultMemoryMB, ExpectedVMs: defaultExpectedVMs,
 		DrainMs: defaultDrainMs,
-		Retry:   RetryBudget{Ratio: 0.2, WindowSeconds: 10}, // the users' bounds
+		Retry:   RetryBudget{Ratio: 0.2, WindowSeconds: 10},         // the users' bounds
+		Quota:   Quota{WindowSeconds: 5, Overshoot: 0.1, Slack: 20}, // the users' bounds
 	}
 	b := &binder{rejected: make(map[string]bool)}
 	b.bind("", v, reflect.ValueOf(g).Elem())
@@ -103,6 +115,13 @@
 	if g.Retry.Ratio < 0 || g.Retry.Ratio > 1 {
 		c.reject("retry_budget.ratio", "is %v, want a number from 0 to 1", g.Retry.Ratio)
 	}
+	c.checkNumber("quota.window_s", g.Quota.WindowSeconds, 1, maxWindowSeconds)
+	if g.Quota.Overshoot < 0 || g.Quota.Overshoot > maxOvershoot {
+		c.reject("quota.overshoot", "is %v, want a number from 0 to %d", g.Quota.Overshoot, maxOvershoot)
+	}
+	if g.Quota.Slack < 0 || g.Quota.Slack > maxSlack {
+		c.reject("quota.slack", "is %v, want a number of requests from 0 to %d", g.Quota.Slack, maxSlack)
+	}
 	if g.Retry.Extra < 0 {
 		c.reject("retry_budget.extra", "is %v, want a number that is not negative", g.Retry.Extra)
 	}
--- a/store/lease.go
+++ b/store/lease.go
@@ -17,4 +17,7 @@
 	Revoke(ctx context.Context, id LeaseID) error
 	// Put writes a key under a lease, regardless of its revision.
 	Put(ctx context.Context, key string, value []byte, id LeaseID) error
+	// PutIf writes a key under a lease if the key's revision equals expect; 0 means that the
+	// key must not exist. KindConflict means that it does not, or that the lease has ended.
+	PutIf(ctx context.Context, key string, value []byte, id LeaseID, expect uint64) error
 }
