Let the strong VMs own the groups of customers

Change: the weight of a VM grows with the fourth power of its processor share; leases are renewed every 4 s.

--- a/quota/rank.go
+++ b/quota/rank.go
@@ -65,14 +65,15 @@
 	return list[:min(len(list), deputyCount)]
 }
 
-// score returns the weighted rendezvous score of a VM for a group. The weight is the square
-// of the processor share: a weak VM answers late when it is busy.
+// score returns the weighted rendezvous score of a VM for a group. Weak VMs answer late when
+// they are busy, and each owner renews a lease, so the weight grows with the fourth power of
+// the processor share: where VMs differ, the few strong ones own nearly all groups.
 func score(mb member, group int) float64 {
 	const bits = 53
 	h := mix(mb.hash ^ mix(uint64(group)+1))
 	x := (float64(h>>(64-bits)) + 0.5) / (1 << bits) // uniform in (0, 1)
-	weight := float64(max(mb.CPUMilli, 1))
-	return -weight * weight / math.Log(x)
+	cpu := float64(max(mb.CPUMilli, 1))
+	return -cpu * cpu * cpu * cpu / math.Log(x)
 }
 
 // mix distributes the bits of a combined hash (the finalizer of SplitMix64).
--- a/quota/storecall.go
+++ b/quota/storecall.go
@@ -7,7 +7,7 @@
 
 const (
 	// renewIntervalMs is the time between renewals of the lease of an owner.
-	renewIntervalMs clock.Millis = 3500
+	renewIntervalMs clock.Millis = 4000
 
 	// Bounds of the backoff after failed calls of the store.
 	minBackoffMs clock.Millis = 250
