--- a/experiment/replay/simulation.go
+++ b/experiment/replay/simulation.go
@@ -32,7 +32,11 @@
 	delegations   map[uint64]delegation // open delegations, by the carrier's request number
 	requestNames  map[uint64]string     // by the number of the request or delegation
 	urgent        map[string]bool       // by request name
+	ranOn         map[string][]string   // upstreams that began to execute a request, by service and request name
+	dead          map[int]bool          // VMs that were killed
+	gathered      map[int]int           // delegations received, by VM
 	evacuated     []string              // by VM: the data centre that it knows to be evacuated
+	fleet         []relay.VM
 	size          Size
 }
 
@@ -52,6 +56,9 @@
 	VMs, Shards, Replicas int
 	Budget                relay.BudgetMsg
 
+	CPUMilli        int     // of each VM, in thousandths of a core; 0 if not known
+	WarmupPerSecond float64 // requests that a cold upstream bears; 0 for no bound
+
 	// Independent disables cooperation and extra attempts: each VM gathers all shards itself and sends nothing twice.
 	Independent bool
 }
@@ -60,8 +67,20 @@
 var (
 	Today = Size{VMs: 9, Shards: 20, Replicas: 2, Budget: relay.BudgetMsg{Ratio: 0.2, Extra: 58, WindowMs: 10 * clock.Second}}
 	Grown = Size{VMs: 24, Shards: 90, Replicas: 3, Budget: relay.BudgetMsg{Ratio: 0.2, Extra: 166, WindowMs: 10 * clock.Second}}
+
+	// Spread has so many VMs that most of them gather for no one.
+	Spread = Size{VMs: 77, Shards: 90, Replicas: 3, Budget: relay.BudgetMsg{Ratio: 0.2, Extra: 194, WindowMs: 10 * clock.Second}}
 )
 
+// connections returns how many connections an upstream accepts.
+func (s Size) connections() int {
+	const today, large = 26, 60
+	if s.VMs > Grown.VMs {
+		return large
+	}
+	return today
+}
+
 // New returns a simulation with VMs spread over three data centres and shards whose
 // replicas are in different data centres.
 func New(seed uint64, size Size) *Simulation {
@@ -72,7 +91,7 @@
 	w := &Simulation{
 		now: startMs, rng: rand.New(rand.NewPCG(seed, seed)), upstreams: make(map[string]*upstream), openRequests: make(map[uint64]*callerRequest),
 		outcomes: make(map[string]*Outcome), extraArrivals: make(map[string]int), requestCounts: make(map[string]int), size: size,
-		arrived: make(map[string]bool), started: make(map[string]bool), delegations: make(map[uint64]delegation), requestNames: make(map[uint64]string), urgent: make(map[string]bool),
+		arrived: make(map[string]bool), started: make(map[string]bool), delegations: make(map[uint64]delegation), requestNames: make(map[uint64]string), urgent: make(map[string]bool), ranOn: make(map[string][]string), dead: make(map[int]bool), gathered: make(map[int]int),
 	}
 	names := make([]string, shards)
 	centres := []string{"a", "b", "c"}
@@ -91,14 +110,14 @@
 	}
 	services := make([]route.Service, shards)
 	for i, n := range names {
-		services[i] = route.Service{Name: n, MaxConnections: 26}
+		services[i] = route.Service{Name: n, MaxConnections: size.connections(), WarmupPerSecond: size.WarmupPerSecond, WarmupMs: warmupMs}
 	}
 	table := route.NewTable(route.Config{Version: 1, Routes: w.routes, Services: services})
 	var fleet []relay.VM
 	for i := range vms {
-		fleet = append(fleet, relay.VM{ID: fmt.Sprintf("vm%d", i), Address: fmt.Sprint(i), DataCentre: centres[i%3]})
+		fleet = append(fleet, relay.VM{ID: fmt.Sprintf("vm%d", i), Address: fmt.Sprint(i), DataCentre: centres[i%3], CPUMilli: size.CPUMilli})
 	}
-	w.evacuated = make([]string, vms)
+	w.fleet, w.evacuated = fleet, make([]string, vms)
 	for i := range vms {
 		m := relay.New(relay.WithSeed(seed+uint64(i)), relay.WithSelf(fleet[i].ID, fleet[i].DataCentre), relay.WithBudget(budget))
 		w.vms = append(w.vms, m)
@@ -165,6 +184,9 @@
 
 // update passes a message to a VM and performs its commands.
 func (w *Simulation) update(vm int, msg relay.Msg) {
+	if w.dead[vm] {
+		return
+	}
 	m := w.vms[vm]
 	cmds := append([]relay.Cmd(nil), m.Update(w.now, msg)...)
 	for _, c := range cmds {
@@ -197,6 +219,7 @@
 		w.requestNames[id] = c.Delegation.Name
 		w.at(w.now+oneWayMs, func() {
 			d := c.Delegation
+			w.gathered[to]++
 			w.update(to, relay.ArrivalMsg{ID: id, Name: d.Name, Delegation: &d})
 		})
 	case relay.AckDelegationCmd:
--- a/gateway/decoder.go
+++ b/gateway/decoder.go
@@ -48,4 +48,6 @@
 	ClaimKey(group int) string
 	// VMKey returns the key of a VM's entry.
 	VMKey(id string) string
+	// IsPresets reports whether a key is that of the preset record.
+	IsPresets(key string) bool
 }
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -34,6 +34,7 @@
 	creditAsks     prometheus.Counter
 	reserveCredits prometheus.Counter
 	ownedGroups    prometheus.Gauge
+	storeEra       prometheus.Gauge
 }
 
 func newMetrics() *metrics {
@@ -76,6 +77,7 @@
 	m.reserveCredits = counter("reserve_credits_total", "Credit that this VM granted as a deputy.")
 	m.ownedGroups = gauge("owned_groups", "Groups of customers whose credit this VM grants.")
 	m.ready = gauge("ready", "1 if the VM is ready for the balancer.")
+	m.storeEra = gauge("store_era", "Era of the store: it rises each time the store comes back from an older copy.")
 	return m
 }
 
--- a/gateway/quota.go
+++ b/gateway/quota.go
@@ -72,6 +72,7 @@
 				defer func() { g.post(loopMsg{quota: result}) }()
 				defer g.recovered("quota call")
 				result = g.callClaims(ioCtx, cmd)
+				g.postEra()
 			}()
 		}
 	}
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -16,6 +16,10 @@
 	// sharedAttemptFactor replaces openAttemptFactor at an upstream that other VMs use
 	// too, where one open attempt of this VM implies several from other VMs.
 	sharedAttemptFactor = 0.5
+
+	// failureFactor is the cost of a failed attempt, in terms of what an upstream in
+	// another data centre costs. It takes time and one of the few extra attempts.
+	failureFactor = 6
 )
 
 // chooseUpstream returns the upstream with the lowest expected latency for a
@@ -26,12 +30,17 @@
 	bestScore := 0.0
 	mayProbe := !hedge && sub.req.route.Idempotent && !sub.req.probed && float64(sub.req.targetAt-now) >= probeMinMedians*medianMs
 	var avoided *upstream
-	for _, u := range m.candidates(sub) {
-		if sub.hasTried(u) || u.holdUntil > now && u.holdUntil >= sub.waitLimit() {
+	for _, u := range sub.service.upstreams {
+		notBefore := u.notBefore(now)
+		if !sub.mayGoTo(u) || sub.hasTried(u) || !m.mayUse(sub, u) || notBefore > now && notBefore >= sub.waitLimit() {
+			continue
+		}
+		if now < u.avoidUntil && sub.refusedBy(u) {
+			available = available || u.avoidUntil < sub.req.deadline
 			continue
 		}
 		available = true
-		if now < u.holdUntil || len(u.open) >= m.attemptLimit(now, u, sub.req.route.Priority) {
+		if now < notBefore || len(u.open) >= m.attemptLimit(now, u, sub.req.route.Priority) {
 			continue
 		}
 		if now < u.avoidUntil {
@@ -71,9 +80,11 @@
 	if u.overdue(now) > 0 {
 		score += medianMs
 	}
+	remoteMs := max(crossCentreMs, crossCentreFactor*medianMs)
 	if !m.isLocal(u) {
-		score += max(crossCentreMs, crossCentreFactor*medianMs)
+		score += remoteMs
 	}
+	score += failureFactor * remoteMs * u.reliability.FailingShare(now)
 	// Jitter breaks ties, so that VMs do not all prefer the same upstream.
 	return score + m.rng.Float64()*0.1*medianMs
 }
