--- a/gateway/era.go
+++ b/gateway/era.go
@@ -5,6 +5,7 @@
 
 	"lentillink.example/lentillink/catalog"
 	"lentillink.example/lentillink/preset"
+	"lentillink.example/lentillink/quota"
 	"lentillink.example/lentillink/roster"
 	"lentillink.example/lentillink/store"
 )
@@ -31,6 +32,7 @@
 // preset record.
 func (g *Gateway) enterEra(ioCtx context.Context, c catalog.EraCmd) {
 	g.metrics.storeEra.Set(float64(c.Era))
+	g.postQuota(quota.EraMsg{Era: c.Era})
 	if !c.Returned {
 		return
 	}
