Reach an owner again soon, and others before giving up

A VM that skipped an owner it had just found silent refused without asking the deputies, because the time of the first failure was not set. An owner that was killed was avoided for up to 1.6 s after it was back. A flood without an owner cost ten messages a request.

Change: the time is set; a broken connection is tried again after 50 ms, a silent VM after 0.8 s at most, and a VM that sends something at once; deputies outside the owner's data centre come first; after all were asked in vain, 50 ms pass without asking.

--- a/quota/account.go
+++ b/quota/account.go
@@ -21,6 +21,10 @@
 	// that is refused early can still come back in time.
 	maxTriesMs clock.Millis = 40
 
+	// shutMs is how long requests are refused without asking after all VMs that may grant
+	// credit were asked in vain. A flood would else cost ten messages a request.
+	shutMs clock.Millis = 50
+
 	// noCreditRetryMs is the retry delay if no VM that may grant credit was reached.
 	noCreditRetryMs clock.Millis = 200
 )
@@ -43,6 +47,7 @@
 	failedAt   clock.Millis // when the first of them did not grant
 	returned   int          // credit to return with the next Ask to the owner
 	emptyUntil clock.Millis // the owner has nothing before this time
+	shutUntil  clock.Millis // no VM that may grant was reached, and none is asked before this time
 	retryAt    clock.Millis // time to give to the next refused request
 
 	// reserveUntil is when no request that runs on credit of the reserve is open any more.
@@ -158,6 +163,10 @@
 		m.refuseOverLimit(now, a, t.Request)
 		return
 	}
+	if now < a.shutUntil {
+		m.emit(RefusedCmd{Request: t.Request, RetryAfterMs: m.noCreditRetry()})
+		return
+	}
 	a.waiting = append(a.waiting, t.Request)
 	m.waits[t.Request] = a
 	m.pursue(now, a)
@@ -180,16 +189,17 @@
 		return
 	}
 	targets := m.targets(a.group)
-	for ; a.stage < len(targets) && !a.triedLong(now); a.stage++ {
+	for a.stage < len(targets) && !a.triedLong(now) {
 		if to := targets[a.stage]; now >= m.link(to).avoidUntil {
 			m.ask(now, to, a)
 			return
 		}
+		a.advance(now)
 	}
 	for _, id := range m.takeWaiting(a, len(a.waiting)) {
 		m.emit(RefusedCmd{Request: id, RetryAfterMs: m.noCreditRetry()})
 	}
-	a.stage = 0
+	a.stage, a.shutUntil = 0, now+shutMs
 	m.report(now, "quota_no_credit", a)
 }
 
--- a/quota/fault_test.go
+++ b/quota/fault_test.go
@@ -131,6 +131,36 @@
 	}
 }
 
+// TestThirdDataCentre guards against refusals of a customer within its limit at VMs that
+// cannot reach the owner, while VMs of a third data centre reach both.
+func TestThirdDataCentre(t *testing.T) {
+	f := newFleet(t, 1, 45)
+	f.run(8000)
+	f.arrive(f.nodes[0], large)
+	f.run(2000)
+	near := f.owner(large.Customer).DataCentre
+	far := "dc-0"
+	if near == far {
+		far = "dc-1"
+	}
+	f.cut = func(from, to *node) bool {
+		return from.DataCentre == near && to.DataCentre == far || from.DataCentre == far && to.DataCentre == near
+	}
+	f.load(large, 0.7*large.Rate, 20_000, func() *node {
+		for {
+			if nd := f.anyNode(); nd.DataCentre == far {
+				return nd
+			}
+		}
+	})
+	f.run(20_500)
+	served, refused := len(f.runs[large.Customer]), f.refused[large.Customer]
+	if refused > served/20 {
+		t.Errorf("got %d served and %d refused, want at most a twentieth refused", served, refused)
+	}
+	f.checkBound(large)
+}
+
 // TestRandomFaults guards against more runs than the limits allow under several faults at
 // once, from full buckets or under load.
 func TestRandomFaults(t *testing.T) {
--- a/quota/fleet.go
+++ b/quota/fleet.go
@@ -70,7 +70,8 @@
 }
 
 // targets returns the VMs to ask for credit of a group, in order: the owner, or the VM that
-// claims the group, then this VM if it is a deputy, then near deputies before far ones.
+// claims the group, then this VM if it is a deputy, then near deputies before far ones. Of
+// these, a VM in the owner's data centre comes last: a cut that hides the owner hides it too.
 func (m *Model) targets(group int) []string {
 	if t := m.targetCache[group]; t != nil {
 		return t
@@ -82,14 +83,18 @@
 			t = append(t, vm)
 		}
 	}
-	if owner := m.claims[group].VM; owner != "" {
-		add(owner)
-	} else if len(deputies) > 0 {
-		add(deputies[0].ID)
+	first := m.claims[group].VM
+	if first == "" && len(deputies) > 0 {
+		first = deputies[0].ID
 	}
+	if first != "" {
+		add(first)
+	}
+	dataCentre := m.dataCentreOf(first)
 	for _, match := range []func(member) bool{
 		func(d member) bool { return d.ID == m.cfg.self },
 		func(d member) bool { return d.DataCentre == m.cfg.dataCentre },
+		func(d member) bool { return d.DataCentre != dataCentre },
 		func(member) bool { return true },
 	} {
 		for _, d := range deputies {
@@ -101,3 +106,13 @@
 	m.targetCache[group] = t
 	return t
 }
+
+// dataCentreOf returns the data centre of a VM, empty if the VM is not listed.
+func (m *Model) dataCentreOf(vm string) string {
+	for _, mb := range m.members {
+		if mb.ID == vm {
+			return mb.DataCentre
+		}
+	}
+	return ""
+}
--- a/quota/grant.go
+++ b/quota/grant.go
@@ -17,6 +17,7 @@
 	if len(ask.Entries) > MaxEntries {
 		return
 	}
+	m.heardFrom(from)
 	wants, hold := false, false
 	for _, e := range ask.Entries {
 		if !e.Limit.Valid() {
--- a/quota/link.go
+++ b/quota/link.go
@@ -13,7 +13,11 @@
 
 	// Bounds of the time for which a VM that has not answered is asked for nothing.
 	minAvoidMs clock.Millis = 200
-	maxAvoidMs clock.Millis = 1600
+	maxAvoidMs clock.Millis = 800
+
+	// redialMs is how long a VM to which the connection is broken is asked for nothing. A
+	// lost process is noticed at once, so that asking it costs little.
+	redialMs clock.Millis = 50
 )
 
 // link is the state of the asks to one VM, of which at most one has no answer yet.
@@ -74,6 +78,7 @@
 
 // handleGrant applies a Grant. One that comes late still counts, unless another Ask was sent.
 func (m *Model) handleGrant(now clock.Millis, from string, g Grant) {
+	m.heardFrom(from)
 	if m.handleForwarded(now, from, g) {
 		return
 	}
@@ -83,7 +88,6 @@
 	}
 	wasOpen := l.open
 	l.open, l.late = false, false
-	l.avoidMs, l.avoidUntil = 0, 0
 	entries := make(map[string]GrantEntry, len(g.Entries))
 	for _, e := range g.Entries {
 		if e.Credits >= 0 && e.Credits <= MaxCredits && e.Source.Valid() {
@@ -128,11 +132,18 @@
 	l.avoidUntil = now + l.avoidMs
 }
 
+// heardFrom records that a VM is there.
+func (m *Model) heardFrom(vm string) {
+	if l := m.links[vm]; l != nil {
+		l.avoidMs, l.avoidUntil = 0, 0
+	}
+}
+
 // unreachable handles the loss of the connection to a VM.
 func (m *Model) unreachable(now clock.Millis, vm string) {
 	if l := m.links[vm]; l != nil && (l.open || len(l.queued) > 0) {
 		m.giveUpOn(now, vm, l)
-		l.late = false
+		l.late, l.avoidMs, l.avoidUntil = false, 0, now+redialMs
 	}
 	m.dropForwards(now, vm)
 }
--- a/quota/model_test.go
+++ b/quota/model_test.go
@@ -147,6 +147,36 @@
 	}
 }
 
+// TestFlood guards against many messages for each request of a flood while no VM that may
+// grant credit is reached, and against an owner that is asked late after it is back.
+func TestFlood(t *testing.T) {
+	f := newFleet(t, 1, 45)
+	f.run(8000)
+	f.arrive(f.nodes[0], large)
+	f.run(2000)
+	owner := f.owner(large.Customer)
+	f.kill(owner)
+	for _, nd := range f.nodes {
+		nd.messages = 0
+	}
+	before := f.lastID
+	f.load(large, 40*large.Rate, 4000, f.anyNode)
+	f.run(2000)
+	messages := 0
+	for _, nd := range f.nodes {
+		messages += nd.messages
+	}
+	if got := float64(messages) / float64(f.lastID-before); got > 6 {
+		t.Errorf("got %.1f messages for a request while the owner is lost, want at most 6", got)
+	}
+	f.start(owner)
+	back := f.now
+	f.run(500)
+	if got := f.runsBetween(large.Customer, back, f.now); got < 5 {
+		t.Errorf("got %d runs within 500 ms after the owner is back, want at least 5 at 17 a second", got)
+	}
+}
+
 // TestNewDeputy guards against two deputies that grant the same part of the reserve in one
 // window.
 func TestNewDeputy(t *testing.T) {
