--- a/experiment/replay/pattern.go
+++ b/experiment/replay/pattern.go
@@ -40,6 +40,9 @@
 const (
 	todayFloor = 0.46
 	grownFloor = 0.33
+
+	// spreadUnserved is 0.6 of the requests, the largest share that the users accept.
+	spreadUnserved = 535
 )
 
 // Patterns returns all patterns.
@@ -69,6 +72,35 @@
 			w.slowDownFor(6, 1, w.now+2000, 6000)
 			w.slowDownFor(6, 2, w.now+10_000, 6000)
 		}},
+		{"grown, a data centre evacuated and taken back", Grown, 0.85 * 0.85, 0.95 * 0.95, 0.15, 0, func(w *Simulation) {
+			w.addPauses()
+			w.evacuate("a", w.now+5000, 8000, 2000)
+		}},
+		{"grown, most upstreams shed", Spread, grownFloor, grownFloor, 0.15, spreadUnserved, func(w *Simulation) {
+			w.addPauses()
+			w.disturb(5, 4, w.now+5000, 9000, func(u *upstream, on float64) { u.shedShare = 0.6 * on })
+		}},
+		{"grown, half lose replies, carriers killed", Spread, grownFloor, grownFloor, 0.15, spreadUnserved, func(w *Simulation) {
+			w.addPauses()
+			w.disturb(2, 1, w.now+5000, 9000, func(u *upstream, on float64) { u.loseShare = 0.4 * on })
+			w.killCarriers(30, w.now+6000, 200)
+		}},
+		{"grown, half of the upstreams lose replies", Spread, grownFloor, grownFloor, 0.15, spreadUnserved, func(w *Simulation) {
+			w.addPauses()
+			w.disturb(2, 1, w.now+5000, 9000, func(u *upstream, on float64) { u.loseShare = 0.4 * on })
+		}},
+		{"9 VMs, a data centre comes back cold", sized(Grown, 9, 0), grownFloor, grownFloor, 0.15, 0, func(w *Simulation) {
+			w.returnCold(w.now+5000, 2000, "a")
+		}},
+		{"77 VMs, a data centre comes back cold", sized(Grown, 77, 192), grownFloor, grownFloor, 0.15, 0, func(w *Simulation) {
+			w.returnCold(w.now+5000, 4500, "a")
+		}},
+		{"135 VMs, a data centre comes back cold", sized(Grown, 135, 134), grownFloor, grownFloor, 0.15, 0, func(w *Simulation) {
+			w.returnCold(w.now+5000, 4500, "a")
+		}},
+		{"77 VMs, all upstreams come back cold", sized(Grown, 77, 192), grownFloor, grownFloor, 0.15, 1000, func(w *Simulation) {
+			w.returnCold(w.now+5000, 4500, "a", "b", "c")
+		}},
 	}
 }
 
@@ -117,3 +149,19 @@
 		}
 	}
 }
+
+// disturb applies a fault for a while to a random part of the upstreams: bad of each total.
+func (w *Simulation) disturb(total, bad int, from, duration clock.Millis, set func(u *upstream, on float64)) {
+	for _, id := range w.sortedUpstreamIDs() {
+		if u := w.upstreams[id]; w.rng.IntN(total) < bad {
+			w.at(from, func() { set(u, 1) })
+			w.at(from+duration, func() { set(u, 0) })
+		}
+	}
+}
+
+// sized returns a size with other VMs whose upstreams bear only a low rate while cold.
+func sized(s Size, vms, cpuMilli int) Size {
+	s.VMs, s.CPUMilli, s.WarmupPerSecond = vms, cpuMilli, 4
+	return s
+}
--- a/relay/accept.go
+++ b/relay/accept.go
@@ -42,6 +42,7 @@
 		return
 	}
 	m.selfIsCarrier = true
+	m.learnCold(now, d.Limits)
 	r := m.newDelegatedRequest(now, msg)
 	if r.deadline <= now {
 		m.refuse(msg, r, "waited_too_long", m.retryAfter(0, 0))
@@ -92,7 +93,7 @@
 	d := msg.Delegation
 	r := &request{
 		id: msg.ID, name: msg.Name, hash: xxhash.Sum64String(msg.Name), arrived: now, route: d.asRoute(), version: d.Version,
-		minShardRatio: d.Terms.MinShardRatio, delegated: true,
+		minShardRatio: d.Terms.MinShardRatio, delegated: true, limits: d.Limits,
 		customer: d.Terms.Customer, priority: d.Terms.priority(),
 	}
 	r.deadline = now + d.RemainingMs - msg.WaitedMs
--- a/relay/arrive.go
+++ b/relay/arrive.go
@@ -76,7 +76,7 @@
 		return
 	}
 	if r.gathers() && reachable(r.subrequests) < r.requiredReplies() {
-		m.refuse(msg, r, "no_upstream", m.retryAfterHold(now, r, noUpstreamRetryMs))
+		m.refuse(msg, r, unavailableReason(r.subrequests), m.retryAfterHold(now, r, noUpstreamRetryMs))
 		return
 	}
 	if excess, overloaded := m.wouldMissTarget(now, r, assignments); overloaded {
@@ -100,7 +100,7 @@
 		r.subrequests = append(r.subrequests, a.subrequests...)
 	}
 	for _, sub := range r.subrequests {
-		sub.service.budget.countRequest(now)
+		sub.service.budget.CountRequest(now)
 		m.policies.countRequest(now, r.route.Priority)
 		m.dispatch(now, sub)
 	}
@@ -283,10 +283,13 @@
 // time in the queue.
 func (m *Model) estimateSubrequest(now clock.Millis, sub *subrequest) clock.Millis {
 	medianMs := m.statsFor(sub.req.route).medianMs
+	if wait := sub.service.coldWait(now, sub.req.priority); wait > 0 {
+		return wait + clock.Millis(medianMs*coldFactor)
+	}
 	capacity, open := 0, 0
 	minSlowness := maxSlowRatio
 	for _, u := range sub.service.upstreams {
-		if !u.usable() || now < u.holdUntil {
+		if !u.usable() || now < u.notBefore(now) {
 			continue
 		}
 		n := m.attemptLimit(now, u, sub.req.route.Priority)
