--- a/catalog/position.go
+++ b/catalog/position.go
@@ -28,5 +28,8 @@
 	if u.crossesEras() {
 		return p == u.from() || !p.isBefore(u.to())
 	}
+	if u.Listed && p.revision != u.From && p.revision < u.To {
+		return false
+	}
 	return p.era == u.Era && u.From <= p.revision
 }
--- a/catalog/publish.go
+++ b/catalog/publish.go
@@ -27,6 +27,7 @@
 	Era       uint64 // 0 if the sender does not know of eras, or the store states none
 	To        uint64
 	Items     []store.Item
+	Listed    bool // from a list: without the keys that were created after From and removed again
 	StoreLost bool // the publisher has lost contact with the store
 }
 
@@ -60,7 +61,7 @@
 		if !after.isBefore(u.from()) {
 			break
 		}
-		u.FromEra, u.From = r.FromEra, r.From
+		u.FromEra, u.From, u.Listed = r.FromEra, r.From, r.Listed
 		u.Items = append(slices.Clone(r.Items), u.Items...)
 	}
 	u.Items = m.withoutSuperseded(u.Items)
--- a/catalog/subscription.go
+++ b/catalog/subscription.go
@@ -209,8 +209,9 @@
 	sub.lastUpdateAt = now
 	cmds = m.storeReached(now, cmds)
 	if !u.follows(m.pos) {
-		// Changes that precede the update are missing here. The update is not applied,
-		// so that all later updates show the gap too, until a list has closed it.
+		// Changes that precede the update are missing here, or it may lack the removal of a
+		// key that is known here. The update is not applied, so that all later updates show
+		// the gap too, until a list has closed it.
 		switch {
 		case !m.needRelist:
 			m.needRelist, m.needFresh, m.nextCall = true, true, min(m.nextCall, now)
@@ -225,7 +226,7 @@
 		return m.crossEra(now, u, cmds)
 	}
 	news := slices.DeleteFunc(slices.Clone(u.Items), func(it store.Item) bool { return it.Revision <= m.pos.revision })
-	return m.applyChanges(now, news, u.To, cmds)
+	return m.applyChanges(now, Update{Items: news, To: u.To, Listed: u.Listed}, cmds)
 }
 
 // subscriptionWake returns the time at which the subscription needs a tick, if any.
--- a/experiment/replay/upstream.go
+++ b/experiment/replay/upstream.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"lentillink.example/lentillink/clock"
 	"lentillink.example/lentillink/relay"
@@ -20,6 +21,10 @@
 	pauseIntervalMs clock.Millis
 	pauseEnd        clock.Millis
 	down            bool
+	shedShare       float64 // share of the attempts that it refuses as full
+	loseShare       float64 // share of the replies that are lost with their connection
+	coldUntil       clock.Millis
+	coldArrivals    []clock.Millis // of the last second
 }
 
 type job struct {
@@ -37,6 +42,7 @@
 		w.at(w.now+oneWayMs, func() { w.update(vm, relay.AttemptFailedMsg{Attempt: c.Attempt, NotSent: true, Cause: "down"}) })
 		return
 	}
+	w.countCold(u)
 	name := w.requestNames[c.Request]
 	key := u.info.Service + "/" + name
 	if w.arrived[key] {
@@ -52,7 +58,7 @@
 		serviceMs *= 5
 	}
 	j := &job{vm: vm, attempt: c.Attempt, name: name, serviceMs: clock.Millis(serviceMs * u.factor)}
-	if len(u.queue) >= u.queueCap {
+	if len(u.queue) >= u.queueCap || w.happens(u.shedShare) {
 		w.reply(j, relay.Reply{Status: 503, NotRun: true})
 		return
 	}
@@ -78,14 +84,36 @@
 		}
 		u.busy++
 		w.started[j.name] = true
+		w.recordRun(u, j)
 		w.at(w.now+max(j.serviceMs, 1), func() {
 			u.busy--
+			if w.happens(u.loseShare) {
+				w.at(w.now+oneWayMs, func() { w.update(j.vm, relay.AttemptFailedMsg{Attempt: j.attempt, Cause: "broken"}) })
+				w.serve(u)
+				return
+			}
 			w.reply(j, relay.Reply{Status: 200, Receipt: fmt.Sprintf("%s.%s.%d", u.info.ID, j.name, j.attempt)})
 			w.serve(u)
 		})
 	}
 }
 
+// recordRun records that an upstream begins to execute a request, and a violation if
+// that are more upstreams of the service than the routes allow.
+func (w *Simulation) recordRun(u *upstream, j *job) {
+	key := u.info.Service + "/" + j.name
+	if slices.Contains(w.ranOn[key], u.info.ID) {
+		return
+	}
+	w.ranOn[key] = append(w.ranOn[key], u.info.ID)
+	if n := len(w.ranOn[key]); n > w.routes[0].MaxAttempts {
+		w.violations = append(w.violations, fmt.Sprintf("%s ran on %d upstreams, want at most %d", key, n, w.routes[0].MaxAttempts))
+	}
+}
+
+// happens draws an event with a share of all cases. It draws nothing if the share is 0.
+func (w *Simulation) happens(share float64) bool { return share > 0 && w.rng.Float64() < share }
+
 func (w *Simulation) reply(j *job, rep relay.Reply) {
 	if !j.dropped {
 		w.at(w.now+oneWayMs, func() { w.update(j.vm, relay.ReplyMsg{Attempt: j.attempt, Reply: rep}) })
--- a/gateway/decoder.go
+++ b/gateway/decoder.go
@@ -13,14 +13,19 @@
 	exchange.Headers
 	Receipts      string // of a gathered answer: the receipts of its sub-requests
 	MissingShards string // of a gathered answer: the number of shards that are missing
+
+	// Credential holds the caller's key, after CredentialScheme. It is not forwarded.
+	Credential       string
+	CredentialScheme string
 }
 
 // DecodedItem is the decoded value of an item of the store. At most one field is set.
 type DecodedItem struct {
-	Table    *route.Table
-	Upstream *relay.Upstream
-	VM       *relay.VM
-	Presets  *preset.Record
+	Table     *route.Table
+	Upstream  *relay.Upstream
+	VM        *relay.VM
+	Presets   *preset.Record
+	Evacuated string // data centre whose upstreams must get nothing new while the item exists
 }
 
 // ItemDecoder decodes items of the store.
@@ -33,6 +38,8 @@
 	UpstreamID(key string) (string, bool)
 	// VMID returns the ID of the VM that a key names.
 	VMID(key string) (string, bool)
+	// EvacuatedDataCentre returns the data centre that is evacuated while a key exists.
+	EvacuatedDataCentre(key string) (string, bool)
 	// VMKey returns the key of a VM's entry.
 	VMKey(id string) string
 	// IsPresets reports whether a key is that of the preset record.
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -170,7 +170,7 @@
 		}
 		g.client.Send(exchange.Call{
 			Attempt: c.Attempt, Upstream: c.Upstream, Address: c.Address, Request: pending.request,
-			RemainingMs: c.RemainingMs, NonIdempotent: c.NonIdempotent, NeedHeader: !c.Gather,
+			RemainingMs: c.RemainingMs, NonIdempotent: c.NonIdempotent, NeedHeader: !c.Gather, Customer: c.Customer,
 		})
 	case relay.CancelCmd:
 		g.client.Cancel(c.Attempt)
@@ -298,6 +298,15 @@
 	if g.decoder.IsPresets(key) {
 		g.stepRestorer(ioCtx, preset.StoredMsg{Rank: g.rank()})
 	}
+	if dataCentre, ok := g.decoder.EvacuatedDataCentre(key); ok {
+		g.setEvacuation(dataCentre, false)
+	}
+}
+
+// setEvacuation starts or ends the evacuation of a data centre.
+func (g *Gateway) setEvacuation(dataCentre string, active bool) {
+	g.stepRelay(relay.EvacuationMsg{DataCentre: dataCentre, Active: active})
+	g.metrics.evacuated.Set(float64(len(g.relayModel.Evacuated())))
 }
 
 // decodeItem decodes an item. A panic of the decoder is an error.
@@ -337,6 +346,8 @@
 		if id, ok := g.decoder.VMID(item.Key); ok && id == decoded.VM.ID {
 			g.setVM(id, decoded.VM)
 		}
+	case decoded.Evacuated != "":
+		g.setEvacuation(decoded.Evacuated, true)
 	case decoded.Upstream != nil:
 		g.stepRelay(relay.UpstreamMsg{Upstream: *decoded.Upstream, Era: c.era, Revision: item.Revision, Returned: c.returned})
 	}
@@ -400,6 +411,9 @@
 	g.metrics.events.WithLabelValues(ev.Kind).Inc()
 	fields := []any{"event", ev.Kind, "request", ev.Request, "route", ev.Route, "upstream", ev.Upstream,
 		"version", ev.Version, "age_ms", int64(ev.AgeMs), "detail", ev.Detail}
+	if ev.Customer != "" {
+		fields = append(fields, "customer", ev.Customer)
+	}
 	if ev.Cause != "" {
 		fields = append(fields, "cause", ev.Cause)
 	}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -27,6 +27,7 @@
 	skippedItems  prometheus.Counter
 	panics        prometheus.Counter
 	configVersion prometheus.Gauge
+	evacuated     prometheus.Gauge
 	ready         prometheus.Gauge
 	storeEra      prometheus.Gauge
 }
@@ -63,6 +64,7 @@
 	m.skippedItems = counter("skipped_items_total", "Values of the store and messages of other VMs that could not be decoded and were left out.")
 	m.panics = counter("panics_total", "Unexpected errors that ended one request, item, message or call.")
 	m.configVersion = gauge("config_version", "Version of the configuration in force.")
+	m.evacuated = gauge("evacuated_data_centres", "Data centres whose upstreams get nothing new.")
 	m.ready = gauge("ready", "1 if the VM is ready for the balancer.")
 	m.storeEra = gauge("store_era", "Era of the store: it rises each time the store comes back from an older copy.")
 	return m
--- a/relay/accept.go
+++ b/relay/accept.go
@@ -9,10 +9,14 @@
 
 // terms returns the conditions under which carriers gather shards of r.
 func (r *request) terms() Terms {
-	return Terms{
+	t := Terms{
 		Route: r.route.Name, TargetMs: r.route.TargetMs, Priority: r.route.Priority,
 		MaxAttempts: max(r.route.MaxAttempts, 1), TopK: r.route.TopK, MinShardRatio: r.minShardRatio,
 	}
+	if r.customer != "" {
+		t.Customer, t.CustomerPriority = r.customer, r.priority.customer
+	}
+	return t
 }
 
 // asRoute returns a route that gathers the delegated shards. The carrier's own
@@ -38,6 +42,7 @@
 		return
 	}
 	m.selfIsCarrier = true
+	m.learnCold(now, d.Limits)
 	r := m.newDelegatedRequest(now, msg)
 	if r.deadline <= now {
 		m.refuse(msg, r, "waited_too_long", m.retryAfter(0, 0))
@@ -88,7 +93,8 @@
 	d := msg.Delegation
 	r := &request{
 		id: msg.ID, name: msg.Name, hash: xxhash.Sum64String(msg.Name), arrived: now, route: d.asRoute(), version: d.Version,
-		minShardRatio: d.Terms.MinShardRatio, delegated: true,
+		minShardRatio: d.Terms.MinShardRatio, delegated: true, limits: d.Limits,
+		customer: d.Terms.Customer, priority: d.Terms.priority(),
 	}
 	r.deadline = now + d.RemainingMs - msg.WaitedMs
 	r.targetAt = min(now+max(d.TargetInMs-msg.WaitedMs, 0), r.deadline)
--- a/relay/arrive.go
+++ b/relay/arrive.go
@@ -49,7 +49,13 @@
 		m.reject(msg, Answer{Outcome: NoRoute, Reason: "no_route", Version: m.table.Version()})
 		return
 	}
+	c, ok := m.identify(rt, msg.Key)
+	if !ok {
+		m.reject(msg, Answer{Outcome: Unauthorized, Reason: "unknown_key", Route: rt.Name, Version: m.table.Version()})
+		return
+	}
 	r := m.newRequest(now, rt, msg)
+	r.setCustomer(c)
 	if r.deadline <= now {
 		m.refuse(msg, r, "waited_too_long", m.retryAfter(0, 0))
 		return
@@ -70,7 +76,7 @@
 		return
 	}
 	if r.gathers() && reachable(r.subrequests) < r.requiredReplies() {
-		m.refuse(msg, r, "no_upstream", m.retryAfterHold(now, r, noUpstreamRetryMs))
+		m.refuse(msg, r, unavailableReason(r.subrequests), m.retryAfterHold(now, r, noUpstreamRetryMs))
 		return
 	}
 	if excess, overloaded := m.wouldMissTarget(now, r, assignments); overloaded {
@@ -94,7 +100,7 @@
 		r.subrequests = append(r.subrequests, a.subrequests...)
 	}
 	for _, sub := range r.subrequests {
-		sub.service.budget.countRequest(now)
+		sub.service.budget.CountRequest(now)
 		m.policies.countRequest(now, r.route.Priority)
 		m.dispatch(now, sub)
 	}
@@ -116,7 +122,7 @@
 func (m *Model) newRequest(now clock.Millis, rt *route.Route, msg ArrivalMsg) *request {
 	r := &request{
 		id: msg.ID, name: msg.Name, hash: xxhash.Sum64String(msg.Name), arrived: now, route: rt,
-		version: m.table.Version(), minShardRatio: m.policies.minShardRatio(rt.MinShardRatio, rt.Priority),
+		priority: routePriority(rt.Priority), version: m.table.Version(), minShardRatio: m.policies.minShardRatio(rt.MinShardRatio, rt.Priority),
 	}
 	timeout := rt.TimeoutMs
 	if timeout <= 0 {
@@ -230,7 +236,7 @@
 		for _, sub := range a.subrequests {
 			wait := m.estimateSubrequest(now, sub)
 			if a.carrier != nil {
-				wait = a.carrier.estimateFor(now, r.route.Name)
+				wait = a.carrier.estimateFor(now, r)
 			}
 			if end := now + wait; end > limit {
 				lateCount++
@@ -277,10 +283,13 @@
 // time in the queue.
 func (m *Model) estimateSubrequest(now clock.Millis, sub *subrequest) clock.Millis {
 	medianMs := m.statsFor(sub.req.route).medianMs
+	if wait := sub.service.coldWait(now, sub.req.priority); wait > 0 {
+		return wait + clock.Millis(medianMs*coldFactor)
+	}
 	capacity, open := 0, 0
 	minSlowness := maxSlowRatio
 	for _, u := range sub.service.upstreams {
-		if !u.usable() || now < u.holdUntil {
+		if !u.usable() || now < u.notBefore(now) {
 			continue
 		}
 		n := m.attemptLimit(now, u, sub.req.route.Priority)
@@ -293,7 +302,7 @@
 		// no queue, and dispatch handles this case.
 		return max(sub.service.heldUntil(now)-now, 0)
 	}
-	ahead := sub.service.queuedAhead(sub.req.route.Priority)
+	ahead := sub.service.queuedAhead(sub.req.priority)
 	wait := 0.0
 	if open+ahead >= capacity {
 		wait = medianMs * minSlowness * float64(open+ahead-capacity+1) / float64(capacity)
--- a/relay/delegation.go
+++ b/relay/delegation.go
@@ -23,6 +23,7 @@
 	RemainingMs clock.Millis
 	TargetInMs  clock.Millis // time until the result is due
 	LateInMs    clock.Millis // time until the route's target has passed, negative after it; for the order in queues
+	Limits      Limits
 }
 
 // Terms are the conditions of the route under which a request was admitted, as far as
@@ -34,6 +35,11 @@
 	MaxAttempts   int          // per shard, at least 1
 	TopK          int          // number of records in the result
 	MinShardRatio float64      // share of the shards, 0 to 1, that an answer needs
+
+	// Customer is the one that the VM reached by the caller has found; empty if there is
+	// none. Carriers see no key.
+	Customer         string
+	CustomerPriority int // 0 is the most urgent
 }
 
 // DelegationAck acknowledges a Delegation on arrival.
@@ -156,31 +162,6 @@
 	return estimate + weight*(sample-estimate)
 }
 
-// setEstimate stores the latency that a carrier estimates for a request of a route.
-func (c *peerVM) setEstimate(now clock.Millis, route string, ms clock.Millis) {
-	c.estimates[route] = estimate{ms: ms, at: now}
-}
-
-// estimate is the latency that a carrier estimates for a request of one route.
-type estimate struct {
-	ms clock.Millis
-	at clock.Millis
-}
-
-// estimateMaxAgeMs is the age from which an estimate is stale.
-const estimateMaxAgeMs clock.Millis = 300
-
-// estimateFor returns the estimated latency of a request of a route at a carrier
-// from now. Since the estimate, the carrier's queue has become shorter by at most
-// the elapsed time.
-func (c *peerVM) estimateFor(now clock.Millis, route string) clock.Millis {
-	e, ok := c.estimates[route]
-	if age := now - e.at; ok && age < estimateMaxAgeMs {
-		return max(e.ms-age, 0)
-	}
-	return 0
-}
-
 // delegate sends sub-requests of a request to a carrier.
 func (m *Model) delegate(now clock.Millis, r *request, c *peerVM, subrequests []*subrequest) {
 	m.nextID++
@@ -201,6 +182,7 @@
 	m.emit(DelegateCmd{Request: r.id, To: c.info.ID, Address: c.info.Address, Delegation: Delegation{
 		ID: d.id, Version: r.version, Name: r.name, Services: names, Terms: r.terms(),
 		RemainingMs: max(r.deadline-now-d.leadMs, 1), TargetInMs: max(r.targetAt-now-d.leadMs, 0), LateInMs: r.lateAt - now,
+		Limits: m.limitsFor(now, subrequests),
 	}})
 	m.wake(r, d.ackDeadline)
 }
@@ -216,7 +198,7 @@
 	}
 	d.acked, d.resultReceived = true, true
 	d.carrier.recordMessage(now)
-	d.carrier.setEstimate(now, d.req.route.Name, msg.Result.ExpectedMs)
+	d.carrier.setEstimate(now, d.req, msg.Result.ExpectedMs)
 	a, r := msg.Result.Answer, d.req
 	switch a.Outcome {
 	case Gathered:
@@ -378,13 +360,13 @@
 	for _, sub := range d.subrequests {
 		r.subrequests = append(r.subrequests, sub)
 		if mayHaveRun {
-			sub.deliveries, sub.possibleRuns = 1, 1
+			sub.deliveries, sub.possibleRuns, sub.reclaimed = 1, 1, true
 			// The preset bounds retries by the sub-requests that this VM gathers, which are
 			// few on a VM that delegates. The fleet's budget holds.
 			m.retryWithin(now, sub, false)
 			continue
 		}
-		sub.service.budget.countRequest(now)
+		sub.service.budget.CountRequest(now)
 		m.dispatch(now, sub)
 	}
 	m.settle(now, r)
--- a/relay/finish.go
+++ b/relay/finish.go
@@ -50,6 +50,7 @@
 		return
 	}
 	m.dispatchHeld(now, r)
+	m.resumePaused(now, r)
 	if now < m.catchUpUntil {
 		m.wake(r, m.catchUpUntil)
 	} else {
@@ -112,7 +113,7 @@
 	deadlinePassed := now >= r.deadline
 	switch {
 	case !r.mayHaveRun() && r.openAttempts == 0:
-		a := refusal(r, "no_upstream", m.retryAfterHold(now, r, max(noUpstreamRetryMs, r.retryAfterMs)))
+		a := refusal(r, unavailableReason(r.subrequests), m.retryAfterHold(now, r, max(noUpstreamRetryMs, r.retryAfterMs)))
 		if deadlinePassed {
 			a.Reason = "waited_too_long"
 		}
--- a/relay/model.go
+++ b/relay/model.go
@@ -5,40 +5,44 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"lentillink.example/lentillink/budget"
 	"lentillink.example/lentillink/clock"
 	"lentillink.example/lentillink/route"
 )
 
 // Model is the state of one VM.
 type Model struct {
-	cfg           config
-	rng           *rand.Rand
-	table         *route.Table
-	splitter      *route.Splitter
-	services      map[string]*service
-	upstreams     map[string]*upstream
-	routeStats    map[string]*routeStats
-	requests      map[uint64]*request
-	attempts      map[uint64]*attempt
-	notices       boundedMap[string, notice] // by upstream
-	departures    departures
-	timers        timers
-	catchUpUntil  clock.Millis           // nothing overdue is repeated before this time
-	peers         map[string]*peerVM     // the VMs of the fleet, by ID
-	leftPeers     map[string]*peerVM     // VMs that left the list with open delegations from this one, by ID
-	vmIDs         []string               // IDs of the VMs, sorted
-	inFleet       bool                   // this VM is in the list
-	delegations   map[uint64]*delegation // open delegations to carriers, by ID
-	resultLagMs   float64                // as peerVM.resultLagMs, over all carriers
-	rotation      int
-	selfIsCarrier bool // this VM was a carrier when carriers were last selected
-	vmCount       int
-	budgetLimit   BudgetMsg
-	policies      policies
-	nextID        uint64
-	stopAt        clock.Millis // 0 while the VM is not stopping
-	callersUntil  clock.Millis // while stopping: when no new callers are expected
-	cmds          []Cmd
+	cfg            config
+	rng            *rand.Rand
+	table          *route.Table
+	splitter       *route.Splitter
+	services       map[string]*service
+	upstreams      map[string]*upstream
+	evacuated      map[string]bool // data centres that are evacuated
+	routeStats     map[string]*routeStats
+	requests       map[uint64]*request
+	attempts       map[uint64]*attempt
+	notices        boundedMap[string, notice] // by upstream
+	departures     departures
+	timers         timers
+	catchUpUntil   clock.Millis           // nothing overdue is repeated before this time
+	peers          map[string]*peerVM     // the VMs of the fleet, by ID
+	leftPeers      map[string]*peerVM     // VMs that left the list with open delegations from this one, by ID
+	vmIDs          []string               // IDs of the VMs, sorted
+	peersIn        map[string][]*peerVM   // the VMs by data centre
+	inFleet        bool                   // this VM is in the list
+	delegations    map[uint64]*delegation // open delegations to carriers, by ID
+	resultLagMs    float64                // as peerVM.resultLagMs, over all carriers
+	rotation       int
+	selfIsCarrier  bool      // this VM was a carrier when carriers were last selected
+	listedCarriers []*peerVM // of this VM's data centre while none is avoided; nil if not computed
+	vmCount        int
+	budgetLimit    BudgetMsg
+	policies       policies
+	nextID         uint64
+	stopAt         clock.Millis // 0 while the VM is not stopping
+	callersUntil   clock.Millis // while stopping: when no new callers are expected
+	cmds           []Cmd
 }
 
 // New returns a Model without a configuration.
@@ -46,7 +50,7 @@
 	cfg := newConfig(opts)
 	return &Model{
 		cfg: cfg, rng: rand.New(rand.NewPCG(cfg.seed, cfg.seed)), vmCount: cfg.vmCount, budgetLimit: cfg.budget,
-		splitter: route.NewSplitter(), services: make(map[string]*service), upstreams: make(map[string]*upstream),
+		splitter: route.NewSplitter(), services: make(map[string]*service), upstreams: make(map[string]*upstream), evacuated: make(map[string]bool),
 		routeStats: make(map[string]*routeStats), requests: make(map[uint64]*request), attempts: make(map[uint64]*attempt),
 		notices: newBoundedMap[string, notice](maxNotices), departures: newDepartures(), peers: make(map[string]*peerVM), leftPeers: make(map[string]*peerVM), resultLagMs: initialLagMs, delegations: make(map[uint64]*delegation),
 	}
@@ -61,7 +65,7 @@
 	m.cmds = m.cmds[:0]
 	switch t := msg.(type) {
 	case TableMsg:
-		m.setTable(t.Table)
+		m.setTable(now, t.Table)
 	case UpstreamMsg:
 		m.setUpstream(now, t)
 	case UpstreamRemovedMsg:
@@ -87,6 +91,8 @@
 		m.handlePeerDisconnected(now, t.VM)
 	case BudgetMsg:
 		m.setBudget(t)
+	case EvacuationMsg:
+		m.setEvacuation(now, t)
 	case PresetMsg:
 		m.setPreset(t.Preset)
 	case StopMsg:
@@ -103,7 +109,7 @@
 	}
 	m.budgetLimit = b
 	for _, s := range m.services {
-		s.budget.setLimit(b)
+		s.budget.SetLimit(budget.Limit(b))
 	}
 }
 
@@ -112,7 +118,7 @@
 func (m *Model) event(kind string, r *request, u *upstream, detail string, age clock.Millis) {
 	ev := Event{Kind: kind, Detail: detail, AgeMs: age}
 	if r != nil {
-		ev.Request, ev.Route, ev.Version = r.name, r.route.Name, r.version
+		ev.Request, ev.Route, ev.Version, ev.Customer = r.name, r.route.Name, r.version, r.customer
 	}
 	if u != nil {
 		ev.Upstream = u.info.ID
@@ -120,7 +126,7 @@
 	m.emit(EventCmd{Event: ev})
 }
 
-func (m *Model) setTable(t *route.Table) {
+func (m *Model) setTable(now clock.Millis, t *route.Table) {
 	if m.table != nil && t.Version() <= m.table.Version() {
 		return
 	}
@@ -130,6 +136,8 @@
 		s.configure(t)
 		s.isShard = t.IsShard(s.name)
 	}
+	m.carriersChanged()
+	m.assignWarmups(now)
 	m.emit(EventCmd{Event: Event{Kind: "config_in_force", Version: t.Version()}})
 }
 
@@ -172,8 +180,10 @@
 	}
 	m.departures.newestIncarnation = max(m.departures.newestIncarnation, info.Incarnation)
 	u.info, u.era, u.revision = info, msg.Era, msg.Revision
-	u.service.dataCentres = nil
-	u.coldUntil = now + info.ColdMs
+	u.evacuated = m.evacuated[info.DataCentre]
+	u.service.upstreamsChanged()
+	u.reportedAt = now
+	m.setCold(now, u, now+info.ColdMs, false)
 	m.applyNotice(u, m.notices.get(info.ID))
 	if u.usable() {
 		if isNew && u.service.assigned {
@@ -195,7 +205,7 @@
 // detach removes an upstream from its service. Its open attempts continue.
 func (m *Model) detach(now clock.Millis, u *upstream) {
 	u.removed = true
-	u.service.dataCentres = nil
+	u.service.upstreamsChanged()
 	list := u.service.upstreams
 	for i, o := range list {
 		if o == u {
--- a/relay/request.go
+++ b/relay/request.go
@@ -13,6 +13,8 @@
 	name               string
 	hash               uint64 // of the name
 	route              *route.Route
+	customer           string // name of the caller's customer; empty if none
+	priority           priority
 	version            uint64
 	minShardRatio      float64 // share of the shards below which a gathered answer fails
 	arrived            clock.Millis
@@ -29,6 +31,7 @@
 	delegations        []*delegation // sub-requests that carriers gather
 	probed             bool          // has probed an upstream that was slow
 	delegated          bool          // gathered here for another VM
+	limits             Limits        // known to the VM that delegated it
 	partialSent        bool          // the partial result at the target time was sent
 	retryAfterMs       clock.Millis  // longest retry delay that a carrier returned
 	carrierMayHaveRun  bool          // a carrier reported an outcome other than refused
@@ -45,7 +48,11 @@
 	reply        *Reply
 	lastFailure  *Reply // last unsuccessful reply
 	tried        []*upstream
-	possibleRuns int // attempts that may have run
+	refusals     []*upstream  // those of tried that have refused it for now
+	outside      *upstream    // that may have run it and is not a common one, see mayUse
+	reclaimed    bool         // gathered again after its carrier was lost
+	pausedUntil  clock.Millis // when it is sent again; 0 if it does not wait for that
+	possibleRuns int          // attempts that may have run
 	open         []*attempt
 	queued       bool
 	heldUntil    clock.Millis // while queued: when an upstream that asked for no requests takes them again; 0 if none
@@ -106,8 +113,8 @@
 func (sub *subrequest) precedes(now clock.Millis, other *subrequest) bool {
 	a, b := sub.req, other.req
 	switch {
-	case a.route.Priority != b.route.Priority:
-		return a.route.Priority < b.route.Priority
+	case a.priority != b.priority:
+		return a.priority.precedes(b.priority)
 	case (now > a.lateAt) != (now > b.lateAt):
 		return now <= a.lateAt // late requests yield to those that are not
 	case a.lateAt != b.lateAt:
@@ -116,15 +123,6 @@
 	return a.id < b.id
 }
 
-func (sub *subrequest) hasTried(u *upstream) bool {
-	for _, t := range sub.tried {
-		if t == u {
-			return true
-		}
-	}
-	return false
-}
-
 func (sub *subrequest) removeAttempt(a *attempt) {
 	for i, o := range sub.open {
 		if o == a {
--- a/relay/service.go
+++ b/relay/service.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/cespare/xxhash/v2"
 
+	"lentillink.example/lentillink/budget"
 	"lentillink.example/lentillink/clock"
 	"lentillink.example/lentillink/route"
 )
@@ -39,14 +40,20 @@
 	hash      uint64 // of the name
 	upstreams []*upstream
 	queue     []*subrequest
-	budget    budget
+	budget    budget.Window
 
 	waitingHedges []*subrequest // overdue, while no other upstream has a free place
 
+	warmupPerSecond float64 // that an upstream bears while it is cold; 0 for no bound
+	warmupMs        clock.Millis
+
 	maxConns    int
 	isShard     bool     // its work is delegated to carriers
 	assigned    bool     // this VM is its carrier in its data centre, by the last list of VMs
 	dataCentres []string // with usable upstreams, sorted; nil if not computed
+
+	allowancePart    float64      // of the fixed allowance of extra attempts; 0 if not computed
+	dataCentresUntil clock.Millis // when dataCentres must be computed again
 }
 
 // attemptLimit returns how many attempts of a priority this VM may have open at u. A
@@ -67,7 +74,7 @@
 			limit = min(limit, slots)
 		}
 		if maxConns > 0 {
-			limit = min(limit, int(maxConns*carrierConnectionShare)/max(len(m.dataCentres(u.service)), 1))
+			limit = min(limit, int(maxConns*carrierConnectionShare)/max(len(m.dataCentres(now, u.service)), 1))
 		}
 	case u.service.isShard && m.inFleet:
 		if maxConns > 0 {
@@ -88,7 +95,7 @@
 // centre that takes requests and is neither failing nor slow.
 func (m *Model) hasHealthyLocal(now clock.Millis, s *service) bool {
 	for _, u := range s.upstreams {
-		if u.usable() && m.isLocal(u) && now >= u.holdUntil && u.failures == 0 && u.slowAvoidMs == 0 {
+		if u.usable() && m.isLocal(u) && now >= u.notBefore(now) && u.failures == 0 && u.slowAvoidMs == 0 {
 			return true
 		}
 	}
@@ -99,7 +106,7 @@
 func (m *Model) service(name string) *service {
 	s := m.services[name]
 	if s == nil {
-		s = &service{name: name, hash: xxhash.Sum64String(name), budget: newBudget(m.budgetLimit)}
+		s = &service{name: name, hash: xxhash.Sum64String(name), budget: budget.New(budget.Limit(m.budgetLimit))}
 		m.services[name] = s
 		if m.table != nil {
 			s.configure(m.table)
@@ -115,24 +122,25 @@
 	if s := m.services[name]; s != nil {
 		return s
 	}
-	return &service{name: name, budget: newBudget(m.budgetLimit)}
+	return &service{name: name, budget: budget.New(budget.Limit(m.budgetLimit))}
 }
 
 func (s *service) configure(t *route.Table) {
 	if cfg, ok := t.Service(s.name); ok {
 		s.maxConns = cfg.MaxConnections
+		s.warmupPerSecond, s.warmupMs = cfg.WarmupPerSecond, cfg.WarmupMs
 	}
 }
 
 // queuedAhead returns how many queued sub-requests are served before a new one of a
 // priority.
-func (s *service) queuedAhead(priority int) int {
+func (s *service) queuedAhead(p priority) int {
 	n := 0
 	for _, sub := range s.queue {
 		if sub.req.answered {
 			continue
 		}
-		if sub.req.route.Priority <= priority {
+		if !p.precedes(sub.req.priority) {
 			n++
 		}
 	}
@@ -172,4 +180,5 @@
 	}
 }
 
-func (u *upstream) usable() bool { return !u.removed && !u.info.Leaving }
+// usable reports whether the upstream may get new requests.
+func (u *upstream) usable() bool { return !u.removed && !u.info.Leaving && !u.evacuated }
