Start only with a configuration as new as the other VMs have

Cause: a VM that starts after the store has come back from an older copy, and before operators have written the lost configuration again, served by the one of the copy: a withdrawn route or key came back on it, while the other VMs had the newer one in force.

Change: the entry of a VM names the version that is in force when it is written, as all VMs do at a return. A VM that starts uses nothing of what it has read, and is not ready, until it has read as high a version as any entry names, for 10 s at most. Entries of earlier releases name none.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -72,6 +72,7 @@
 	calls         map[uint64]*call         // owned by the event loop
 	delegations   map[delegationKey]uint64 // requests of other VMs, owned by the event loop
 	vmList        map[string]relay.VM      // owned by the event loop
+	start         start                    // owned by the event loop
 	unapplied     []change                 // changes that are not in force yet; owned by the event loop
 	postedEra     atomic.Uint64            // newest era of the store that the event loop was told of
 	vmListChanged bool                     // vmList was changed and is to be applied; owned by the event loop
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -253,7 +253,7 @@
 			}
 		}
 	}
-	if g.catalog.Current() {
+	if g.mayApply() {
 		g.applyItems(ioCtx)
 	}
 	if g.vmListChanged {
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -174,19 +174,22 @@
 		// The store does not answer this VM, so a pending watch may never return.
 		g.watcher.Reconnect()
 	}
+	self := g.self
+	self.ConfigVersion = g.relayModel.Version()
 	for _, cmd := range g.registrar.Update(g.clock.Now(), msg) {
 		go func() {
 			var result roster.RegistrarMsg = roster.FailedMsg{Kind: store.KindUnknown}
 			defer func() { g.post(loopMsg{registrar: result}) }()
 			defer g.recovered("lease call")
-			result = g.callLeases(ioCtx, cmd)
+			result = g.callLeases(ioCtx, self, cmd)
 			g.postEra()
 		}()
 	}
 }
 
-// callLeases makes one store call for the registrar and returns its result.
-func (g *Gateway) callLeases(ctx context.Context, cmd roster.RegistrarCmd) roster.RegistrarMsg {
+// callLeases makes one store call for the registrar and returns its result. self is the
+// entry of this VM.
+func (g *Gateway) callLeases(ctx context.Context, self relay.VM, cmd roster.RegistrarCmd) roster.RegistrarMsg {
 	var err error
 	var msg roster.RegistrarMsg
 	switch c := cmd.(type) {
@@ -196,8 +199,8 @@
 		msg = roster.GrantedMsg{Lease: id}
 	case roster.WriteCmd:
 		var value []byte
-		if value, err = json.Marshal(g.self); err == nil {
-			err = g.leases.Put(ctx, g.decoder.VMKey(g.self.ID), value, c.Lease)
+		if value, err = json.Marshal(self); err == nil {
+			err = g.leases.Put(ctx, g.decoder.VMKey(self.ID), value, c.Lease)
 		}
 		msg = roster.WrittenMsg{}
 	case roster.RenewCmd:
--- a/peer/update_test.go
+++ b/peer/update_test.go
@@ -16,6 +16,7 @@
 	"lentillink.example/lentillink/peer"
 	"lentillink.example/lentillink/peer/peerpb"
 	"lentillink.example/lentillink/store"
+	"lentillink.example/lentillink/vm"
 )
 
 // TestCompress guards against a large configuration that fills the link of its publisher,
@@ -41,6 +42,36 @@
 	}
 }
 
+// TestEras guards against an era that is lost on its way, and against an odd one that makes
+// every later one look old. A VM of an earlier release sends none.
+func TestEras(t *testing.T) {
+	tests := []struct {
+		name string
+		body vm.PeerBody
+		ok   bool
+	}{
+		{"update", catalog.Update{FromEra: 3, From: 70, Era: 3, To: 71}, true},
+		{"update across eras", catalog.Update{FromEra: 3, From: 70, Era: 4, To: 50}, true},
+		{"update without an era", catalog.Update{From: 70, To: 71}, true},
+		{"update to an earlier era", catalog.Update{FromEra: 4, From: 70, Era: 3, To: 71}, false},
+		{"update of an odd era", catalog.Update{FromEra: 4, From: 70, Era: 1 << 60, To: 71}, false},
+		{"subscription", catalog.Subscribe{Era: 3, After: 70}, true},
+		{"subscription without an era", catalog.Subscribe{After: 70}, true},
+		{"subscription of an odd era", catalog.Subscribe{Era: 1 << 60, After: 70}, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			got, _, err := peer.Decode(0, peer.Encode(0, clock.Timestamp{}, tt.body))
+			if (err == nil) != tt.ok {
+				t.Fatalf("got %v, want an error %t", err, !tt.ok)
+			}
+			if tt.ok && !reflect.DeepEqual(got, tt.body) {
+				t.Errorf("got %+v, want %+v", got, tt.body)
+			}
+		})
+	}
+}
+
 // TestDecompressRejects guards against a short message that takes much memory, and against
 // bytes that are no update.
 func TestDecompressRejects(t *testing.T) {
--- a/relay/carrier.go
+++ b/relay/carrier.go
@@ -22,6 +22,10 @@
 	Address    string `json:"address"` // for connections from other VMs
 	DataCentre string `json:"data_centre"`
 	CPUMilli   int    `json:"cpu_milli"` // thousandths of a core
+
+	// ConfigVersion is the version of the configuration that was in force when the VM wrote
+	// its entry; 0 if it is of an earlier release.
+	ConfigVersion uint64 `json:"config_version,omitempty"`
 }
 
 // shards returns how many shards the VM should gather for one request.
