Keep delegations open when a carrier writes its entry again

A VM's entry names the version of its configuration now. Written again with a newer one, after the store was away, it counted as that of a restarted VM: open delegations to it were gathered again, and what was known of it was discarded. The version is left out of the comparison. TestEntryWrittenAgain fails without the change (the shards are sent again).

--- a/relay/carrier.go
+++ b/relay/carrier.go
@@ -28,6 +28,13 @@
 	ConfigVersion uint64 `json:"config_version,omitempty"`
 }
 
+// isSameProcess reports whether an entry may come from the process that wrote another one.
+// A VM with another address has been restarted.
+func (v VM) isSameProcess(o VM) bool {
+	v.ConfigVersion = o.ConfigVersion
+	return v == o
+}
+
 // shards returns how many shards the VM should gather for one request.
 func (v VM) shards() int {
 	if v.CPUMilli <= 0 {
@@ -85,7 +92,9 @@
 	for _, v := range vms {
 		inFleet = inFleet || v.ID == m.cfg.self
 		c := m.peers[v.ID]
-		if c == nil || c.info != v {
+		if c != nil && c.info.isSameProcess(v) {
+			c.info = v
+		} else {
 			c = &peerVM{
 				info: v, delegations: make(map[uint64]*delegation), estimates: newBoundedMap[workClass, estimate](maxEstimates), hash: xxhash.Sum64String(v.DataCentre + "\x00" + v.ID),
 			}
--- a/relay/carrier_test.go
+++ b/relay/carrier_test.go
@@ -674,3 +674,18 @@
 		t.Errorf("got %d shards gathered after the loss of the carriers, want all 90", sends)
 	}
 }
+
+// TestEntryWrittenAgain guards against work that is gathered twice because its carrier wrote
+// its entry again, after the store was away, with the configuration that it has by then.
+func TestEntryWrittenAgain(t *testing.T) {
+	m := newShardedModel(t, "vc", "c")
+	wantCommands(t, m.Update(2000, arrival(1)), "delegate vb")
+	cmds := m.Update(2001, relay.FleetMsg{VMs: []relay.VM{
+		{ID: "va", Address: "va:1", DataCentre: "a", ConfigVersion: 9}, {ID: "vb", Address: "vb:1", DataCentre: "b", ConfigVersion: 9}, {ID: "vc", Address: "vc:1", DataCentre: "c"},
+	}})
+	for _, name := range commandNames(cmds) {
+		if strings.HasPrefix(name, "send") || strings.HasPrefix(name, "cancel") {
+			t.Errorf("got %q, want the delegation to stay open", name)
+		}
+	}
+}
