Avoid a data centre that a VM does not reach as a whole

When two data centres are parted, or one is lost, a VM avoided each silent carrier by itself: the next queries went to the next VMs of the same data centre, and what was reclaimed to its upstreams. With few attempts per shard, shards were missing although others had them.

relay/reach.go keeps when each other data centre was last heard from, and which VMs and upstreams have been silent since. Two silent VMs, or three VMs and upstreams, make it unreachable: shards are delegated to data centres that are reachable, or through a third one if none of them has the shard; upstreams there are a last resort, and get no hedges. A probe in 500 ms finds out when it is back. Events data_centre_unreachable and data_centre_reachable.

The replay learns cut links and lost data centres.

--- a/experiment/replay/caller.go
+++ b/experiment/replay/caller.go
@@ -96,6 +96,9 @@
 		w.requestCounts[s]++
 	}
 	vm := w.rng.IntN(len(w.vms))
+	for w.fleet[vm].DataCentre == w.closed {
+		vm = w.rng.IntN(len(w.vms))
+	}
 	roundTrip := clock.Millis(2 * callerOneWayMs)
 	if w.rng.Float64() < newConnectionRatio {
 		roundTrip *= 2
--- a/experiment/replay/pattern.go
+++ b/experiment/replay/pattern.go
@@ -2,6 +2,7 @@
 
 import (
 	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/relay"
 )
 
 const (
@@ -42,6 +43,9 @@
 	grownFloor = 0.33
 )
 
+// underWay is about how many queries are open when a link is cut: those of 0.2 s.
+const underWay = 10
+
 // Patterns returns all patterns.
 func Patterns() []Pattern {
 	return []Pattern{
@@ -73,6 +77,23 @@
 			w.addPauses()
 			w.evacuate("a", w.now+5000, 8000, 2000)
 		}},
+		{"two data centres parted", Today, todayFloor, todayFloor, 0.15, underWay, func(w *Simulation) {
+			w.addPauses()
+			w.part("a", "b", w.now+5000, 5500)
+		}},
+		{"77 VMs, two data centres parted", parted, grownFloor, grownFloor, 0.15, underWay, func(w *Simulation) {
+			w.addPauses()
+			w.part("a", "b", w.now+5000, 5500)
+		}},
+		{"77 VMs, two data centres parted, one evacuated", parted, grownFloor, grownFloor, 0.15, 100, func(w *Simulation) {
+			w.addPauses()
+			w.evacuate("a", w.now+2000, 12_000, 1000)
+			w.part("a", "b", w.now+5000, 5500)
+		}},
+		{"77 VMs, a data centre lost", parted, grownFloor, grownFloor, 0.15, underWay, func(w *Simulation) {
+			w.addPauses()
+			w.lose("a", w.now+5000)
+		}},
 		{"9 VMs, a data centre comes back cold", sized(Grown, 9, 0), grownFloor, grownFloor, 0.15, 0, func(w *Simulation) {
 			w.returnCold(w.now+5000, 2000, "a")
 		}},
@@ -139,3 +160,7 @@
 	s.VMs, s.CPUMilli, s.WarmupPerSecond = vms, cpuMilli, 4
 	return s
 }
+
+// parted is a size where half of the shards that a VM gathers may be in one of two
+// data centres that it does not reach.
+var parted = Size{VMs: 77, Shards: 90, Replicas: 2, CPUMilli: 192, Budget: relay.BudgetMsg{Ratio: 0.2, Extra: 194, WindowMs: 10 * clock.Second}}
--- a/experiment/replay/simulation.go
+++ b/experiment/replay/simulation.go
@@ -34,6 +34,9 @@
 	urgent        map[string]bool       // by request name
 	evacuated     []string              // by VM: the data centre that it knows to be evacuated
 	fleet         []relay.VM
+	cut           map[link]bool           // links between data centres that lose everything
+	brokenAt      map[[2]int]clock.Millis // when the stream between two VMs broke
+	closed        string                  // data centre that gets no callers
 	size          Size
 }
 
@@ -48,6 +51,8 @@
 	oneWayMs clock.Millis = 1 // one-way delay between a VM and an upstream or another VM
 )
 
+var dataCentres = []string{"a", "b", "c"}
+
 // Size is the size of an installation.
 type Size struct {
 	VMs, Shards, Replicas int
@@ -83,18 +88,18 @@
 		budget.Ratio, budget.Extra = 0, 0
 	}
 	w := &Simulation{
+		cut: make(map[link]bool), brokenAt: make(map[[2]int]clock.Millis),
 		now: startMs, rng: rand.New(rand.NewPCG(seed, seed)), upstreams: make(map[string]*upstream), openRequests: make(map[uint64]*callerRequest),
 		outcomes: make(map[string]*Outcome), extraArrivals: make(map[string]int), requestCounts: make(map[string]int), size: size,
 		arrived: make(map[string]bool), started: make(map[string]bool), delegations: make(map[uint64]delegation), requestNames: make(map[uint64]string), urgent: make(map[string]bool),
 	}
 	names := make([]string, shards)
-	centres := []string{"a", "b", "c"}
 	for s := range shards {
 		names[s] = fmt.Sprintf("s%d", s)
 		for r := range size.Replicas {
 			id := fmt.Sprintf("u%d-%d", s, r)
 			w.upstreams[id] = &upstream{info: relay.Upstream{
-				ID: id, Service: names[s], Address: id, DataCentre: centres[(s+r)%3], Slots: 2,
+				ID: id, Service: names[s], Address: id, DataCentre: dataCentres[(s+r)%3], Slots: 2,
 			}, slots: 2, queueCap: 12, factor: 1}
 		}
 	}
@@ -109,7 +114,7 @@
 	table := route.NewTable(route.Config{Version: 1, Routes: w.routes, Services: services})
 	var fleet []relay.VM
 	for i := range vms {
-		fleet = append(fleet, relay.VM{ID: fmt.Sprintf("vm%d", i), Address: fmt.Sprint(i), DataCentre: centres[i%3], CPUMilli: size.CPUMilli})
+		fleet = append(fleet, relay.VM{ID: fmt.Sprintf("vm%d", i), Address: fmt.Sprint(i), DataCentre: dataCentres[i%3], CPUMilli: size.CPUMilli})
 	}
 	w.fleet, w.evacuated = fleet, make([]string, vms)
 	for i := range vms {
@@ -193,10 +198,13 @@
 }
 
 func (w *Simulation) perform(vm int, c relay.Cmd) {
+	here := w.fleet[vm].DataCentre
 	switch c := c.(type) {
 	case relay.SendCmd:
 		w.checkEvacuated(vm, c)
-		w.at(w.now+oneWayMs, func() { w.receive(vm, c) })
+		if !w.pass(here, w.upstreams[c.Upstream].info.DataCentre, func() { w.receive(vm, c) }) {
+			w.loseAttempt(vm, c.Attempt)
+		}
 	case relay.CancelCmd:
 		w.at(w.now+oneWayMs, func() { w.cancel(vm, c.Attempt) })
 	case relay.AnswerCmd:
@@ -208,17 +216,20 @@
 		id, to := w.nextID, w.vmIndex(c.To)
 		w.delegations[id] = delegation{vm, c.Delegation.ID}
 		w.requestNames[id] = c.Delegation.Name
-		w.at(w.now+oneWayMs, func() {
+		if !w.pass(here, w.fleet[to].DataCentre, func() {
 			d := c.Delegation
 			w.update(to, relay.ArrivalMsg{ID: id, Name: d.Name, Delegation: &d})
-		})
+		}) {
+			w.loseDelegation(vm, to, c.Delegation.ID)
+		}
 	case relay.AckDelegationCmd:
 		d := w.delegations[c.ID]
-		w.at(w.now+oneWayMs, func() { w.update(d.vm, relay.DelegationAckMsg{From: w.vmName(vm), ID: d.id}) })
+		w.pass(here, w.fleet[d.vm].DataCentre, func() { w.update(d.vm, relay.DelegationAckMsg{From: w.vmName(vm), ID: d.id}) })
 	case relay.CancelDelegationCmd:
+		to := w.vmIndex(c.To)
 		for id, d := range w.delegations {
 			if d.vm == vm && d.id == c.ID {
-				w.at(w.now+oneWayMs, func() { w.update(w.vmIndex(c.To), relay.CallerDisconnectedMsg{ID: id}) })
+				w.pass(here, w.fleet[to].DataCentre, func() { w.update(to, relay.CallerDisconnectedMsg{ID: id}) })
 			}
 		}
 	}
@@ -242,7 +253,7 @@
 		if !result.Partial {
 			delete(w.delegations, id)
 		}
-		w.at(w.now+oneWayMs, func() { w.update(d.vm, relay.DelegationResultMsg{From: w.vmName(vm), Result: result}) })
+		w.pass(w.fleet[vm].DataCentre, w.fleet[d.vm].DataCentre, func() { w.update(d.vm, relay.DelegationResultMsg{From: w.vmName(vm), Result: result}) })
 		return
 	}
 	a := w.openRequests[id]
--- a/experiment/replay/upstream.go
+++ b/experiment/replay/upstream.go
@@ -25,11 +25,12 @@
 }
 
 type job struct {
-	vm        int
-	attempt   uint64
-	name      string
-	serviceMs clock.Millis
-	dropped   bool
+	vm         int
+	attempt    uint64
+	name       string
+	dataCentre string // of the upstream
+	serviceMs  clock.Millis
+	dropped    bool
 }
 
 // receive handles the arrival of an attempt at its upstream.
@@ -54,7 +55,7 @@
 	if w.rng.Float64() < 0.01 {
 		serviceMs *= 5
 	}
-	j := &job{vm: vm, attempt: c.Attempt, name: name, serviceMs: clock.Millis(serviceMs * u.factor)}
+	j := &job{vm: vm, attempt: c.Attempt, name: name, dataCentre: u.info.DataCentre, serviceMs: clock.Millis(serviceMs * u.factor)}
 	if len(u.queue) >= u.queueCap {
 		w.reply(j, relay.Reply{Status: 503, NotRun: true})
 		return
@@ -90,8 +91,11 @@
 }
 
 func (w *Simulation) reply(j *job, rep relay.Reply) {
-	if !j.dropped {
-		w.at(w.now+oneWayMs, func() { w.update(j.vm, relay.ReplyMsg{Attempt: j.attempt, Reply: rep}) })
+	if j.dropped {
+		return
+	}
+	if !w.pass(j.dataCentre, w.fleet[j.vm].DataCentre, func() { w.update(j.vm, relay.ReplyMsg{Attempt: j.attempt, Reply: rep}) }) {
+		w.loseAttempt(j.vm, j.attempt)
 	}
 }
 
--- a/relay/carrier.go
+++ b/relay/carrier.go
@@ -305,7 +305,7 @@
 // candidates returns the upstreams to which one request may go for a shard, in an
 // order on which all VMs agree. Their number is at most MaxAttempts: a VM that
 // reclaims a sub-request from a lost carrier must not use yet another upstream.
-func (m *Model) candidates(sub *subrequest) []*upstream {
+func (m *Model) candidates(now clock.Millis, sub *subrequest) []*upstream {
 	list := make([]*upstream, 0, len(sub.service.upstreams))
 	for _, u := range sub.service.upstreams {
 		if u.usable() && !sub.req.limits.excludes(u) {
@@ -315,13 +315,9 @@
 	if sub.dataCentre == "" || len(list) <= max(sub.req.route.MaxAttempts, 1) {
 		return list
 	}
-	now := sub.req.arrived // the order must not change while the request runs
 	slices.SortFunc(list, func(a, b *upstream) int {
-		if cold := a.isCold(now); cold != b.isCold(now) {
-			if cold {
-				return 1
-			}
-			return -1
+		if c := m.compareAccess(now, sub, a, b); c != 0 {
+			return c
 		}
 		if near := a.info.DataCentre == sub.dataCentre; near != (b.info.DataCentre == sub.dataCentre) {
 			if near {
@@ -336,7 +332,8 @@
 
 // carrierDataCentre returns the data centre whose carrier gathers a shard: the local
 // one if it has an upstream of the shard, otherwise a data centre that has one, by
-// round robin. All shards of a request use the same rotation, so that few messages cross
+// round robin. If those that have one seem unreachable, it is another that may reach them.
+// All shards of a request use the same rotation, so that few messages cross
 // data centres.
 func (m *Model) carrierDataCentre(now clock.Millis, s *service) (string, bool) {
 	dataCentres := m.dataCentres(now, s)
@@ -346,6 +343,12 @@
 	if slices.Contains(dataCentres, m.cfg.dataCentre) {
 		return m.cfg.dataCentre, true
 	}
+	dataCentres = m.reachableOf(now, dataCentres)
+	if m.isUnreachable(now, dataCentres[0]) {
+		if dc, ok := m.thirdDataCentre(now); ok {
+			return dc, true
+		}
+	}
 	return dataCentres[m.rotation%len(dataCentres)], true
 }
 
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -9,6 +9,9 @@
 	crossCentreMs     = 20.0
 	crossCentreFactor = 0.4
 
+	// doubtfulMs is added for an upstream in a data centre with a silent VM.
+	doubtfulMs = 1000.0
+
 	// openAttemptFactor is the share of the median latency by which each open attempt
 	// delays the next one while the upstream has free slots.
 	openAttemptFactor = 0.15
@@ -25,12 +28,18 @@
 	medianMs := m.statsFor(sub.req.route).medianMs
 	bestScore := 0.0
 	mayProbe := !hedge && sub.req.route.Idempotent && !sub.req.probed && float64(sub.req.targetAt-now) >= probeMinMedians*medianMs
-	var avoided *upstream
-	for _, u := range m.candidates(sub) {
+	var avoided, lastResort *upstream
+	for _, u := range m.candidates(now, sub) {
 		notBefore := u.notBefore(now)
 		if sub.hasTried(u) || notBefore > now && notBefore >= sub.waitLimit() {
 			continue
 		}
+		if m.isUnreachable(now, u.info.DataCentre) {
+			if lastResort == nil || len(u.open) < len(lastResort.open) {
+				lastResort = u
+			}
+			continue
+		}
 		available = true
 		if now < notBefore || len(u.open) >= m.attemptLimit(now, u, sub.req.route.Priority) {
 			continue
@@ -54,6 +63,12 @@
 		// one attempt at a time if it has failed.
 		chosen = avoided
 	}
+	if !available && !hedge && lastResort != nil {
+		available = true
+		if len(lastResort.open) < m.attemptLimit(now, lastResort, sub.req.route.Priority) {
+			chosen = lastResort
+		}
+	}
 	return chosen, available
 }
 
@@ -75,6 +90,9 @@
 	if !m.isLocal(u) {
 		score += max(crossCentreMs, crossCentreFactor*medianMs)
 	}
+	if m.isDoubtful(now, u.info.DataCentre) {
+		score += doubtfulMs
+	}
 	// Jitter breaks ties, so that VMs do not all prefer the same upstream.
 	return score + m.rng.Float64()*0.1*medianMs
 }
--- a/relay/delegation.go
+++ b/relay/delegation.go
@@ -216,6 +216,7 @@
 	if dueAt := d.req.targetAt - d.leadMs; msg.Result.Partial && !d.resultReceived && d.acked && d.ackedAt <= dueAt {
 		m.recordLag(d.carrier, now-dueAt)
 	}
+	m.heardFrom(now, d.carrier.info.DataCentre)
 	d.acked, d.resultReceived = true, true
 	d.carrier.recordMessage(now)
 	d.carrier.setEstimate(now, d.req.route.Name, msg.Result.ExpectedMs)
@@ -258,6 +259,7 @@
 
 func (m *Model) handleAck(now clock.Millis, msg DelegationAckMsg) {
 	if c := m.peers[msg.From]; c != nil {
+		m.heardFrom(now, c.info.DataCentre)
 		c.suspect = false // also after a late acknowledgement, or that of a probe
 		c.recordMessage(now)
 	}
@@ -291,6 +293,7 @@
 // acknowledgement. A query that was delegated instead would be lost with a carrier that
 // is still not there.
 func (m *Model) probeSuspects(now clock.Millis, r *request) {
+	m.probeUnreachable(now, r)
 	for _, id := range m.vmIDs {
 		c := m.peers[id]
 		if !c.suspect || now < c.avoidUntil || now < c.probeAt || id == m.cfg.self {
@@ -336,6 +339,7 @@
 
 // checkCarriers reclaims the delegations of carriers that have timed out.
 func (m *Model) checkCarriers(now clock.Millis, r *request) {
+	m.noteSilentCarriers(now, r)
 	for _, d := range r.delegations {
 		if d.ended {
 			continue
--- a/relay/finish.go
+++ b/relay/finish.go
@@ -159,6 +159,7 @@
 			m.endAttempt(a)
 			if a.isOverdue(now) {
 				a.upstream.recordFailure(now)
+				m.silentUpstream(now, a)
 			}
 			m.emit(CancelCmd{Attempt: a.id})
 			m.dispatchQueued(now, sub.service)
--- a/relay/model.go
+++ b/relay/model.go
@@ -27,6 +27,7 @@
 	peers         map[string]*peerVM     // the VMs of the fleet, by ID
 	leftPeers     map[string]*peerVM     // VMs that left the list with open delegations from this one, by ID
 	vmIDs         []string               // IDs of the VMs, sorted
+	reaches       map[string]*reach      // paths to other data centres
 	peersIn       map[string][]*peerVM   // the VMs by data centre
 	inFleet       bool                   // this VM is in the list
 	delegations   map[uint64]*delegation // open delegations to carriers, by ID
@@ -47,7 +48,7 @@
 	cfg := newConfig(opts)
 	return &Model{
 		cfg: cfg, rng: rand.New(rand.NewPCG(cfg.seed, cfg.seed)), vmCount: cfg.vmCount, budgetLimit: cfg.budget,
-		splitter: route.NewSplitter(), services: make(map[string]*service), upstreams: make(map[string]*upstream), evacuated: make(map[string]bool),
+		splitter: route.NewSplitter(), services: make(map[string]*service), upstreams: make(map[string]*upstream), evacuated: make(map[string]bool), reaches: make(map[string]*reach),
 		routeStats: make(map[string]*routeStats), requests: make(map[uint64]*request), attempts: make(map[uint64]*attempt),
 		notices: newBoundedMap[string, notice](maxNotices), peers: make(map[string]*peerVM), leftPeers: make(map[string]*peerVM), resultLagMs: initialLagMs, delegations: make(map[uint64]*delegation),
 	}
--- a/relay/reply.go
+++ b/relay/reply.go
@@ -9,6 +9,7 @@
 	}
 	m.endAttempt(a)
 	sub, u, reply := a.subrequest, a.upstream, msg.Reply
+	m.heardFrom(now, u.info.DataCentre)
 	m.recordNotice(now, u, reply)
 	m.endSuspicion(now, u)
 	switch {
@@ -81,6 +82,9 @@
 		sub.deliveries--
 	}
 	u.recordFailure(now)
+	if a.isOverdue(now) {
+		m.silentUpstream(now, a)
+	}
 	m.suspectRestart(now, u)
 	m.event("attempt_failed", sub.req, u, msg.Cause, now-a.sentAt)
 	m.retry(now, sub)
--- a/relay/send.go
+++ b/relay/send.go
@@ -98,10 +98,12 @@
 		if !sub.mayHedge() {
 			continue
 		}
-		if a := sub.open[0]; now < a.hedgeAt {
+		a := sub.open[0]
+		if now < a.hedgeAt {
 			m.wake(r, a.hedgeAt)
 			continue
 		}
+		m.silentUpstream(now, a)
 		m.sendHedge(now, sub)
 	}
 }
