Keep the carrier's order of upstreams for reclaimed shards

A carrier in a data centre that is cut off may have sent a shard to its first and its second upstream before the cut. The VM that reclaims the shard put upstreams in unreachable data centres last, and so could choose a third one, one more than the route allows.

What was reclaimed keeps the order that the carrier used, without regard to reachability or warm-up; the unreachable one of the two is still a last resort.

--- a/relay/reach.go
+++ b/relay/reach.go
@@ -172,7 +172,11 @@
 
 // compareAccess orders upstreams that bear any rate and are reachable before others. Whether
 // one is cold counts as of the arrival, so that it does not change while the request runs.
+// What was reclaimed from a carrier keeps the order that the carrier used.
 func (m *Model) compareAccess(now clock.Millis, sub *subrequest, a, b *upstream) int {
+	if sub.possibleRuns > 0 && len(sub.tried) == 0 {
+		return 0
+	}
 	if unreachable := m.isUnreachable(now, a.info.DataCentre); unreachable != m.isUnreachable(now, b.info.DataCentre) {
 		return order(unreachable)
 	}
--- a/relay/reach_test.go
+++ b/relay/reach_test.go
@@ -15,7 +15,11 @@
 // each with one upstream in each of the data centres given. The data centres b, c and d have three
 // VMs each, of which one query takes two.
 func newPartedModel(dataCentres ...string) *relay.Model {
-	m := relay.New(relay.WithSelf("va", "a"), relay.WithBudget(productionBudget))
+	return newPartedModelOf("va", "a", dataCentres...)
+}
+
+func newPartedModelOf(self, selfDataCentre string, dataCentres ...string) *relay.Model {
+	m := relay.New(relay.WithSelf(self, selfDataCentre), relay.WithBudget(productionBudget))
 	r := route.Route{Name: "q", Host: "h", Prefix: "/", Idempotent: true, TimeoutMs: 400, TargetMs: 50, MaxAttempts: 2, TopK: 5, MinShardRatio: 0.5}
 	for i := range 8 {
 		r.Gather = append(r.Gather, fmt.Sprint("s", i))
@@ -187,3 +191,36 @@
 		t.Errorf("hedges of both requests: got %q, want a and c", got)
 	}
 }
+
+// TestReclaimedUpstreams guards against a shard that reaches more upstreams than its route
+// allows: the carrier that is lost may have sent it to its first and to its second one.
+func TestReclaimedUpstreams(t *testing.T) {
+	m := newPartedModel("b", "c", "d")
+	cmds := delegateTo(t, m, 2000, "b")
+	reclaimed := make(map[string]string) // by shard: the upstream
+	for _, c := range tickTo(m, 2000, 2020) {
+		if c, ok := c.(relay.SendCmd); ok {
+			reclaimed[c.Upstream[:2]] = c.Upstream
+		}
+	}
+	if len(reclaimed) != 8 {
+		t.Fatalf("got %d shards sent again, want 8", len(reclaimed))
+	}
+	for _, c := range cmds {
+		c, ok := c.(relay.DelegateCmd)
+		if !ok {
+			continue
+		}
+		carrier := newPartedModelOf(c.To, "b", "b", "c", "d")
+		for _, first := range slices.Clone(carrier.Update(2001, relay.ArrivalMsg{ID: 1, Name: c.Delegation.Name, Delegation: &c.Delegation})) {
+			first, ok := first.(relay.SendCmd)
+			if !ok {
+				continue
+			}
+			second := firstSend(t, carrier.Update(2002, relay.AttemptFailedMsg{Attempt: first.Attempt, NotSent: true}))
+			if got, want := reclaimed[first.Upstream[:2]], second.Upstream; got != want {
+				t.Errorf("%s: got %s, want %s, the second one of the carrier", first.Upstream[:2], got, want)
+			}
+		}
+	}
+}
