Replay VMs whose work takes processor time

Replays took the VMs for infinitely fast, so they could not show what the choice of carriers costs where a few strong VMs stand beside many weak ones.

With Size.Processors, each message and attempt occupies its VM's processor, and others wait. Two patterns of 135 VMs, nine of them strong: all as usual, and one strong VM of each data centre slow by 6 for 6 s. No decision is changed.

The costs are assumptions from 0.1 ms for a shard.

--- a/experiment/replay/pattern.go
+++ b/experiment/replay/pattern.go
@@ -94,6 +94,11 @@
 			w.addPauses()
 			w.lose("a", w.now+5000)
 		}},
+		{"135 VMs, few of them strong", uneven, 0.85 * 0.85, 0.95 * 0.95, 0.15, 0, (*Simulation).addPauses},
+		{"135 VMs, a strong one in each data centre slow", uneven, grownFloor, grownFloor, 0.15, 100, func(w *Simulation) {
+			w.addPauses()
+			w.slowVMs(6, w.now+5000, 6000, 0, 1, 2)
+		}},
 		{"9 VMs, a data centre comes back cold", sized(Grown, 9, 0), grownFloor, grownFloor, 0.15, 0, func(w *Simulation) {
 			w.returnCold(w.now+5000, 2000, "a")
 		}},
@@ -164,3 +169,9 @@
 // parted is a size where half of the shards that a VM gathers may be in one of two
 // data centres that it does not reach.
 var parted = Size{VMs: 77, Shards: 90, Replicas: 2, CPUMilli: 192, Budget: relay.BudgetMsg{Ratio: 0.2, Extra: 194, WindowMs: 10 * clock.Second}}
+
+// uneven is a size with a few strong VMs in each data centre beside many weak ones.
+var uneven = Size{
+	VMs: 135, Shards: 90, Replicas: 3, CPUMilli: 134, StrongVMs: 9, Processors: true,
+	Budget: relay.BudgetMsg{Ratio: 0.2, Extra: 334, WindowMs: 10 * clock.Second},
+}
--- a/experiment/replay/simulation.go
+++ b/experiment/replay/simulation.go
@@ -34,6 +34,8 @@
 	urgent        map[string]bool       // by request name
 	evacuated     []string              // by VM: the data centre that it knows to be evacuated
 	fleet         []relay.VM
+	busyUntil     []float64               // by VM: when its processor has done all work so far
+	slowness      []float64               // by VM: multiplies its processor time
 	cut           map[link]bool           // links between data centres that lose everything
 	brokenAt      map[[2]int]clock.Millis // when the stream between two VMs broke
 	closed        string                  // data centre that gets no callers
@@ -59,6 +61,8 @@
 	Budget                relay.BudgetMsg
 
 	CPUMilli        int     // of each VM, in thousandths of a core; 0 if not known
+	StrongVMs       int     // of the VMs, which have strongCPUMilli
+	Processors      bool    // work takes processor time on the VMs
 	WarmupPerSecond float64 // requests that a cold upstream bears; 0 for no bound
 
 	// Independent disables cooperation and extra attempts: each VM gathers all shards itself and sends nothing twice.
@@ -80,6 +84,9 @@
 	return today
 }
 
+// strongCPUMilli is the processor share of the strong VMs of a size, in thousandths of a core.
+const strongCPUMilli = 800
+
 // New returns a simulation with VMs spread over three data centres and shards whose
 // replicas are in different data centres.
 func New(seed uint64, size Size) *Simulation {
@@ -114,7 +121,15 @@
 	table := route.NewTable(route.Config{Version: 1, Routes: w.routes, Services: services})
 	var fleet []relay.VM
 	for i := range vms {
-		fleet = append(fleet, relay.VM{ID: fmt.Sprintf("vm%d", i), Address: fmt.Sprint(i), DataCentre: dataCentres[i%3], CPUMilli: size.CPUMilli})
+		v := relay.VM{ID: fmt.Sprintf("vm%d", i), Address: fmt.Sprint(i), DataCentre: dataCentres[i%3], CPUMilli: size.CPUMilli}
+		if i < size.StrongVMs {
+			v.CPUMilli = strongCPUMilli
+		}
+		fleet = append(fleet, v)
+	}
+	w.busyUntil, w.slowness = make([]float64, vms), make([]float64, vms)
+	for i := range w.slowness {
+		w.slowness[i] = 1
 	}
 	w.fleet, w.evacuated = fleet, make([]string, vms)
 	for i := range vms {
@@ -181,8 +196,24 @@
 	w.now = end
 }
 
-// update passes a message to a VM and performs its commands.
+// update passes a message to a VM, once its processor has time for it.
 func (w *Simulation) update(vm int, msg relay.Msg) {
+	if !w.size.Processors {
+		w.handle(vm, msg)
+		return
+	}
+	arrived := w.now
+	w.at(w.occupy(vm, workOf(msg)), func() {
+		if a, ok := msg.(relay.ArrivalMsg); ok {
+			a.WaitedMs = w.now - arrived
+			msg = a
+		}
+		w.handle(vm, msg)
+	})
+}
+
+// handle passes a message to a VM and performs its commands.
+func (w *Simulation) handle(vm int, msg relay.Msg) {
 	m := w.vms[vm]
 	cmds := append([]relay.Cmd(nil), m.Update(w.now, msg)...)
 	for _, c := range cmds {
@@ -201,6 +232,9 @@
 	here := w.fleet[vm].DataCentre
 	switch c := c.(type) {
 	case relay.SendCmd:
+		if w.size.Processors {
+			w.occupy(vm, attemptWorkMs)
+		}
 		w.checkEvacuated(vm, c)
 		if !w.pass(here, w.upstreams[c.Upstream].info.DataCentre, func() { w.receive(vm, c) }) {
 			w.loseAttempt(vm, c.Attempt)
