--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -77,6 +77,7 @@
 	vmList        map[string]relay.VM      // owned by the event loop
 	quotaMsgs     []quota.Msg              // for the quota, see postQuota; owned by the event loop
 	credits       []relay.CreditMsg        // decisions for the relay, see handleQuota; owned by the event loop
+	start         start                    // owned by the event loop
 	unapplied     []change                 // changes that are not in force yet; owned by the event loop
 	postedEra     atomic.Uint64            // newest era of the store that the event loop was told of
 	vmListChanged bool                     // vmList was changed and is to be applied; owned by the event loop
--- a/relay/carrier.go
+++ b/relay/carrier.go
@@ -22,6 +22,17 @@
 	Address    string `json:"address"` // for connections from other VMs
 	DataCentre string `json:"data_centre"`
 	CPUMilli   int    `json:"cpu_milli"` // thousandths of a core
+
+	// ConfigVersion is the version of the configuration that was in force when the VM wrote
+	// its entry; 0 if it is of an earlier release.
+	ConfigVersion uint64 `json:"config_version,omitempty"`
+}
+
+// isSameProcess reports whether an entry may come from the process that wrote another one.
+// A VM with another address has been restarted.
+func (v VM) isSameProcess(o VM) bool {
+	v.ConfigVersion = o.ConfigVersion
+	return v == o
 }
 
 // shards returns how many shards the VM should gather for one request.
@@ -81,7 +92,9 @@
 	for _, v := range vms {
 		inFleet = inFleet || v.ID == m.cfg.self
 		c := m.peers[v.ID]
-		if c == nil || c.info != v {
+		if c != nil && c.info.isSameProcess(v) {
+			c.info = v
+		} else {
 			c = &peerVM{
 				info: v, delegations: make(map[uint64]*delegation), estimates: newBoundedMap[workClass, estimate](maxEstimates), hash: xxhash.Sum64String(v.DataCentre + "\x00" + v.ID),
 			}
