--- a/quota/account.go
+++ b/quota/account.go
@@ -10,6 +10,10 @@
 	// demandMs is the length of the two windows over which demand is measured.
 	demandMs = clock.Second
 
+	// idleMs is how long an account is kept after its last request, whose credit may still
+	// come back.
+	idleMs = 20 * clock.Second
+
 	// aheadShare is the part of the validity of credit for which it is asked ahead of need.
 	aheadShare = 0.5
 
@@ -127,7 +131,7 @@
 // idle reports whether the account can be forgotten.
 func (a *account) idle(now clock.Millis) bool {
 	return len(a.waiting) == 0 && len(a.lots) == 0 && a.returned == 0 && a.asked == "" &&
-		now >= max(a.usedAt+2*demandMs, a.reserveUntil, a.retryAt)
+		now >= max(a.usedAt+idleMs, a.reserveUntil, a.retryAt)
 }
 
 // account returns the account of a limit's customer, with the newest limit that is known.
