Let a request wait for credit that comes in time

Change: the ask states how long its requests can wait, a quarter of what the route's target leaves beside the median attempt, 0.5 s at most. The owner promises credit out of the refill of that time, so that runs keep to the limit; the VM lets the requests run one after the other. Promised credit goes back if the caller is gone, or after a pause.

--- a/quota/model.go
+++ b/quota/model.go
@@ -26,6 +26,7 @@
 	jobHeld
 	jobStore
 	jobAccounts
+	jobPromises
 	jobCount
 )
 
@@ -42,6 +43,7 @@
 	accounts map[string]*account // by customer
 	waits    map[uint64]*account // by request
 	links    map[string]*link    // by VM
+	promises []promise           // by time
 	lastAsk  uint64
 
 	// This VM as one that grants credit.
@@ -105,7 +107,7 @@
 	case ReturnMsg:
 		m.handleReturn(now, t.Customer)
 	case CancelMsg:
-		m.cancel(t.Request)
+		m.cancel(now, t.Request)
 	case AskMsg:
 		m.handleAsk(now, t.From, t.Ask)
 	case GrantMsg:
@@ -173,8 +175,7 @@
 // handleReturn returns the credit of a request that did not run.
 func (m *Model) handleReturn(now clock.Millis, customer string) {
 	if a := m.accounts[customer]; a != nil {
-		a.giveBack(now, 1)
-		m.wake(jobAccounts, now+returnDelayMs)
+		m.returnUnused(now, a, 1)
 	}
 }
 
@@ -200,6 +201,8 @@
 			m.expireForwards(now)
 		case jobAccounts:
 			m.checkAccounts(now)
+		case jobPromises:
+			m.keepPromises(now)
 		}
 	}
 }
