Revert "Let a request wait for credit that comes in time"

A customer far above its limit keeps the queue of promises at its longest, so that each request that runs has waited and is late; before, credit went to the request that came just then.

--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -210,7 +210,7 @@
 	case relay.CancelDelegationCmd:
 		g.sendPeer(c.To, "", relay.DelegationCancel{ID: c.ID})
 	case relay.CreditCmd:
-		g.postQuota(quota.AcquireMsg{Request: c.Request, Limit: c.Limit, PatienceMs: c.PatienceMs})
+		g.postQuota(quota.AcquireMsg{Request: c.Request, Limit: c.Limit})
 	case relay.CancelCreditCmd:
 		g.postQuota(quota.CancelMsg{Request: c.Request})
 	case relay.ReturnCreditCmd:
--- a/quota/account.go
+++ b/quota/account.go
@@ -39,18 +39,12 @@
 	until   clock.Millis
 }
 
-// waiter is a request that waits for credit.
-type waiter struct {
-	request uint64
-	until   clock.Millis // after this time it is better refused than kept waiting
-}
-
 // account is this VM's side of one customer's credit.
 type account struct {
 	limit      Limit
 	group      int
 	lots       []lot
-	waiting    []waiter     // requests without credit yet
+	waiting    []uint64     // requests without credit yet
 	asked      string       // VM that is asked now, empty if none
 	want       int          // requests that it was asked for
 	stage      int          // index into the VMs that may grant
@@ -127,12 +121,6 @@
 	})
 }
 
-// returnUnused returns credit soon.
-func (m *Model) returnUnused(now clock.Millis, a *account, n int) {
-	a.giveBack(now, n)
-	m.wake(jobAccounts, now+returnDelayMs)
-}
-
 // giveBack keeps unused credit for the next Ask to the owner.
 func (a *account) giveBack(now clock.Millis, n int) {
 	if now >= a.reserveUntil {
@@ -175,8 +163,7 @@
 		m.emit(GrantedCmd{Request: t.Request})
 		return
 	}
-	until := now + min(max(t.PatienceMs, 0), maxPatienceMs)
-	if now < a.emptyUntil && until < a.emptyUntil {
+	if now < a.emptyUntil {
 		m.refuseOverLimit(now, a, t.Request)
 		return
 	}
@@ -184,22 +171,15 @@
 		m.emit(RefusedCmd{Request: t.Request, RetryAfterMs: m.noCreditRetry()})
 		return
 	}
-	a.waiting = append(a.waiting, waiter{request: t.Request, until: until})
+	a.waiting = append(a.waiting, t.Request)
 	m.waits[t.Request] = a
 	m.pursue(now, a)
 }
 
-// cancel forgets a request that waits for credit. Credit that it was promised goes back.
-func (m *Model) cancel(now clock.Millis, id uint64) {
-	a := m.waits[id]
-	if a == nil {
-		return
-	}
-	delete(m.waits, id)
-	a.waiting = slices.DeleteFunc(a.waiting, func(w waiter) bool { return w.request == id })
-	if i := slices.IndexFunc(m.promises, func(p promise) bool { return p.request == id }); i >= 0 {
-		m.promises = slices.Delete(m.promises, i, i+1)
-		m.returnUnused(now, a, 1)
+func (m *Model) cancel(id uint64) {
+	if a := m.waits[id]; a != nil {
+		delete(m.waits, id)
+		a.waiting = slices.DeleteFunc(a.waiting, func(w uint64) bool { return w == id })
 	}
 }
 
@@ -229,29 +209,21 @@
 
 // takeWaiting removes and returns the first n requests that wait.
 func (m *Model) takeWaiting(a *account, n int) []uint64 {
-	out := make([]uint64, 0, n)
-	for _, w := range a.waiting[:n] {
-		out = append(out, w.request)
-		delete(m.waits, w.request)
-	}
+	out := slices.Clone(a.waiting[:n])
 	a.waiting = slices.Delete(a.waiting, 0, n)
+	for _, id := range out {
+		delete(m.waits, id)
+	}
 	return out
 }
 
 // settle applies what a VM has granted to an account that asked it.
 func (m *Model) settle(now clock.Millis, a *account, e GrantEntry, validUntil clock.Millis) {
-	want, before := a.want, len(a.waiting)
+	refused := min(max(a.want-e.Credits, 0), len(a.waiting))
 	a.asked, a.want = "", 0
 	m.addCredit(now, a, e, validUntil)
-	m.promise(now, a, e)
-	if e.Source != SourceOwner {
-		a.advance(now)
-		m.pursue(now, a)
-		return
-	}
-	a.stage = 0
-	refused := min(max(want-(before-len(a.waiting)), 0), len(a.waiting))
-	if refused > 0 {
+	refused = min(refused, len(a.waiting))
+	if e.Source == SourceOwner && refused > 0 {
 		a.emptyUntil = now + min(e.EmptyMs, maxEmptyMs)
 		a.retryAt = max(a.retryAt, now+e.RetryAfterMs)
 		if now < a.emptyUntil {
@@ -261,6 +233,11 @@
 			m.refuseOverLimit(now, a, id)
 		}
 	}
+	if e.Source == SourceOwner {
+		a.stage = 0
+	} else {
+		a.advance(now)
+	}
 	m.pursue(now, a)
 }
 
--- a/quota/ask.go
+++ b/quota/ask.go
@@ -18,9 +18,6 @@
 	Want     int   // requests that wait for credit
 	Ahead    int   // credit for requests that are expected soon
 	Returned int   // main credit that was not used
-
-	// PatienceMs is how long the requests may wait for credit.
-	PatienceMs clock.Millis
 }
 
 // Grant answers an Ask, with an entry for each customer that it wants credit for.
@@ -54,18 +51,10 @@
 	Source       Source
 	Credits      int
 	ValidMs      clock.Millis // how long the credit may be used, counted from before the Ask was sent
-	Later        int          // credit that becomes usable one after the other, 1/rate apart
-	LaterMs      clock.Millis // until the first of it does
 	EmptyMs      clock.Millis // no more is there in that time, unless some is returned
 	RetryAfterMs clock.Millis // when the next refused request should come back
 }
 
-// valid reports whether the numbers are ones that a VM sends.
-func (e GrantEntry) valid() bool {
-	return e.Source.Valid() && min(e.Credits, e.Later) >= 0 && max(e.Credits, e.Later) <= MaxCredits &&
-		e.LaterMs >= 0 && e.LaterMs <= maxPatienceMs && e.EmptyMs >= 0 && e.RetryAfterMs >= 0
-}
-
 // Bounds of the numbers in an Ask and a Grant.
 const (
 	MaxEntries = 4096
--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -49,18 +49,15 @@
 func (b *bucket) grant(now clock.Millis, e AskEntry, bounds Bounds) GrantEntry {
 	b.refill(now)
 	out := GrantEntry{Customer: b.limit.Customer, Source: SourceOwner, ValidMs: bounds.validity(b.limit)}
-	out.Credits = min(e.Want, int(max(b.level, 0)))
+	out.Credits = min(e.Want, int(b.level))
 	b.level -= float64(out.Credits)
 	if missing := e.Want - out.Credits; missing > 0 {
 		if now < b.warmUntil {
 			out.Source = SourceNone
 			return out
 		}
-		missing -= b.promise(&out, missing, e.PatienceMs)
 		out.EmptyMs = b.limit.fillMs(1 - b.level)
-		if missing > 0 {
-			out.RetryAfterMs = b.retryAfter(now, missing)
-		}
+		out.RetryAfterMs = b.retryAfter(now, missing)
 		return out
 	}
 	ahead := min(float64(e.Ahead), math.Floor(b.level-b.limit.capacity()/2))
@@ -71,18 +68,6 @@
 	return out
 }
 
-// promise takes the credit that will be there within the patience of the requests that wait.
-// It returns how many requests that is for.
-func (b *bucket) promise(out *GrantEntry, missing int, patience clock.Millis) int {
-	soon := b.level + b.limit.Rate*min(patience, maxPatienceMs).Duration().Seconds()
-	n := min(missing, int(max(soon, 0)))
-	if n > 0 {
-		out.Later, out.LaterMs = n, b.limit.fillMs(1-b.level)
-		b.level -= float64(n)
-	}
-	return n
-}
-
 // retryAfter returns when the first of n refused requests should come back. Each further
 // one is given a time that is later by the time in which one request becomes available.
 func (b *bucket) retryAfter(now clock.Millis, n int) clock.Millis {
--- a/quota/link.go
+++ b/quota/link.go
@@ -62,7 +62,7 @@
 	for _, a := range l.asking {
 		a.expire(now)
 		a.want = min(len(a.waiting), MaxCredits)
-		e := AskEntry{Limit: a.limit, Want: a.want, PatienceMs: a.patience(now)}
+		e := AskEntry{Limit: a.limit, Want: a.want}
 		if vm != m.cfg.self && m.isOwner(vm, a.group) {
 			e.Ahead, e.Returned, a.returned = a.ahead(now, m.cfg.bounds), a.returned, 0
 		}
@@ -90,7 +90,7 @@
 	l.open, l.late = false, false
 	entries := make(map[string]GrantEntry, len(g.Entries))
 	for _, e := range g.Entries {
-		if e.valid() {
+		if e.Credits >= 0 && e.Credits <= MaxCredits && e.Source.Valid() {
 			entries[e.Customer] = e
 		}
 	}
@@ -103,7 +103,6 @@
 			m.settle(now, a, e, validUntil)
 		} else {
 			m.addCredit(now, a, e, validUntil)
-			m.promise(now, a, e)
 		}
 	}
 	l.open = false
--- a/quota/message.go
+++ b/quota/message.go
@@ -11,9 +11,8 @@
 // AcquireMsg asks for credit to run a request. Exactly one GrantedCmd or RefusedCmd follows,
 // unless a CancelMsg comes first.
 type AcquireMsg struct {
-	Request    uint64
-	Limit      Limit
-	PatienceMs clock.Millis // for how long it is better kept waiting than refused
+	Request uint64
+	Limit   Limit
 }
 
 // ReturnMsg returns the credit of a request that did not run.
--- a/quota/owner.go
+++ b/quota/owner.go
@@ -193,9 +193,4 @@
 	for _, a := range m.accounts {
 		a.lots = nil
 	}
-	promises := m.promises
-	m.promises = nil
-	for _, p := range promises {
-		m.breakPromise(now, p)
-	}
 }
--- a/relay/arrive.go
+++ b/relay/arrive.go
@@ -56,7 +56,7 @@
 	}
 	r := m.newRequest(now, rt, msg)
 	r.setCustomer(c)
-	if m.stillInTime(now, msg, r) && !m.acquireCredit(now, msg, r, c) {
+	if m.stillInTime(now, msg, r) && !m.acquireCredit(msg, r, c) {
 		m.admitInTime(now, msg, r)
 	}
 }
--- a/relay/command.go
+++ b/relay/command.go
@@ -60,9 +60,8 @@
 // CreditCmd asks for credit to run a request of a customer with a limit. One CreditMsg must
 // follow, unless a CancelCreditCmd comes first.
 type CreditCmd struct {
-	Request    uint64
-	Limit      quota.Limit
-	PatienceMs clock.Millis // for how long it is better kept waiting than refused
+	Request uint64
+	Limit   quota.Limit
 }
 
 // CancelCreditCmd reports that a request no longer waits for credit.
--- a/relay/credit.go
+++ b/relay/credit.go
@@ -14,27 +14,15 @@
 
 // acquireCredit asks for the credit of a request whose customer has a limit, and parks it.
 // It returns false if the request needs none.
-func (m *Model) acquireCredit(now clock.Millis, msg ArrivalMsg, r *request, c *customer.Customer) bool {
+func (m *Model) acquireCredit(msg ArrivalMsg, r *request, c *customer.Customer) bool {
 	if c == nil || c.RatePerS <= 0 {
 		return false
 	}
 	m.parked[msg.ID] = parkedRequest{msg: msg, req: r}
-	m.emit(CreditCmd{
-		Request: msg.ID, Limit: quota.Limit{Customer: c.Name, Rate: c.RatePerS, Burst: c.Burst, Version: r.version}, PatienceMs: m.creditPatience(now, r),
-	})
+	m.emit(CreditCmd{Request: msg.ID, Limit: quota.Limit{Customer: c.Name, Rate: c.RatePerS, Burst: c.Burst, Version: r.version}})
 	return true
 }
 
-// creditWaitShare is the share of a request's spare time that it may wait for credit. The
-// rest is for what takes longer than the median attempt, such as the slowest of many shards.
-const creditWaitShare = 0.25
-
-// creditPatience returns how long a request may wait for credit and probably be in time.
-func (m *Model) creditPatience(now clock.Millis, r *request) clock.Millis {
-	spare := float64(r.targetAt-now) - m.statsFor(r.route).medianMs
-	return clock.Millis(max(creditWaitShare*spare, 0))
-}
-
 // handleCredit resumes or refuses a parked request.
 func (m *Model) handleCredit(now clock.Millis, t CreditMsg) {
 	p, ok := m.parked[t.Request]
