Keep the order of messages when VMs leave the list

Cause: setFleet went over a map and used the list before the new one, so one seed could have two histories; a process that starts again gave its asks the numbers of the one before it. Change: links in order, after the deputies are known; the first number of an ask follows from the seed. Result: go test ./quota passes.

--- a/quota/fleet.go
+++ b/quota/fleet.go
@@ -13,15 +13,15 @@
 	for _, v := range vms {
 		m.members = append(m.members, newMember(v))
 	}
-	for vm := range m.links {
+	if m.limited {
+		m.updateDeputies(now)
+	}
+	for _, vm := range sortedKeys(m.links) {
 		if !slices.ContainsFunc(vms, func(v VM) bool { return v.ID == vm }) {
 			m.unreachable(now, vm)
 			delete(m.links, vm)
 		}
 	}
-	if m.limited {
-		m.updateDeputies(now)
-	}
 }
 
 // markKnown records that what the store holds is known from now on. Earlier owners may have
--- a/quota/model.go
+++ b/quota/model.go
@@ -76,8 +76,10 @@
 // New returns a Model that knows no other VM.
 func New(opts ...Option) *Model {
 	cfg := newConfig(opts)
+	rng := rand.New(rand.NewPCG(cfg.seed, cfg.seed))
 	return &Model{
-		cfg: cfg, rng: rand.New(rand.NewPCG(cfg.seed, cfg.seed)), reported: make(map[string]clock.Millis),
+		cfg: cfg, rng: rng, lastAsk: rng.Uint64() >> 1, // answers to an earlier process have other IDs
+		reported: make(map[string]clock.Millis),
 		accounts: make(map[string]*account), waits: make(map[uint64]*account), links: make(map[string]*link),
 		buckets: make(map[string]*bucket), reserves: make(map[string]*reserve), wanted: make(map[int]clock.Millis), forwards: make(map[uint64]forward),
 	}
