--- a/experiment/replay/simulation.go
+++ b/experiment/replay/simulation.go
@@ -37,6 +37,11 @@
 	gathered      map[int]int           // delegations received, by VM
 	evacuated     []string              // by VM: the data centre that it knows to be evacuated
 	fleet         []relay.VM
+	busyUntil     []float64               // by VM: when its processor has done all work so far
+	slowness      []float64               // by VM: multiplies its processor time
+	cut           map[link]bool           // links between data centres that lose everything
+	brokenAt      map[[2]int]clock.Millis // when the stream between two VMs broke
+	closed        string                  // data centre that gets no callers
 	size          Size
 }
 
@@ -51,12 +56,16 @@
 	oneWayMs clock.Millis = 1 // one-way delay between a VM and an upstream or another VM
 )
 
+var dataCentres = []string{"a", "b", "c"}
+
 // Size is the size of an installation.
 type Size struct {
 	VMs, Shards, Replicas int
 	Budget                relay.BudgetMsg
 
 	CPUMilli        int     // of each VM, in thousandths of a core; 0 if not known
+	StrongVMs       int     // of the VMs, which have strongCPUMilli
+	Processors      bool    // work takes processor time on the VMs
 	WarmupPerSecond float64 // requests that a cold upstream bears; 0 for no bound
 
 	// Independent disables cooperation and extra attempts: each VM gathers all shards itself and sends nothing twice.
@@ -81,6 +90,9 @@
 	return today
 }
 
+// strongCPUMilli is the processor share of the strong VMs of a size, in thousandths of a core.
+const strongCPUMilli = 800
+
 // New returns a simulation with VMs spread over three data centres and shards whose
 // replicas are in different data centres.
 func New(seed uint64, size Size) *Simulation {
@@ -89,18 +101,18 @@
 		budget.Ratio, budget.Extra = 0, 0
 	}
 	w := &Simulation{
+		cut: make(map[link]bool), brokenAt: make(map[[2]int]clock.Millis),
 		now: startMs, rng: rand.New(rand.NewPCG(seed, seed)), upstreams: make(map[string]*upstream), openRequests: make(map[uint64]*callerRequest),
 		outcomes: make(map[string]*Outcome), extraArrivals: make(map[string]int), requestCounts: make(map[string]int), size: size,
 		arrived: make(map[string]bool), started: make(map[string]bool), delegations: make(map[uint64]delegation), requestNames: make(map[uint64]string), urgent: make(map[string]bool), ranOn: make(map[string][]string), dead: make(map[int]bool), gathered: make(map[int]int),
 	}
 	names := make([]string, shards)
-	centres := []string{"a", "b", "c"}
 	for s := range shards {
 		names[s] = fmt.Sprintf("s%d", s)
 		for r := range size.Replicas {
 			id := fmt.Sprintf("u%d-%d", s, r)
 			w.upstreams[id] = &upstream{info: relay.Upstream{
-				ID: id, Service: names[s], Address: id, DataCentre: centres[(s+r)%3], Slots: 2,
+				ID: id, Service: names[s], Address: id, DataCentre: dataCentres[(s+r)%3], Slots: 2,
 			}, slots: 2, queueCap: 12, factor: 1}
 		}
 	}
@@ -115,7 +127,15 @@
 	table := route.NewTable(route.Config{Version: 1, Routes: w.routes, Services: services})
 	var fleet []relay.VM
 	for i := range vms {
-		fleet = append(fleet, relay.VM{ID: fmt.Sprintf("vm%d", i), Address: fmt.Sprint(i), DataCentre: centres[i%3], CPUMilli: size.CPUMilli})
+		v := relay.VM{ID: fmt.Sprintf("vm%d", i), Address: fmt.Sprint(i), DataCentre: dataCentres[i%3], CPUMilli: size.CPUMilli}
+		if i < size.StrongVMs {
+			v.CPUMilli = strongCPUMilli
+		}
+		fleet = append(fleet, v)
+	}
+	w.busyUntil, w.slowness = make([]float64, vms), make([]float64, vms)
+	for i := range w.slowness {
+		w.slowness[i] = 1
 	}
 	w.fleet, w.evacuated = fleet, make([]string, vms)
 	for i := range vms {
@@ -182,8 +202,24 @@
 	w.now = end
 }
 
-// update passes a message to a VM and performs its commands.
+// update passes a message to a VM, once its processor has time for it.
 func (w *Simulation) update(vm int, msg relay.Msg) {
+	if !w.size.Processors {
+		w.handle(vm, msg)
+		return
+	}
+	arrived := w.now
+	w.at(w.occupy(vm, workOf(msg)), func() {
+		if a, ok := msg.(relay.ArrivalMsg); ok {
+			a.WaitedMs = w.now - arrived
+			msg = a
+		}
+		w.handle(vm, msg)
+	})
+}
+
+// handle passes a message to a VM and performs its commands.
+func (w *Simulation) handle(vm int, msg relay.Msg) {
 	if w.dead[vm] {
 		return
 	}
@@ -202,10 +238,16 @@
 }
 
 func (w *Simulation) perform(vm int, c relay.Cmd) {
+	here := w.fleet[vm].DataCentre
 	switch c := c.(type) {
 	case relay.SendCmd:
+		if w.size.Processors {
+			w.occupy(vm, attemptWorkMs)
+		}
 		w.checkEvacuated(vm, c)
-		w.at(w.now+oneWayMs, func() { w.receive(vm, c) })
+		if !w.pass(here, w.upstreams[c.Upstream].info.DataCentre, func() { w.receive(vm, c) }) {
+			w.loseAttempt(vm, c.Attempt)
+		}
 	case relay.CancelCmd:
 		w.at(w.now+oneWayMs, func() { w.cancel(vm, c.Attempt) })
 	case relay.AnswerCmd:
@@ -217,18 +259,21 @@
 		id, to := w.nextID, w.vmIndex(c.To)
 		w.delegations[id] = delegation{vm, c.Delegation.ID}
 		w.requestNames[id] = c.Delegation.Name
-		w.at(w.now+oneWayMs, func() {
+		if !w.pass(here, w.fleet[to].DataCentre, func() {
 			d := c.Delegation
 			w.gathered[to]++
 			w.update(to, relay.ArrivalMsg{ID: id, Name: d.Name, Delegation: &d})
-		})
+		}) {
+			w.loseDelegation(vm, to, c.Delegation.ID)
+		}
 	case relay.AckDelegationCmd:
 		d := w.delegations[c.ID]
-		w.at(w.now+oneWayMs, func() { w.update(d.vm, relay.DelegationAckMsg{From: w.vmName(vm), ID: d.id}) })
+		w.pass(here, w.fleet[d.vm].DataCentre, func() { w.update(d.vm, relay.DelegationAckMsg{From: w.vmName(vm), ID: d.id}) })
 	case relay.CancelDelegationCmd:
+		to := w.vmIndex(c.To)
 		for id, d := range w.delegations {
 			if d.vm == vm && d.id == c.ID {
-				w.at(w.now+oneWayMs, func() { w.update(w.vmIndex(c.To), relay.CallerDisconnectedMsg{ID: id}) })
+				w.pass(here, w.fleet[to].DataCentre, func() { w.update(to, relay.CallerDisconnectedMsg{ID: id}) })
 			}
 		}
 	}
@@ -252,7 +297,7 @@
 		if !result.Partial {
 			delete(w.delegations, id)
 		}
-		w.at(w.now+oneWayMs, func() { w.update(d.vm, relay.DelegationResultMsg{From: w.vmName(vm), Result: result}) })
+		w.pass(w.fleet[vm].DataCentre, w.fleet[d.vm].DataCentre, func() { w.update(d.vm, relay.DelegationResultMsg{From: w.vmName(vm), Result: result}) })
 		return
 	}
 	a := w.openRequests[id]
--- a/relay/carrier.go
+++ b/relay/carrier.go
@@ -318,7 +318,8 @@
 
 // carrierDataCentre returns the data centre whose carrier gathers a shard: the local
 // one if it has an upstream of the shard, otherwise a data centre that has one, by
-// round robin. All shards of a request use the same rotation, so that few messages cross
+// round robin. If those that have one seem unreachable, it is another that may reach them.
+// All shards of a request use the same rotation, so that few messages cross
 // data centres.
 func (m *Model) carrierDataCentre(now clock.Millis, s *service) (string, bool) {
 	dataCentres := m.dataCentres(now, s)
@@ -328,6 +329,12 @@
 	if slices.Contains(dataCentres, m.cfg.dataCentre) {
 		return m.cfg.dataCentre, true
 	}
+	dataCentres = m.reachableOf(now, dataCentres)
+	if m.isUnreachable(now, dataCentres[0]) {
+		if dc, ok := m.thirdDataCentre(now); ok {
+			return dc, true
+		}
+	}
 	return dataCentres[m.rotation%len(dataCentres)], true
 }
 
