--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"lentillink.example/lentillink/exchange"
 	"lentillink.example/lentillink/peer"
 	"lentillink.example/lentillink/preset"
+	"lentillink.example/lentillink/quota"
 	"lentillink.example/lentillink/relay"
 	"lentillink.example/lentillink/roster"
 	"lentillink.example/lentillink/route"
@@ -43,10 +44,12 @@
 	listeners     *listeners // nil: listen on the addresses
 	seed          uint64
 	relayOptions  []relay.Option
+	quotaBounds   quota.Bounds
 
 	relayModel    *relay.Model
 	catalog       *catalog.Model
 	registrar     *roster.Registrar
+	quota         *quota.Model
 	restorer      *preset.Restorer
 	mesh          *peer.Mesh
 	metrics       *metrics
@@ -72,6 +75,8 @@
 	calls         map[uint64]*call         // owned by the event loop
 	delegations   map[delegationKey]uint64 // requests of other VMs, owned by the event loop
 	vmList        map[string]relay.VM      // owned by the event loop
+	quotaMsgs     []quota.Msg              // for the quota, see postQuota; owned by the event loop
+	credits       []relay.CreditMsg        // decisions for the relay, see handleQuota; owned by the event loop
 	start         start                    // owned by the event loop
 	unapplied     []change                 // changes that are not in force yet; owned by the event loop
 	postedEra     atomic.Uint64            // newest era of the store that the event loop was told of
@@ -86,6 +91,7 @@
 	at        clock.Millis // of an ArrivalMsg: when the request was read
 	catalog   catalog.Msg
 	registrar roster.RegistrarMsg
+	quota     quota.Msg
 	peer      *peerEvent
 	presets   *preset.Record
 	restorer  preset.RestorerMsg
@@ -117,6 +123,7 @@
 	g.relayModel.Update(g.clock.Now(), relay.PresetMsg{Preset: defaults.CurrentPreset()})
 	g.metrics = newMetrics()
 	g.registrar = roster.NewRegistrar(g.seed)
+	g.quota = quota.New(quota.WithSelf(g.self.ID, g.self.DataCentre), quota.WithSeed(g.seed), quota.WithBounds(g.quotaBounds))
 	g.restorer = preset.NewRestorer(g.seed)
 	g.mesh = peer.New(g.self.ID, g.seed, meshHandler{g})
 	g.catalog = catalog.New(g.seed, catalog.WithWatchInterval(g.watchInterval), catalog.WithSuperseded(g.isSuperseded), catalog.WithLeased(g.isLeased))
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -8,6 +8,7 @@
 	"lentillink.example/lentillink/clock"
 	"lentillink.example/lentillink/coverage"
 	"lentillink.example/lentillink/peer/peerpb"
+	"lentillink.example/lentillink/quota"
 	"lentillink.example/lentillink/rank"
 	"lentillink.example/lentillink/relay"
 	"lentillink.example/lentillink/vm"
@@ -48,6 +49,10 @@
 		env.Body = &peerpb.Envelope_Update{Update: encodeUpdate(b)}
 	case compressedUpdate:
 		env.Body = &peerpb.Envelope_Update{Update: b.update}
+	case quota.Ask:
+		env.Body = &peerpb.Envelope_CreditAsk{CreditAsk: encodeAsk(b)}
+	case quota.Grant:
+		env.Body = &peerpb.Envelope_CreditGrant{CreditGrant: encodeGrant(b)}
 	case vm.AdminResponse:
 		env.Body = &peerpb.Envelope_Told{Told: &peerpb.Told{Id: b.ID, Payload: b.Payload}}
 	}
@@ -95,6 +100,12 @@
 	case *peerpb.Envelope_Update:
 		u, err := decodeUpdate(b.Update)
 		return u, stamp, err
+	case *peerpb.Envelope_CreditAsk:
+		ask, err := decodeAsk(b.CreditAsk)
+		return ask, stamp, err
+	case *peerpb.Envelope_CreditGrant:
+		grant, err := decodeGrant(b.CreditGrant)
+		return grant, stamp, err
 	case *peerpb.Envelope_Told:
 		return vm.AdminResponse{ID: b.Told.GetId(), Payload: b.Told.GetPayload()}, stamp, nil
 	}
@@ -113,7 +124,7 @@
 	return &peerpb.Forward{
 		Id: encodeID(r.ID), Upstream: r.Upstream, Kind: uint32(r.Kind), Service: r.Service, Group: r.Group,
 		Rank: uint32(r.Rank), Priority: r.Priority, BudgetMs: int64(r.Deadline - now),
-		Version: r.Version, Body: r.Body, OrderId: r.OrderID,
+		Version: r.Version, Body: r.Body, OrderId: r.OrderID, Customer: r.Customer,
 	}
 }
 
@@ -125,6 +136,7 @@
 		ID: decodeID(f.GetId()), Upstream: f.GetUpstream(), Kind: attempt.Kind(f.GetKind()),
 		Service: f.GetService(), Group: f.GetGroup(), Rank: rank.Rank(f.GetRank()), Priority: f.GetPriority(),
 		Deadline: now + clock.Millis(f.GetBudgetMs()), Version: f.GetVersion(), Body: f.GetBody(), OrderID: f.GetOrderId(),
+		Customer: f.GetCustomer(),
 	}, nil
 }
 
