--- a/experiment/replay/caller.go
+++ b/experiment/replay/caller.go
@@ -96,7 +96,7 @@
 		w.requestCounts[s]++
 	}
 	vm := w.rng.IntN(len(w.vms))
-	for w.dead[vm] {
+	for w.dead[vm] || w.fleet[vm].DataCentre == w.closed {
 		vm = w.rng.IntN(len(w.vms))
 	}
 	w.openRequests[id] = &callerRequest{route: r, firstSentAt: firstSentAt, attempts: attempt, vm: vm}
--- a/relay/candidate.go
+++ b/relay/candidate.go
@@ -11,7 +11,8 @@
 // the VM that delegated it gathers the shard again without knowing where it ran. So all
 // VMs agree on MaxAttempts-1 common upstreams. A VM that gathers again uses only these. A
 // carrier uses one other at a time, which it may replace if that one has not run the
-// request.
+// request. The common ones are elsewhere than the carrier where possible, because its data
+// centre may be lost with it.
 func (m *Model) mayUse(sub *subrequest, u *upstream) bool {
 	if sub.dataCentre == "" || sub.outside == nil && !sub.reclaimed {
 		return true
@@ -32,22 +33,15 @@
 			ahead++
 		}
 	}
-	return others < limit || ahead < limit-1
+	return others < limit || ahead > 0 && ahead < limit // the first is near the carrier
 }
 
 // mayGoTo reports whether u accepts new requests and the request may go there.
 func (sub *subrequest) mayGoTo(u *upstream) bool { return u.usable() && !sub.req.limits.excludes(u) }
 
-// compareCandidates orders upstreams in a way on which all VMs agree: cold ones last,
-// those in the data centre of the carrier first, then by a hash of the request.
+// compareCandidates orders upstreams in a way on which all VMs agree: those in the data
+// centre of the carrier first, then by a hash of the request.
 func (m *Model) compareCandidates(sub *subrequest, a, b *upstream) int {
-	now := sub.req.arrived // the order must not change while the request runs
-	if cold := a.isCold(now); cold != b.isCold(now) {
-		if cold {
-			return 1
-		}
-		return -1
-	}
 	if near := a.info.DataCentre == sub.dataCentre; near != (b.info.DataCentre == sub.dataCentre) {
 		if near {
 			return -1
--- a/relay/carrier.go
+++ b/relay/carrier.go
@@ -28,6 +28,13 @@
 	ConfigVersion uint64 `json:"config_version,omitempty"`
 }
 
+// isSameProcess reports whether an entry may come from the process that wrote another one.
+// A VM with another address has been restarted.
+func (v VM) isSameProcess(o VM) bool {
+	v.ConfigVersion = o.ConfigVersion
+	return v == o
+}
+
 // shards returns how many shards the VM should gather for one request.
 func (v VM) shards() int {
 	if v.CPUMilli <= 0 {
@@ -85,7 +92,9 @@
 	for _, v := range vms {
 		inFleet = inFleet || v.ID == m.cfg.self
 		c := m.peers[v.ID]
-		if c == nil || c.info != v {
+		if c != nil && c.info.isSameProcess(v) {
+			c.info = v
+		} else {
 			c = &peerVM{
 				info: v, delegations: make(map[uint64]*delegation), estimates: newBoundedMap[workClass, estimate](maxEstimates), hash: xxhash.Sum64String(v.DataCentre + "\x00" + v.ID),
 			}
@@ -309,7 +318,8 @@
 
 // carrierDataCentre returns the data centre whose carrier gathers a shard: the local
 // one if it has an upstream of the shard, otherwise a data centre that has one, by
-// round robin. All shards of a request use the same rotation, so that few messages cross
+// round robin. If those that have one seem unreachable, it is another that may reach them.
+// All shards of a request use the same rotation, so that few messages cross
 // data centres.
 func (m *Model) carrierDataCentre(now clock.Millis, s *service) (string, bool) {
 	dataCentres := m.dataCentres(now, s)
@@ -319,6 +329,12 @@
 	if slices.Contains(dataCentres, m.cfg.dataCentre) {
 		return m.cfg.dataCentre, true
 	}
+	dataCentres = m.reachableOf(now, dataCentres)
+	if m.isUnreachable(now, dataCentres[0]) {
+		if dc, ok := m.thirdDataCentre(now); ok {
+			return dc, true
+		}
+	}
 	return dataCentres[m.rotation%len(dataCentres)], true
 }
 
