Send no extra attempts into an unreachable data centre

A retry whose only other upstream is in an unreachable data centre was sent there, and took one of the few extra attempts of its service, although hedges were not.

Only an attempt that is not an extra one is sent there as a last resort; other retries end with no_upstream.

--- a/relay/choose.go
+++ b/relay/choose.go
@@ -63,8 +63,8 @@
 		// one attempt at a time if it has failed.
 		chosen = avoided
 	}
-	if !available && !hedge && lastResort != nil {
-		available = true
+	if !available && (sub.deliveries == 0 || len(sub.tried) == 0) && lastResort != nil {
+		available = true // the first attempt; extra ones are too few to be lost there
 		if len(lastResort.open) < m.attemptLimit(now, lastResort, sub.req.route.Priority) {
 			chosen = lastResort
 		}
