Replay a data centre that is cut off with its callers

The replay lost the callers of a cut-off data centre, or moved them; they may stay with VMs that reach only their own upstreams.

--- a/experiment/replay/parted.go
+++ b/experiment/replay/parted.go
@@ -25,12 +25,17 @@
 // lose cuts a data centre off from all others at a time. New callers go to the VMs of the
 // others.
 func (w *Simulation) lose(dataCentre string, from clock.Millis) {
-	w.at(from, func() {
-		for _, dc := range dataCentres {
-			w.cut[link{dc, dataCentre}], w.cut[link{dataCentre, dc}] = dc != dataCentre, dc != dataCentre
+	w.isolate(dataCentre, from, loadMs+drainMs)
+	w.at(from, func() { w.closed = dataCentre })
+}
+
+// isolate cuts a data centre off from all others for a while. Its callers stay.
+func (w *Simulation) isolate(dataCentre string, from, duration clock.Millis) {
+	for _, dc := range dataCentres {
+		if dc != dataCentre {
+			w.part(dc, dataCentre, from, duration)
 		}
-		w.closed = dataCentre
-	})
+	}
 }
 
 // pass delivers a message from one data centre to another after the delay of the network,
--- a/experiment/replay/pattern.go
+++ b/experiment/replay/pattern.go
@@ -90,6 +90,10 @@
 			w.evacuate("a", w.now+2000, 12_000, 1000)
 			w.part("a", "b", w.now+5000, 5500)
 		}},
+		{"77 VMs, a data centre cut off with its callers", parted, grownFloor, grownFloor, 0.15, 100, func(w *Simulation) {
+			w.addPauses()
+			w.isolate("a", w.now+5000, 5500)
+		}},
 		{"77 VMs, a data centre lost", parted, grownFloor, grownFloor, 0.15, underWay, func(w *Simulation) {
 			w.addPauses()
 			w.lose("a", w.now+5000)
