Split deciding from recording in the relay

Cause: admission and the choice of an upstream change the state while they decide (the probe of a slow upstream, the estimate that is learned again, cached data centres), so nothing could ask what they would decide. Change: choose and exclusion decide without a change and say why an upstream is left out, assess and checkTime do the same for admission; recordVerdict and chooseUpstream record. No choice changes. Result: go test ./relay passes unchanged.

--- a/relay/accept.go
+++ b/relay/accept.go
@@ -45,7 +45,7 @@
 	m.learnCold(now, d.Limits)
 	r := m.newDelegatedRequest(now, msg)
 	if r.deadline <= now {
-		m.refuse(msg, r, "waited_too_long", m.retryAfter(0, 0))
+		m.refuse(msg, r, waitedTooLong, m.retryAfter(0, 0))
 		return
 	}
 	for _, name := range d.Services {
@@ -53,10 +53,12 @@
 	}
 	r.totalSubrequests, r.unresolved = len(r.subrequests), len(r.subrequests)
 	assignments := []assignment{{subrequests: r.subrequests}}
-	if excess, overloaded := m.wouldMissTarget(now, r, assignments); overloaded {
-		m.refuseFull(now, msg, r, excess)
+	v := m.wouldMissTarget(now, r, assignments)
+	if v.reason != "" {
+		m.refuseFull(now, msg, r, v)
 		return
 	}
+	m.recordVerdict(r, v)
 	m.start(now, r, assignments)
 }
 
@@ -68,7 +70,7 @@
 	case m.table == nil:
 		return "no_configuration"
 	case m.stopAt > 0:
-		return "stopping"
+		return stopping
 	case len(d.Services) > 0 && d.Terms.MaxAttempts <= 0:
 		return "no_terms" // sent by a release that relied on the carrier's configuration
 	case m.table.Version() < d.Version && !m.knowsAll(d.Services):
--- a/relay/arrive.go
+++ b/relay/arrive.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/customer"
 	"lentillink.example/lentillink/route"
 )
 
@@ -40,36 +41,45 @@
 		m.admitDelegation(now, msg)
 		return
 	}
-	if m.table == nil {
-		m.reject(msg, Answer{Outcome: NotReady, Reason: "no_configuration", RetryAfterMs: m.retryAfter(clock.Second, msg.RemainingMs)})
+	rt, c, a := m.recognize(msg, "")
+	if rt == nil {
+		m.reject(msg, a)
 		return
 	}
+	r := m.newRequest(now, rt, msg)
+	r.setCustomer(c)
+	if m.stillInTime(now, msg, r) && !m.acquireCredit(msg, r, c) {
+		m.admitInTime(now, msg, r)
+	}
+}
+
+// recognize returns the route and the customer of a request, or the answer that rejects it.
+// A customer that is named needs no key.
+func (m *Model) recognize(msg ArrivalMsg, named string) (*route.Route, *customer.Customer, Answer) {
+	if m.table == nil {
+		return nil, nil, Answer{Outcome: NotReady, Reason: "no_configuration", RetryAfterMs: m.retryAfter(clock.Second, msg.RemainingMs)}
+	}
 	rt, ok := m.table.Match(msg.Host, msg.Path)
 	if !ok {
-		m.reject(msg, Answer{Outcome: NoRoute, Reason: "no_route", Version: m.table.Version()})
-		return
+		return nil, nil, Answer{Outcome: NoRoute, Reason: "no_route", Version: m.table.Version()}
 	}
 	c, ok := m.identify(rt, msg.Key)
-	if !ok {
-		m.reject(msg, Answer{Outcome: Unauthorized, Reason: "unknown_key", Route: rt.Name, Version: m.table.Version()})
-		return
+	reason := "unknown_key"
+	if named != "" {
+		c, ok = m.table.Customers().Named(named)
+		reason = "unknown_customer"
 	}
-	r := m.newRequest(now, rt, msg)
-	r.setCustomer(c)
-	if m.stillInTime(now, msg, r) && !m.acquireCredit(msg, r, c) {
-		m.admitInTime(now, msg, r)
+	if !ok {
+		return nil, nil, Answer{Outcome: Unauthorized, Reason: reason, Route: rt.Name, Version: m.table.Version()}
 	}
+	return rt, c, Answer{}
 }
 
 // stillInTime reports whether a request can end before its deadline and before this VM
 // stops. If it cannot, it is refused.
 func (m *Model) stillInTime(now clock.Millis, msg ArrivalMsg, r *request) bool {
-	if r.deadline <= now {
-		m.refuse(msg, r, "waited_too_long", m.retryAfter(0, 0))
-		return false
-	}
-	if m.outlastsStop(now, r) {
-		m.refuse(msg, r, "stopping", m.retryAfter(0, r.deadline-now))
+	if v := m.checkTime(now, r); v.reason != "" {
+		m.refuse(msg, r, v.reason, m.refusalDelay(now, r, v))
 		return false
 	}
 	m.limitToStop(r)
@@ -84,19 +94,15 @@
 		m.probeSuspects(now, r)
 		assignments = m.distribute(now, r)
 	}
-	if m.policies.queueFull(r.route.Priority) {
-		m.refuse(msg, r, "queue_full", m.retryAfter(r.route.TargetMs, r.deadline-now))
-		return
-	}
-	if r.gathers() && reachable(r.subrequests) < r.requiredReplies() {
-		m.refuse(msg, r, unavailableReason(r.subrequests), m.retryAfterHold(now, r, noUpstreamRetryMs))
-		return
-	}
-	if excess, overloaded := m.wouldMissTarget(now, r, assignments); overloaded {
-		m.refuseFull(now, msg, r, excess)
-		return
+	switch v := m.assess(now, r, assignments); v.reason {
+	case "":
+		m.recordVerdict(r, v)
+		m.start(now, r, assignments)
+	case full:
+		m.refuseFull(now, msg, r, v)
+	default:
+		m.refuse(msg, r, v.reason, m.refusalDelay(now, r, v))
 	}
-	m.start(now, r, assignments)
 }
 
 // start opens an admitted request, delegates what carriers gather and sends the rest.
@@ -193,10 +199,10 @@
 	m.reject(msg, refusal(r, reason, retryAfter))
 }
 
-// refuseFull refuses a request of which too much would exceed its time by excess.
-func (m *Model) refuseFull(now clock.Millis, msg ArrivalMsg, r *request, excess clock.Millis) {
+// refuseFull refuses a request of which too much would exceed its time.
+func (m *Model) refuseFull(now clock.Millis, msg ArrivalMsg, r *request, v verdict) {
 	m.returnCredit(r)
-	a := refusal(r, "full", m.retryAfterHold(now, r, excess))
+	a := refusal(r, v.reason, m.refusalDelay(now, r, v))
 	m.rejectWithEstimate(msg, a, m.estimateRequest(now, r))
 }
 
@@ -235,8 +241,7 @@
 // wouldMissTarget reports whether too few sub-requests are expected to end within a
 // time limit for an answer, so that the request should be refused before any of it
 // runs. Gathered requests of the highest priority may use all of the time to the target.
-// It also returns the longest time by which a sub-request is expected to exceed the limit.
-func (m *Model) wouldMissTarget(now clock.Millis, r *request, assignments []assignment) (clock.Millis, bool) {
+func (m *Model) wouldMissTarget(now clock.Millis, r *request, assignments []assignment) verdict {
 	limit := now + clock.Millis(admissionTargetShare*float64(r.targetAt-now))
 	switch {
 	case r.delegated:
@@ -249,20 +254,31 @@
 	lateCount, maxExcess := 0, clock.Millis(0)
 	for _, a := range assignments {
 		for _, sub := range a.subrequests {
-			wait := m.estimateSubrequest(now, sub)
-			if a.carrier != nil {
-				wait = a.carrier.estimateFor(now, r)
-			}
+			wait := m.estimateAssigned(now, a.carrier, sub)
 			if end := now + wait; end > limit {
 				lateCount++
 				maxExcess = max(maxExcess, end-limit)
 			}
 		}
 	}
-	if len(r.subrequests)-lateCount >= r.requiredReplies() {
-		return 0, false
+	v := verdict{limitAt: limit}
+	switch {
+	case len(r.subrequests)-lateCount >= r.requiredReplies():
+	case m.probesEstimate(now, r):
+		v.probes = true
+	default:
+		v.reason, v.excess = full, maxExcess
+	}
+	return v
+}
+
+// estimateAssigned estimates how long a sub-request takes from now at the VM that gathers it,
+// nil for this one.
+func (m *Model) estimateAssigned(now clock.Millis, carrier *peerVM, sub *subrequest) clock.Millis {
+	if carrier != nil {
+		return carrier.estimateFor(now, sub.req)
 	}
-	return maxExcess, !m.probesEstimate(now, r)
+	return m.estimateSubrequest(now, sub)
 }
 
 // probesEstimate reports whether a request should be admitted although it seems to miss
@@ -271,12 +287,7 @@
 // that only its own caller gives too little time shows nothing.
 func (m *Model) probesEstimate(now clock.Millis, r *request) bool {
 	st := m.statsFor(r.route)
-	if now-st.startedAt < estimateMaxAgeMs || float64(m.estimateRequest(now, r)) < probeTargetShare*float64(r.route.TargetMs) {
-		return false
-	}
-	// Replies to sub-requests that are sent together come in the order of their latency.
-	st.relearnIn = (len(r.subrequests) + 1) / 2
-	return true
+	return now-st.startedAt >= estimateMaxAgeMs && float64(m.estimateRequest(now, r)) >= probeTargetShare*float64(r.route.TargetMs)
 }
 
 // estimateRequest estimates how long another request like r would take from now:
--- a/relay/candidate.go
+++ b/relay/candidate.go
@@ -37,7 +37,18 @@
 }
 
 // mayGoTo reports whether u accepts new requests and the request may go there.
-func (sub *subrequest) mayGoTo(u *upstream) bool { return u.usable() && !sub.req.limits.excludes(u) }
+func (sub *subrequest) mayGoTo(u *upstream) bool { return sub.barred(u) == nothing }
+
+// barred returns why u does not accept new requests, or why the request may not go there.
+func (sub *subrequest) barred(u *upstream) Exclusion {
+	if e := u.unusable(); e != nothing {
+		return e
+	}
+	if sub.req.limits.excludes(u) {
+		return Evacuated
+	}
+	return nothing
+}
 
 // compareCandidates orders upstreams in a way on which all VMs agree: those in the data
 // centre of the carrier first, then by a hash of the request.
--- a/relay/carrier.go
+++ b/relay/carrier.go
@@ -344,8 +344,17 @@
 	if s.dataCentres != nil && now < s.dataCentresUntil {
 		return s.dataCentres
 	}
+	list, until := s.findDataCentres(now)
+	if !m.readOnly {
+		s.dataCentres, s.dataCentresUntil = list, until
+	}
+	return list
+}
+
+// findDataCentres returns what dataCentres does, and until when it holds.
+func (s *service) findDataCentres(now clock.Millis) ([]string, clock.Millis) {
 	seen := make(map[string]bool)
-	s.dataCentresUntil = math.MaxInt64
+	until := clock.Millis(math.MaxInt64)
 	hasWarm := s.hasWarm(now)
 	for _, u := range s.upstreams {
 		if !u.usable() {
@@ -353,14 +362,13 @@
 		}
 		cold := u.isCold(now)
 		if cold {
-			s.dataCentresUntil = min(s.dataCentresUntil, u.coldEnd(now))
+			until = min(until, u.coldEnd(now))
 		}
 		if !cold || !hasWarm {
 			seen[u.info.DataCentre] = true
 		}
 	}
-	s.dataCentres = sortedKeys(seen)
-	return s.dataCentres
+	return sortedKeys(seen), until
 }
 
 // carriers returns the VMs of a data centre that gather n shards of a request and are not
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -2,59 +2,72 @@
 
 import "lentillink.example/lentillink/clock"
 
+// choice is what the next attempt of a sub-request does.
+type choice struct {
+	upstream  *upstream // nil if none can take it now
+	available bool      // some upstream could take it now or later
+	probe     bool      // it probes an upstream that was slow
+}
+
 // chooseUpstream returns the upstream with the lowest expected latency for a
 // sub-request, or nil if none can take it now. available reports whether some
 // upstream could take it now or later.
 func (m *Model) chooseUpstream(now clock.Millis, sub *subrequest, hedge bool) (chosen *upstream, available bool) {
+	c := m.choose(now, sub, hedge, nil)
+	if c.probe {
+		sub.req.probed = true
+	}
+	return c.upstream, c.available
+}
+
+// choose makes the choice of chooseUpstream. It calls visit, if there is one, for each
+// upstream that it considers.
+func (m *Model) choose(now clock.Millis, sub *subrequest, hedge bool, visit func(*upstream, Exclusion, Score)) choice {
+	var c choice
 	medianMs := m.statsFor(sub.req.route).medianMs
 	bestScore := 0.0
 	mayProbe := !hedge && sub.req.route.Idempotent && !sub.req.probed && float64(sub.req.targetAt-now) >= probeMinMedians*medianMs
 	var avoided, lastResort *upstream
 	for _, u := range sub.service.upstreams {
-		notBefore := u.notBefore(now)
-		if !sub.mayGoTo(u) || sub.hasTried(u) || !m.mayUse(sub, u) || notBefore > now && notBefore >= sub.waitLimit() {
-			continue
-		}
-		if now < u.avoidUntil && sub.refusedBy(u) {
-			available = available || u.avoidUntil < sub.req.deadline
-			continue
-		}
-		if m.isUnreachable(now, u.info.DataCentre) {
+		e := m.exclusion(now, sub, u)
+		c.available = c.available || e == nothing || sub.mayBecomeFree(u, e)
+		var score Score
+		switch {
+		case e == Unreachable:
 			if lastResort == nil || len(u.open) < len(lastResort.open) {
 				lastResort = u
 			}
-			continue
-		}
-		available = true
-		if now < notBefore || len(u.open) >= m.attemptLimit(now, u, sub.req.route.Priority) {
-			continue
-		}
-		if now < u.avoidUntil {
+		case e == Avoided:
 			if avoided == nil || u.avoidUntil < avoided.avoidUntil {
 				avoided = u
 			}
-			continue
+		case e == nothing && mayProbe && u.probeDue(now) && m.isLocal(u):
+			c.upstream, c.probe = u, true
+		case e == nothing:
+			score = m.score(now, u, medianMs)
+			if s := score.Total(); c.upstream == nil || s < bestScore {
+				c.upstream, bestScore = u, s
+			}
 		}
-		if mayProbe && u.probeDue(now) && m.isLocal(u) {
-			sub.req.probed = true
-			return u, true
+		if visit != nil {
+			visit(u, e, score)
 		}
-		if s := m.score(now, u, medianMs).Total(); chosen == nil || s < bestScore {
-			chosen, bestScore = u, s
+		if c.probe {
+			return c
 		}
 	}
-	if chosen == nil && !hedge && avoided != nil && (len(avoided.open) == 0 || avoided.failures == 0) {
+	if c.upstream == nil && !hedge && avoided != nil && (len(avoided.open) == 0 || avoided.failures == 0) {
 		// No other upstream is left: use the one whose avoidance ends first, with only
 		// one attempt at a time if it has failed.
-		chosen = avoided
+		c.upstream = avoided
 	}
-	if !available && !hedge && lastResort != nil {
-		available = true
+	if !c.available && !hedge && lastResort != nil {
+		c.available = true
 		if len(lastResort.open) < m.attemptLimit(now, lastResort, sub.req.route.Priority) {
-			chosen = lastResort
+			c.upstream = lastResort
 		}
 	}
-	return chosen, available
+	return c
 }
 
 // isLocal reports whether an upstream is in this VM's data centre.
--- a/relay/expected.go
+++ b/relay/expected.go
@@ -30,9 +30,16 @@
 // estimateFor returns the estimated latency of a request like r at a carrier from now.
 // Since the estimate, the carrier's queue has become shorter by at most the elapsed time.
 func (c *peerVM) estimateFor(now clock.Millis, r *request) clock.Millis {
-	e := c.estimates.get(workClass{r.route.Name, r.priority})
-	if age := now - e.at; age < estimateMaxAgeMs {
-		return max(e.ms-age, 0)
+	ms, _ := c.knownEstimate(now, r)
+	return ms
+}
+
+// knownEstimate is estimateFor. It is not ok if there is no estimate, or a stale one.
+func (c *peerVM) knownEstimate(now clock.Millis, r *request) (ms clock.Millis, ok bool) {
+	class := workClass{r.route.Name, r.priority}
+	e, ok := c.estimates.entries[class]
+	if age := now - e.at; ok && age < estimateMaxAgeMs {
+		return max(e.ms-age, 0), true
 	}
-	return 0
+	return 0, false
 }
--- a/relay/finish.go
+++ b/relay/finish.go
@@ -116,7 +116,7 @@
 	case !r.mayHaveRun() && r.openAttempts == 0:
 		a := refusal(r, unavailableReason(r.subrequests), m.retryAfterHold(now, r, max(noUpstreamRetryMs, r.retryAfterMs)))
 		if deadlinePassed {
-			a.Reason = "waited_too_long"
+			a.Reason = waitedTooLong
 		}
 		return a
 	case !r.gathers() && r.subrequests[0].lastFailure != nil && r.openAttempts == 0:
--- a/relay/model.go
+++ b/relay/model.go
@@ -13,7 +13,9 @@
 // Model is the state of one VM.
 type Model struct {
 	cfg            config
+	source         *rand.PCG // of rng
 	rng            *rand.Rand
+	readOnly       bool // it shares state with another Model, see Explain
 	table          *route.Table
 	splitter       *route.Splitter
 	services       map[string]*service
@@ -50,8 +52,9 @@
 // New returns a Model without a configuration.
 func New(opts ...Option) *Model {
 	cfg := newConfig(opts)
+	source := rand.NewPCG(cfg.seed, cfg.seed)
 	return &Model{
-		cfg: cfg, rng: rand.New(rand.NewPCG(cfg.seed, cfg.seed)), vmCount: cfg.vmCount, budgetLimit: cfg.budget,
+		cfg: cfg, source: source, rng: rand.New(source), vmCount: cfg.vmCount, budgetLimit: cfg.budget,
 		splitter: route.NewSplitter(), services: make(map[string]*service), upstreams: make(map[string]*upstream), evacuated: make(map[string]bool), reaches: make(map[string]*reach),
 		routeStats: make(map[string]*routeStats), requests: make(map[uint64]*request), parked: make(map[uint64]parkedRequest), attempts: make(map[uint64]*attempt),
 		notices: newBoundedMap[string, notice](maxNotices), departures: newDepartures(), peers: make(map[string]*peerVM), leftPeers: make(map[string]*peerVM), resultLagMs: initialLagMs, delegations: make(map[uint64]*delegation),
--- a/relay/score.go
+++ b/relay/score.go
@@ -28,13 +28,13 @@
 // Score is the expected latency of the next attempt at an upstream by its parts, all in
 // milliseconds. The upstream with the lowest total is chosen.
 type Score struct {
-	WorkMs     float64 // of the request at this upstream
-	BusyMs     float64 // waiting for what this VM has open there
-	OverdueMs  float64 // the oldest open attempt is overdue
-	DistanceMs float64 // the upstream is in another data centre
-	FailureMs  float64 // attempts there may fail
-	DoubtMs    float64 // its data centre may be cut off
-	JitterMs   float64 // breaks ties, so that VMs do not all prefer the same upstream
+	WorkMs     float64 `json:"work_ms"`     // of the request at this upstream
+	BusyMs     float64 `json:"busy_ms"`     // waiting for what this VM has open there
+	OverdueMs  float64 `json:"overdue_ms"`  // the oldest open attempt is overdue
+	DistanceMs float64 `json:"distance_ms"` // the upstream is in another data centre
+	FailureMs  float64 `json:"failure_ms"`  // attempts there may fail
+	DoubtMs    float64 `json:"doubt_ms"`    // its data centre may be cut off
+	JitterMs   float64 `json:"jitter_ms"`   // breaks ties, so that VMs do not all prefer the same upstream
 }
 
 // Total returns the sum of the parts.
--- a/relay/service.go
+++ b/relay/service.go
@@ -181,4 +181,17 @@
 }
 
 // usable reports whether the upstream may get new requests.
-func (u *upstream) usable() bool { return !u.removed && !u.info.Leaving && !u.evacuated }
+func (u *upstream) usable() bool { return u.unusable() == nothing }
+
+// unusable returns why the upstream may not get new requests.
+func (u *upstream) unusable() Exclusion {
+	switch {
+	case u.removed:
+		return Removed
+	case u.info.Leaving:
+		return Leaving
+	case u.evacuated:
+		return Evacuated
+	}
+	return nothing
+}
