Stop open requests in a fixed order

Cause: a stop set the timers of open requests in the order of a map, so two runs with the same messages answered them in different orders. Change: in the order of their IDs.

--- a/relay/stop.go
+++ b/relay/stop.go
@@ -1,12 +1,17 @@
 package relay
 
-import "lentillink.example/lentillink/clock"
+import (
+	"maps"
+	"slices"
+
+	"lentillink.example/lentillink/clock"
+)
 
 // stop shortens the deadlines of all requests to that of this VM.
 func (m *Model) stop(msg StopMsg) {
 	m.stopAt, m.callersUntil = msg.Deadline, min(msg.CallersUntil, msg.Deadline)
-	for _, r := range m.requests {
-		if r.deadline > m.stopAt {
+	for _, id := range slices.Sorted(maps.Keys(m.requests)) {
+		if r := m.requests[id]; r.deadline > m.stopAt {
 			r.deadline = m.stopAt
 			m.wake(r, m.stopAt)
 		}
--- a/relay/stop_test.go
+++ b/relay/stop_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"fmt"
 	"testing"
 
 	"lentillink.example/lentillink/clock"
@@ -44,3 +45,19 @@
 		})
 	}
 }
+
+// TestStopOrder guards against a stop whose answers come in an order that differs from run to
+// run.
+func TestStopOrder(t *testing.T) {
+	run := func() string {
+		m := newSingleServiceModel(t, false, 3)
+		for id := range uint64(30) {
+			m.Update(2000, arrivalWithin(id+1, 4000))
+		}
+		m.Update(2000, relay.StopMsg{Deadline: 2100, CallersUntil: 2050})
+		return fmt.Sprintf("%+v", m.Update(2100, relay.TickMsg{}))
+	}
+	if got, want := run(), run(); got != want {
+		t.Errorf("got\n%s\nwant as in the other run\n%s", got, want)
+	}
+}
