--- a/relay/arrive.go
+++ b/relay/arrive.go
@@ -89,11 +89,10 @@
 // admitInTime starts a request that has time left, unless it would probably miss its target.
 func (m *Model) admitInTime(now clock.Millis, msg ArrivalMsg, r *request) {
 	m.addSubrequests(r)
-	assignments := []assignment{{subrequests: r.subrequests}}
 	if r.gathers() {
 		m.probeSuspects(now, r)
-		assignments = m.distribute(now, r)
 	}
+	assignments := m.assign(now, r)
 	switch v := m.assess(now, r, assignments); v.reason {
 	case "":
 		m.recordVerdict(r, v)
@@ -105,6 +104,14 @@
 	}
 }
 
+// assign divides the sub-requests of a request among the VMs that gather them.
+func (m *Model) assign(now clock.Millis, r *request) []assignment {
+	if r.gathers() {
+		return m.distribute(now, r)
+	}
+	return []assignment{{subrequests: r.subrequests}}
+}
+
 // start opens an admitted request, delegates what carriers gather and sends the rest.
 func (m *Model) start(now clock.Millis, r *request, assignments []assignment) {
 	m.requests[r.id] = r
--- a/relay/credit.go
+++ b/relay/credit.go
@@ -15,14 +15,23 @@
 // acquireCredit asks for the credit of a request whose customer has a limit, and parks it.
 // It returns false if the request needs none.
 func (m *Model) acquireCredit(msg ArrivalMsg, r *request, c *customer.Customer) bool {
-	if c == nil || c.RatePerS <= 0 {
+	limit, ok := creditLimit(r, c)
+	if !ok {
 		return false
 	}
 	m.parked[msg.ID] = parkedRequest{msg: msg, req: r}
-	m.emit(CreditCmd{Request: msg.ID, Limit: quota.Limit{Customer: c.Name, Rate: c.RatePerS, Burst: c.Burst, Version: r.version}})
+	m.emit(CreditCmd{Request: msg.ID, Limit: limit})
 	return true
 }
 
+// creditLimit returns the limit of a request's customer, if it has one.
+func creditLimit(r *request, c *customer.Customer) (quota.Limit, bool) {
+	if c == nil || c.RatePerS <= 0 {
+		return quota.Limit{}, false
+	}
+	return quota.Limit{Customer: c.Name, Rate: c.RatePerS, Burst: c.Burst, Version: r.version}, true
+}
+
 // handleCredit resumes or refuses a parked request.
 func (m *Model) handleCredit(now clock.Millis, t CreditMsg) {
 	p, ok := m.parked[t.Request]
--- a/route/split.go
+++ b/route/split.go
@@ -1,5 +1,10 @@
 package route
 
+import (
+	"maps"
+	"slices"
+)
+
 // Splitter distributes the requests of split routes over their services in
 // proportion to the weights. It uses smooth weighted round robin: any run of
 // requests stays within one request of its shares, which random selection does not
@@ -11,6 +16,15 @@
 // NewSplitter returns a Splitter without state.
 func NewSplitter() *Splitter { return &Splitter{credits: make(map[string][]float64)} }
 
+// Clone returns a Splitter that continues like s, without an effect on it.
+func (s *Splitter) Clone() *Splitter {
+	out := &Splitter{credits: maps.Clone(s.credits)}
+	for name, credits := range out.credits {
+		out.credits[name] = slices.Clone(credits)
+	}
+	return out
+}
+
 // Next returns the service of the next request on r.
 func (s *Splitter) Next(r *Route) string {
 	credits := s.credits[r.Name]
