--- a/quota/account.go
+++ b/quota/account.go
@@ -97,13 +97,35 @@
 
 // take uses one credit that is still valid, the oldest first.
 func (a *account) take(now clock.Millis) bool {
+	l := a.firstLot(now)
+	if l == nil {
+		return false
+	}
+	l.credits--
+	return true
+}
+
+// firstLot returns the oldest lot with credit that is still valid, or nil.
+func (a *account) firstLot(now clock.Millis) *lot {
 	for i := range a.lots {
 		if l := &a.lots[i]; l.credits > 0 && now < l.until {
-			l.credits--
-			return true
+			return l
 		}
 	}
-	return false
+	return nil
+}
+
+// next returns what becomes of another request.
+func (a *account) next(now clock.Millis) State {
+	switch {
+	case len(a.waiting) == 0 && a.firstLot(now) != nil:
+		return StateGranted
+	case now < a.emptyUntil:
+		return StateOverLimit
+	case now < a.shutUntil:
+		return StateNoCredit
+	}
+	return StateAsked
 }
 
 // expire removes the lots that have run out and returns their credit.
@@ -138,15 +160,21 @@
 		m.accounts[l.Customer] = a
 		m.wake(jobAccounts, now+idleCheckMs)
 	}
-	if l.Version > a.limit.Version {
-		if l.Rate > a.limit.Rate || l.Burst > a.limit.Burst {
-			a.emptyUntil, a.retryAt = 0, 0
-		}
-		a.limit = l
-	}
+	a.setLimit(l)
 	return a
 }
 
+// setLimit applies the limit of a newer version.
+func (a *account) setLimit(l Limit) {
+	if l.Version <= a.limit.Version {
+		return
+	}
+	if l.Rate > a.limit.Rate || l.Burst > a.limit.Burst {
+		a.emptyUntil, a.retryAt = 0, 0
+	}
+	a.limit = l
+}
+
 // acquire gives a request credit, or asks for some.
 func (m *Model) acquire(now clock.Millis, t AcquireMsg) {
 	if !t.Limit.Valid() {
@@ -155,21 +183,19 @@
 	}
 	a := m.account(now, t.Limit)
 	a.countDemand(now)
-	if len(a.waiting) == 0 && a.take(now) {
+	switch a.next(now) {
+	case StateGranted:
+		a.take(now)
 		m.emit(GrantedCmd{Request: t.Request})
-		return
-	}
-	if now < a.emptyUntil {
+	case StateOverLimit:
 		m.refuseOverLimit(now, a, t.Request)
-		return
-	}
-	if now < a.shutUntil {
+	case StateNoCredit:
 		m.emit(RefusedCmd{Request: t.Request, RetryAfterMs: m.noCreditRetry()})
-		return
+	default:
+		a.waiting = append(a.waiting, t.Request)
+		m.waits[t.Request] = a
+		m.pursue(now, a)
 	}
-	a.waiting = append(a.waiting, t.Request)
-	m.waits[t.Request] = a
-	m.pursue(now, a)
 }
 
 func (m *Model) cancel(id uint64) {
@@ -188,13 +214,9 @@
 		a.stage = 0
 		return
 	}
-	targets := m.targets(a.group)
-	for a.stage < len(targets) && !a.triedLong(now) {
-		if to := targets[a.stage]; now >= m.link(to).avoidUntil {
-			m.ask(now, to, a)
-			return
-		}
-		a.advance(now)
+	if to := m.nextTarget(now, a); to != "" {
+		m.ask(now, to, a)
+		return
 	}
 	for _, id := range m.takeWaiting(a, len(a.waiting)) {
 		m.emit(RefusedCmd{Request: id, RetryAfterMs: m.noCreditRetry()})
@@ -203,6 +225,20 @@
 	m.report(now, "quota_no_credit", a)
 }
 
+// nextTarget turns to the next VM to ask that is not avoided, and returns it. It is empty if
+// there is none.
+func (m *Model) nextTarget(now clock.Millis, a *account) string {
+	targets := m.targets(a.group)
+	for a.stage < len(targets) && !a.triedLong(now) {
+		to := targets[a.stage]
+		if l := m.links[to]; l == nil || now >= l.avoidUntil {
+			return to
+		}
+		a.advance(now)
+	}
+	return ""
+}
+
 // takeWaiting removes and returns the first n requests that wait.
 func (m *Model) takeWaiting(a *account, n int) []uint64 {
 	out := slices.Clone(a.waiting[:n])
@@ -277,11 +313,16 @@
 // after that of the requests that were refused before it.
 func (m *Model) refuseOverLimit(now clock.Millis, a *account, id uint64) {
 	m.report(now, "quota_over_limit", a)
-	at := min(max(a.retryAt, a.emptyUntil, now), now+maxRetryAfterMs)
+	at := a.nextRetryAt(now)
 	a.retryAt = at + a.limit.fillMs(1)
 	m.emit(RefusedCmd{Request: id, OverLimit: true, RetryAfterMs: max(at-now, 1)})
 }
 
+// nextRetryAt returns the time to give to the next refused request.
+func (a *account) nextRetryAt(now clock.Millis) clock.Millis {
+	return min(max(a.retryAt, a.emptyUntil, now), now+maxRetryAfterMs)
+}
+
 func (m *Model) noCreditRetry() clock.Millis {
 	return noCreditRetryMs + clock.Millis(m.rng.Int64N(int64(noCreditRetryMs)))
 }
--- a/quota/grant.go
+++ b/quota/grant.go
@@ -124,7 +124,7 @@
 		if len(m.buckets) >= maxBuckets {
 			return nil
 		}
-		b = newBucket(now, l, m.rights[group].emptyAt)
+		b = m.newBucket(now, group, l)
 		m.buckets[l.Customer] = b
 		m.wake(jobAccounts, now+idleCheckMs)
 	}
@@ -132,6 +132,10 @@
 	return b
 }
 
+func (m *Model) newBucket(now clock.Millis, group int, l Limit) *bucket {
+	return newBucket(now, l, m.rights[group].emptyAt)
+}
+
 // forgetBuckets removes the buckets of a group.
 func (m *Model) forgetBuckets(group int) {
 	for name := range m.buckets {
--- a/quota/model.go
+++ b/quota/model.go
@@ -87,9 +87,10 @@
 // for it.
 func (m *Model) Take(now clock.Millis, customer string) bool {
 	a := m.accounts[customer]
-	if a == nil || len(a.waiting) > 0 || !a.take(now) {
+	if a == nil || a.next(now) != StateGranted {
 		return false
 	}
+	a.take(now)
 	a.countDemand(now)
 	return true
 }
