--- a/caller/client.go
+++ b/caller/client.go
@@ -10,6 +10,7 @@
 
 	"lentillink.example/lentillink/clock"
 	"lentillink.example/lentillink/entry"
+	"lentillink.example/lentillink/explain"
 	"lentillink.example/lentillink/httpcall"
 	"lentillink.example/lentillink/preset"
 	"lentillink.example/lentillink/vm"
@@ -101,6 +102,11 @@
 	return call[entry.ChangeDocument](c, "change", fasthttp.MethodPost, "/v1/presets", change)
 }
 
+// Explain asks the VM where a request would go. The VM is called at its metrics address.
+func (c *Client) Explain(q explain.Question) (explain.Document, error) {
+	return call[explain.Document](c, "explain", fasthttp.MethodPost, "/v1/explain", q)
+}
+
 // Ready reports whether the VM is ready to receive requests from the balancer.
 func (c *Client) Ready() bool {
 	status, _, err := c.do(fasthttp.MethodGet, "/readyz", nil)
--- a/cmd/lentillink/commands.go
+++ b/cmd/lentillink/commands.go
@@ -34,6 +34,10 @@
 		"Prints each figure beside its baseline and its bound; a bound is stated in docs/design.md. Exits with 1 if a bound is missed. The names are "+
 			strings.Join(experimentNames(), ", ")+", and list, which describes them.",
 		&experimentCommand{})
+	addCommand(p, "explain", "Explain where a request would go",
+		"Asks a VM on the users' platform, at its metrics address, what it would do with a request now, and why. Nothing is sent. The key of the customer is read from "+
+			keyVariable+" or, with --key-stdin, from standard input. Exits with 0 if the request would be served, 4 if it would be refused, 5 if no route matches, 6 if the customer is not known.",
+		&explainCommand{})
 	addConfig(p)
 	addPreset(p)
 	return p
--- a/cmd/lentillink/main.go
+++ b/cmd/lentillink/main.go
@@ -3,7 +3,8 @@
 //
 // Exit codes: 0 success, 1 the command or a check failed, 2 the arguments are
 // invalid, 3 a change was rejected or is not confirmed by every VM, 4 an answer
-// is partial or a request was refused.
+// is partial or a request was refused, or would be, 5 no route matches, 6 a
+// customer is not known.
 package main
 
 import (
@@ -22,6 +23,8 @@
 	exitUsage       = 2
 	exitUnconfirmed = 3
 	exitIncomplete  = 4
+	exitNoRoute     = 5
+	exitNoCustomer  = 6
 )
 
 // exitError ends the program with an exit code. Its message is empty if the
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -67,6 +67,7 @@
 	exits         chan error
 	failed        chan error     // the reason why this VM stops by itself
 	panicTimes    []clock.Millis // of the last panics in the event loop, which owns it
+	explaining    chan struct{}  // holds an element while a question is answered
 
 	callerConns   *callerConns
 	acceptDone    chan struct{}            // closed when no more callers are accepted
@@ -96,6 +97,7 @@
 	presets   *preset.Record
 	restorer  preset.RestorerMsg
 	result    *exchange.Result
+	explain   *explainCall
 }
 
 // call is an unanswered request of a caller or another VM.
@@ -110,7 +112,7 @@
 	g := &Gateway{
 		logger: log.NewNopLogger(), clock: clock.NewMonotonic(), limits: Limits{GracePeriod: defaultGracePeriodMs}, readyPath: "/ready",
 		memoryBytes: defaultMemoryBytes,
-		inbox:       make(chan loopMsg, inboxLen), loopDone: make(chan struct{}), exits: make(chan error, exitsLen), failed: make(chan error, 1),
+		inbox:       make(chan loopMsg, inboxLen), loopDone: make(chan struct{}), exits: make(chan error, exitsLen), failed: make(chan error, 1), explaining: make(chan struct{}, 1),
 		callerConns: newCallerConns(), acceptDone: make(chan struct{}), calls: make(map[uint64]*call), delegations: make(map[delegationKey]uint64), vmList: make(map[string]relay.VM),
 	}
 	for _, opt := range opts {
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -97,6 +97,8 @@
 		g.stepRegistrar(ioCtx, msg.registrar)
 	case msg.quota != nil:
 		g.stepQuota(ioCtx, msg.quota)
+	case msg.explain != nil:
+		g.handleExplain(msg.explain)
 	case msg.result != nil:
 		g.stepRelay(attemptMsg(*msg.result))
 	case msg.call != nil:
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -35,6 +35,7 @@
 	reserveCredits prometheus.Counter
 	ownedGroups    prometheus.Gauge
 	storeEra       prometheus.Gauge
+	explanations   prometheus.Counter
 }
 
 func newMetrics() *metrics {
@@ -76,6 +77,7 @@
 	m.creditAsks = counter("credit_asks_total", "Messages to other VMs that ask for or return credit of customers.")
 	m.reserveCredits = counter("reserve_credits_total", "Credit that this VM granted as a deputy.")
 	m.ownedGroups = gauge("owned_groups", "Groups of customers whose credit this VM grants.")
+	m.explanations = counter("explanations_total", "Questions where a request would go.")
 	m.ready = gauge("ready", "1 if the VM is ready for the balancer.")
 	m.storeEra = gauge("store_era", "Era of the store: it rises each time the store comes back from an older copy.")
 	return m
@@ -91,7 +93,7 @@
 	}
 }
 
-// newAdminServer returns the server for metrics and presets.
+// newAdminServer returns the server for metrics, presets and explanations.
 func (g *Gateway) newAdminServer() *http.Server {
 	mux := http.NewServeMux()
 	scrape := promhttp.HandlerFor(g.metrics.registry, promhttp.HandlerOpts{})
@@ -109,5 +111,6 @@
 	})
 	mux.HandleFunc("GET /v1/presets", g.servePresets)
 	mux.HandleFunc("POST /v1/presets", g.servePresetChange)
+	mux.HandleFunc("POST /v1/explain", g.serveExplain)
 	return &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, ErrorLog: discardLog()}
 }
