--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -70,6 +70,8 @@
 	explaining    chan struct{}  // holds an element while a question is answered
 
 	callerConns   *callerConns
+	answerLag     answerLag
+	updatedAt     clock.Millis             // time of the last message to relayModel; owned by the event loop
 	acceptDone    chan struct{}            // closed when no more callers are accepted
 	memoryBytes   int64                    // of the process
 	bodies        exchange.Memory          // for the bodies of callers that are being read
@@ -104,6 +106,7 @@
 type call struct {
 	request    *exchange.Request
 	answer     chan relay.Answer
+	decidedAt  clock.Millis   // when the answer was decided; set before the answer is sent
 	delegation *delegationKey // set for a request that another VM delegated; answer is then nil
 }
 
