--- a/explain/question.go
+++ b/explain/question.go
@@ -61,5 +61,8 @@
 
 // Query returns the question for the relay.
 func (q Question) Query() relay.ExplainQuery {
-	return relay.ExplainQuery{Host: q.Host, Path: q.Path, Key: q.Key, Customer: q.Customer, RemainingMs: q.RemainingMs, Parts: q.Parts}
+	return relay.ExplainQuery{
+		Arrival:  relay.ArrivalMsg{Host: q.Host, Path: q.Path, Key: q.Key, RemainingMs: q.RemainingMs},
+		Customer: q.Customer, Parts: q.Parts,
+	}
 }
--- a/explain/text.go
+++ b/explain/text.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 	"text/tabwriter"
 
@@ -91,6 +92,9 @@
 	if a.Parts > 0 {
 		estimate = fmt.Sprintf("; %d of %d parts needed, expected after %d ms", a.RequiredParts, a.Parts, a.EstimateMs)
 	}
+	if slices.ContainsFunc(d.Carriers, func(c relay.Carrier) bool { return !c.EstimateKnown }) {
+		estimate += " or more"
+	}
 	if a.LimitMs > 0 {
 		estimate += fmt.Sprintf(", limit %d ms", a.LimitMs)
 	}
--- a/gateway/explain.go
+++ b/gateway/explain.go
@@ -76,8 +76,9 @@
 func (g *Gateway) handleExplain(c *explainCall) {
 	defer close(c.answer)
 	defer g.recovered("explanation")
-	now := g.clock.Now()
-	doc := explain.Document{VM: g.self.ID, DataCentre: g.self.DataCentre, Explanation: g.relayModel.Explain(now, c.question.Query())}
+	now, query := g.clock.Now(), c.question.Query()
+	query.Arrival.AnswerLagMs = g.answerLag.estimate()
+	doc := explain.Document{VM: g.self.ID, DataCentre: g.self.DataCentre, Explanation: g.relayModel.Explain(now, query)}
 	if doc.Limit.Customer != "" {
 		credit := g.quota.Credit(now, doc.Limit)
 		doc.Credit = &credit
--- a/relay/explain.go
+++ b/relay/explain.go
@@ -23,13 +23,9 @@
 
 // ExplainQuery describes a request that is not sent.
 type ExplainQuery struct {
-	Host        string
-	Path        string
-	Key         string       // of the customer, as a caller sends it
-	Customer    string       // its name, instead of the key
-	RemainingMs clock.Millis // time that the caller has; 0 if not stated
-	RoundTripMs clock.Millis // as in an ArrivalMsg; 0 if not known
-	Parts       int          // how many parts are described, 0 for DefaultParts
+	Arrival  ArrivalMsg // without an ID and a name
+	Customer string     // name of the customer, instead of its key
+	Parts    int        // how many parts are described, 0 for DefaultParts
 }
 
 // Explanation is what a VM would do with a request that arrives now. Times are in
@@ -142,7 +138,7 @@
 func (e *explainer) explain(q ExplainQuery) {
 	e.out.Carriers, e.out.Parts, e.out.Unknown = []Carrier{}, []Part{}, []string{}
 	m := e.model
-	msg := ArrivalMsg{Host: q.Host, Path: q.Path, Key: q.Key, RemainingMs: q.RemainingMs, RoundTripMs: q.RoundTripMs}
+	msg := q.Arrival
 	e.out.Version = m.Version()
 	rt, c, rejected := m.recognize(msg, q.Customer)
 	if rt == nil {
@@ -211,7 +207,7 @@
 	if st := e.model.statsFor(r.route); st.samples == 0 {
 		e.unknown("the latency of route %s is not measured yet, %.0f ms are assumed", r.route.Name, st.medianMs)
 	}
-	if q.RoundTripMs == 0 {
+	if q.Arrival.RoundTripMs == 0 {
 		e.unknown("the round trip to the caller, %d ms are assumed", defaultRoundTripMs)
 	}
 }
--- a/relay/explain_test.go
+++ b/relay/explain_test.go
@@ -209,7 +209,7 @@
 		Path: []string{"/gather/x", "/gather/x", "/gather/x", "/one/x", "/read/x", "/split/x", "/none"}[w.rng.IntN(7)],
 	}
 	msg.Key = []string{"", secretKey, secretKey, "other-" + secretKey, "unknown-" + secretKey}[w.rng.IntN(5)]
-	q := relay.ExplainQuery{Host: msg.Host, Path: msg.Path, Key: msg.Key, RemainingMs: msg.RemainingMs, Parts: relay.MaxParts}
+	q := relay.ExplainQuery{Arrival: msg, Parts: relay.MaxParts}
 	e := w.explained.Explain(w.now, q)
 	if again := w.explained.Explain(w.now, q); encode(w.t, again) != encode(w.t, e) {
 		w.t.Fatalf("got another explanation the second time:\n%s\n%s", encode(w.t, e), encode(w.t, again))
@@ -350,7 +350,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			m := newShardedModel(t, "va", "a")
 			m.Update(1000, shardedTable(8, false, nyla))
-			e := m.Explain(2000, relay.ExplainQuery{Host: "h", Path: "/x", Key: tt.key, Customer: tt.customer})
+			e := m.Explain(2000, relay.ExplainQuery{Arrival: relay.ArrivalMsg{Host: "h", Path: "/x", Key: tt.key}, Customer: tt.customer})
 			if e.Customer != tt.want || e.Admission.Reason != tt.reason || e.Limit.Customer != tt.want {
 				t.Errorf("got customer %q, reason %q and limit %+v, want %q and %q", e.Customer, e.Admission.Reason, e.Limit, tt.want, tt.reason)
 			}
@@ -365,7 +365,7 @@
 	for id := range uint64(3) {
 		m.Update(2000, arrival(id+1))
 	}
-	e := m.Explain(2010, relay.ExplainQuery{Host: "h", Path: "/x"})
+	e := m.Explain(2010, relay.ExplainQuery{Arrival: arrival(1)})
 	if len(e.Parts) != 1 || len(e.Parts[0].Candidates) != 5 {
 		t.Fatalf("got %+v, want a part with 5 candidates", e.Parts)
 	}
@@ -380,8 +380,8 @@
 func TestExplainParts(t *testing.T) {
 	m, vms := newTwoYearModel()
 	m.Update(1000, relay.FleetMsg{VMs: vms[:1]}) // it gathers all parts
-	short := m.Explain(2000, relay.ExplainQuery{Host: "h", Path: "/x", Parts: 1})
-	long := m.Explain(2000, relay.ExplainQuery{Host: "h", Path: "/x", Parts: 1 << 30})
+	short := m.Explain(2000, relay.ExplainQuery{Arrival: arrival(1), Parts: 1})
+	long := m.Explain(2000, relay.ExplainQuery{Arrival: arrival(1), Parts: 1 << 30})
 	if len(short.Parts) != 1 || short.MoreParts != len(long.Parts)-1 || len(long.Parts) > relay.MaxParts {
 		t.Fatalf("got %d parts and %d more, of %d", len(short.Parts), short.MoreParts, len(long.Parts))
 	}
@@ -397,7 +397,7 @@
 		b.Run(fmt.Sprint("vms=", len(list)), func(b *testing.B) {
 			m.Update(1000, relay.FleetMsg{VMs: list})
 			for b.Loop() {
-				m.Explain(2000, relay.ExplainQuery{Host: "h", Path: "/x"})
+				m.Explain(2000, relay.ExplainQuery{Arrival: arrival(1)})
 			}
 		})
 	}
