--- a/relay/choose.go
+++ b/relay/choose.go
@@ -61,8 +61,8 @@
 		// one attempt at a time if it has failed.
 		c.upstream = avoided
 	}
-	if !c.available && !hedge && lastResort != nil {
-		c.available = true
+	if !c.available && (sub.deliveries == 0 || len(sub.tried) == 0) && lastResort != nil {
+		c.available = true // the first attempt; extra ones are too few to be lost there
 		if len(lastResort.open) < m.attemptLimit(now, lastResort, sub.req.route.Priority) {
 			c.upstream = lastResort
 		}
