Explain what a carrier does with delegated services

Cause: a VM that delegates could not say where the parts go, and the carrier could only explain a request of a caller of its own. Result: go test ./relay -run TestExplain: random delegations got what was explained; it fails if the VM does not count itself as a carrier.

--- a/cmd/lentillink/explain.go
+++ b/cmd/lentillink/explain.go
@@ -21,6 +21,7 @@
 	Customer    string       `long:"customer" description:"name of the customer, instead of its key"`
 	KeyStdin    bool         `long:"key-stdin" description:"read the key of the customer from the first line of standard input"`
 	RemainingMs clock.Millis `long:"remaining-ms" description:"time that the caller has, in milliseconds; 0 if it does not say"`
+	Services    []string     `long:"service" value-name:"NAME" description:"explain as the carrier to which another VM hands this service over; may be repeated"`
 	Parts       int          `long:"parts" description:"how many parts of a gathered request to describe; 0 for 5"`
 }
 
@@ -47,7 +48,7 @@
 
 // question returns the question that the flags describe.
 func (c *explainCommand) question(stdin io.Reader) (explain.Question, error) {
-	q := explain.Question{Host: c.Host, Path: c.Path, Customer: c.Customer, RemainingMs: c.RemainingMs, Parts: c.Parts}
+	q := explain.Question{Host: c.Host, Path: c.Path, Customer: c.Customer, RemainingMs: c.RemainingMs, Parts: c.Parts, Services: c.Services}
 	switch {
 	case c.KeyStdin:
 		key, err := readKey(stdin)
--- a/cmd/lentillink/explain_test.go
+++ b/cmd/lentillink/explain_test.go
@@ -69,6 +69,7 @@
 		{base + standin.SearchPath + " --customer garden --parts 1", 0, []string{"and 2 more parts"}, false},
 		{base + standin.ArchivePath + " --customer garden --json", 0, []string{`"chosen": true`, `"state": "`, `"unknown": [`}, true},
 		{base + standin.ArchivePath + " --customer garden --remaining-ms 1 --json", 4, []string{`"deadline_ms": 1`, `"reason": "full"`}, true},
+		{base + standin.SearchPath + " --customer garden --service plots2", 0, []string{"part plots2: goes to i-2-0", "the VM that delegates"}, false},
 		{base + standin.ArchivePath + " --customer lumi", 6, []string{`"lumi" is not known`}, false},
 		{base + standin.ArchivePath, 6, []string{"LENTILLINK_KEY", "--key-stdin", "--customer"}, false},
 		{base + "/none", 5, []string{"no route"}, false},
--- a/explain/question.go
+++ b/explain/question.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 
 	"lentillink.example/lentillink/clock"
@@ -16,9 +17,10 @@
 	MaxHostBytes = 1 << 10
 	MaxPathBytes = 16 << 10
 	MaxNameBytes = 1 << 10
+	MaxServices  = 128 // their names have MaxPathBytes together
 
 	// MaxQuestionBytes bounds a Question as JSON, in which a byte may take six.
-	MaxQuestionBytes = 6*(MaxHostBytes+MaxPathBytes+2*MaxNameBytes) + 1<<10
+	MaxQuestionBytes = 6*(MaxHostBytes+2*MaxPathBytes+2*MaxNameBytes) + 2<<10
 )
 
 // Question describes a request that is not sent. The method of a request is not part of it:
@@ -30,6 +32,7 @@
 	Customer    string       `json:"customer,omitempty"`     // its name, instead of the key
 	RemainingMs clock.Millis `json:"remaining_ms,omitempty"` // time that the caller has; 0 if it does not say
 	Parts       int          `json:"parts,omitempty"`        // how many parts are described; 0 for relay.DefaultParts
+	Services    []string     `json:"services,omitempty"`     // that another VM delegates to this one; empty for a request of a caller
 }
 
 // Format implements fmt.Formatter. It leaves out the key.
@@ -55,6 +58,8 @@
 		return fmt.Errorf("remaining_ms: must be from 0 to %d", route.MaxTimeMs)
 	case q.Parts < 0 || q.Parts > relay.MaxParts:
 		return fmt.Errorf("parts: must be from 0 to %d", relay.MaxParts)
+	case len(q.Services) > MaxServices || slices.Contains(q.Services, "") || len(strings.Join(q.Services, "")) > MaxPathBytes:
+		return fmt.Errorf("services: must be at most %d names, none empty, of %d bytes together", MaxServices, MaxPathBytes)
 	}
 	return nil
 }
@@ -63,6 +68,6 @@
 func (q Question) Query() relay.ExplainQuery {
 	return relay.ExplainQuery{
 		Arrival:  relay.ArrivalMsg{Host: q.Host, Path: q.Path, Key: q.Key, RemainingMs: q.RemainingMs},
-		Customer: q.Customer, Parts: q.Parts,
+		Customer: q.Customer, Parts: q.Parts, Services: q.Services,
 	}
 }
--- a/gateway/explain.go
+++ b/gateway/explain.go
@@ -27,7 +27,7 @@
 	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, explain.MaxQuestionBytes))
 	dec.DisallowUnknownFields()
 	if dec.Decode(&q) != nil || dec.More() { // the error may quote the key
-		writeJSON(w, http.StatusBadRequest, entry.ErrorDocument{Error: "body: must be one JSON object with host, path, key, customer, remaining_ms and parts"})
+		writeJSON(w, http.StatusBadRequest, entry.ErrorDocument{Error: "body: must be one JSON object with host, path, key, customer, remaining_ms, parts and services"})
 		return
 	}
 	if err := q.Validate(); err != nil {
--- a/relay/accept.go
+++ b/relay/accept.go
@@ -48,10 +48,7 @@
 		m.refuse(msg, r, waitedTooLong, m.retryAfter(0, 0))
 		return
 	}
-	for _, name := range d.Services {
-		r.subrequests = append(r.subrequests, &subrequest{req: r, service: m.delegatedService(name), dataCentre: m.cfg.dataCentre})
-	}
-	r.totalSubrequests, r.unresolved = len(r.subrequests), len(r.subrequests)
+	m.addDelegated(r, d.Services)
 	assignments := []assignment{{subrequests: r.subrequests}}
 	v := m.wouldMissTarget(now, r, assignments)
 	if v.reason != "" {
@@ -62,6 +59,14 @@
 	m.start(now, r, assignments)
 }
 
+// addDelegated adds one sub-request for each service of a delegation.
+func (m *Model) addDelegated(r *request, services []string) {
+	for _, name := range services {
+		r.subrequests = append(r.subrequests, &subrequest{req: r, service: m.delegatedService(name), dataCentre: m.cfg.dataCentre})
+	}
+	r.totalSubrequests, r.unresolved = len(r.subrequests), len(r.subrequests)
+}
+
 // refusalOf returns why this VM does not gather for a delegation, or "". A VM whose
 // configuration is older may not know the upstreams of new shards yet, while the VM that
 // delegates does.
--- a/relay/explain.go
+++ b/relay/explain.go
@@ -26,6 +26,9 @@
 	Arrival  ArrivalMsg // without an ID and a name
 	Customer string     // name of the customer, instead of its key
 	Parts    int        // how many parts are described, 0 for DefaultParts
+
+	// Services are set for an explanation as the carrier to which another VM delegates them.
+	Services []string
 }
 
 // Explanation is what a VM would do with a request that arrives now. Times are in
@@ -148,6 +151,10 @@
 	r := m.newRequest(e.now, rt, msg)
 	r.setCustomer(c)
 	e.out.Route, e.out.Customer = rt.Name, r.customer
+	if len(q.Services) > 0 {
+		e.explainDelegated(r, q.Services)
+		return
+	}
 	e.out.Limit, _ = creditLimit(r, c)
 	v := m.checkTime(e.now, r)
 	if v.reason == "" {
@@ -177,6 +184,31 @@
 	}
 }
 
+// explainDelegated explains what this VM does with services of a request that another VM
+// delegates to it. Credit is decided there.
+func (e *explainer) explainDelegated(r *request, services []string) {
+	m := e.model
+	d := Delegation{Version: r.version, Services: services, Terms: r.terms(), RemainingMs: r.deadline - e.now, TargetInMs: r.targetAt - e.now, LateInMs: r.lateAt - e.now}
+	if reason := m.refusalOf(&d); reason != "" {
+		e.reject(Answer{Outcome: NotReady, Reason: reason, Route: r.route.Name})
+		return
+	}
+	m.selfIsCarrier = true
+	r = m.newDelegatedRequest(e.now, ArrivalMsg{Delegation: &d})
+	e.out.DeadlineMs, e.out.TargetMs = r.deadline-e.now, r.targetAt-e.now
+	m.addDelegated(r, services)
+	assignments := []assignment{{subrequests: r.subrequests}}
+	v := m.wouldMissTarget(e.now, r, assignments)
+	e.out.Admission = Admission{Outcome: Admitted, Probe: v.probes}
+	if v.reason != "" {
+		e.reject(refusal(r, v.reason, m.refusalDelay(e.now, r, v)))
+	}
+	e.addEstimate(r, assignments, v)
+	e.unknown("how long the trip from the VM that delegates takes, and which upstreams it knows to be cold or evacuated")
+	e.addCarrier(r, assignments[0])
+	e.addParts(r.subrequests)
+}
+
 func (e *explainer) reject(a Answer) {
 	e.out.Route = a.Route
 	e.out.Admission = Admission{Outcome: a.Outcome.String(), Reason: a.Reason, RetryAfterMs: a.RetryAfterMs}
--- a/relay/explain_test.go
+++ b/relay/explain_test.go
@@ -126,8 +126,10 @@
 func (w *explainWorld) step() {
 	w.now += clock.Millis(w.rng.IntN(w.pace))
 	switch k := w.rng.IntN(100); {
-	case k < 45:
+	case k < 40:
 		w.arrive()
+	case k < 45:
+		w.arriveDelegated()
 	case k < 62:
 		if id, ok := take(w.rng, &w.attempts); ok {
 			w.send(relay.ReplyMsg{Attempt: id, Reply: w.reply()})
@@ -232,6 +234,22 @@
 	w.compare(msg.ID, e, cmds)
 }
 
+// arriveDelegated explains parts of a request that another VM delegates, and delegates them.
+func (w *explainWorld) arriveDelegated() {
+	w.nextID++
+	services := [][]string{{"s0", "s1", "s2"}, {"s1"}, {"s2", "s9"}}[w.rng.IntN(3)] // no VM knows s9
+	e := w.explained.Explain(w.now, relay.ExplainQuery{Arrival: relay.ArrivalMsg{Host: "h", Path: "/gather/x", RemainingMs: clock.Millis(16 + w.rng.IntN(500))}, Parts: relay.MaxParts, Services: services})
+	if e.Route == "" {
+		return // no configuration yet
+	}
+	w.seen["delegated "+e.Admission.Outcome+" "+e.Admission.Reason]++
+	cmds := w.send(relay.ArrivalMsg{ID: w.nextID, Name: fmt.Sprint("d", w.nextID), Delegation: &relay.Delegation{
+		ID: w.nextID, Version: e.Version, Services: services, RemainingMs: e.DeadlineMs, TargetInMs: e.TargetMs, LateInMs: e.TargetMs,
+		Terms: relay.Terms{Route: "gather", TargetMs: 120, MaxAttempts: 2, TopK: 5, MinShardRatio: 0.9},
+	}})
+	w.compare(w.nextID, e, cmds)
+}
+
 func (w *explainWorld) credit() {
 	if id, ok := take(w.rng, &w.parked); ok {
 		w.send(relay.CreditMsg{Request: id, Granted: w.rng.IntN(3) > 0, OverLimit: w.rng.IntN(2) == 0, RetryAfterMs: 100})
@@ -324,7 +342,7 @@
 		"admitted ", "refused full", "refused no_upstream", "refused evacuated", "refused stopping", "refused queue_full", "no_route no_route",
 		"unauthorized unknown_key", "not_ready no_configuration", "estimate probe", "upstream probe", "carrier self=true", "carrier self=false", "send", "queue", "give_up",
 		"excluded ", "excluded leaving", "excluded evacuated", "excluded held", "excluded held_too_long", "excluded cold", "excluded full", "excluded avoided",
-		"excluded unreachable", "excluded unconsidered",
+		"excluded unreachable", "excluded unconsidered", "delegated admitted ", "delegated refused full", "delegated not_ready stopping",
 	} {
 		if seen[want] == 0 {
 			t.Errorf("got no case of %q", want)
