Divide the room of a rank between customers

A queue served requests of one priority by lateness alone, so that a customer at ten times its usual load took the time of all others.

Add fairshare, weighted start-time fair queueing with a tolerance for bursts, and use it for the order of queues and for the estimate of what is served before a new request, on carriers and on the VM that sends. Weight is the customer's rate as a multiple of the mean, 1 without one. A carrier's estimate holds for the customer that it was given for. Requests without customers are one customer, so their order stays.

--- a/relay/accept.go
+++ b/relay/accept.go
@@ -52,6 +52,7 @@
 		r.subrequests = append(r.subrequests, &subrequest{req: r, service: m.delegatedService(name), dataCentre: m.cfg.dataCentre})
 	}
 	r.totalSubrequests, r.unresolved = len(r.subrequests), len(r.subrequests)
+	m.setShare(r)
 	assignments := []assignment{{subrequests: r.subrequests}}
 	if excess, overloaded := m.wouldMissTarget(now, r, assignments); overloaded {
 		m.refuseFull(now, msg, r, excess)
--- a/relay/arrive.go
+++ b/relay/arrive.go
@@ -160,6 +160,7 @@
 		r.subrequests = append(r.subrequests, &subrequest{req: r, service: m.service(name)})
 	}
 	r.totalSubrequests, r.unresolved = len(r.subrequests), len(r.subrequests)
+	m.setShare(r)
 }
 
 // requiredServices returns the services whose replies the answer requires.
@@ -298,7 +299,7 @@
 // time in the queue.
 func (m *Model) estimateSubrequest(now clock.Millis, sub *subrequest) clock.Millis {
 	medianMs := m.statsFor(sub.req.route).medianMs
-	if wait := sub.service.coldWait(now, sub.req.priority); wait > 0 {
+	if wait := sub.service.coldWait(now, sub.req); wait > 0 {
 		return wait + clock.Millis(medianMs*coldFactor)
 	}
 	capacity, open := 0, 0
@@ -317,7 +318,7 @@
 		// no queue, and dispatch handles this case.
 		return max(sub.service.heldUntil(now)-now, 0)
 	}
-	ahead := sub.service.queuedAhead(sub.req.priority)
+	ahead := sub.service.queuedAhead(sub.req)
 	wait := 0.0
 	if open+ahead >= capacity {
 		wait = medianMs * minSlowness * float64(open+ahead-capacity+1) / float64(capacity)
--- a/relay/customer_load_test.go
+++ b/relay/customer_load_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"lentillink.example/lentillink/clock"
@@ -14,14 +15,16 @@
 // loadRun plays callers with keys against one VM with two upstreams. Each upstream works on
 // two requests at a time, 20 ms each, so that they bear 200 requests a second together.
 type loadRun struct {
-	m       *relay.Model
-	busy    map[string][]clock.Millis // by upstream: when its slots become free
-	replies map[clock.Millis][]uint64 // attempts that end, by time
-	arrived map[uint64]clock.Millis   // by request
-	keys    map[uint64]string
-	asked   map[string]int // by key
-	inTime  map[string]int // by key
-	sends   int
+	m        *relay.Model
+	busy     map[string][]clock.Millis // by upstream: when its slots become free
+	replies  map[clock.Millis][]uint64 // attempts that end, by time
+	arrived  map[uint64]clock.Millis   // by request
+	keys     map[uint64]string
+	asked    map[string]int // by key
+	inTime   map[string]int // by key
+	sends    int
+	relayed  int
+	slowFrom clock.Millis // when the upstreams take twice as long; 0 for never
 }
 
 const (
@@ -68,7 +71,7 @@
 }
 
 func (l *loadRun) perform(now clock.Millis, cmds []relay.Cmd) {
-	for _, c := range cmds {
+	for _, c := range slices.Clone(cmds) {
 		switch c := c.(type) {
 		case relay.SendCmd:
 			l.sends++
@@ -79,9 +82,14 @@
 					free = i
 				}
 			}
-			slots[free] = max(slots[free], now) + loadServiceMs
+			slots[free] = max(slots[free], now) + l.serviceMs(now)
 			l.replies[slots[free]] = append(l.replies[slots[free]], c.Attempt)
+		case relay.CreditCmd:
+			l.perform(now, l.m.Update(now, relay.CreditMsg{Request: c.Request, Granted: true}))
 		case relay.AnswerCmd:
+			if c.Answer.Outcome == relay.Relayed {
+				l.relayed++
+			}
 			if c.Answer.Outcome == relay.Relayed && now-l.arrived[c.ID] <= loadTargetMs {
 				l.inTime[l.keys[c.ID]]++
 			}
@@ -89,6 +97,13 @@
 	}
 }
 
+func (l *loadRun) serviceMs(now clock.Millis) clock.Millis {
+	if l.slowFrom > 0 && now >= l.slowFrom {
+		return 2 * loadServiceMs
+	}
+	return loadServiceMs
+}
+
 func (l *loadRun) share(key string) float64 { return float64(l.inTime[key]) / float64(l.asked[key]) }
 
 // TestCustomerPriorityUnderLoad guards against a customer whose service suffers from the
--- a/relay/expected.go
+++ b/relay/expected.go
@@ -6,6 +6,7 @@
 type workClass struct {
 	route    string
 	priority priority
+	customer string // empty if none
 }
 
 // estimate is the latency that a carrier estimates for a request of one class.
@@ -24,13 +25,13 @@
 
 // setEstimate stores the latency that a carrier estimates for a request like r.
 func (c *peerVM) setEstimate(now clock.Millis, r *request, ms clock.Millis) {
-	c.estimates.set(workClass{r.route.Name, r.priority}, estimate{ms: ms, at: now})
+	c.estimates.set(workClass{r.route.Name, r.priority, r.customer}, estimate{ms: ms, at: now})
 }
 
 // estimateFor returns the estimated latency of a request like r at a carrier from now.
 // Since the estimate, the carrier's queue has become shorter by at most the elapsed time.
 func (c *peerVM) estimateFor(now clock.Millis, r *request) clock.Millis {
-	e := c.estimates.get(workClass{r.route.Name, r.priority})
+	e := c.estimates.get(workClass{r.route.Name, r.priority, r.customer})
 	if age := now - e.at; age < estimateMaxAgeMs {
 		return max(e.ms-age, 0)
 	}
--- a/relay/model.go
+++ b/relay/model.go
@@ -41,6 +41,8 @@
 	vmCount        int
 	budgetLimit    BudgetMsg
 	policies       policies
+	shardShares    shares  // of the customers in the room of all shards
+	meanRate       float64 // of the customers that have one; 0 if none has
 	nextID         uint64
 	stopAt         clock.Millis // 0 while the VM is not stopping
 	callersUntil   clock.Millis // while stopping: when no new callers are expected
@@ -135,6 +137,7 @@
 		return
 	}
 	m.table = t
+	m.meanRate = meanRate(t)
 	m.splitter.Prune(t)
 	for _, s := range m.services {
 		s.configure(t)
--- a/relay/request.go
+++ b/relay/request.go
@@ -4,6 +4,7 @@
 	"math"
 
 	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/fairshare"
 	"lentillink.example/lentillink/route"
 )
 
@@ -16,6 +17,7 @@
 	customer           string // name of the caller's customer; empty if none
 	hasCredit          bool   // of its customer, which counts the request unless it does not run
 	priority           priority
+	share              *fairshare.Flow // of its customer's use on this VM
 	version            uint64
 	minShardRatio      float64 // share of the shards below which a gathered answer fails
 	arrived            clock.Millis
@@ -108,7 +110,8 @@
 }
 
 // precedes reports whether sub is served before other. The order is by priority,
-// then requests that are not late before late ones, then by the time when they are late.
+// then requests that are not late before late ones, then those of customers within their
+// share before those of others, then by the time when they are late.
 // It does not depend on the time that a caller states: a short one must not delay the
 // requests of others.
 func (sub *subrequest) precedes(now clock.Millis, other *subrequest) bool {
@@ -118,6 +121,8 @@
 		return a.priority.precedes(b.priority)
 	case (now > a.lateAt) != (now > b.lateAt):
 		return now <= a.lateAt // late requests yield to those that are not
+	case a.share.Tag() != b.share.Tag():
+		return a.share.Tag() < b.share.Tag()
 	case a.lateAt != b.lateAt:
 		return a.lateAt < b.lateAt
 	}
--- a/relay/send.go
+++ b/relay/send.go
@@ -46,6 +46,7 @@
 		sub.service.budget.Spend(now)
 	}
 	u.warming.schedule.Spend(now)
+	sub.req.share.Charge(now, sub.shareCost())
 	sub.deliveries++
 	sub.possibleRuns++
 	m.recordUse(sub, u)
--- a/relay/service.go
+++ b/relay/service.go
@@ -41,6 +41,7 @@
 	upstreams []*upstream
 	queue     []*subrequest
 	budget    budget.Window
+	shares    shares // unless it is a shard
 
 	waitingHedges []*subrequest // overdue, while no other upstream has a free place
 
@@ -132,21 +133,6 @@
 	}
 }
 
-// queuedAhead returns how many queued sub-requests are served before a new one of a
-// priority.
-func (s *service) queuedAhead(p priority) int {
-	n := 0
-	for _, sub := range s.queue {
-		if sub.req.answered {
-			continue
-		}
-		if !p.precedes(sub.req.priority) {
-			n++
-		}
-	}
-	return n
-}
-
 // next returns the queued sub-request to serve first, nil if there is none. It also
 // drops resolved ones from the queue.
 func (s *service) next(now clock.Millis) *subrequest {
--- a/relay/warmup.go
+++ b/relay/warmup.go
@@ -138,9 +138,9 @@
 	return slices.ContainsFunc(s.upstreams, func(u *upstream) bool { return u.usable() && !u.isCold(now) })
 }
 
-// coldWait estimates how long a request with a priority waits to be sent if all upstreams of
+// coldWait estimates how long a request waits to be sent if all upstreams of
 // the service are cold, 0 if it does not wait or one is warm.
-func (s *service) coldWait(now clock.Millis, p priority) clock.Millis {
+func (s *service) coldWait(now clock.Millis, r *request) clock.Millis {
 	if s.warmupPerSecond == 0 || s.hasWarm(now) {
 		return 0
 	}
@@ -152,7 +152,7 @@
 	}
 	wait := max(s.heldUntil(now)-now, 0)
 	if perSecond > 0 {
-		wait += clock.Millis(float64(s.queuedAhead(p)) / perSecond * float64(clock.Second))
+		wait += clock.Millis(float64(s.queuedAhead(r)) / perSecond * float64(clock.Second))
 	}
 	return wait
 }
