Refuse whole queries of customers above their share

A carrier now names customers above their share whose parts would end late in its results (HandBack field 11, at most 8), with the part of their queries that it has room for. The VM that the caller reached refuses the rest before the fan-out, by a draw from the query's name that is the same at all VMs. Work of these customers leaves upstreams of other data centres to the carriers there, and a slot of each upstream if others can't afford to wait for one.

--- a/experiment/replay/caller.go
+++ b/experiment/replay/caller.go
@@ -10,6 +10,7 @@
 
 type callerRequest struct {
 	route       *route.Route
+	customer    string       // empty if none
 	firstSentAt clock.Millis // time of the first attempt
 	attempts    int
 	vm          int
@@ -43,7 +44,7 @@
 
 // handleAnswer counts and checks an answer. A caller retries once after a refusal or a failure.
 func (w *Simulation) handleAnswer(a *callerRequest, name string, ans relay.Answer) {
-	o := w.outcomes[a.route.Name]
+	o := w.outcomes[outcomeKey(a.route.Name, a.customer)]
 	switch ans.Outcome {
 	case relay.Gathered:
 		ratio := float64(len(ans.Receipts)) / float64(len(a.route.Gather))
@@ -67,13 +68,13 @@
 			w.violations = append(w.violations, name+": refused without a retry delay")
 		}
 		if a.attempts < 2 {
-			w.at(w.now+ans.RetryAfterMs, func() { w.send(a.route, a.firstSentAt, a.attempts+1) })
+			w.at(w.now+ans.RetryAfterMs, func() { w.send(a.route, a.customer, a.firstSentAt, a.attempts+1) })
 			return
 		}
 		o.refused++
 	default:
 		if a.attempts < 2 {
-			w.send(a.route, a.firstSentAt, a.attempts+1)
+			w.send(a.route, a.customer, a.firstSentAt, a.attempts+1)
 			return
 		}
 		o.failed++
@@ -81,9 +82,9 @@
 }
 
 // send sends a request of a caller to a random VM.
-func (w *Simulation) send(r *route.Route, firstSentAt clock.Millis, attempt int) {
+func (w *Simulation) send(r *route.Route, customer string, firstSentAt clock.Millis, attempt int) {
 	remaining := r.TimeoutMs - (w.now - firstSentAt)
-	o := w.outcomes[r.Name]
+	o := w.outcomes[outcomeKey(r.Name, customer)]
 	if remaining <= 0 {
 		o.failed++
 		return
@@ -99,25 +100,31 @@
 	for w.dead[vm] || w.fleet[vm].DataCentre == w.closed {
 		vm = w.rng.IntN(len(w.vms))
 	}
-	w.openRequests[id] = &callerRequest{route: r, firstSentAt: firstSentAt, attempts: attempt, vm: vm}
+	w.openRequests[id] = &callerRequest{route: r, customer: customer, firstSentAt: firstSentAt, attempts: attempt, vm: vm}
 	roundTrip := clock.Millis(2 * callerOneWayMs)
 	if w.rng.Float64() < newConnectionRatio {
 		roundTrip *= 2
 	}
 	w.at(w.now+roundTrip-callerOneWayMs, func() {
-		w.update(vm, relay.ArrivalMsg{ID: id, Name: w.requestNames[id], Host: r.Host, Path: r.Prefix + "x", RemainingMs: remaining, RoundTripMs: roundTrip})
+		w.update(vm, relay.ArrivalMsg{ID: id, Name: w.requestNames[id], Host: r.Host, Path: r.Prefix + "x", RemainingMs: remaining, RoundTripMs: roundTrip, Key: keyOf(customer)})
 	})
 }
 
 // Load schedules requests of a route as a Poisson process with the given rate.
 func (w *Simulation) Load(name string, perSecond float64, from, to clock.Millis) {
+	w.loadOf(name, "", perSecond, from, to)
+}
+
+// loadOf is Load for one customer.
+func (w *Simulation) loadOf(name, customer string, perSecond float64, from, to clock.Millis) {
+	key := outcomeKey(name, customer)
 	for i := range w.routes {
 		r := &w.routes[i]
 		if r.Name != name {
 			continue
 		}
-		if w.outcomes[name] == nil {
-			w.outcomes[name] = &Outcome{}
+		if w.outcomes[key] == nil {
+			w.outcomes[key] = &Outcome{}
 		}
 		for t := float64(from); ; {
 			t += w.rng.ExpFloat64() * 1000 / perSecond
@@ -126,8 +133,8 @@
 			}
 			at := clock.Millis(t)
 			w.at(at, func() {
-				w.outcomes[name].sent++
-				w.send(r, w.now, 1)
+				w.outcomes[key].sent++
+				w.send(r, customer, w.now, 1)
 			})
 		}
 	}
--- a/experiment/replay/simulation.go
+++ b/experiment/replay/simulation.go
@@ -66,6 +66,8 @@
 	CPUMilli        int     // of each VM, in thousandths of a core; 0 if not known
 	StrongVMs       int     // of the VMs, which have strongCPUMilli
 	Processors      bool    // work takes processor time on the VMs
+	Customers       int     // whose callers send keys
+	TwoRanks        bool    // of customers
 	WarmupPerSecond float64 // requests that a cold upstream bears; 0 for no bound
 
 	// Independent disables cooperation and extra attempts: each VM gathers all shards itself and sends nothing twice.
@@ -124,7 +126,7 @@
 	for i, n := range names {
 		services[i] = route.Service{Name: n, MaxConnections: size.connections(), WarmupPerSecond: size.WarmupPerSecond, WarmupMs: warmupMs}
 	}
-	table := route.NewTable(route.Config{Version: 1, Routes: w.routes, Services: services})
+	table := route.NewTable(route.Config{Version: 1, Customers: customersOf(size.Customers, size.TwoRanks), Routes: w.routes, Services: services})
 	var fleet []relay.VM
 	for i := range vms {
 		v := relay.VM{ID: fmt.Sprintf("vm%d", i), Address: fmt.Sprint(i), DataCentre: dataCentres[i%3], CPUMilli: size.CPUMilli}
@@ -251,9 +253,9 @@
 	case relay.CancelCmd:
 		w.at(w.now+oneWayMs, func() { w.cancel(vm, c.Attempt) })
 	case relay.AnswerCmd:
-		w.deliverAnswer(vm, c.ID, relay.DelegationResult{Answer: c.Answer, ExpectedMs: c.ExpectedMs})
+		w.deliverAnswer(vm, c.ID, relay.DelegationResult{Answer: c.Answer, ExpectedMs: c.ExpectedMs, Throttled: c.Throttled})
 	case relay.PartialResultCmd:
-		w.deliverAnswer(vm, c.ID, relay.DelegationResult{Answer: c.Answer, Partial: true, ExpectedMs: c.ExpectedMs})
+		w.deliverAnswer(vm, c.ID, relay.DelegationResult{Answer: c.Answer, Partial: true, ExpectedMs: c.ExpectedMs, Throttled: c.Throttled})
 	case relay.DelegateCmd:
 		w.nextID++
 		id, to := w.nextID, w.vmIndex(c.To)
--- a/fairshare/account.go
+++ b/fairshare/account.go
@@ -21,21 +21,25 @@
 // Account holds the flows of customers that compete for the same room. The zero value is
 // ready for use. It is not safe for concurrent use.
 type Account struct {
-	virtual float64 // tag of the latest work that was given room
-	flows   map[string]*Flow
-	rest    *Flow  // of the customers beyond maxFlows
-	scan    uint64 // number of the latest Scan
+	virtual   float64 // tag of the latest work that was given room
+	flows     map[string]*Flow
+	rest      *Flow   // of the customers beyond maxFlows
+	throttled []*Flow // those of which a part is refused
+	scan      uint64  // number of the latest Scan
 }
 
 // Flow is the use of one customer.
 type Flow struct {
-	account *Account
-	weight  float64
-	finish  float64 // virtual time when the room that it was given has been worked off
-	use     float64 // cost that it was charged, decayed with usualMs
-	usedAt  clock.Millis
-	scan    uint64  // scan to which ahead belongs
-	ahead   float64 // cost of its work that the scan has met
+	customer    string
+	account     *Account
+	weight      float64
+	finish      float64 // virtual time when the room that it was given has been worked off
+	use         float64 // cost that it was charged, decayed with usualMs
+	usedAt      clock.Millis
+	refused     float64 // part of its requests, see Observe
+	throttledAt clock.Millis
+	scan        uint64  // scan to which ahead belongs
+	ahead       float64 // cost of its work that the scan has met
 }
 
 // Flow returns the flow of a customer with the weight that it has now. A weight that is not
@@ -67,7 +71,7 @@
 	if a.flows == nil {
 		a.flows = make(map[string]*Flow)
 	}
-	f := &Flow{account: a, weight: 1, finish: a.virtual}
+	f := &Flow{account: a, customer: customer, weight: 1, finish: a.virtual}
 	a.flows[customer] = f
 	return f
 }
@@ -75,7 +79,7 @@
 // forgetIdle removes the flows that a new one would not differ from.
 func (a *Account) forgetIdle() {
 	for name, f := range a.flows {
-		if f.finish <= a.virtual {
+		if f.finish <= a.virtual && f.refused == 0 {
 			delete(a.flows, name)
 		}
 	}
@@ -93,6 +97,9 @@
 	return max(f.account.virtual, start+(cost-burst-usualShare*f.use)/f.weight)
 }
 
+// Customer returns the customer of the flow, empty for that of the customers beyond the bound.
+func (f *Flow) Customer() string { return f.customer }
+
 // AboveShare reports whether the flow has used more than its share, so that it gets only
 // what others leave.
 func (f *Flow) AboveShare() bool { return f.Tag() > f.account.virtual }
--- a/fairshare/account_test.go
+++ b/fairshare/account_test.go
@@ -140,3 +140,19 @@
 		}
 	}
 }
+
+// BenchmarkScan measures the scan of 30 waiting requests of as many customers.
+func BenchmarkScan(b *testing.B) {
+	var a fairshare.Account
+	flows := make([]*fairshare.Flow, 30)
+	for i := range flows {
+		flows[i] = a.Flow(fmt.Sprint("customer-", i), 1)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		scan := flows[0].Before(0)
+		for _, f := range flows {
+			scan.Precedes(f, 1)
+		}
+	}
+}
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -194,7 +194,7 @@
 		g.answer(c)
 	case relay.PartialResultCmd:
 		if pending := g.calls[c.ID]; pending != nil && pending.delegation != nil {
-			g.sendPeer(pending.delegation.from, "", relay.DelegationResult{ID: pending.delegation.id, Answer: c.Answer, Partial: true, ExpectedMs: c.ExpectedMs})
+			g.sendPeer(pending.delegation.from, "", relay.DelegationResult{ID: pending.delegation.id, Answer: c.Answer, Partial: true, ExpectedMs: c.ExpectedMs, Throttled: c.Throttled})
 		}
 	case relay.AckDelegationCmd:
 		if pending := g.calls[c.ID]; pending != nil && pending.delegation != nil {
@@ -234,7 +234,7 @@
 	}
 	g.removeCall(c.ID)
 	if pending.delegation != nil {
-		g.sendPeer(pending.delegation.from, "", relay.DelegationResult{ID: pending.delegation.id, Answer: c.Answer, ExpectedMs: c.ExpectedMs})
+		g.sendPeer(pending.delegation.from, "", relay.DelegationResult{ID: pending.delegation.id, Answer: c.Answer, ExpectedMs: c.ExpectedMs, Throttled: c.Throttled})
 		return
 	}
 	g.metrics.observe(c.Answer)
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -19,6 +19,7 @@
 	registry      *prometheus.Registry
 	requests      *prometheus.CounterVec
 	lateAnswers   prometheus.Counter
+	overShare     prometheus.Counter
 	missingShards prometheus.Counter
 	duration      *prometheus.HistogramVec
 	events        *prometheus.CounterVec
@@ -66,6 +67,7 @@
 	}
 	m.registry.MustRegister(m.requests, m.duration, m.events, m.credit)
 	m.lateAnswers = counter("late_answers_total", "Answers after the target of their route.")
+	m.overShare = counter("over_share_total", "Queries that were refused before the fan-out, of customers above their share.")
 	m.missingShards = counter("missing_parts_total", "Shards that were left out of gathered answers.")
 	m.attempts = counter("attempts_total", "Attempts sent to upstreams.")
 	m.delegations = counter("handovers_total", "Groups of shards handed over to carriers.")
@@ -89,6 +91,9 @@
 	if a.Late {
 		m.lateAnswers.Inc()
 	}
+	if a.Reason == relay.OverShare {
+		m.overShare.Inc()
+	}
 }
 
 // newAdminServer returns the server for metrics and presets.
--- a/peer/delegation.go
+++ b/peer/delegation.go
@@ -70,6 +70,7 @@
 	return &peerpb.HandBack{
 		Id: r.ID, Outcome: uint32(a.Outcome), Body: a.Body, Receipts: a.Receipts, Missing: uint32(a.Missing),
 		Reason: a.Reason, RetryAfterMs: int64(a.RetryAfterMs), Version: a.Version, More: r.Partial, ExpectedMs: int64(r.ExpectedMs),
+		Throttled: encodeThrottled(r.Throttled),
 	}
 }
 
@@ -81,7 +82,11 @@
 	if r.GetOutcome() > uint32(relay.NotReady) || outcome == relay.Relayed {
 		return relay.DelegationResult{}, wrap("decode", KindDecode, errors.New("outcome of a delegation result is unknown or not allowed"))
 	}
-	return relay.DelegationResult{ID: r.GetId(), Partial: r.GetMore(), ExpectedMs: clock.Millis(r.GetExpectedMs()), Answer: relay.Answer{
+	throttled, err := decodeThrottled(r.GetThrottled())
+	if err != nil {
+		return relay.DelegationResult{}, err
+	}
+	return relay.DelegationResult{ID: r.GetId(), Partial: r.GetMore(), ExpectedMs: clock.Millis(r.GetExpectedMs()), Throttled: throttled, Answer: relay.Answer{
 		Outcome: outcome, Body: r.GetBody(), Receipts: r.GetReceipts(), Missing: int(r.GetMissing()),
 		Reason: r.GetReason(), RetryAfterMs: clock.Millis(r.GetRetryAfterMs()), Version: r.GetVersion(),
 	}}, nil
--- a/peer/delegation_test.go
+++ b/peer/delegation_test.go
@@ -31,6 +31,7 @@
 			Outcome: relay.Gathered, Body: []byte("records"), Receipts: []string{"x", "y"}, Missing: 1, Version: 2,
 		}},
 		relay.DelegationResult{ID: 6, Answer: relay.Answer{Outcome: relay.Refused, Reason: "full", RetryAfterMs: 7}},
+		relay.DelegationResult{ID: 6, Answer: relay.Answer{Outcome: relay.Refused}, Throttled: []relay.Throttled{{Customer: "nyla", CustomerPriority: 1, Priority: 2, Admitted: 0.5}}},
 		relay.DelegationCancel{ID: 8},
 		catalog.Subscribe{After: 10, Compressed: true},
 		catalog.Update{From: 11, To: 12, StoreLost: true, Items: []store.Item{
@@ -84,6 +85,10 @@
 		relay.DelegationResult{ID: 1, ExpectedMs: huge},
 		relay.DelegationResult{ID: 1, Answer: relay.Answer{Outcome: relay.Refused, RetryAfterMs: huge}},
 		relay.DelegationResult{ID: 1, Answer: relay.Answer{Outcome: relay.Refused, RetryAfterMs: -huge}},
+		relay.DelegationResult{ID: 1, Throttled: []relay.Throttled{{Customer: "nyla", Admitted: math.NaN()}}},
+		relay.DelegationResult{ID: 1, Throttled: []relay.Throttled{{Customer: "nyla", Admitted: -0.1}}},
+		relay.DelegationResult{ID: 1, Throttled: []relay.Throttled{{Customer: "nyla", Priority: -1}}},
+		relay.DelegationResult{ID: 1, Throttled: []relay.Throttled{{Customer: "a\r\nb"}}},
 		catalog.Update{To: 1 << 63},
 		catalog.Update{To: 5, Items: []store.Item{{Key: "k", Revision: 1 << 63}}},
 		catalog.Update{To: 5, Items: []store.Item{{Revision: 5}}},
--- a/relay/accept.go
+++ b/relay/accept.go
@@ -53,6 +53,7 @@
 	}
 	r.totalSubrequests, r.unresolved = len(r.subrequests), len(r.subrequests)
 	m.setShare(r)
+	m.observeShare(now, r)
 	assignments := []assignment{{subrequests: r.subrequests}}
 	if excess, overloaded := m.wouldMissTarget(now, r, assignments); overloaded {
 		m.refuseFull(now, msg, r, excess)
--- a/relay/arrive.go
+++ b/relay/arrive.go
@@ -96,6 +96,10 @@
 		m.refuseFull(now, msg, r, excess)
 		return
 	}
+	if m.drawnOut(now, r, assignments) {
+		m.refuse(msg, r, OverShare, m.retryAfterHold(now, r, r.route.TargetMs))
+		return
+	}
 	m.start(now, r, assignments)
 }
 
@@ -176,16 +180,16 @@
 }
 
 // reject answers a request that was not admitted.
-func (m *Model) reject(msg ArrivalMsg, a Answer) { m.rejectWithEstimate(msg, a, 0) }
+func (m *Model) reject(msg ArrivalMsg, a Answer) { m.rejectWithEstimate(msg, a, 0, nil) }
 
 // rejectWithEstimate rejects a request. For a request delegated by another VM, the
-// answer includes the estimated latency on this VM.
-func (m *Model) rejectWithEstimate(msg ArrivalMsg, a Answer, expected clock.Millis) {
+// answer includes the estimated latency and the throttled customers on this VM.
+func (m *Model) rejectWithEstimate(msg ArrivalMsg, a Answer, expected clock.Millis, throttled []Throttled) {
 	m.emit(EventCmd{Event: Event{
 		Kind: "request_" + a.Outcome.String(), Request: msg.Name, Route: a.Route, Version: a.Version,
 		Detail: a.Reason, AgeMs: a.RetryAfterMs,
 	}})
-	m.emit(AnswerCmd{ID: msg.ID, Answer: a, ExpectedMs: expected})
+	m.emit(AnswerCmd{ID: msg.ID, Answer: a, ExpectedMs: expected, Throttled: throttled})
 }
 
 // refuse rejects a request of a known route before any of it was sent.
@@ -198,7 +202,7 @@
 func (m *Model) refuseFull(now clock.Millis, msg ArrivalMsg, r *request, excess clock.Millis) {
 	m.returnCredit(r)
 	a := refusal(r, "full", m.retryAfterHold(now, r, excess))
-	m.rejectWithEstimate(msg, a, m.estimateRequest(now, r))
+	m.rejectWithEstimate(msg, a, m.estimateRequest(now, r), m.throttledNow(now))
 }
 
 func refusal(r *request, reason string, retryAfter clock.Millis) Answer {
--- a/relay/carrier.go
+++ b/relay/carrier.go
@@ -57,6 +57,8 @@
 	probedAt      clock.Millis // when it was last probed
 	probeOpen     bool         // it has sent no message since
 	estimates     boundedMap[workClass, estimate]
+	throttled     []Throttled  // as it stated last
+	throttledAt   clock.Millis // when it did
 }
 
 // recordMessage records a sign of life.
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -26,7 +26,7 @@
 			continue
 		}
 		available = true
-		if now < notBefore || len(u.open) >= m.attemptLimit(now, u, sub.req.route.Priority) {
+		if now < notBefore || m.leavesPlace(now, sub, u) || len(u.open) >= m.attemptLimit(now, u, sub.req.route.Priority) {
 			continue
 		}
 		if now < u.avoidUntil {
--- a/relay/command.go
+++ b/relay/command.go
@@ -30,6 +30,7 @@
 	ID         uint64
 	Answer     Answer
 	ExpectedMs clock.Millis // estimated latency on this VM, for the VM that delegated the request
+	Throttled  []Throttled  // for that VM too
 }
 
 // DelegateCmd delegates sub-requests of a request to a carrier.
@@ -46,6 +47,7 @@
 	ID         uint64
 	Answer     Answer
 	ExpectedMs clock.Millis // estimated latency on this VM, for the VM that delegated the request
+	Throttled  []Throttled  // for that VM too
 }
 
 // AckDelegationCmd acknowledges a Delegation of another VM.
--- a/relay/delegation.go
+++ b/relay/delegation.go
@@ -53,6 +53,7 @@
 	Answer     Answer
 	Partial    bool
 	ExpectedMs clock.Millis // estimated latency of another request of this route at the carrier
+	Throttled  []Throttled  // customers above their share at the carrier, at most MaxThrottled
 }
 
 // DelegationCancel cancels a Delegation whose answer is no longer needed.
@@ -200,6 +201,7 @@
 	d.acked, d.resultReceived = true, true
 	d.carrier.recordMessage(now)
 	d.carrier.setEstimate(now, d.req, msg.Result.ExpectedMs)
+	d.carrier.setThrottled(now, msg.Result.Throttled)
 	a, r := msg.Result.Answer, d.req
 	switch a.Outcome {
 	case Gathered:
--- a/relay/finish.go
+++ b/relay/finish.go
@@ -70,7 +70,7 @@
 	r.partialSent = true
 	a := mergeReplies(r)
 	a.Version = r.version
-	m.emit(PartialResultCmd{ID: r.id, Answer: a, ExpectedMs: m.estimateRequest(now, r)})
+	m.emit(PartialResultCmd{ID: r.id, Answer: a, ExpectedMs: m.estimateRequest(now, r), Throttled: m.throttledNow(now)})
 }
 
 // finish builds and sends the final answer.
@@ -86,7 +86,7 @@
 	m.cancelDelegations(r)
 	cmd := AnswerCmd{ID: r.id, Answer: a}
 	if r.delegated {
-		cmd.ExpectedMs = m.estimateRequest(now, r)
+		cmd.ExpectedMs, cmd.Throttled = m.estimateRequest(now, r), m.throttledNow(now)
 	}
 	if a.Outcome > Gathered || a.Missing > 0 || a.Late {
 		// Logged before the answer is sent, so that the log explains every answer that a
--- a/relay/priority.go
+++ b/relay/priority.go
@@ -1,5 +1,7 @@
 package relay
 
+import "cmp"
+
 // priority orders work: by the customer's priority, then by the route's. In both 0 is the
 // most urgent. A request without a customer is among the customers that have the priority
 // of its route.
@@ -23,3 +25,7 @@
 	}
 	return p.route < o.route
 }
+
+func (p priority) compare(o priority) int {
+	return cmp.Or(cmp.Compare(p.customer, o.customer), cmp.Compare(p.route, o.route))
+}
