--- a/fairshare/account.go
+++ b/fairshare/account.go
@@ -58,6 +58,17 @@
 	return f
 }
 
+// Find is Flow for a decision that nothing else depends on: it adds and changes no flow.
+func (a *Account) Find(customer string, weight float64) *Flow {
+	if f := a.flows[customer]; f != nil {
+		return f
+	}
+	if !(weight > 0) {
+		weight = 1
+	}
+	return &Flow{account: a, customer: customer, weight: weight, finish: a.virtual}
+}
+
 func (a *Account) add(customer string) *Flow {
 	if len(a.flows) >= maxFlows {
 		a.forgetIdle()
--- a/relay/share.go
+++ b/relay/share.go
@@ -33,6 +33,14 @@
 	return a
 }
 
+// find returns the account of a priority without adding it.
+func (s *shares) find(p priority) *fairshare.Account {
+	if a := (*s)[p]; a != nil {
+		return a
+	}
+	return &fairshare.Account{}
+}
+
 // setShare finds the account of a request's customer. Shards have one for all of them, so
 // that the parts of a query have the same order at each shard. Requests without a customer
 // count as one customer.
@@ -41,6 +49,10 @@
 	if sub := r.subrequests[0]; !r.gathers() && !sub.service.isShard {
 		s = &sub.service.shares
 	}
+	if m.readOnly {
+		r.share = s.find(r.priority).Find(r.customer, m.weightOf(r.customer))
+		return
+	}
 	r.share = s.account(r.priority).Flow(r.customer, m.weightOf(r.customer))
 }
 
--- a/relay/throttle.go
+++ b/relay/throttle.go
@@ -85,23 +85,37 @@
 	}
 }
 
+// observeAssigned is observeShare for a request of which this VM gathers a part.
+func (m *Model) observeAssigned(now clock.Millis, r *request, assignments []assignment) {
+	for _, a := range assignments {
+		if a.carrier == nil && len(a.subrequests) > 0 {
+			m.observeShare(now, r)
+		}
+	}
+}
+
 // drawnOut reports whether a query of a customer above its share is refused, so that the
 // others of that customer find room for all of their parts. The draw is of the request, so it is
 // the same for all carriers.
 func (m *Model) drawnOut(now clock.Millis, r *request, assignments []assignment) bool {
+	part := m.admittedPart(now, r, assignments)
+	return part < 1 && draw(r.hash) >= part
+}
+
+// admittedPart returns the part of the queries like r that there is room for, 0 to 1.
+func (m *Model) admittedPart(now clock.Millis, r *request, assignments []assignment) float64 {
+	part := 1.0
 	if r.customer == "" || !r.gathers() {
-		return false
+		return part
 	}
-	part := 1.0
 	for _, a := range assignments {
 		if a.carrier != nil {
 			part = min(part, a.carrier.admitted(now, r))
 		} else if len(a.subrequests) > 0 {
-			m.observeShare(now, r)
 			part = min(part, r.share.Admitted())
 		}
 	}
-	return part < 1 && draw(r.hash) >= part
+	return part
 }
 
 // draw returns the number from 0 to 1 that a request has at all VMs.
