--- a/relay/accept.go
+++ b/relay/accept.go
@@ -49,6 +49,8 @@
 		return
 	}
 	m.addDelegated(r, d.Services)
+	m.setShare(r)
+	m.observeShare(now, r)
 	assignments := []assignment{{subrequests: r.subrequests}}
 	v := m.wouldMissTarget(now, r, assignments)
 	if v.reason != "" {
--- a/relay/arrive.go
+++ b/relay/arrive.go
@@ -97,6 +97,7 @@
 		m.probeSuspects(now, r)
 	}
 	assignments := m.assign(now, r)
+	m.observeAssigned(now, r, assignments)
 	switch v := m.assess(now, r, assignments); v.reason {
 	case "":
 		m.recordVerdict(r, v)
@@ -178,6 +179,7 @@
 		r.subrequests = append(r.subrequests, &subrequest{req: r, service: m.service(name)})
 	}
 	r.totalSubrequests, r.unresolved = len(r.subrequests), len(r.subrequests)
+	m.setShare(r)
 }
 
 // requiredServices returns the services whose replies the answer requires.
@@ -193,16 +195,16 @@
 }
 
 // reject answers a request that was not admitted.
-func (m *Model) reject(msg ArrivalMsg, a Answer) { m.rejectWithEstimate(msg, a, 0) }
+func (m *Model) reject(msg ArrivalMsg, a Answer) { m.rejectWithEstimate(msg, a, 0, nil) }
 
 // rejectWithEstimate rejects a request. For a request delegated by another VM, the
-// answer includes the estimated latency on this VM.
-func (m *Model) rejectWithEstimate(msg ArrivalMsg, a Answer, expected clock.Millis) {
+// answer includes the estimated latency and the throttled customers on this VM.
+func (m *Model) rejectWithEstimate(msg ArrivalMsg, a Answer, expected clock.Millis, throttled []Throttled) {
 	m.emit(EventCmd{Event: Event{
 		Kind: "request_" + a.Outcome.String(), Request: msg.Name, Route: a.Route, Version: a.Version,
 		Detail: a.Reason, AgeMs: a.RetryAfterMs,
 	}})
-	m.emit(AnswerCmd{ID: msg.ID, Answer: a, ExpectedMs: expected})
+	m.emit(AnswerCmd{ID: msg.ID, Answer: a, ExpectedMs: expected, Throttled: throttled})
 }
 
 // refuse rejects a request of a known route before any of it was sent.
@@ -215,7 +217,7 @@
 func (m *Model) refuseFull(now clock.Millis, msg ArrivalMsg, r *request, v verdict) {
 	m.returnCredit(r)
 	a := refusal(r, v.reason, m.refusalDelay(now, r, v))
-	m.rejectWithEstimate(msg, a, m.estimateRequest(now, r))
+	m.rejectWithEstimate(msg, a, m.estimateRequest(now, r), m.throttledNow(now))
 }
 
 func refusal(r *request, reason string, retryAfter clock.Millis) Answer {
@@ -321,7 +323,7 @@
 // time in the queue.
 func (m *Model) estimateSubrequest(now clock.Millis, sub *subrequest) clock.Millis {
 	medianMs := m.statsFor(sub.req.route).medianMs
-	if wait := sub.service.coldWait(now, sub.req.priority); wait > 0 {
+	if wait := sub.service.coldWait(now, sub.req); wait > 0 {
 		return wait + clock.Millis(medianMs*coldFactor)
 	}
 	capacity, open := 0, 0
@@ -340,7 +342,7 @@
 		// no queue, and dispatch handles this case.
 		return max(sub.service.heldUntil(now)-now, 0)
 	}
-	ahead := sub.service.queuedAhead(sub.req.priority)
+	ahead := sub.service.queuedAhead(sub.req)
 	wait := 0.0
 	if open+ahead >= capacity {
 		wait = medianMs * minSlowness * float64(open+ahead-capacity+1) / float64(capacity)
--- a/relay/exclusion.go
+++ b/relay/exclusion.go
@@ -23,11 +23,12 @@
 	Held                   // it asked for no requests for a time
 	Cold                   // it is cold, and the share of this VM is used up
 	Full                   // no free place
+	Yielded                // the customer is above its share and leaves the place to others
 	Avoided                // it has failed or refused requests; it is the second choice
 	Unconsidered           // another upstream was taken as a probe first
 )
 
-var exclusionNames = [...]string{"", "removed", "leaving", "evacuated", "tried", "reserved", "held_too_long", "shed", "unreachable", "held", "cold", "full", "avoided", "unconsidered"}
+var exclusionNames = [...]string{"", "removed", "leaving", "evacuated", "tried", "reserved", "held_too_long", "shed", "unreachable", "held", "cold", "full", "yielded", "avoided", "unconsidered"}
 
 // String returns the name of e, empty for an upstream that may be chosen.
 func (e Exclusion) String() string {
@@ -60,6 +61,8 @@
 		return Held
 	case len(u.open) >= m.attemptLimit(now, u, sub.req.route.Priority):
 		return Full
+	case m.leavesPlace(now, sub, u):
+		return Yielded
 	case now < u.avoidUntil:
 		return Avoided
 	}
@@ -73,4 +76,4 @@
 }
 
 // temporary are the exclusions that end by themselves.
-var temporary = []Exclusion{Held, Cold, Full, Avoided}
+var temporary = []Exclusion{Held, Cold, Full, Yielded, Avoided}
--- a/relay/explain.go
+++ b/relay/explain.go
@@ -174,6 +174,9 @@
 	}
 	e.addEstimate(r, assignments, v)
 	e.addAssumptions(r, q)
+	if part := m.admittedPart(e.now, r, assignments); part < 1 {
+		e.unknown("the draw: customer %s is above its share, and %.2f of its queries are admitted", r.customer, part)
+	}
 	for _, a := range assignments {
 		e.addCarrier(r, a)
 	}
@@ -279,7 +282,7 @@
 // part describes a part and decides it.
 func (e *explainer) part(sub *subrequest) Part {
 	m, now, s := e.model, e.now, sub.service
-	p := Part{Service: s.name, Candidates: []Candidate{}, EstimateMs: m.estimateSubrequest(now, sub), QueuedAhead: s.queuedAhead(sub.req.priority)}
+	p := Part{Service: s.name, Candidates: []Candidate{}, EstimateMs: m.estimateSubrequest(now, sub), QueuedAhead: s.queuedAhead(sub.req)}
 	seen := 0
 	add := func(u *upstream, ex Exclusion, score Score) {
 		seen++
--- a/relay/verdict.go
+++ b/relay/verdict.go
@@ -37,7 +37,11 @@
 	case r.gathers() && reachable(r.subrequests) < r.requiredReplies():
 		return verdict{reason: unavailableReason(r.subrequests)}
 	}
-	return m.wouldMissTarget(now, r, assignments)
+	v := m.wouldMissTarget(now, r, assignments)
+	if v.reason == "" && m.drawnOut(now, r, assignments) {
+		v.reason, v.probes = OverShare, false
+	}
+	return v
 }
 
 // recordVerdict records that a request is admitted.
@@ -55,6 +59,8 @@
 		return m.retryAfter(0, 0)
 	case stopping:
 		return m.retryAfter(0, r.deadline-now)
+	case OverShare:
+		return m.retryAfterHold(now, r, r.route.TargetMs)
 	case queueFull:
 		return m.retryAfter(r.route.TargetMs, r.deadline-now)
 	case full:
