Count work of customers as late once it can't be in time

A queue serves requests that are not late first, the oldest of them first. With more work than room each was sent just before it became late, so that nearly all ended late although the upstreams were used to the full. A request of a customer now counts as late once the median latency of its route no longer fits. Requests without a customer are served as before.

--- a/relay/request.go
+++ b/relay/request.go
@@ -24,6 +24,7 @@
 	deadline           clock.Millis  // for the final answer, from the timeouts of the caller and the route
 	targetAt           clock.Millis  // an answer after this is late
 	lateAt             clock.Millis  // when the route's target has passed, whatever time the caller states
+	workMs             clock.Millis  // that it takes once it is sent, 0 if it has no customer
 	subrequests        []*subrequest // gathered on this VM
 	succeeded          int           // sub-requests with a reply
 	unresolved         int           // sub-requests that may still get a reply
@@ -119,8 +120,8 @@
 	switch {
 	case a.priority != b.priority:
 		return a.priority.precedes(b.priority)
-	case (now > a.lateAt) != (now > b.lateAt):
-		return now <= a.lateAt // late requests yield to those that are not
+	case a.isLate(now) != b.isLate(now):
+		return b.isLate(now) // late requests yield to those that are not
 	case a.share.Tag() != b.share.Tag():
 		return a.share.Tag() < b.share.Tag()
 	case a.lateAt != b.lateAt:
@@ -129,6 +130,9 @@
 	return a.id < b.id
 }
 
+// isLate reports whether a request ends after its target even if it is sent now.
+func (r *request) isLate(now clock.Millis) bool { return now+r.workMs > r.lateAt }
+
 func (sub *subrequest) removeAttempt(a *attempt) {
 	for i, o := range sub.open {
 		if o == a {
--- a/relay/share.go
+++ b/relay/share.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"lentillink.example/lentillink/clock"
 	"lentillink.example/lentillink/fairshare"
 	"lentillink.example/lentillink/route"
 )
@@ -49,6 +50,9 @@
 	if sub := r.subrequests[0]; !r.gathers() && !sub.service.isShard {
 		s = &sub.service.shares
 	}
+	if r.customer != "" {
+		r.workMs = clock.Millis(m.statsFor(r.route).medianMs)
+	}
 	if m.readOnly {
 		r.share = s.find(r.priority).Find(r.customer, m.weightOf(r.customer))
 		return
