Choose data centres anew when a warm-up bound changes

A configuration that bounds what cold upstreams bear did not discard the data centres known of a service, so queries went on to the one whose upstreams were cold until something else changed. TestWarmupRateAdded fails without the change (2 of 4 queries) and passes with it.

--- a/relay/model.go
+++ b/relay/model.go
@@ -145,6 +145,7 @@
 	for _, s := range m.services {
 		s.configure(t)
 		s.isShard = t.IsShard(s.name)
+		s.upstreamsChanged()
 	}
 	m.carriersChanged()
 	m.assignWarmups(now)
--- a/relay/warmup_test.go
+++ b/relay/warmup_test.go
@@ -222,3 +222,20 @@
 	msg.Delegation.Limits = relay.Limits{Cold: []string{"sa", "unknown"}, ColdMs: 1000}
 	wantCommands(t, m.Update(6000, msg), "taken", "send sb")
 }
+
+// TestWarmupRateAdded guards against work that still goes to the data centre of a cold
+// upstream after a new configuration has bounded what it bears.
+func TestWarmupRateAdded(t *testing.T) {
+	m := newShardedModel(t, "vc", "c")
+	for _, s := range []string{"s1", "s2"} {
+		m.Update(1500, relay.UpstreamMsg{Upstream: relay.Upstream{ID: s + "a", Service: s, Address: "10.0.0.0:1", DataCentre: "a", Slots: 2, ColdMs: 60_000, Sequence: 1}})
+	}
+	m.Update(2000, arrival(1)) // the data centres of the shards are known from here on
+	m.Update(2100, relay.TableMsg{Table: route.NewTable(route.Config{Version: 8, Routes: []route.Route{{
+		Name: "q", Host: "h", Prefix: "/", Gather: []string{"s1", "s2"}, Idempotent: true,
+		TimeoutMs: 400, TargetMs: 50, MaxAttempts: 2, TopK: 5, MinShardRatio: 0.5,
+	}}, Services: []route.Service{{Name: "s1", WarmupPerSecond: 4, WarmupMs: 60_000}, {Name: "s2", WarmupPerSecond: 4, WarmupMs: 60_000}}})})
+	for id := range uint64(4) {
+		wantCommands(t, m.Update(2200+clock.Millis(id), arrival(10+id)), "delegate vb")
+	}
+}
