Give delegated work that is explained its share

The explanation of delegated services skipped the account of its customer, which the estimate needs, and ended with a nil pointer (TestExplain panicked on the merged code). The share is set where the parts are added, for both.

--- a/relay/accept.go
+++ b/relay/accept.go
@@ -49,7 +49,6 @@
 		return
 	}
 	m.addDelegated(r, d.Services)
-	m.setShare(r)
 	m.observeShare(now, r)
 	assignments := []assignment{{subrequests: r.subrequests}}
 	v := m.wouldMissTarget(now, r, assignments)
@@ -67,6 +66,7 @@
 		r.subrequests = append(r.subrequests, &subrequest{req: r, service: m.delegatedService(name), dataCentre: m.cfg.dataCentre})
 	}
 	r.totalSubrequests, r.unresolved = len(r.subrequests), len(r.subrequests)
+	m.setShare(r)
 }
 
 // refusalOf returns why this VM does not gather for a delegation, or "". A VM whose
