--- a/settings/bind.go
+++ b/settings/bind.go
@@ -117,7 +117,7 @@
 
 func fieldByName(dst reflect.Value, name string) (reflect.Value, bool) {
 	for i := range dst.NumField() {
-		if dst.Type().Field(i).Tag.Get("json") == name {
+		if jsonName(dst.Type().Field(i)) == name {
 			return dst.Field(i), true
 		}
 	}
@@ -129,7 +129,7 @@
 func unknownField(t reflect.Type, name string) string {
 	names := make([]string, t.NumField())
 	for i := range names {
-		names[i] = t.Field(i).Tag.Get("json")
+		names[i] = jsonName(t.Field(i))
 		if names[i] == name+"_ms" || names[i] == name+"_bytes" {
 			return fmt.Sprintf("lacks its unit, want %s", names[i])
 		}
@@ -160,3 +160,9 @@
 	}
 	return path + "." + name
 }
+
+// jsonName returns the name of a field in JSON.
+func jsonName(f reflect.StructField) string {
+	name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
+	return name
+}
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -21,8 +21,8 @@
 	Store        string       `json:"store"`   // address of the platform's store
 	GraceSeconds int64        `json:"grace_s"` // time from the stop signal until the process is killed
 	Retry        RetryBudget  `json:"retry_budget"`
-	Quota        Quota        `json:"quota"`
-	MemoryMB     int64        `json:"memory_mb"` // memory limit of the process
+	Quota        Quota        `json:"quota,omitzero"` // left out, the defaults hold
+	MemoryMB     int64        `json:"memory_mb"`      // memory limit of the process
 	ExpectedVMs  int          `json:"expected_vms"`
 	CPUShare     float64      `json:"cpu_share"` // number of cores that the VM may use
 	DrainMs      clock.Millis `json:"drain_ms"`  // time after which a leaving upstream must get no new requests
