Throttle customers for lack of room only

A carrier took a late estimate for a lack of room. With upstreams that are too slow for the target, large customers would have been refused although nobody waited. It now counts only while work waits at so many shards of the query that too few are left for an answer. TestCarrierThrottles/slow_upstreams fails without the condition.

--- a/relay/throttle.go
+++ b/relay/throttle.go
@@ -80,11 +80,24 @@
 	if r.customer == "" || !r.gathers() || !r.share.ObserveDue(now) {
 		return
 	}
-	if r.share.Observe(now, now+m.estimateRequest(now, r) > r.targetAt) {
+	if r.share.Observe(now, r.waitsForRoom() && now+m.estimateRequest(now, r) > r.targetAt) {
 		m.event("customer_throttled", r, nil, "", 0)
 	}
 }
 
+// waitsForRoom reports whether other work waits at so many shards of a request that too few
+// are left for an answer. Otherwise a late answer is no matter of shares: upstreams are slow.
+func (r *request) waitsForRoom() bool {
+	busy := 0
+	for _, sub := range r.subrequests {
+		if len(sub.service.queue) > 0 {
+			busy++
+		}
+	}
+	free := float64(len(r.subrequests) - busy)
+	return free < r.route.MinShardRatio*float64(len(r.subrequests))
+}
+
 // observeAssigned is observeShare for a request of which this VM gathers a part.
 func (m *Model) observeAssigned(now clock.Millis, r *request, assignments []assignment) {
 	for _, a := range assignments {
--- a/relay/throttle_test.go
+++ b/relay/throttle_test.go
@@ -69,48 +69,75 @@
 }
 
 // TestCarrierThrottles guards against a carrier that does not tell others which customer is
-// above its share, and against one that names a customer within its share.
+// above its share, against one that names a customer within its share, and against one that
+// throttles a customer because its upstreams are too slow for the target.
 func TestCarrierThrottles(t *testing.T) {
-	m := newShardedModel(t, "va", "a")
-	m.Update(1000, shardedTable(8, false, customer.Customer{Name: "hot", Keys: []string{"k1"}}, customer.Customer{Name: "small", Keys: []string{"k2"}}))
-	var attempts []uint64
-	var stated []relay.Throttled
-	id := uint64(0)
-	arrive := func(now clock.Millis, name string, n int) {
-		for range n {
-			id++
-			msg := delegated(8, "s1", "s2")
-			msg.ID, msg.Name = id, fmt.Sprint("r", id)
-			msg.Delegation.Terms.Customer = name
-			for _, c := range m.Update(now, msg) {
-				switch c := c.(type) {
-				case relay.SendCmd:
-					attempts = append(attempts, c.Attempt)
-				case relay.AnswerCmd:
-					stated = c.Throttled
-				}
-			}
-		}
+	tests := []struct {
+		name     string
+		perTick  int          // delegations of the hot customer each 10 ms; there is room for two
+		targetIn clock.Millis // too short for any upstream if it is 1
+		want     string
+	}{
+		{"too little room", 4, 40, "[hot]"},
+		{"room for all", 1, 40, "[]"},
+		{"slow upstreams", 1, 1, "[]"},
 	}
-	for now := clock.Millis(2000); now < 6000; now += 10 {
-		arrive(now, "hot", 4)
-		if now%100 == 0 {
-			arrive(now, "small", 1)
-		}
-		for _, a := range slices.Clone(attempts[:min(4, len(attempts))]) {
-			attempts = attempts[1:]
-			for _, c := range m.Update(now, relay.ReplyMsg{Attempt: a, Reply: relay.Reply{Status: 200, Receipt: "x"}}) {
-				switch c := c.(type) {
-				case relay.SendCmd:
-					attempts = append(attempts, c.Attempt)
-				case relay.AnswerCmd:
-					stated = c.Throttled
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := newThrottlingCarrier(t)
+			for now := clock.Millis(2000); now < 6000; now += 10 {
+				for _, a := range slices.Clone(c.attempts[:min(4, len(c.attempts))]) {
+					c.attempts = c.attempts[1:]
+					c.update(now, relay.ReplyMsg{Attempt: a, Reply: relay.Reply{Status: 200, Receipt: "x"}})
+				}
+				c.delegate(now, "hot", tt.perTick, tt.targetIn)
+				if now%100 == 0 {
+					c.delegate(now, "small", 1, tt.targetIn)
 				}
+				c.update(now, relay.TickMsg{})
 			}
-		}
-		m.Update(now, relay.TickMsg{})
+			names := []string{}
+			for _, s := range c.stated {
+				names = append(names, s.Customer)
+			}
+			if got := fmt.Sprint(names); got != tt.want {
+				t.Errorf("got %s, want %s", got, tt.want)
+			}
+		})
 	}
-	if len(stated) != 1 || stated[0].Customer != "hot" || stated[0].Admitted >= 1 {
-		t.Errorf("got %+v, want the hot customer alone", stated)
+}
+
+// throttlingCarrier is a carrier with its open attempts and what it stated last.
+type throttlingCarrier struct {
+	m        *relay.Model
+	attempts []uint64
+	stated   []relay.Throttled
+	id       uint64
+}
+
+func newThrottlingCarrier(t *testing.T) *throttlingCarrier {
+	m := newShardedModel(t, "va", "a")
+	m.Update(1000, shardedTable(8, false, customer.Customer{Name: "hot", Keys: []string{"k1"}}, customer.Customer{Name: "small", Keys: []string{"k2"}}))
+	return &throttlingCarrier{m: m}
+}
+
+func (c *throttlingCarrier) delegate(now clock.Millis, name string, n int, targetIn clock.Millis) {
+	for range n {
+		c.id++
+		msg := delegated(8, "s1", "s2")
+		msg.ID, msg.Name = c.id, fmt.Sprint("r", c.id)
+		msg.Delegation.Terms.Customer, msg.Delegation.TargetInMs = name, targetIn
+		c.update(now, msg)
+	}
+}
+
+func (c *throttlingCarrier) update(now clock.Millis, msg relay.Msg) {
+	for _, cmd := range c.m.Update(now, msg) {
+		switch cmd := cmd.(type) {
+		case relay.SendCmd:
+			c.attempts = append(c.attempts, cmd.Attempt)
+		case relay.AnswerCmd:
+			c.stated = cmd.Throttled
+		}
 	}
 }
