Let a preset bound what requests are expected to cost

Placing by expected cost needs a bound that operators change without a restart. A preset may have a max_cost_factor: what a request is expected to cost counts as at most that many times the median of its route, so with 1 all requests of a route count the same.

--- a/preset/diff.go
+++ b/preset/diff.go
@@ -51,7 +51,8 @@
 	}
 	var list []Difference
 	for i := range a.NumField() {
-		fieldPath := path + "." + a.Type().Field(i).Tag.Get("json")
+		name, _ := fieldName(a.Type().Field(i))
+		fieldPath := path + "." + name
 		list = append(list, diffValues(fieldPath, a.Field(i), b.Field(i))...)
 	}
 	return list
--- a/preset/explain.go
+++ b/preset/explain.go
@@ -17,7 +17,22 @@
 	}
 	lines = append(lines, fmt.Sprintf(
 		"The remaining %g%% of capacity and every unused share is lent to whichever rank needs it, urgent first.", unreserved))
-	return append(lines, explainOutage(p.OrdersOnStoreOutage))
+	lines = append(lines, explainOutage(p.OrdersOnStoreOutage))
+	if line := explainCost(p.MaxCostFactor); line != "" {
+		lines = append(lines, line)
+	}
+	return lines
+}
+
+// explainCost explains a bound of expected costs, "" if there is none.
+func explainCost(factor float64) string {
+	switch factor {
+	case 0:
+		return ""
+	case 1:
+		return "Where VMs place requests by expected cost, they do so as if all requests of a route cost the same."
+	}
+	return fmt.Sprintf("Where VMs place requests by expected cost, a request counts as at most %g times the median of its route.", factor)
 }
 
 func explainRank(r rank.Rank, p RankPolicy) []string {
--- a/preset/policy.go
+++ b/preset/policy.go
@@ -33,6 +33,11 @@
 	Ordinary            RankPolicy `json:"ordinary"`
 	Patient             RankPolicy `json:"patient"`
 	OrdersOnStoreOutage OutageRule `json:"orders_on_store_outage"`
+
+	// MaxCostFactor bounds what a request is expected to cost, as a multiple of the median of
+	// its route, on VMs that place by cost. With 1 they place as if all requests cost the same;
+	// 0 is no bound.
+	MaxCostFactor float64 `json:"max_cost_factor,omitempty"`
 }
 
 // Policy returns the policy of r.
--- a/preset/preset_test.go
+++ b/preset/preset_test.go
@@ -30,6 +30,8 @@
 		{"trailing data", `"history":[]}`, `"history":[]}{}`, "data after the document"},
 		{"range", `"floor_percent":30`, `"floor_percent":130`, "presets[0].urgent.floor_percent: must be from 0 to 100"},
 		{"enumeration", `"refuse"`, `"never"`, "orders_on_store_outage: must be one of refuse, wait"},
+		{"cost below the median", `"orders_on_store_outage":"refuse"`, `"orders_on_store_outage":"refuse","max_cost_factor":0.5`, "max_cost_factor: must be 0 for no bound, or from 1 to 1000"},
+		{"repeated optional field", `"orders_on_store_outage":"refuse"`, `"max_cost_factor":2,"max_cost_factor":3,"orders_on_store_outage":"refuse"`, "max_cost_factor: appears twice"},
 		{"preset in force", `"in_force":"ordinary"`, `"in_force":"calm"`, "in_force: must be one of [ordinary peak maintenance]"},
 		{"floors", `"floor_percent":10`, `"floor_percent":60`, "must add up to at most 100"},
 	}
@@ -70,6 +72,30 @@
 	}
 }
 
+// TestMaxCostFactor guards against a record without the optional field that is not read, and
+// against one with it whose explanation or diff leaves it out.
+func TestMaxCostFactor(t *testing.T) {
+	base := preset.Default().Presets[0]
+	for _, factor := range []float64{1, 4} {
+		p := base
+		p.MaxCostFactor = factor
+		doc, err := json.Marshal(p)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := preset.DecodePreset(doc)
+		if err != nil || got != p {
+			t.Errorf("got %+v, %v, want %+v", got, err, p)
+		}
+		if len(preset.Explain(p)) != len(preset.Explain(base))+1 {
+			t.Errorf("the explanation does not show a factor of %g", factor)
+		}
+		if d := preset.DiffPresets(base, p); len(d) != 1 || d[0].Path != "presets.ordinary.max_cost_factor" {
+			t.Errorf("got the differences %v, want only the factor", d)
+		}
+	}
+}
+
 // TestChangesRaiseRevision guards against a change that does not raise the
 // revision by one, exceeds the history bound or modifies its input.
 func TestChangesRaiseRevision(t *testing.T) {
--- a/preset/validate.go
+++ b/preset/validate.go
@@ -14,6 +14,8 @@
 	maxTextBytes = 512
 	maxDeadline  = 24 * clock.Hour
 	maxQueue     = 1_000_000
+
+	maxCostFactor = 1000
 )
 
 var namePattern = regexp.MustCompile(`^[a-z][a-z0-9-]{0,62}$`)
@@ -79,6 +81,7 @@
 		floorSum += policy.FloorPercent
 	}
 	v.require(floorSum <= 100, path, "the floor_percent of urgent, ordinary and patient must add up to at most 100")
+	v.require(p.MaxCostFactor == 0 || p.MaxCostFactor >= 1 && p.MaxCostFactor <= maxCostFactor, path+".max_cost_factor", "must be 0 for no bound, or from 1 to 1000")
 	ok := p.OrdersOnStoreOutage == OutageRefuse || p.OrdersOnStoreOutage == OutageWait
 	v.require(ok, path+".orders_on_store_outage", "must be one of refuse, wait")
 }
