Place requests by their expected cost

The choice of an upstream counted open attempts, so a cheap request went behind a dear one as readily as behind a cheap one, and waited there in the upstream's own queue. With WithPlacingByCost: - the work and busy parts of a score are the request's own expected work, and what is left of what this VM has open there (less what has run), with the shares for other VMs as before; - a sub-request waits in the queue of this VM, which is in order, rather than in an upstream's behind others or long work; while more wait than there are slots, each upstream gets one beyond them; - a dear request lets cheap ones of its priority pass for up to twice its own work or half of the time that its target leaves, whichever is less; - replies are overdue, and upstreams slow, by the request's own expectation; admission adds up expected work; - latencies are learned without the time that this VM's own attempts ahead of them took, relative to the upstream's speed. Limits, holds, evacuation, warm-up and common upstreams filter the candidates first, as before.

--- a/cost/estimate.go
+++ b/cost/estimate.go
@@ -9,11 +9,12 @@
 	meanMs   float32
 	medianMs float32
 	highMs   float32
+	limitMs  float32          // of all values; 0 if there is none
 	tailMs   [buckets]float32 // mean of the work that reaches each bucket
 }
 
 // highShare is the share of requests that need at most HighMs.
-const highShare = 0.98
+const highShare = 0.9
 
 // Known reports whether enough has been seen of the route. If not, the other values are 0.
 func (e *Estimate) Known() bool { return e.known }
@@ -24,9 +25,15 @@
 // MedianMs returns the median.
 func (e *Estimate) MedianMs() float64 { return float64(e.medianMs) }
 
-// HighMs returns the work that 2 in 100 such requests exceed.
+// HighMs returns the work that one in ten such requests exceeds.
 func (e *Estimate) HighMs() float64 { return float64(e.highMs) }
 
+// Limit bounds all values.
+func (e *Estimate) Limit(ms float64) {
+	e.limitMs = float32(ms)
+	e.meanMs, e.medianMs, e.highMs = min(e.meanMs, e.limitMs), min(e.medianMs, e.limitMs), min(e.highMs, e.limitMs)
+}
+
 // RemainingMs returns the mean of the work that is left after some was done.
 func (e *Estimate) RemainingMs(done clock.Millis) float64 {
 	if done <= 0 {
@@ -39,7 +46,11 @@
 		share := (x - lowerMs[b]) / (lowerMs[b+1] - lowerMs[b])
 		tail += share * (float64(e.tailMs[b+1]) - tail)
 	}
-	return max(tail-x, minRemainingShare*x)
+	left := max(tail-x, minRemainingShare*x)
+	if e.limitMs > 0 {
+		left = min(left, float64(e.limitMs))
+	}
+	return left
 }
 
 // minRemainingShare is the least work that is left, as a share of what was done: no
--- a/relay/arrive.go
+++ b/relay/arrive.go
@@ -56,6 +56,7 @@
 	}
 	r := m.newRequest(now, rt, msg)
 	r.setCustomer(c)
+	m.expectArrival(now, r, msg)
 	if m.stillInTime(now, msg, r) && !m.acquireCredit(msg, r, c) {
 		m.admitInTime(now, msg, r)
 	}
@@ -317,6 +318,9 @@
 		// no queue, and dispatch handles this case.
 		return max(sub.service.heldUntil(now)-now, 0)
 	}
+	if sub.req.cost.Known() {
+		return m.estimateByCost(now, sub, minSlowness)
+	}
 	ahead := sub.service.queuedAhead(sub.req.priority)
 	wait := 0.0
 	if open+ahead >= capacity {
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -7,9 +7,9 @@
 // upstream could take it now or later.
 func (m *Model) chooseUpstream(now clock.Millis, sub *subrequest, hedge bool) (chosen *upstream, available bool) {
 	medianMs := m.statsFor(sub.req.route).medianMs
-	bestScore := 0.0
+	bestScore, bestPlain := 0.0, 0.0
 	mayProbe := !hedge && sub.req.route.Idempotent && !sub.req.probed && float64(sub.req.targetAt-now) >= probeMinMedians*medianMs
-	var avoided, lastResort *upstream
+	var plain, avoided, lastResort *upstream
 	for _, u := range sub.service.upstreams {
 		notBefore := u.notBefore(now)
 		if !sub.mayGoTo(u) || sub.hasTried(u) || !m.mayUse(sub, u) || notBefore > now && notBefore >= sub.waitLimit() {
@@ -26,7 +26,7 @@
 			continue
 		}
 		available = true
-		if now < notBefore || len(u.open) >= m.attemptLimit(now, u, sub.req.route.Priority) {
+		if now < notBefore || len(u.open) >= m.attemptLimit(now, u, sub.req.route.Priority) || m.waitsHere(now, u, sub) {
 			continue
 		}
 		if now < u.avoidUntil {
@@ -39,9 +39,16 @@
 			sub.req.probed = true
 			return u, true
 		}
-		if s := m.score(now, u, medianMs).Total(); chosen == nil || s < bestScore {
-			chosen, bestScore = u, s
+		s, plainMs := m.scoreFor(now, u, sub.req)
+		if chosen == nil || s.Total() < bestScore {
+			chosen, bestScore = u, s.Total()
 		}
+		if plain == nil || plainMs < bestPlain {
+			plain, bestPlain = u, plainMs
+		}
+	}
+	if chosen != nil && m.byCost() {
+		m.costs.stats.CountChoice(chosen != plain)
 	}
 	if chosen == nil && !hedge && avoided != nil && (len(avoided.open) == 0 || avoided.failures == 0) {
 		// No other upstream is left: use the one whose avoidance ends first, with only
--- /dev/null
+++ b/relay/cost.go
@@ -0,0 +1,200 @@
+package relay
+
+import (
+	"strings"
+
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/cost"
+)
+
+const (
+	// yieldFactor is for how long a request lets later ones pass that cost nothing, as a
+	// multiple of its own expected work.
+	yieldFactor = 2
+
+	// yieldSpareShare limits that time, as a share of what its target leaves beside its work.
+	yieldSpareShare = 0.5
+
+	// joinFactor is behind how much unfinished work for each slot of an upstream a request may
+	// wait there, as a multiple of the median latency of its route.
+	joinFactor = 1
+
+	// queuedExtraAttempts is how many attempts beyond its slots an upstream gets while more
+	// sub-requests wait here than there are slots, so that the next one is there when a slot
+	// becomes free.
+	queuedExtraAttempts = 1
+
+	// maxOwnShare limits the expected work of a request in its admission, as a share of the
+	// time to its target: none is refused for its own work alone.
+	maxOwnShare = 0.5
+)
+
+// costs is what this VM has learned about the work of requests.
+type costs struct {
+	estimator *cost.Estimator // nil unless this VM places by cost
+	stats     cost.Stats
+}
+
+func newCosts(on bool) costs {
+	if !on {
+		return costs{}
+	}
+	return costs{estimator: cost.New()}
+}
+
+// byCost reports whether the expected cost of requests counts.
+func (m *Model) byCost() bool { return m.costs.estimator != nil && m.policies.maxCostFactor() != 1 }
+
+// expectArrival sets what a request of a caller is expected to cost.
+func (m *Model) expectArrival(now clock.Millis, r *request, msg ArrivalMsg) {
+	if m.byCost() {
+		m.expect(now, r, cost.KeysOf(cost.Features{
+			Route: r.route.Name, Customer: r.customer, Method: msg.Method,
+			Path: strings.TrimPrefix(msg.Path, r.route.Prefix), BodyBytes: msg.BodyBytes,
+		}))
+	}
+}
+
+// expect sets what a request with some features is expected to cost.
+func (m *Model) expect(now clock.Millis, r *request, keys cost.Keys) {
+	r.costKeys, r.hasCostKeys = keys, true
+	r.cost = m.costs.estimator.Estimate(now, &r.costKeys)
+	m.costs.stats.CountEstimate(&r.cost)
+	if factor := m.policies.maxCostFactor(); factor > 0 {
+		r.cost.Limit(factor * m.statsFor(r.route).medianMs)
+	}
+}
+
+// meanMs returns the expected work of a request at an upstream of typical speed.
+func (m *Model) meanMs(r *request) float64 {
+	if !r.cost.Known() {
+		return m.statsFor(r.route).medianMs
+	}
+	return r.cost.MeanMs()
+}
+
+// typicalMs returns the median of the work of requests like r.
+func (m *Model) typicalMs(r *request) float64 {
+	if !r.cost.Known() {
+		return m.statsFor(r.route).medianMs
+	}
+	return max(r.cost.MedianMs(), 1) // times are in whole milliseconds
+}
+
+// unfinishedMs returns the expected work that is left of what this VM has open at u.
+func (m *Model) unfinishedMs(now clock.Millis, u *upstream) float64 {
+	sum := 0.0
+	for _, a := range u.open {
+		r := a.subrequest.req
+		switch {
+		case !r.cost.Known():
+			sum += m.statsFor(r.route).medianMs
+		case a.startedAt == 0:
+			sum += r.cost.MeanMs()
+		default:
+			sum += r.cost.RemainingMs(now - a.startedAt)
+		}
+	}
+	return sum
+}
+
+// scoreFor returns the Score of an upstream for a request, and its total as it is while the
+// cost of requests does not count.
+func (m *Model) scoreFor(now clock.Millis, u *upstream, r *request) (s Score, plainMs float64) {
+	s = m.score(now, u, m.statsFor(r.route).medianMs)
+	plainMs = s.Total()
+	if m.byCost() {
+		slowness := u.slowness(now)
+		s.WorkMs = m.meanMs(r) * slowness
+		s.BusyMs = m.waitMs(now, u) * slowness
+	}
+	return s, plainMs
+}
+
+// waitMs returns how long what is open at u delays another request.
+func (m *Model) waitMs(now clock.Millis, u *upstream) float64 {
+	n := len(u.open)
+	if n == 0 {
+		return 0
+	}
+	share := sharedAttemptFactor
+	if m.fillsAlone(u) {
+		share = openAttemptFactor
+	}
+	if slots := u.info.Slots; slots > 0 {
+		share += float64(max(n+1-slots, 0)) / float64(n*slots)
+	}
+	return share * m.unfinishedMs(now, u)
+}
+
+// waitsHere reports whether a sub-request waits in the queue of this VM, which is in order,
+// rather than in that of u: behind others that wait here, or behind work that takes long.
+func (m *Model) waitsHere(now clock.Millis, u *upstream, sub *subrequest) bool {
+	slots := u.info.Slots
+	if !m.byCost() || !sub.req.cost.Known() || slots <= 0 || len(u.open) < slots {
+		return false
+	}
+	queued := len(sub.service.queue)
+	if !sub.queued && queued > 0 {
+		return true
+	}
+	if len(u.open) < slots+queuedExtraAttempts && queued > sub.service.slots() {
+		return false // the order matters less here than that no slot is idle
+	}
+	return m.unfinishedMs(now, u) > joinFactor*m.statsFor(sub.req.route).medianMs*float64(slots)
+}
+
+// slots returns the slots of the upstreams of a service.
+func (s *service) slots() int {
+	n := 0
+	for _, u := range s.upstreams {
+		n += u.info.Slots
+	}
+	return n
+}
+
+// orderAt orders the requests of one priority. A dear one lets cheap ones pass that arrive
+// within a multiple of its own expected work, as far as it can still be in time, and no
+// others, so that it does not starve.
+func (r *request) orderAt() clock.Millis {
+	if !r.cost.Known() {
+		return r.lateAt
+	}
+	spare := yieldSpareShare * (float64(r.route.TargetMs) - r.cost.MeanMs())
+	return r.lateAt + clock.Millis(min(yieldFactor*r.cost.MeanMs(), max(spare, 0)))
+}
+
+// estimateByCost estimates how long a sub-request takes from now by the expected work of what
+// is open and of what is queued before it.
+func (m *Model) estimateByCost(now clock.Millis, sub *subrequest, slowness float64) clock.Millis {
+	slots, ahead, workMs := 0, 0, 0.0
+	for _, u := range sub.service.upstreams {
+		if !u.usable() || now < u.notBefore(now) {
+			continue
+		}
+		n := m.attemptLimit(now, u, sub.req.route.Priority)
+		if u.info.Slots > 0 {
+			n = min(n, u.info.Slots)
+		}
+		slots += n
+		ahead += len(u.open)
+		workMs += m.unfinishedMs(now, u)
+	}
+	for _, queued := range sub.service.queue {
+		if !queued.req.answered && queued.precedes(now, sub) {
+			ahead++
+			workMs += m.meanMs(queued.req)
+		}
+	}
+	ownMs := m.statsFor(sub.req.route).medianMs
+	if !sub.req.delegated { // the estimate for another VM is that of all requests of the route
+		ownMs = min(m.typicalMs(sub.req), max(ownMs, maxOwnShare*float64(sub.req.targetAt-now)))
+	}
+	if ahead > 0 && ahead >= slots {
+		ownMs += workMs / float64(ahead) * float64(ahead-slots+1) / float64(max(slots, 1))
+	}
+	return clock.Millis(ownMs * slowness)
+}
+
+// CostStats returns the counts of estimates, all 0 unless this VM places by cost.
+func (m *Model) CostStats() cost.Stats { return m.costs.stats }
--- a/relay/finish.go
+++ b/relay/finish.go
@@ -159,6 +159,7 @@
 		for len(sub.open) > 0 {
 			a := sub.open[0]
 			m.endAttempt(a)
+			m.learnCut(now, a)
 			if a.isOverdue(now) {
 				a.upstream.recordFailure(now)
 				m.silentUpstream(now, a)
--- a/relay/message.go
+++ b/relay/message.go
@@ -33,7 +33,9 @@
 	ID          uint64
 	Name        string // the caller's request identifier, for events
 	Host        string
-	Path        string       // with its query string
+	Path        string // with its query string
+	Method      string
+	BodyBytes   int
 	RemainingMs clock.Millis // caller's timeout; 0 if not stated
 	Key         string       // that the caller sent; empty if none
 
--- a/relay/model_test.go
+++ b/relay/model_test.go
@@ -14,6 +14,11 @@
 func newSingleServiceModel(t *testing.T, idempotent bool, n int, opts ...relay.Option) *relay.Model {
 	t.Helper()
 	m := relay.New(append([]relay.Option{relay.WithSelf("vm", "a"), relay.WithVMs(1), relay.WithBudget(productionBudget)}, opts...)...)
+	setUpSingleService(m, idempotent, n)
+	return m
+}
+
+func setUpSingleService(m *relay.Model, idempotent bool, n int) {
 	m.Update(1000, relay.TableMsg{Table: route.NewTable(route.Config{
 		Version: 5, Services: []route.Service{{Name: "s", MaxConnections: 110}}, Routes: []route.Route{{
 			Name: "r", Host: "h", Prefix: "/", Service: "s", Idempotent: idempotent, TimeoutMs: 4000, TargetMs: 1200, MaxAttempts: 2,
@@ -24,7 +29,6 @@
 			ID: fmt.Sprint("u", i), Service: "s", Address: fmt.Sprint("a", i), DataCentre: "a", Slots: 2,
 		}})
 	}
-	return m
 }
 
 func firstSend(t *testing.T, cmds []relay.Cmd) relay.SendCmd {
--- a/relay/options.go
+++ b/relay/options.go
@@ -15,6 +15,7 @@
 	dataCentre string
 	vmCount    int
 	budget     BudgetMsg
+	byCost     bool
 }
 
 // Option configures a Model.
@@ -40,6 +41,10 @@
 	}
 }
 
+// WithPlacingByCost lets the choice of upstreams, the order in queues and the time of hedges
+// depend on what each request is expected to cost.
+func WithPlacingByCost(on bool) Option { return func(c *config) { c.byCost = on } }
+
 func newConfig(opts []Option) config {
 	c := config{vmCount: defaultVMs, budget: BudgetMsg{Ratio: defaultBudgetRatio, WindowMs: defaultBudgetWindowMs}}
 	for _, opt := range opts {
--- a/relay/preset.go
+++ b/relay/preset.go
@@ -84,6 +84,11 @@
 	return timeout
 }
 
+// maxCostFactor returns the preset's bound of expected costs, 0 if it has none.
+func (p *policies) maxCostFactor() float64 {
+	return p.active.MaxCostFactor
+}
+
 // minShardRatio returns the minimum share of shards in an answer: the larger of the
 // route's and the preset's.
 func (p *policies) minShardRatio(routeRatio float64, priority int) float64 {
--- a/relay/reply.go
+++ b/relay/reply.go
@@ -22,10 +22,8 @@
 		}
 		sub.lastFailure = &reply
 	default:
-		took := now - a.sentAt
-		st := m.statsFor(sub.req.route)
-		u.recordLatency(now, float64(max(took, 1))/st.medianMs)
-		st.add(took)
+		u.recordLatency(now, m.learn(now, a))
+		m.statsFor(sub.req.route).add(now - a.sentAt)
 		sub.lastFailure = &reply
 	}
 	m.resolve(now, sub, reply)
--- a/relay/request.go
+++ b/relay/request.go
@@ -4,6 +4,7 @@
 	"math"
 
 	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/cost"
 	"lentillink.example/lentillink/route"
 )
 
@@ -38,6 +39,9 @@
 	carrierMayHaveRun  bool          // a carrier reported an outcome other than refused
 	openAttempts       int           // attempts that have not ended
 	wakeAt             clock.Millis
+	costKeys           cost.Keys
+	hasCostKeys        bool // costKeys are set, since the cost of requests counts
+	cost               cost.Estimate
 }
 
 // subrequest is the part of a request for one service.
@@ -68,6 +72,7 @@
 	subrequest   *subrequest
 	upstream     *upstream
 	sentAt       clock.Millis
+	startedAt    clock.Millis // when it began to run, as far as this VM sees; 0 if it waits at its upstream
 	overdueAfter clock.Millis // latency from which the reply is overdue
 	expiresAt    clock.Millis // when the time that the upstream was given runs out
 	hedgeAt      clock.Millis
@@ -118,8 +123,8 @@
 		return a.priority.precedes(b.priority)
 	case (now > a.lateAt) != (now > b.lateAt):
 		return now <= a.lateAt // late requests yield to those that are not
-	case a.lateAt != b.lateAt:
-		return a.lateAt < b.lateAt
+	case a.orderAt() != b.orderAt():
+		return a.orderAt() < b.orderAt()
 	}
 	return a.id < b.id
 }
--- a/relay/score.go
+++ b/relay/score.go
@@ -42,10 +42,15 @@
 	return s.WorkMs + s.BusyMs + s.OverdueMs + s.DistanceMs + s.FailureMs + s.DoubtMs + s.JitterMs
 }
 
+// fillsAlone reports whether hardly any other VM sends work to an upstream.
+func (m *Model) fillsAlone(u *upstream) bool {
+	return u.service.isShard && m.inFleet && m.selfIsCarrier
+}
+
 // score returns the Score of an upstream for a route with the given median latency.
 func (m *Model) score(now clock.Millis, u *upstream, medianMs float64) Score {
 	busy := sharedAttemptFactor * float64(len(u.open))
-	if slots := u.info.Slots; u.service.isShard && m.inFleet && m.selfIsCarrier && slots > 0 {
+	if slots := u.info.Slots; m.fillsAlone(u) && slots > 0 {
 		queued := max(len(u.open)+1-slots, 0)
 		busy = openAttemptFactor*float64(len(u.open)) + float64(queued)/float64(slots)
 	}
--- a/relay/send.go
+++ b/relay/send.go
@@ -38,9 +38,8 @@
 }
 
 func (m *Model) send(now clock.Millis, sub *subrequest, u *upstream) {
-	st := m.statsFor(sub.req.route)
 	m.nextID++
-	a := &attempt{id: m.nextID, subrequest: sub, upstream: u, sentAt: now, overdueAfter: st.overdueAfter(u.slowness(now)), expiresAt: sub.req.deadline}
+	a := &attempt{id: m.nextID, subrequest: sub, upstream: u, sentAt: now, overdueAfter: m.overdueAfter(sub.req, u.slowness(now)), expiresAt: sub.req.deadline}
 	a.hedgeAt = now + max(a.overdueAfter, (sub.req.targetAt-now)/hedgeTargetDivisor)
 	if sub.deliveries > 0 {
 		sub.service.budget.Spend(now)
@@ -52,6 +51,7 @@
 	sub.open = append(sub.open, a)
 	sub.req.openAttempts++
 	u.open = append(u.open, a)
+	u.startNext(now)
 	m.attempts[a.id] = a
 	m.emit(SendCmd{
 		Attempt: a.id, Request: sub.req.id, Upstream: u.info.ID, Address: u.info.Address,
@@ -95,6 +95,7 @@
 func (m *Model) endAttempt(a *attempt) {
 	delete(m.attempts, a.id)
 	a.upstream.removeAttempt(a)
+	a.upstream.startNext(m.now)
 	a.subrequest.removeAttempt(a)
 	a.subrequest.req.openAttempts--
 }
--- a/relay/stats.go
+++ b/relay/stats.go
@@ -72,6 +72,7 @@
 
 // overdueAfter returns the latency from which a reply of an upstream with the given
 // slowness is overdue.
-func (s *routeStats) overdueAfter(slowness float64) clock.Millis {
-	return clock.Millis(overdueFactor*s.medianMs*min(max(slowness, 1), maxOverdueSlowness)) + overdueSlackMs
+func (m *Model) overdueAfter(r *request, slowness float64) clock.Millis {
+	longMs := max(overdueFactor*m.typicalMs(r), r.cost.HighMs())
+	return clock.Millis(longMs*min(max(slowness, 1), maxOverdueSlowness)) + overdueSlackMs
 }
--- a/relay/stop.go
+++ b/relay/stop.go
@@ -25,7 +25,7 @@
 	if now >= m.callersUntil && !r.route.Idempotent {
 		return true
 	}
-	return now+m.statsFor(r.route).overdueAfter(1) > m.stopAt
+	return now+m.overdueAfter(r, 1) > m.stopAt
 }
 
 // limitToStop shortens the deadline of a new request to that of this VM.
