--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -97,6 +97,8 @@
 		g.stepRegistrar(ioCtx, msg.registrar)
 	case msg.quota != nil:
 		g.stepQuota(ioCtx, msg.quota)
+	case msg.explain != nil:
+		g.handleExplain(msg.explain)
 	case msg.result != nil:
 		g.stepRelay(attemptMsg(*msg.result))
 	case msg.call != nil:
@@ -170,7 +172,8 @@
 
 // stepRelay passes msg to the relay's state machine and performs the commands that it returns.
 func (g *Gateway) stepRelay(msg relay.Msg) {
-	for _, cmd := range g.updateRelay(g.clock.Now(), msg) {
+	g.updatedAt = g.clock.Now()
+	for _, cmd := range g.updateRelay(g.updatedAt, msg) {
 		g.performSafely(cmd)
 	}
 }
@@ -238,6 +241,7 @@
 		return
 	}
 	g.metrics.observe(c.Answer)
+	pending.decidedAt = g.updatedAt
 	pending.answer <- c.Answer
 }
 
--- a/relay/accept.go
+++ b/relay/accept.go
@@ -45,21 +45,28 @@
 	m.learnCold(now, d.Limits)
 	r := m.newDelegatedRequest(now, msg)
 	if r.deadline <= now {
-		m.refuse(msg, r, "waited_too_long", m.retryAfter(0, 0))
+		m.refuse(msg, r, waitedTooLong, m.retryAfter(0, 0))
 		return
 	}
-	for _, name := range d.Services {
-		r.subrequests = append(r.subrequests, &subrequest{req: r, service: m.delegatedService(name), dataCentre: m.cfg.dataCentre})
-	}
-	r.totalSubrequests, r.unresolved = len(r.subrequests), len(r.subrequests)
+	m.addDelegated(r, d.Services)
 	assignments := []assignment{{subrequests: r.subrequests}}
-	if excess, overloaded := m.wouldMissTarget(now, r, assignments); overloaded {
-		m.refuseFull(now, msg, r, excess)
+	v := m.wouldMissTarget(now, r, assignments)
+	if v.reason != "" {
+		m.refuseFull(now, msg, r, v)
 		return
 	}
+	m.recordVerdict(r, v)
 	m.start(now, r, assignments)
 }
 
+// addDelegated adds one sub-request for each service of a delegation.
+func (m *Model) addDelegated(r *request, services []string) {
+	for _, name := range services {
+		r.subrequests = append(r.subrequests, &subrequest{req: r, service: m.delegatedService(name), dataCentre: m.cfg.dataCentre})
+	}
+	r.totalSubrequests, r.unresolved = len(r.subrequests), len(r.subrequests)
+}
+
 // refusalOf returns why this VM does not gather for a delegation, or "". A VM whose
 // configuration is older may not know the upstreams of new shards yet, while the VM that
 // delegates does.
@@ -68,7 +75,7 @@
 	case m.table == nil:
 		return "no_configuration"
 	case m.stopAt > 0:
-		return "stopping"
+		return stopping
 	case len(d.Services) > 0 && d.Terms.MaxAttempts <= 0:
 		return "no_terms" // sent by a release that relied on the carrier's configuration
 	case m.table.Version() < d.Version && !m.knowsAll(d.Services):
