Let delegations carry the features of a request as hashes

A carrier sends nearly all attempts of its shards but does not see the path, so it could learn costs by route and customer alone. A delegation carries the keys of the request (50 bytes) if its VM places by cost. A carrier that gets none, or another number of them from another release, goes by route and customer. An earlier release ignores the field.

--- a/peer/delegation.go
+++ b/peer/delegation.go
@@ -5,6 +5,7 @@
 	"math"
 
 	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/cost"
 	"lentillink.example/lentillink/customer"
 	"lentillink.example/lentillink/peer/peerpb"
 	"lentillink.example/lentillink/relay"
@@ -19,6 +20,9 @@
 		MaxAttempts: uint32(d.Terms.MaxAttempts), TopK: uint32(d.Terms.TopK), MinShardRatio: d.Terms.MinShardRatio,
 		Evacuated: d.Limits.Evacuated, Cold: d.Limits.Cold, ColdMs: int64(d.Limits.ColdMs),
 	}
+	if d.CostKeys != (cost.Keys{}) {
+		out.CostKeys = d.CostKeys[:]
+	}
 	if d.Terms.Customer != "" {
 		out.Customer, out.CustomerPriority = d.Terms.Customer, uint32(d.Terms.CustomerPriority)
 		// An earlier release refuses a delegation without max_attempts.
@@ -49,8 +53,13 @@
 	if d.GetCustomer() != "" && !customer.ValidName(d.GetCustomer()) {
 		return relay.Delegation{}, wrap("decode delegation", KindDecode, errCustomer)
 	}
+	var keys cost.Keys
+	if len(d.GetCostKeys()) == len(keys) { // other releases may have other features
+		keys = cost.Keys(d.GetCostKeys())
+	}
 	return relay.Delegation{
-		ID: d.GetId(), Version: d.GetVersion(), Name: d.GetName(), Head: d.GetHead(), Body: d.GetBody(),
+		CostKeys: keys,
+		ID:       d.GetId(), Version: d.GetVersion(), Name: d.GetName(), Head: d.GetHead(), Body: d.GetBody(),
 		RemainingMs: clock.Millis(d.GetLeftMs()), TargetInMs: clock.Millis(d.GetAnswerInMs()), LateInMs: clock.Millis(d.GetLateInMs()),
 		Services: d.GetServices(),
 		Terms: relay.Terms{
--- a/peer/delegation_test.go
+++ b/peer/delegation_test.go
@@ -8,6 +8,7 @@
 
 	"lentillink.example/lentillink/catalog"
 	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/cost"
 	"lentillink.example/lentillink/peer"
 	"lentillink.example/lentillink/peer/peerpb"
 	"lentillink.example/lentillink/relay"
@@ -23,7 +24,7 @@
 			ID: 1, Version: 2, Name: "r", Services: []string{"a", "b"}, Head: []byte("GET"), Body: []byte("x"),
 			RemainingMs: 3, TargetInMs: 4, LateInMs: -6,
 			Terms:  relay.Terms{Route: "q", TargetMs: 5, Priority: 1, MaxAttempts: 2, TopK: 10, MinShardRatio: 0.75},
-			Limits: relay.Limits{Evacuated: []string{"a"}, Cold: []string{"i-1", "i-2"}, ColdMs: 700},
+			Limits: relay.Limits{Evacuated: []string{"a"}, Cold: []string{"i-1", "i-2"}, ColdMs: 700}, CostKeys: cost.Keys{1, 2, 3, 4, 5, 1 << 63},
 		},
 		relay.Delegation{ID: 1, Services: []string{"a"}, Terms: relay.Terms{MaxAttempts: 3, Customer: "nyla", CustomerPriority: 4}},
 		relay.DelegationAck{ID: 5},
@@ -45,6 +46,21 @@
 	}
 }
 
+// TestForeignCostKeys guards against keys of a release with other features, which would be
+// taken for those of this one.
+func TestForeignCostKeys(t *testing.T) {
+	for _, n := range []int{0, 1, 5, 7, 100_000} {
+		env := &peerpb.Envelope{Body: &peerpb.Envelope_HandOver{HandOver: &peerpb.HandOver{Id: 1, CostKeys: make([]uint64, n)}}}
+		for i := range env.GetHandOver().GetCostKeys() {
+			env.GetHandOver().CostKeys[i] = 7
+		}
+		got, _, err := peer.Decode(0, env)
+		if d, ok := got.(relay.Delegation); err != nil || !ok || d.CostKeys != (cost.Keys{}) {
+			t.Errorf("%d keys: got %+v, %v, want a delegation without keys", n, got, err)
+		}
+	}
+}
+
 // TestDelegationResultRejectsOutcome guards against a delegation result whose
 // outcome is unknown or not allowed, and which would reach the caller as an answer.
 func TestDelegationResultRejectsOutcome(t *testing.T) {
--- a/relay/accept.go
+++ b/relay/accept.go
@@ -106,5 +106,6 @@
 	r.deadline = now + d.RemainingMs - msg.WaitedMs
 	r.targetAt = min(now+max(d.TargetInMs-msg.WaitedMs, 0), r.deadline)
 	r.lateAt = now + d.LateInMs - msg.WaitedMs
+	m.expectDelegated(now, r, d.CostKeys)
 	return r
 }
--- a/relay/carrier_test.go
+++ b/relay/carrier_test.go
@@ -18,9 +18,9 @@
 
 // newShardedModel returns the model of one of three VMs. Its route has two shards,
 // each with one upstream in data centre a and one in b.
-func newShardedModel(t *testing.T, self, dc string) *relay.Model {
+func newShardedModel(t *testing.T, self, dc string, opts ...relay.Option) *relay.Model {
 	t.Helper()
-	m := relay.New(relay.WithSelf(self, dc))
+	m := relay.New(append(opts, relay.WithSelf(self, dc))...)
 	m.Update(1000, relay.TableMsg{Table: route.NewTable(route.Config{Version: 7, Routes: []route.Route{{
 		Name: "q", Host: "h", Prefix: "/", Gather: []string{"s1", "s2"}, Idempotent: true,
 		TimeoutMs: 400, TargetMs: 50, MaxAttempts: 2, TopK: 5, MinShardRatio: 0.5,
--- a/relay/cost.go
+++ b/relay/cost.go
@@ -55,6 +55,18 @@
 	}
 }
 
+// expectDelegated sets what a request that another VM delegated is expected to cost. One that
+// comes without keys shows only its route and its customer.
+func (m *Model) expectDelegated(now clock.Millis, r *request, keys cost.Keys) {
+	if !m.byCost() {
+		return
+	}
+	if keys == (cost.Keys{}) {
+		keys = cost.KeysOf(cost.Features{Route: r.route.Name, Customer: r.customer})
+	}
+	m.expect(now, r, keys)
+}
+
 // expect sets what a request with some features is expected to cost.
 func (m *Model) expect(now clock.Millis, r *request, keys cost.Keys) {
 	r.costKeys, r.hasCostKeys = keys, true
--- a/relay/cost_test.go
+++ b/relay/cost_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/cost"
 	"lentillink.example/lentillink/preset"
 	"lentillink.example/lentillink/relay"
 )
@@ -273,3 +274,47 @@
 		})
 	}
 }
+
+// TestDelegatedCost guards against carriers that learn nothing from the requests that other VMs
+// delegate, whose paths they do not see.
+func TestDelegatedCost(t *testing.T) {
+	keys := func(on bool, path string) cost.Keys {
+		m := newShardedModel(t, "vc", "c", relay.WithPlacingByCost(on))
+		msg := arrivalAt(1, path)
+		msg.RemainingMs = 400
+		for _, c := range m.Update(2000, msg) {
+			if d, ok := c.(relay.DelegateCmd); ok {
+				return d.Delegation.CostKeys
+			}
+		}
+		t.Fatal("got no delegation")
+		return cost.Keys{}
+	}
+	if got := keys(false, "/report/x"); got != (cost.Keys{}) {
+		t.Errorf("got %v without placing by cost, want no keys", got)
+	}
+	dear, cheap := keys(true, "/report/x"), keys(true, "/item/x")
+	if dear == cheap || dear == (cost.Keys{}) {
+		t.Errorf("got %v and %v, want different keys", dear, cheap)
+	}
+	m := newShardedModel(t, "va", "a", relay.WithPlacingByCost(true))
+	now := clock.Millis(2000)
+	for id := range uint64(60) {
+		d := delegated(7, "s1")
+		d.ID, d.Delegation.RemainingMs, d.Delegation.TargetInMs = 100+id, 4000, 2000
+		d.Delegation.CostKeys = cheap
+		ms := cheapMs
+		if id%3 == 0 {
+			d.Delegation.CostKeys, ms = dear, 300
+		}
+		sent := sends(slices.Clone(m.Update(now, d)))
+		now += ms
+		for _, s := range sent {
+			m.Update(now, relay.ReplyMsg{Attempt: s.Attempt, Reply: relay.Reply{Status: 200, Receipt: "x"}})
+		}
+		now++
+	}
+	if s := m.CostStats(); s.Known < 30 {
+		t.Errorf("got %+v, want estimates of most of 60 delegated requests", s)
+	}
+}
--- a/relay/delegation.go
+++ b/relay/delegation.go
@@ -2,6 +2,7 @@
 
 import (
 	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/cost"
 	"lentillink.example/lentillink/lag"
 )
 
@@ -25,6 +26,7 @@
 	TargetInMs  clock.Millis // time until the result is due
 	LateInMs    clock.Millis // time until the route's target has passed, negative after it; for the order in queues
 	Limits      Limits
+	CostKeys    cost.Keys // of the request; zero if its VM does not place by cost
 }
 
 // Terms are the conditions of the route under which a request was admitted, as far as
@@ -168,7 +170,7 @@
 	m.emit(DelegateCmd{Request: r.id, To: c.info.ID, Address: c.info.Address, Delegation: Delegation{
 		ID: d.id, Version: r.version, Name: r.name, Services: names, Terms: r.terms(),
 		RemainingMs: max(r.deadline-now-d.leadMs, 1), TargetInMs: max(r.targetAt-now-d.leadMs, 0), LateInMs: r.lateAt - now,
-		Limits: m.limitsFor(now, subrequests),
+		Limits: m.limitsFor(now, subrequests), CostKeys: r.costKeys,
 	}})
 	m.wake(r, d.ackDeadline)
 }
--- a/relay/explain.go
+++ b/relay/explain.go
@@ -189,7 +189,7 @@
 // delegates to it. Credit is decided there.
 func (e *explainer) explainDelegated(r *request, services []string) {
 	m := e.model
-	d := Delegation{Version: r.version, Services: services, Terms: r.terms(), RemainingMs: r.deadline - e.now, TargetInMs: r.targetAt - e.now, LateInMs: r.lateAt - e.now}
+	d := Delegation{Version: r.version, Services: services, Terms: r.terms(), RemainingMs: r.deadline - e.now, TargetInMs: r.targetAt - e.now, LateInMs: r.lateAt - e.now, CostKeys: r.costKeys}
 	if reason := m.refusalOf(&d); reason != "" {
 		e.reject(Answer{Outcome: NotReady, Reason: reason, Route: r.route.Name})
 		return
--- a/relay/explain_test.go
+++ b/relay/explain_test.go
@@ -39,7 +39,7 @@
 
 func newExplainWorld(t *testing.T, seed uint64, seen map[string]int) *explainWorld {
 	w := &explainWorld{t: t, rng: rand.New(rand.NewPCG(seed, 32)), now: 1000, wanted: make(map[uint64]relay.Explanation), seen: seen}
-	opts := []relay.Option{relay.WithSelf("v0", "a"), relay.WithSeed(seed), relay.WithBudget(relay.BudgetMsg{Ratio: 0.2, Extra: 20, WindowMs: 10 * clock.Second})}
+	opts := []relay.Option{relay.WithSelf("v0", "a"), relay.WithSeed(seed), relay.WithBudget(relay.BudgetMsg{Ratio: 0.2, Extra: 20, WindowMs: 10 * clock.Second}), relay.WithPlacingByCost(seed%2 == 1)}
 	w.explained, w.untouched = relay.New(opts...), relay.New(opts...)
 	w.upstreams, w.pace = 1+w.rng.IntN(8), 4+w.rng.IntN(80)
 	if w.rng.IntN(20) > 0 {
