Switch placing by cost on in the settings and show what it does

"placing": {"by_cost": true} in the settings of a gateway; the default is off. The strict settings learned booleans. Arrivals carry the method and the size of the body, two of the features.

--- a/cmd/lentillinkd/gateway.go
+++ b/cmd/lentillinkd/gateway.go
@@ -68,7 +68,7 @@
 		gateway.WithMemory(s.MemoryMB*bytesPerMB), gateway.WithQuotaBounds(quota.Bounds{
 			WindowMs: clock.Millis(s.Quota.WindowSeconds) * clock.Second, Overshoot: s.Quota.Overshoot, Slack: s.Quota.Slack,
 		}),
-		gateway.WithRelayOptions(relay.WithVMs(s.ExpectedVMs)),
+		gateway.WithRelayOptions(relay.WithVMs(s.ExpectedVMs), relay.WithPlacingByCost(s.Placing.ByCost)),
 	)
 	watchDone := make(chan error, 1)
 	watchCtx, stopWatch := context.WithCancel(ctx)
@@ -116,5 +116,5 @@
 func restartNeeded(current, next *settings.Gateway) bool {
 	return current.VM != next.VM || current.DataCentre != next.DataCentre || current.Callers != next.Callers ||
 		current.Ready != next.Ready || current.Peers != next.Peers ||
-		current.ExpectedVMs != next.ExpectedVMs || current.MemoryMB != next.MemoryMB || current.Quota != next.Quota
+		current.ExpectedVMs != next.ExpectedVMs || current.MemoryMB != next.MemoryMB || current.Quota != next.Quota || current.Placing != next.Placing
 }
--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -118,7 +118,7 @@
 	c := &call{answer: make(chan relay.Answer, 1)}
 	c.request = exchange.NewRequest(g.headers.Headers, r.Method, uri, r.Host, id, g.forwardedFields(r.Header), body)
 	callID := g.lastCallID.Add(1)
-	g.post(loopMsg{call: c, at: g.clock.Now(), relay: relay.ArrivalMsg{ID: callID, Name: id, Host: r.Host, Path: uri, RemainingMs: remaining, Key: g.keyOf(r), RoundTripMs: roundTripOf(r), AnswerLagMs: g.answerLag.estimate()}})
+	g.post(loopMsg{call: c, at: g.clock.Now(), relay: relay.ArrivalMsg{ID: callID, Name: id, Host: r.Host, Path: uri, Method: r.Method, BodyBytes: len(body), RemainingMs: remaining, Key: g.keyOf(r), RoundTripMs: roundTripOf(r), AnswerLagMs: g.answerLag.estimate()}})
 	select {
 	case a := <-c.answer:
 		g.writeAnswer(w, id, a)
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -146,6 +146,7 @@
 		g.stepRestorer(ioCtx, preset.RestoreTickMsg{})
 	}
 	g.handleQuota(ioCtx)
+	g.publishPlacing(now)
 }
 
 // timeToWake returns the time until the next wake-up of a state machine, at most maxWaitMs.
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -35,12 +35,13 @@
 	reserveCredits prometheus.Counter
 	ownedGroups    prometheus.Gauge
 	storeEra       prometheus.Gauge
+	placing        *placing
 	explanations   prometheus.Counter
 }
 
 func newMetrics() *metrics {
 	m := &metrics{
-		registry: prometheus.NewRegistry(),
+		registry: prometheus.NewRegistry(), placing: newPlacing(),
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: "lentillink", Subsystem: "gateway", Name: "requests_total", Help: "Requests answered, by outcome.",
 		}, []string{"outcome"}),
@@ -65,7 +66,7 @@
 		m.registry.MustRegister(g)
 		return g
 	}
-	m.registry.MustRegister(m.requests, m.duration, m.events, m.credit)
+	m.registry.MustRegister(m.requests, m.duration, m.events, m.credit, m.placing)
 	m.lateAnswers = counter("late_answers_total", "Answers after the target of their route.")
 	m.missingShards = counter("missing_parts_total", "Shards that were left out of gathered answers.")
 	m.attempts = counter("attempts_total", "Attempts sent to upstreams.")
--- a/relay/cost.go
+++ b/relay/cost.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"strings"
 
 	"lentillink.example/lentillink/clock"
@@ -49,7 +50,7 @@
 func (m *Model) expectArrival(now clock.Millis, r *request, msg ArrivalMsg) {
 	if m.byCost() {
 		m.expect(now, r, cost.KeysOf(cost.Features{
-			Route: r.route.Name, Customer: r.customer, Method: msg.Method,
+			Route: r.route.Name, Customer: r.customer, Method: cmp.Or(msg.Method, "GET"),
 			Path: strings.TrimPrefix(msg.Path, r.route.Prefix), BodyBytes: msg.BodyBytes,
 		}))
 	}
@@ -208,5 +209,9 @@
 	return clock.Millis(ownMs * slowness)
 }
 
+// PlacesByCost reports whether this VM estimates what requests cost, unless a preset bounds
+// that to the median of their routes.
+func (m *Model) PlacesByCost() bool { return m.costs.estimator != nil }
+
 // CostStats returns the counts of estimates, all 0 unless this VM places by cost.
 func (m *Model) CostStats() cost.Stats { return m.costs.stats }
--- a/relay/explain.go
+++ b/relay/explain.go
@@ -240,6 +240,14 @@
 	if st := e.model.statsFor(r.route); st.samples == 0 {
 		e.unknown("the latency of route %s is not measured yet, %.0f ms are assumed", r.route.Name, st.medianMs)
 	}
+	if e.model.byCost() {
+		if !r.cost.Known() {
+			e.unknown("what requests of route %s cost, all count the same", r.route.Name)
+		}
+		if q.Arrival.BodyBytes == 0 {
+			e.unknown("the size of the body, 0 bytes are assumed")
+		}
+	}
 	if q.Arrival.RoundTripMs == 0 {
 		e.unknown("the round trip to the caller, %d ms are assumed", defaultRoundTripMs)
 	}
--- a/relay/message.go
+++ b/relay/message.go
@@ -34,7 +34,7 @@
 	Name        string // the caller's request identifier, for events
 	Host        string
 	Path        string // with its query string
-	Method      string
+	Method      string // GET if empty
 	BodyBytes   int
 	RemainingMs clock.Millis // caller's timeout; 0 if not stated
 	Key         string       // that the caller sent; empty if none
--- a/settings/bind.go
+++ b/settings/bind.go
@@ -34,6 +34,8 @@
 		b.bindSlice(path, v, dst)
 	case reflect.String:
 		b.bindString(path, v, dst)
+	case reflect.Bool:
+		b.bindBool(path, v, dst)
 	default:
 		b.bindNumber(path, v, dst)
 	}
@@ -83,6 +85,15 @@
 	dst.SetString(s)
 }
 
+func (b *binder) bindBool(path string, v any, dst reflect.Value) {
+	x, ok := v.(bool)
+	if !ok {
+		b.reject(path, "is %s, want true or false", typeName(v))
+		return
+	}
+	dst.SetBool(x)
+}
+
 func (b *binder) bindNumber(path string, v any, dst reflect.Value) {
 	num, ok := v.(json.Number)
 	if !ok {
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -25,7 +25,8 @@
 	MemoryMB     int64        `json:"memory_mb"` // memory limit of the process
 	ExpectedVMs  int          `json:"expected_vms"`
 	CPUShare     float64      `json:"cpu_share"` // number of cores that the VM may use
-	DrainMs      clock.Millis `json:"drain_ms"`  // time after which a leaving upstream must get no new requests
+	Placing      Placing      `json:"placing"`
+	DrainMs      clock.Millis `json:"drain_ms"` // time after which a leaving upstream must get no new requests
 }
 
 // RetryBudget bounds the retries of a service in any window, over all VMs: Ratio
@@ -44,6 +45,12 @@
 	Slack         float64 `json:"slack"`
 }
 
+// Placing states how upstreams are chosen. With ByCost the choice, the order in queues and
+// the time of hedges depend on what each request is expected to cost.
+type Placing struct {
+	ByCost bool `json:"by_cost"`
+}
+
 // Bounds and defaults of the fields of Gateway.
 const (
 	maxGraceSeconds  = 600
--- a/settings/gateway_test.go
+++ b/settings/gateway_test.go
@@ -28,6 +28,13 @@
 	if g.VM != "front-1" || g.CPUShare != 0.4 || g.Retry.Extra != 58 || g.DrainMs != 3000 {
 		t.Errorf("got %+v, want the values of the file and the default drain", g)
 	}
+	if g.Placing.ByCost {
+		t.Error("got placing by cost, want it off unless it is set")
+	}
+	on, err := settings.DecodeGateway([]byte(strings.Replace(gatewayJSON, `"grace_s": 6`, `"grace_s": 6, "placing": {"by_cost": true}`, 1)))
+	if err != nil || !on.Placing.ByCost {
+		t.Errorf("got %+v, %v, want placing by cost", on, err)
+	}
 	tests := []struct{ name, old, replacement, wantPath string }{
 		{"empty VM", `"front-1"`, `""`, "vm"},
 		{"duplicate address", `"10.0.0.1:8001"`, `"10.0.0.1:8000"`, "ready"},
@@ -35,6 +42,8 @@
 		{"ratio above 1", `"ratio": 0.2`, `"ratio": 2`, "retry_budget.ratio"},
 		{"ratio is a string", `"ratio": 0.2`, `"ratio": "much"`, "retry_budget.ratio"},
 		{"missing unit", `"grace_s": 6`, `"grace": 6`, "grace"},
+		{"by_cost is a number", `"grace_s": 6`, `"grace_s": 6, "placing": {"by_cost": 1}`, "placing.by_cost"},
+		{"unknown kind of placing", `"grace_s": 6`, `"grace_s": 6, "placing": {"by_size": true}`, "placing.by_size"},
 		{"negative cpu_share", `0.4`, `-1`, "cpu_share"},
 	}
 	for _, tt := range tests {
