--- a/relay/choose.go
+++ b/relay/choose.go
@@ -7,6 +7,7 @@
 	upstream  *upstream // nil if none can take it now
 	available bool      // some upstream could take it now or later
 	probe     bool      // it probes an upstream that was slow
+	changed   bool      // without expected costs it would be another
 }
 
 // chooseUpstream returns the upstream with the lowest expected latency for a
@@ -17,6 +18,9 @@
 	if c.probe {
 		sub.req.probed = true
 	}
+	if c.upstream != nil && m.byCost() {
+		m.costs.stats.CountChoice(c.changed)
+	}
 	return c.upstream, c.available
 }
 
@@ -25,9 +29,9 @@
 func (m *Model) choose(now clock.Millis, sub *subrequest, hedge bool, visit func(*upstream, Exclusion, Score)) choice {
 	var c choice
 	medianMs := m.statsFor(sub.req.route).medianMs
-	bestScore := 0.0
+	bestScore, bestPlain := 0.0, 0.0
 	mayProbe := !hedge && sub.req.route.Idempotent && !sub.req.probed && float64(sub.req.targetAt-now) >= probeMinMedians*medianMs
-	var avoided, lastResort *upstream
+	var plain, avoided, lastResort *upstream
 	for _, u := range sub.service.upstreams {
 		e := m.exclusion(now, sub, u)
 		c.available = c.available || e == nothing || sub.mayBecomeFree(u, e)
@@ -44,10 +48,14 @@
 		case e == nothing && mayProbe && u.probeDue(now) && m.isLocal(u):
 			c.upstream, c.probe = u, true
 		case e == nothing:
-			score = m.score(now, u, medianMs)
+			var plainMs float64
+			score, plainMs = m.scoreFor(now, u, sub.req)
 			if s := score.Total(); c.upstream == nil || s < bestScore {
 				c.upstream, bestScore = u, s
 			}
+			if plain == nil || plainMs < bestPlain {
+				plain, bestPlain = u, plainMs
+			}
 		}
 		if visit != nil {
 			visit(u, e, score)
@@ -56,6 +64,7 @@
 			return c
 		}
 	}
+	c.changed = c.upstream != plain
 	if c.upstream == nil && !hedge && avoided != nil && (len(avoided.open) == 0 || avoided.failures == 0) {
 		// No other upstream is left: use the one whose avoidance ends first, with only
 		// one attempt at a time if it has failed.
--- a/relay/exclusion.go
+++ b/relay/exclusion.go
@@ -24,11 +24,12 @@
 	Cold                   // it is cold, and the share of this VM is used up
 	Full                   // no free place
 	Yielded                // the customer is above its share and leaves the place to others
+	Occupied               // the request waits in the order of this VM, rather than behind others there
 	Avoided                // it has failed or refused requests; it is the second choice
 	Unconsidered           // another upstream was taken as a probe first
 )
 
-var exclusionNames = [...]string{"", "removed", "leaving", "evacuated", "tried", "reserved", "held_too_long", "shed", "unreachable", "held", "cold", "full", "yielded", "avoided", "unconsidered"}
+var exclusionNames = [...]string{"", "removed", "leaving", "evacuated", "tried", "reserved", "held_too_long", "shed", "unreachable", "held", "cold", "full", "yielded", "occupied", "avoided", "unconsidered"}
 
 // String returns the name of e, empty for an upstream that may be chosen.
 func (e Exclusion) String() string {
@@ -63,6 +64,8 @@
 		return Full
 	case m.leavesPlace(now, sub, u):
 		return Yielded
+	case m.waitsHere(now, u, sub):
+		return Occupied
 	case now < u.avoidUntil:
 		return Avoided
 	}
@@ -76,4 +79,4 @@
 }
 
 // temporary are the exclusions that end by themselves.
-var temporary = []Exclusion{Held, Cold, Full, Yielded, Avoided}
+var temporary = []Exclusion{Held, Cold, Full, Yielded, Occupied, Avoided}
--- a/relay/explain.go
+++ b/relay/explain.go
@@ -150,6 +150,7 @@
 	}
 	r := m.newRequest(e.now, rt, msg)
 	r.setCustomer(c)
+	m.expectArrival(e.now, r, msg)
 	e.out.Route, e.out.Customer = rt.Name, r.customer
 	if len(q.Services) > 0 {
 		e.explainDelegated(r, q.Services)
@@ -191,7 +192,7 @@
 // delegates to it. Credit is decided there.
 func (e *explainer) explainDelegated(r *request, services []string) {
 	m := e.model
-	d := Delegation{Version: r.version, Services: services, Terms: r.terms(), RemainingMs: r.deadline - e.now, TargetInMs: r.targetAt - e.now, LateInMs: r.lateAt - e.now}
+	d := Delegation{Version: r.version, Services: services, Terms: r.terms(), RemainingMs: r.deadline - e.now, TargetInMs: r.targetAt - e.now, LateInMs: r.lateAt - e.now, CostKeys: r.costKeys}
 	if reason := m.refusalOf(&d); reason != "" {
 		e.reject(Answer{Outcome: NotReady, Reason: reason, Route: r.route.Name})
 		return
@@ -242,6 +243,14 @@
 	if st := e.model.statsFor(r.route); st.samples == 0 {
 		e.unknown("the latency of route %s is not measured yet, %.0f ms are assumed", r.route.Name, st.medianMs)
 	}
+	if e.model.byCost() {
+		if !r.cost.Known() {
+			e.unknown("what requests of route %s cost, all count the same", r.route.Name)
+		}
+		if q.Arrival.BodyBytes == 0 {
+			e.unknown("the size of the body, 0 bytes are assumed")
+		}
+	}
 	if q.Arrival.RoundTripMs == 0 {
 		e.unknown("the round trip to the caller, %d ms are assumed", defaultRoundTripMs)
 	}
--- a/relay/model.go
+++ b/relay/model.go
@@ -45,6 +45,8 @@
 	policies       policies
 	shardShares    shares  // of the customers in the room of all shards
 	meanRate       float64 // of the customers that have one; 0 if none has
+	costs          costs
+	now            clock.Millis // of the last Update
 	nextID         uint64
 	stopAt         clock.Millis // 0 while the VM is not stopping
 	callersUntil   clock.Millis // while stopping: when no new callers are expected
@@ -56,7 +58,7 @@
 	cfg := newConfig(opts)
 	source := rand.NewPCG(cfg.seed, cfg.seed)
 	return &Model{
-		cfg: cfg, source: source, rng: rand.New(source), vmCount: cfg.vmCount, budgetLimit: cfg.budget,
+		cfg: cfg, costs: newCosts(cfg.byCost), source: source, rng: rand.New(source), vmCount: cfg.vmCount, budgetLimit: cfg.budget,
 		splitter: route.NewSplitter(), services: make(map[string]*service), upstreams: make(map[string]*upstream), evacuated: make(map[string]bool), reaches: make(map[string]*reach),
 		routeStats: make(map[string]*routeStats), requests: make(map[uint64]*request), parked: make(map[uint64]parkedRequest), attempts: make(map[uint64]*attempt),
 		notices: newBoundedMap[string, notice](maxNotices), departures: newDepartures(), peers: make(map[string]*peerVM), leftPeers: make(map[string]*peerVM), resultLagMs: initialLagMs, delegations: make(map[uint64]*delegation),
@@ -68,6 +70,7 @@
 // handles the messages that wait in its queue first, so that no answer leaves out a reply
 // that has already arrived.
 func (m *Model) Update(now clock.Millis, msg Msg) []Cmd {
+	m.now = now
 	clear(m.cmds)
 	m.cmds = m.cmds[:0]
 	switch t := msg.(type) {
--- a/relay/request.go
+++ b/relay/request.go
@@ -4,6 +4,7 @@
 	"math"
 
 	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/cost"
 	"lentillink.example/lentillink/fairshare"
 	"lentillink.example/lentillink/route"
 )
@@ -41,6 +42,9 @@
 	carrierMayHaveRun  bool          // a carrier reported an outcome other than refused
 	openAttempts       int           // attempts that have not ended
 	wakeAt             clock.Millis
+	costKeys           cost.Keys
+	hasCostKeys        bool // costKeys are set, since the cost of requests counts
+	cost               cost.Estimate
 }
 
 // subrequest is the part of a request for one service.
@@ -71,6 +75,7 @@
 	subrequest   *subrequest
 	upstream     *upstream
 	sentAt       clock.Millis
+	startedAt    clock.Millis // when it began to run, as far as this VM sees; 0 if it waits at its upstream
 	overdueAfter clock.Millis // latency from which the reply is overdue
 	expiresAt    clock.Millis // when the time that the upstream was given runs out
 	hedgeAt      clock.Millis
@@ -124,8 +129,8 @@
 		return b.isLate(now) // late requests yield to those that are not
 	case a.share.Tag() != b.share.Tag():
 		return a.share.Tag() < b.share.Tag()
-	case a.lateAt != b.lateAt:
-		return a.lateAt < b.lateAt
+	case a.orderAt() != b.orderAt():
+		return a.orderAt() < b.orderAt()
 	}
 	return a.id < b.id
 }
