Keep placing by cost from loading slow upstreams and carriers

Only those of another priority, or far dearer, are passed now. Samples of upstreams that are slow again and again are divided by that slowness, and the wait for a slot counts the work that is left of running attempts, not all of it.

--- a/experiment/replay/pattern_test.go
+++ b/experiment/replay/pattern_test.go
@@ -44,6 +44,32 @@
 	}
 }
 
+// TestPatternsByCost guards against placing by cost that serves callers worse than the users
+// accept, or violates a guarantee, where requests of a route cost about the same.
+func TestPatternsByCost(t *testing.T) {
+	for _, p := range replay.Patterns() {
+		if p.Size.Shards == replay.Grown.Shards && testing.Short() {
+			continue
+		}
+		t.Run(p.Name, func(t *testing.T) {
+			t.Parallel()
+			p.Size.ByCost = true
+			w := p.Run(1, false)
+			for _, violation := range w.Violations() {
+				t.Error(violation)
+			}
+			u, o := w.Outcome("urgent"), w.Outcome("ordinary")
+			t.Logf("urgent: %s; ordinary: %s", u, o)
+			if u.Credit() < p.MinUrgentCredit || o.Credit() < p.MinOrdinaryCredit {
+				t.Errorf("got urgent and ordinary credit %.3f and %.3f, want at least %.2f and %.2f", u.Credit(), o.Credit(), p.MinUrgentCredit, p.MinOrdinaryCredit)
+			}
+			if n := u.Unserved() + o.Unserved(); n > p.MaxUnserved {
+				t.Errorf("got %d refused or failed requests, want at most %d", n, p.MaxUnserved)
+			}
+		})
+	}
+}
+
 // TestRepeats guards against a run that cannot be repeated from its seed.
 func TestRepeats(t *testing.T) {
 	p := replay.Patterns()[1]
--- a/experiment/replay/simulation.go
+++ b/experiment/replay/simulation.go
@@ -68,6 +68,9 @@
 	Processors      bool    // work takes processor time on the VMs
 	WarmupPerSecond float64 // requests that a cold upstream bears; 0 for no bound
 
+	// ByCost lets the VMs place requests by their expected cost.
+	ByCost bool
+
 	// Independent disables cooperation and extra attempts: each VM gathers all shards itself and sends nothing twice.
 	Independent bool
 }
@@ -139,7 +142,7 @@
 	}
 	w.fleet, w.evacuated = fleet, make([]string, vms)
 	for i := range vms {
-		m := relay.New(relay.WithSeed(seed+uint64(i)), relay.WithSelf(fleet[i].ID, fleet[i].DataCentre), relay.WithBudget(budget))
+		m := relay.New(relay.WithSeed(seed+uint64(i)), relay.WithSelf(fleet[i].ID, fleet[i].DataCentre), relay.WithBudget(budget), relay.WithPlacingByCost(size.ByCost))
 		w.vms = append(w.vms, m)
 		w.update(i, relay.TableMsg{Table: table})
 		for _, id := range w.sortedUpstreamIDs() {
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -1,6 +1,10 @@
 package relay
 
-import "lentillink.example/lentillink/clock"
+import (
+	"math"
+
+	"lentillink.example/lentillink/clock"
+)
 
 // choice is what the next attempt of a sub-request does.
 type choice struct {
@@ -29,9 +33,10 @@
 func (m *Model) choose(now clock.Millis, sub *subrequest, hedge bool, visit func(*upstream, Exclusion, Score)) choice {
 	var c choice
 	medianMs := m.statsFor(sub.req.route).medianMs
-	bestScore, bestPlain := 0.0, 0.0
+	var best Score
+	bestScore, bestPlain, bestOccupied := 0.0, 0.0, math.Inf(1)
 	mayProbe := !hedge && sub.req.route.Idempotent && !sub.req.probed && float64(sub.req.targetAt-now) >= probeMinMedians*medianMs
-	var plain, avoided, lastResort *upstream
+	var plain, occupied, avoided, lastResort *upstream
 	for _, u := range sub.service.upstreams {
 		e := m.exclusion(now, sub, u)
 		c.available = c.available || e == nothing || sub.mayBecomeFree(u, e)
@@ -45,13 +50,18 @@
 			if avoided == nil || u.avoidUntil < avoided.avoidUntil {
 				avoided = u
 			}
+		case e == Occupied:
+			score, _ = m.scoreFor(now, u, sub.req)
+			if s := score.Total(); s < bestOccupied {
+				occupied, bestOccupied = u, s
+			}
 		case e == nothing && mayProbe && u.probeDue(now) && m.isLocal(u):
 			c.upstream, c.probe = u, true
 		case e == nothing:
 			var plainMs float64
 			score, plainMs = m.scoreFor(now, u, sub.req)
 			if s := score.Total(); c.upstream == nil || s < bestScore {
-				c.upstream, bestScore = u, s
+				c.upstream, bestScore, best = u, s, score
 			}
 			if plain == nil || plainMs < bestPlain {
 				plain, bestPlain = u, plainMs
@@ -65,6 +75,9 @@
 		}
 	}
 	c.changed = c.upstream != plain
+	if c.upstream != nil && bestOccupied < m.drawbackMs(c.upstream, best, sub.req) {
+		c.upstream = occupied // the free ones are slow, failing or far
+	}
 	if c.upstream == nil && !hedge && avoided != nil && (len(avoided.open) == 0 || avoided.failures == 0) {
 		// No other upstream is left: use the one whose avoidance ends first, with only
 		// one attempt at a time if it has failed.
--- a/relay/cost.go
+++ b/relay/cost.go
@@ -25,6 +25,9 @@
 	// becomes free.
 	queuedExtraAttempts = 1
 
+	// farCheaper is the factor by which the expected work of requests surely differs.
+	farCheaper = 2
+
 	// maxOwnShare limits the expected work of a request in its admission, as a share of the
 	// time to its target: none is refused for its own work alone.
 	maxOwnShare = 0.5
@@ -98,19 +101,20 @@
 func (m *Model) unfinishedMs(now clock.Millis, u *upstream) float64 {
 	sum := 0.0
 	for _, a := range u.open {
-		r := a.subrequest.req
-		switch {
-		case !r.cost.Known():
-			sum += m.statsFor(r.route).medianMs
-		case a.startedAt == 0:
-			sum += r.cost.MeanMs()
-		default:
-			sum += r.cost.RemainingMs(now - a.startedAt)
-		}
+		sum += m.remainingMs(now, a)
 	}
 	return sum
 }
 
+// remainingMs returns the expected work that is left of an open attempt.
+func (m *Model) remainingMs(now clock.Millis, a *attempt) float64 {
+	r := a.subrequest.req
+	if !r.cost.Known() || a.startedAt == 0 {
+		return m.meanMs(r)
+	}
+	return r.cost.RemainingMs(now - a.startedAt)
+}
+
 // scoreFor returns the Score of an upstream for a request, and its total as it is while the
 // cost of requests does not count.
 func (m *Model) scoreFor(now clock.Millis, u *upstream, r *request) (s Score, plainMs float64) {
@@ -144,7 +148,7 @@
 // rather than in that of u: behind others that wait here, or behind work that takes long.
 func (m *Model) waitsHere(now clock.Millis, u *upstream, sub *subrequest) bool {
 	slots := u.info.Slots
-	if !m.byCost() || !sub.req.cost.Known() || slots <= 0 || len(u.open) < slots {
+	if !m.byCost() || !sub.req.cost.Known() || slots <= 0 || len(u.open) < slots || m.fillsAlone(u) {
 		return false
 	}
 	queued := len(sub.service.queue)
@@ -157,6 +161,12 @@
 	return m.unfinishedMs(now, u) > joinFactor*m.statsFor(sub.req.route).medianMs*float64(slots)
 }
 
+// drawbackMs returns by how much an upstream is worse for a request than a healthy one nearby,
+// whatever is open there.
+func (m *Model) drawbackMs(u *upstream, s Score, r *request) float64 {
+	return s.DistanceMs + s.FailureMs + s.DoubtMs + (u.sustainedSlowness()-1)*m.meanMs(r)
+}
+
 // slots returns the slots of the upstreams of a service.
 func (s *service) slots() int {
 	n := 0
@@ -177,10 +187,35 @@
 	return r.lateAt + clock.Millis(min(yieldFactor*r.cost.MeanMs(), max(spare, 0)))
 }
 
+// backlog is the work before a new sub-request.
+type backlog struct {
+	slots, running, waiting int
+	runningMs, waitingMs    float64 // expected work that is left
+}
+
+// add adds an open attempt or a queued sub-request.
+func (b *backlog) add(runs bool, ms float64) {
+	if runs {
+		b.running++
+		b.runningMs += ms
+		return
+	}
+	b.waiting++
+	b.waitingMs += ms
+}
+
+// waitMs returns the time until a slot is free for the new sub-request.
+func (b *backlog) waitMs() float64 {
+	if b.slots == 0 || b.running+b.waiting < b.slots {
+		return 0
+	}
+	return (b.waitingMs + b.runningMs/float64(max(b.running, 1))) / float64(b.slots)
+}
+
 // estimateByCost estimates how long a sub-request takes from now by the expected work of what
 // is open and of what is queued before it.
 func (m *Model) estimateByCost(now clock.Millis, sub *subrequest, slowness float64) clock.Millis {
-	slots, ahead, workMs := 0, 0, 0.0
+	var b backlog
 	for _, u := range sub.service.upstreams {
 		if !u.usable() || now < u.notBefore(now) {
 			continue
@@ -189,24 +224,31 @@
 		if u.info.Slots > 0 {
 			n = min(n, u.info.Slots)
 		}
-		slots += n
-		ahead += len(u.open)
-		workMs += m.unfinishedMs(now, u)
+		b.slots += n
+		for _, a := range u.open {
+			b.add(a.startedAt > 0, m.remainingMs(now, a))
+		}
 	}
 	for _, queued := range sub.service.queue {
-		if !queued.req.answered && queued.precedes(now, sub) {
-			ahead++
-			workMs += m.meanMs(queued.req)
+		if !queued.req.answered && !m.passes(sub, queued) {
+			b.add(false, m.meanMs(queued.req))
 		}
 	}
 	ownMs := m.statsFor(sub.req.route).medianMs
 	if !sub.req.delegated { // the estimate for another VM is that of all requests of the route
 		ownMs = min(m.typicalMs(sub.req), max(ownMs, maxOwnShare*float64(sub.req.targetAt-now)))
 	}
-	if ahead > 0 && ahead >= slots {
-		ownMs += workMs / float64(ahead) * float64(ahead-slots+1) / float64(max(slots, 1))
+	return clock.Millis((b.waitMs() + ownMs) * slowness)
+}
+
+// passes reports whether a new sub-request is surely served before a queued one: it is of a
+// higher priority, or far cheaper. Otherwise later ones may pass it as it does that one.
+func (m *Model) passes(sub, queued *subrequest) bool {
+	a, b := sub.req, queued.req
+	if a.priority != b.priority {
+		return a.priority.precedes(b.priority)
 	}
-	return clock.Millis(ownMs * slowness)
+	return a.orderAt() < b.orderAt() && m.meanMs(b) > farCheaper*m.meanMs(a)
 }
 
 // PlacesByCost reports whether this VM estimates what requests cost, unless a preset bounds
--- a/relay/exclusion.go
+++ b/relay/exclusion.go
@@ -61,10 +61,10 @@
 		return Held
 	case len(u.open) >= m.attemptLimit(now, u, sub.req.route.Priority):
 		return Full
-	case m.waitsHere(now, u, sub):
-		return Occupied
 	case now < u.avoidUntil:
 		return Avoided
+	case m.waitsHere(now, u, sub):
+		return Occupied
 	}
 	return nothing
 }
--- a/relay/learn.go
+++ b/relay/learn.go
@@ -4,7 +4,7 @@
 
 // maxRelativeSlowness bounds by how much the work of a sample is corrected for the speed of
 // its upstream.
-const maxRelativeSlowness = 4
+const maxRelativeSlowness = maxSlowRatio
 
 // startNext records that the oldest attempts at u have begun to run: as far as this VM sees,
 // its upstream runs them in the order in which they were sent.
@@ -62,15 +62,31 @@
 	m.costs.estimator.Add(now, &r.costKeys, workMs)
 }
 
-// relativeSlowness returns the latency at u as a multiple of the mean of its service.
+// relativeSlowness returns the latency at u as a multiple of that of the upstreams of its
+// service which are not slow. If all are, it is the requests that take longer.
 func (u *upstream) relativeSlowness() float64 {
-	sum := 0.0
+	var usual, all float64
+	n := 0
 	for _, o := range u.service.upstreams {
-		sum += o.latencyRatio
+		if o.slowAvoidMs < confirmedSlowAvoidMs {
+			usual += o.latencyRatio
+			n++
+		}
+		all += o.lastRatio()
 	}
-	if sum <= 0 || u.latencyRatio <= 0 {
+	if n == 0 {
+		usual, n = all, len(u.service.upstreams)
+	}
+	if usual <= 0 {
 		return 1
 	}
-	ratio := u.latencyRatio * float64(len(u.service.upstreams)) / sum
-	return min(max(ratio, 1.0/maxRelativeSlowness), maxRelativeSlowness)
+	return min(max(u.lastRatio()*float64(n)/usual, 1.0/maxRelativeSlowness), maxRelativeSlowness)
+}
+
+// lastRatio returns the latency ratio of an upstream, that of its last reply if several were slow.
+func (u *upstream) lastRatio() float64 {
+	if u.slowAvoidMs >= confirmedSlowAvoidMs {
+		return u.slowRatio
+	}
+	return u.latencyRatio
 }
