--- a/relay/cost.go
+++ b/relay/cost.go
@@ -229,11 +229,8 @@
 			b.add(a.startedAt > 0, m.remainingMs(now, a))
 		}
 	}
-	for _, queued := range sub.service.queue {
-		if !queued.req.answered && !m.passes(sub, queued) {
-			b.add(false, m.meanMs(queued.req))
-		}
-	}
+	n, queuedMs := m.queuedWork(sub)
+	b.waiting, b.waitingMs = b.waiting+n, b.waitingMs+queuedMs
 	ownMs := m.statsFor(sub.req.route).medianMs
 	if !sub.req.delegated { // the estimate for another VM is that of all requests of the route
 		ownMs = min(m.typicalMs(sub.req), max(ownMs, maxOwnShare*float64(sub.req.targetAt-now)))
@@ -241,6 +238,22 @@
 	return clock.Millis((b.waitMs() + ownMs) * slowness)
 }
 
+// queuedWork returns how many queued sub-requests are served before a new one, and their
+// expected work.
+func (m *Model) queuedWork(sub *subrequest) (n int, ms float64) {
+	for _, queued := range sub.service.queue {
+		if !queued.req.answered && !m.passes(sub, queued) {
+			n++
+			ms += m.meanMs(queued.req)
+		}
+	}
+	// Of those, the share of the customer decides how many go first.
+	if first := sub.service.queuedAhead(sub.req); first < n {
+		ms, n = ms*float64(first)/float64(n), first
+	}
+	return n, ms
+}
+
 // passes reports whether a new sub-request is surely served before a queued one: it is of a
 // higher priority, or far cheaper. Otherwise later ones may pass it as it does that one.
 func (m *Model) passes(sub, queued *subrequest) bool {
--- a/relay/expected.go
+++ b/relay/expected.go
@@ -6,6 +6,7 @@
 type workClass struct {
 	route    string
 	priority priority
+	customer string // empty if none
 }
 
 // estimate is the latency that a carrier estimates for a request of one class.
@@ -24,7 +25,7 @@
 
 // setEstimate stores the latency that a carrier estimates for a request like r.
 func (c *peerVM) setEstimate(now clock.Millis, r *request, ms clock.Millis) {
-	c.estimates.set(workClass{r.route.Name, r.priority}, estimate{ms: ms, at: now})
+	c.estimates.set(workClass{r.route.Name, r.priority, r.customer}, estimate{ms: ms, at: now})
 }
 
 // estimateFor returns the estimated latency of a request like r at a carrier from now.
@@ -36,7 +37,7 @@
 
 // knownEstimate is estimateFor. It is not ok if there is no estimate, or a stale one.
 func (c *peerVM) knownEstimate(now clock.Millis, r *request) (ms clock.Millis, ok bool) {
-	class := workClass{r.route.Name, r.priority}
+	class := workClass{r.route.Name, r.priority, r.customer}
 	e, ok := c.estimates.entries[class]
 	if age := now - e.at; ok && age < estimateMaxAgeMs {
 		return max(e.ms-age, 0), true
--- a/relay/model.go
+++ b/relay/model.go
@@ -43,6 +43,8 @@
 	vmCount        int
 	budgetLimit    BudgetMsg
 	policies       policies
+	shardShares    shares  // of the customers in the room of all shards
+	meanRate       float64 // of the customers that have one; 0 if none has
 	costs          costs
 	now            clock.Millis // of the last Update
 	nextID         uint64
@@ -141,10 +143,12 @@
 		return
 	}
 	m.table = t
+	m.meanRate = meanRate(t)
 	m.splitter.Prune(t)
 	for _, s := range m.services {
 		s.configure(t)
 		s.isShard = t.IsShard(s.name)
+		s.upstreamsChanged()
 	}
 	m.carriersChanged()
 	m.assignWarmups(now)
--- a/relay/request.go
+++ b/relay/request.go
@@ -5,6 +5,7 @@
 
 	"lentillink.example/lentillink/clock"
 	"lentillink.example/lentillink/cost"
+	"lentillink.example/lentillink/fairshare"
 	"lentillink.example/lentillink/route"
 )
 
@@ -17,12 +18,14 @@
 	customer           string // name of the caller's customer; empty if none
 	hasCredit          bool   // of its customer, which counts the request unless it does not run
 	priority           priority
+	share              *fairshare.Flow // of its customer's use on this VM
 	version            uint64
 	minShardRatio      float64 // share of the shards below which a gathered answer fails
 	arrived            clock.Millis
 	deadline           clock.Millis  // for the final answer, from the timeouts of the caller and the route
 	targetAt           clock.Millis  // an answer after this is late
 	lateAt             clock.Millis  // when the route's target has passed, whatever time the caller states
+	workMs             clock.Millis  // that it takes once it is sent, 0 if it has no customer
 	subrequests        []*subrequest // gathered on this VM
 	succeeded          int           // sub-requests with a reply
 	unresolved         int           // sub-requests that may still get a reply
@@ -113,7 +116,8 @@
 }
 
 // precedes reports whether sub is served before other. The order is by priority,
-// then requests that are not late before late ones, then by the time when they are late.
+// then requests that are not late before late ones, then those of customers within their
+// share before those of others, then by the time when they are late.
 // It does not depend on the time that a caller states: a short one must not delay the
 // requests of others.
 func (sub *subrequest) precedes(now clock.Millis, other *subrequest) bool {
@@ -121,14 +125,19 @@
 	switch {
 	case a.priority != b.priority:
 		return a.priority.precedes(b.priority)
-	case (now > a.lateAt) != (now > b.lateAt):
-		return now <= a.lateAt // late requests yield to those that are not
+	case a.isLate(now) != b.isLate(now):
+		return b.isLate(now) // late requests yield to those that are not
+	case a.share.Tag() != b.share.Tag():
+		return a.share.Tag() < b.share.Tag()
 	case a.orderAt() != b.orderAt():
 		return a.orderAt() < b.orderAt()
 	}
 	return a.id < b.id
 }
 
+// isLate reports whether a request ends after its target even if it is sent now.
+func (r *request) isLate(now clock.Millis) bool { return now+r.workMs > r.lateAt }
+
 func (sub *subrequest) removeAttempt(a *attempt) {
 	for i, o := range sub.open {
 		if o == a {
--- a/settings/gateway_test.go
+++ b/settings/gateway_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"os"
 	"path/filepath"
@@ -45,6 +46,8 @@
 		{"by_cost is a number", `"grace_s": 6`, `"grace_s": 6, "placing": {"by_cost": 1}`, "placing.by_cost"},
 		{"unknown kind of placing", `"grace_s": 6`, `"grace_s": 6, "placing": {"by_size": true}`, "placing.by_size"},
 		{"negative cpu_share", `0.4`, `-1`, "cpu_share"},
+		{"quota without a window", `"grace_s": 6`, `"grace_s": 6, "quota": {"window_s": 0, "overshoot": 0.1, "slack": 20}`, "quota.window_s"},
+		{"negative slack", `"grace_s": 6`, `"grace_s": 6, "quota": {"slack": -1}`, "quota.slack"},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -60,6 +63,23 @@
 	}
 }
 
+// TestGatewayWithoutQuota guards against settings that a program writes without a quota, and
+// that are refused because its fields are then zero, and against a quota that is not read.
+func TestGatewayWithoutQuota(t *testing.T) {
+	g, err := settings.DecodeGateway([]byte(strings.Replace(gatewayJSON, `"grace_s"`, `"quota": {"window_s": 7}, "grace_s"`, 1)))
+	if err != nil || g.Quota.WindowSeconds != 7 {
+		t.Fatalf("got %+v, %v, want a window of 7 s", g, err)
+	}
+	g.Quota = settings.Quota{}
+	data, err := json.Marshal(g)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if g, err = settings.DecodeGateway(data); err != nil || g.Quota.WindowSeconds != 5 {
+		t.Errorf("got %+v, %v, want the default window of 5 s", g, err)
+	}
+}
+
 // TestWatch guards against missing a change of the file, with or without a signal,
 // and against replacing valid settings by a file that is not JSON.
 func TestWatch(t *testing.T) {
