--- a/relay/exclusion.go
+++ b/relay/exclusion.go
@@ -64,10 +64,10 @@
 		return Full
 	case m.leavesPlace(now, sub, u):
 		return Yielded
-	case m.waitsHere(now, u, sub):
-		return Occupied
 	case now < u.avoidUntil:
 		return Avoided
+	case m.waitsHere(now, u, sub):
+		return Occupied
 	}
 	return nothing
 }
