--- a/catalog/era.go
+++ b/catalog/era.go
@@ -102,7 +102,7 @@
 	return m.handleWatch(now, b, cmds)
 }
 
-// crossByList takes over the state in a new era from a fresh list, and publishes what
+// crossByList applies the state in a new era from a fresh list, and publishes what
 // differs from the state before.
 func (m *Model) crossByList(now clock.Millis, b store.Batch, cmds []Cmd) []Cmd {
 	m.listedAt, m.current = now, true
--- a/cmd/lentillink/explain.go
+++ b/cmd/lentillink/explain.go
@@ -90,7 +90,7 @@
 	return fmt.Errorf("VM %s is not reachable or does not answer: %w", vm, err)
 }
 
-// verdict returns the error whose code tells what becomes of the request.
+// verdict returns the error whose code shows what becomes of the request.
 func (c *explainCommand) verdict(q explain.Question, doc *explain.Document) error {
 	switch doc.Verdict() {
 	case explain.NoRoute:
--- a/cost/doc.go
+++ b/cost/doc.go
@@ -6,5 +6,5 @@
 // each key it keeps a histogram of work that fades. An estimate starts from the histogram
 // of the route. Each finer key then counts as much as it has seen, and as much as it has
 // predicted this route's requests better than the coarser ones did. So a key without
-// evidence, or one that tells nothing, changes nothing.
+// evidence, or one without information, changes nothing.
 package cost
--- a/cost/estimator.go
+++ b/cost/estimator.go
@@ -15,7 +15,7 @@
 	priorWeight = 1
 
 	// gainFade is the share of a gain that is left after a sample. maxGain bounds a gain, so
-	// that a level that begins to tell something counts again.
+	// that a level that begins to carry information counts again.
 	gainFade = 0.98
 	maxGain  = 6
 
--- a/cost/estimator_test.go
+++ b/cost/estimator_test.go
@@ -27,8 +27,8 @@
 
 func within(got, want, share float64) bool { return math.Abs(got-want) <= share*want }
 
-// TestEstimate guards against an estimator that misses a feature that tells the cost, or
-// that believes thin evidence.
+// TestEstimate guards against an estimator that misses a feature that indicates the cost, or
+// that trusts thin evidence.
 func TestEstimate(t *testing.T) {
 	rng := rand.New(rand.NewPCG(1, 1))
 	spread := func(ms float64) float64 { return ms * (0.8 + 0.4*rng.Float64()) }
@@ -114,7 +114,7 @@
 	}
 }
 
-// TestTellsNothing guards against features that tell nothing and yet move estimates: the
+// TestTellsNothing guards against features without information that move estimates: the
 // error may be at most a fiftieth above that of the route's own mean.
 func TestTellsNothing(t *testing.T) {
 	for seed := range uint64(8) {
--- a/customer/directory.go
+++ b/customer/directory.go
@@ -9,7 +9,7 @@
 )
 
 // digest identifies a key. The time that a look-up takes depends on the digest of what the
-// caller sent, which tells nothing about similar keys.
+// caller sent, which reveals nothing about similar keys.
 type digest [sha256.Size]byte
 
 // Directory finds customers by key and by name. It is immutable.
--- a/experiment/replay/cost.go
+++ b/experiment/replay/cost.go
@@ -22,7 +22,7 @@
 type CostLoad struct {
 	Name       string
 	Classes    []CostClass
-	Telling    float64 // share of the requests whose path tells their class
+	Telling    float64 // share of the requests whose path indicates their class
 	Capacity   float64 // load as a share of what the upstreams can do
 	VMs        int
 	Upstreams  int
--- a/fairshare/scan.go
+++ b/fairshare/scan.go
@@ -1,6 +1,6 @@
 package fairshare
 
-// Scan tells which of the work that waits would be served before new work of one flow. It
+// Scan reports which of the work that waits would be served before new work of one flow. It
 // is valid until the next Scan of the Account.
 type Scan struct {
 	flow *Flow
--- a/gateway/era.go
+++ b/gateway/era.go
@@ -18,7 +18,7 @@
 	returned bool
 }
 
-// postEra tells the event loop of a new era of the store, which any reply may state. It is
+// postEra informs the event loop of a new era of the store, which any reply may state. It is
 // called before the result of the call is posted.
 func (g *Gateway) postEra() {
 	if era := g.watcher.Era(); era > g.postedEra.Load() {
--- a/gateway/quota.go
+++ b/gateway/quota.go
@@ -132,7 +132,7 @@
 	return quota.FailedMsg{Kind: store.KindOf(err)}
 }
 
-// setLimited tells the quota whether some customer of a configuration has a limit.
+// setLimited sets whether some customer of a configuration has a limit.
 func (g *Gateway) setLimited(t *route.Table) {
 	limited := false
 	for _, c := range t.Customers().All() {
--- a/preset/restorer_test.go
+++ b/preset/restorer_test.go
@@ -48,7 +48,7 @@
 	return rec.Revision
 }
 
-// tellStored tells all VMs that reach the store what it holds, as its watch does.
+// tellStored sends all VMs that reach the store what it holds, as its watch does.
 func (f *restoreFleet) tellStored() {
 	for i := range f.vms {
 		if !f.cut[i] {
--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -118,7 +118,7 @@
 	f.list(nd)
 }
 
-// list tells a VM which VMs there are.
+// list sends a VM the list of VMs.
 func (f *fleet) list(nd *node) {
 	var vms []quota.VM
 	for _, o := range f.nodes {
@@ -295,7 +295,7 @@
 	}
 }
 
-// put changes a claim and tells the VMs that reach the store.
+// put changes a claim and notifies the VMs that reach the store.
 func (f *fleet) put(group int, c quota.Claim) {
 	f.revision++
 	msg := quota.ClaimMsg{Group: group, Claim: c, Revision: f.revision}
--- a/quota/model.go
+++ b/quota/model.go
@@ -207,7 +207,7 @@
 	}
 }
 
-// checkLinks gives up on the VMs that have not answered in time.
+// checkLinks stops waiting for the VMs that have not answered in time.
 func (m *Model) checkLinks(now clock.Millis) {
 	for _, vm := range sortedKeys(m.links) {
 		l := m.links[vm]
@@ -221,7 +221,7 @@
 	}
 }
 
-// checkAccounts returns the credit that has run out, and forgets what is no longer used.
+// checkAccounts returns the credit that has run out, and deletes what is no longer used.
 func (m *Model) checkAccounts(now clock.Millis) {
 	m.returnCredit(now)
 	for name, a := range m.accounts {
--- a/quota/replay_test.go
+++ b/quota/replay_test.go
@@ -83,7 +83,7 @@
 	return out
 }
 
-// replayGossip runs a load through VMs that each count alone and tell all others once a second.
+// replayGossip runs a load through VMs that each count alone and inform all others once a second.
 func replayGossip(load []arrival, vms int, d clock.Millis) outcome {
 	type own struct {
 		vm       int
--- a/quota/storecall.go
+++ b/quota/storecall.go
@@ -213,7 +213,7 @@
 	}
 }
 
-// leaseEnded gives up all groups of the lease.
+// leaseEnded ends the ownership of all groups of the lease.
 func (m *Model) leaseEnded(now clock.Millis) {
 	for g := range m.rights {
 		if m.rights[g].lease == m.lease.id && m.lease.id != 0 {
--- a/relay/credit.go
+++ b/relay/credit.go
@@ -53,7 +53,7 @@
 	}
 }
 
-// cancelParked forgets a parked request whose caller has gone.
+// cancelParked deletes a parked request whose caller has gone.
 func (m *Model) cancelParked(now clock.Millis, id uint64) {
 	p, ok := m.parked[id]
 	if !ok {
--- a/relay/departure.go
+++ b/relay/departure.go
@@ -28,7 +28,7 @@
 	at       clock.Millis
 }
 
-// departures remembers removed upstreams, so that a store that comes back from an older copy
+// departures records removed upstreams, so that a store that comes back from an older copy
 // does not bring them back, and holds the entries of which this is suspected.
 type departures struct {
 	byID boundedMap[string, departure]
@@ -90,7 +90,7 @@
 	return true
 }
 
-// acceptHeld believes the held entries whose time has come.
+// acceptHeld applies the held entries whose hold has ended.
 func (m *Model) acceptHeld(now clock.Millis) {
 	var due []string
 	for id, h := range m.departures.held {
--- a/relay/throttle_test.go
+++ b/relay/throttle_test.go
@@ -68,7 +68,7 @@
 	}
 }
 
-// TestCarrierThrottles guards against a carrier that does not tell others which customer is
+// TestCarrierThrottles guards against a carrier that does not report to others which customer is
 // above its share, against one that names a customer within its share, and against one that
 // throttles a customer because its upstreams are too slow for the target.
 func TestCarrierThrottles(t *testing.T) {
