--- a/review/kit-2/main.go
+++ b/review/kit-2/main.go
@@ -18,6 +18,7 @@
 var cases = map[string]func(rec *recorder, trouble bool) (broken bool, err error){
 	"early-answer": earlyAnswer,
 	"short-lease":  shortLease,
+	"limit-change": limitChange,
 }
 
 func main() { os.Exit(run()) }
--- a/review/kit-2/shortlease.go
+++ b/review/kit-2/shortlease.go
@@ -305,7 +305,7 @@
 		})
 		rec.log("%s answered, by status: %v", v.name, counts)
 	}
-	return judgeQuota(rec, record), nil
+	return judgeQuota(rec, record, ratePerS, burst), nil
 }
 
 // startQuotaUpstream starts an upstream that runs each request at once.
@@ -378,11 +378,12 @@
 	}
 }
 
-// judgeQuota applies the rule to every window that begins with a request that ran.
-func judgeQuota(rec *recorder, record *runs) bool {
+// judgeQuota applies the rule, for a tenant with a usage cap, to every window that begins with a
+// request that ran.
+func judgeQuota(rec *recorder, record *runs, perSecond, burst float64) bool {
 	record.mu.Lock()
 	defer record.mu.Unlock()
-	limit := (ratePerS*quotaWindow.Seconds()+burst)*(1+quotaOvershoot) + quotaSlack
+	limit := (perSecond*quotaWindow.Seconds()+burst)*(1+quotaOvershoot) + quotaSlack
 	all := record.all
 	sort.Slice(all, func(i, j int) bool { return all[i].sent.Before(all[j].sent) })
 	most, at := 0, 0
@@ -397,15 +398,15 @@
 			most, at = n, i
 		}
 	}
-	perSecond := make(map[string][]int)
+	bySecond := make(map[string][]int)
 	for _, r := range all {
 		second := int(r.arrived.Sub(rec.start).Seconds())
-		for len(perSecond[r.from]) <= second {
-			perSecond[r.from] = append(perSecond[r.from], 0)
+		for len(bySecond[r.from]) <= second {
+			bySecond[r.from] = append(bySecond[r.from], 0)
 		}
-		perSecond[r.from][second]++
+		bySecond[r.from][second]++
 	}
-	for from, counts := range perSecond {
+	for from, counts := range bySecond {
 		rec.log("runs of requests that were sent to %s, by second: %v", from, counts)
 	}
 	if len(all) == 0 {
