--- a/review/kit-2/main.go
+++ b/review/kit-2/main.go
@@ -16,9 +16,10 @@
 // cases play a case and report whether the rule was broken. With trouble false they leave out
 // the disruption.
 var cases = map[string]func(rec *recorder, trouble bool) (broken bool, err error){
-	"early-answer": earlyAnswer,
-	"short-lease":  shortLease,
-	"limit-change": limitChange,
+	"early-answer":  earlyAnswer,
+	"short-lease":   shortLease,
+	"limit-change":  limitChange,
+	"drill-restart": drillRestart,
 }
 
 func main() { os.Exit(run()) }
