--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -7,4 +7,4 @@
   echo "build the programs first: the build line of deploy/system.toml, then review/build-2.sh" >&2
   exit 2
 fi
-exec "$kit" limit-change "review/8"
+exec "$kit" drill-restart "review/8"
