--- a/review/kit-2/drillrestart.go
+++ b/review/kit-2/drillrestart.go
@@ -180,6 +180,7 @@
 			record.mu.Lock()
 			record.sent[id] = now()
 			record.mu.Unlock()
+			record.rec.log("%s is sent to %s", id, v.name)
 			status, body := 0, ""
 			if resp, err := client.Do(req); err == nil {
 				data, _ := io.ReadAll(resp.Body)
--- a/review/kit-2/shortlease.go
+++ b/review/kit-2/shortlease.go
@@ -365,6 +365,7 @@
 			record.mu.Lock()
 			record.sent[id] = now()
 			record.mu.Unlock()
+			record.rec.log("%s is sent to %s", id, v.name)
 			status := 0
 			if resp, err := client.Do(req); err == nil {
 				_, _ = io.Copy(io.Discard, resp.Body)
