Keep a VM that starts from using what an older copy of the store holds

Cause: a VM that starts compared its version with the entries of the other VMs, which the return removes and which are written again up to 0.5 s after it. Without entries it used the copy. Presets, upstreams that had left and evacuations were not compared at all.

Change: new package era. The VMs record in the store (lentillink/era) which era is settled; the record of a copy is always that of an earlier era. A VM that starts in an era that is not recorded uses nothing until it is, or until it has read the store in this era for 4 s (more in fleets above 500 VMs). As before it waits for what entries of other VMs name, now also for presets, up to a minute of contact. Items are decoded once, when the catalog reports them.

Evidence: platform.TestStartAtReturn, 11 cases of one, two or all VMs started before, at and after the return.

--- a/catalog/era.go
+++ b/catalog/era.go
@@ -105,7 +105,7 @@
 // crossByList applies the state in a new era from a fresh list, and publishes what
 // differs from the state before.
 func (m *Model) crossByList(now clock.Millis, b store.Batch, cmds []Cmd) []Cmd {
-	m.listedAt, m.current = now, true
+	m.listedAt, m.current, m.confirmedAt = now, true, m.begunAt
 	u := newUpdate(m.pos, position{m.era, b.Revision}, nil)
 	present := make(map[string]bool, len(b.Items))
 	for _, it := range b.Items {
--- a/catalog/model.go
+++ b/catalog/model.go
@@ -69,6 +69,8 @@
 	staleList     bool // the list that is outstanding may be stale
 	current       bool // everything up to the start of this Model is known
 	listedAt      clock.Millis
+	begunAt       clock.Millis // when the outstanding call began
+	confirmedAt   clock.Millis // see ConfirmedAt
 	nextCall      clock.Millis
 	backoff       clock.Millis
 	era           uint64           // newest era of the store that is known
@@ -238,7 +240,9 @@
 
 func (m *Model) handleList(now clock.Millis, b store.Batch, cmds []Cmd) []Cmd {
 	m.needRelist, m.needFresh, m.listedAt = false, false, now
-	m.current = m.current || !m.staleList
+	if !m.staleList {
+		m.current, m.confirmedAt = true, m.begunAt
+	}
 	// Open a watch immediately after a list: no event is known for which a delay would help.
 	m.nextCall = now
 	present := make(map[string]bool, len(b.Items))
@@ -269,7 +273,7 @@
 	if m.current && len(b.Items) == 0 {
 		m.nextCall = now // no burst of events is in progress
 	}
-	m.current = true
+	m.current, m.confirmedAt = true, m.begunAt
 	return m.applyChanges(now, Update{Items: b.Items, To: b.Revision}, cmds)
 }
 
@@ -372,13 +376,13 @@
 		return cmds
 	}
 	if m.needRelist || now-m.listedAt >= relistIntervalMs {
-		m.phase, m.staleList, m.callPos = phaseListing, !m.needFresh, m.pos
+		m.phase, m.staleList, m.callPos, m.begunAt = phaseListing, !m.needFresh, m.pos, now
 		return append(cmds, ListCmd{AllowStale: m.staleList})
 	}
 	if m.subscription.replacesWatch(now) {
 		return cmds
 	}
-	m.phase, m.callPos = phaseWatching, m.pos
+	m.phase, m.callPos, m.begunAt = phaseWatching, m.pos, now
 	wait := watchWaitMs
 	if !m.current {
 		wait = firstWatchWaitMs
--- a/catalog/query.go
+++ b/catalog/query.go
@@ -7,6 +7,10 @@
 // confirmed it.
 func (m *Model) Current() bool { return m.current }
 
+// ConfirmedAt returns when the last call of this VM began that has shown all changes up to its
+// beginning, in the newest era at its end; 0 if none has.
+func (m *Model) ConfirmedAt() clock.Millis { return m.confirmedAt }
+
 // Era returns the newest era of the store that is known, or 0.
 func (m *Model) Era() uint64 { return m.era }
 
--- a/gateway/decoder.go
+++ b/gateway/decoder.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"lentillink.example/lentillink/era"
 	"lentillink.example/lentillink/exchange"
 	"lentillink.example/lentillink/preset"
 	"lentillink.example/lentillink/quota"
@@ -27,6 +28,7 @@
 	VM        *relay.VM
 	Presets   *preset.Record
 	Claim     *quota.Claim
+	Era       *era.Record
 	Evacuated string // data centre whose upstreams must get nothing new while the item exists
 }
 
@@ -48,6 +50,8 @@
 	ClaimKey(group int) string
 	// VMKey returns the key of a VM's entry.
 	VMKey(id string) string
+	// IsEra reports whether a key is that of the record of the settled era.
+	IsEra(key string) bool
 	// IsPresets reports whether a key is that of the preset record.
 	IsPresets(key string) bool
 }
--- a/gateway/era.go
+++ b/gateway/era.go
@@ -2,28 +2,26 @@
 
 import (
 	"context"
+	"encoding/json"
+	"time"
 
 	"lentillink.example/lentillink/catalog"
+	"lentillink.example/lentillink/era"
 	"lentillink.example/lentillink/preset"
 	"lentillink.example/lentillink/quota"
 	"lentillink.example/lentillink/roster"
 	"lentillink.example/lentillink/store"
 )
 
-// change is a change of the store's items, with the era in which it was read. returned is
-// as in catalog.PutCmd.
-type change struct {
-	item     store.Item
-	era      uint64
-	returned bool
-}
+// eraCallTimeout bounds the store calls that write the record of the settled era.
+const eraCallTimeout = 2 * time.Second
 
 // postEra informs the event loop of a new era of the store, which any reply may state. It is
 // called before the result of the call is posted.
 func (g *Gateway) postEra() {
-	if era := g.watcher.Era(); era > g.postedEra.Load() {
-		g.postedEra.Store(era)
-		g.post(loopMsg{catalog: catalog.EraMsg{Era: era}})
+	if newest := g.watcher.Era(); newest > g.postedEra.Load() {
+		g.postedEra.Store(newest)
+		g.post(loopMsg{catalog: catalog.EraMsg{Era: newest}})
 	}
 }
 
@@ -32,6 +30,7 @@
 // preset record.
 func (g *Gateway) enterEra(ioCtx context.Context, c catalog.EraCmd) {
 	g.metrics.storeEra.Set(float64(c.Era))
+	g.stepEra(ioCtx, era.EraMsg{Era: c.Era})
 	g.postQuota(quota.EraMsg{Era: c.Era})
 	if !c.Returned {
 		return
@@ -42,6 +41,47 @@
 	g.stepRestorer(ioCtx, preset.StoreReturnedMsg{Rank: g.rank()})
 }
 
+// stepEra passes msg to the guard of eras and starts the writes that it asks for.
+func (g *Gateway) stepEra(ioCtx context.Context, msg era.Msg) {
+	for _, cmd := range g.eraGuard.Update(g.clock.Now(), msg) {
+		if g.store == nil {
+			return
+		}
+		go func() {
+			var result era.Msg = era.FailedMsg{}
+			defer func() { g.post(loopMsg{era: result}) }()
+			defer g.recovered("era record")
+			result = g.writeEra(ioCtx, cmd.Record)
+			g.postEra()
+		}()
+	}
+	_, settled := g.eraGuard.Era()
+	g.metrics.settledEra.Set(float64(settled))
+}
+
+// writeEra writes the record of the settled era, unless the store has one of the same era.
+func (g *Gateway) writeEra(ioCtx context.Context, rec era.Record) era.Msg {
+	ctx, cancel := context.WithTimeout(ioCtx, eraCallTimeout)
+	defer cancel()
+	e, err := g.store.Get(ctx, era.StoreKey)
+	if err == nil {
+		var stored era.Record
+		if json.Unmarshal(e.Value, &stored) == nil && stored.Era == rec.Era {
+			return era.WrittenMsg{Record: stored}
+		}
+		var value []byte
+		if value, err = json.Marshal(rec); err == nil {
+			_, err = g.store.Swap(ctx, era.StoreKey, value, e.Revision)
+		}
+	}
+	if err != nil {
+		_ = g.logger.Log("event", "era_record_failed", "era", rec.Era, "cause", store.KindOf(err), "err", shorten(err))
+		return era.FailedMsg{}
+	}
+	_ = g.logger.Log("event", "era_settled", "era", rec.Era, "vms", rec.VMs)
+	return era.WrittenMsg{Record: rec}
+}
+
 // isLeased reports whether VMs write a key under their leases.
 func (g *Gateway) isLeased(key string) bool {
 	_, ok := g.decoder.VMID(key)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -11,6 +11,7 @@
 
 	"lentillink.example/lentillink/catalog"
 	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/era"
 	"lentillink.example/lentillink/exchange"
 	"lentillink.example/lentillink/peer"
 	"lentillink.example/lentillink/preset"
@@ -51,6 +52,7 @@
 	registrar     *roster.Registrar
 	quota         *quota.Model
 	restorer      *preset.Restorer
+	eraGuard      *era.Guard
 	mesh          *peer.Mesh
 	metrics       *metrics
 	client        *exchange.Client
@@ -69,21 +71,22 @@
 	panicTimes    []clock.Millis // of the last panics in the event loop, which owns it
 	explaining    chan struct{}  // holds an element while a question is answered
 
-	callerConns   *callerConns
-	answerLag     answerLag
-	updatedAt     clock.Millis             // time of the last message to relayModel; owned by the event loop
-	acceptDone    chan struct{}            // closed when no more callers are accepted
-	memoryBytes   int64                    // of the process
-	bodies        exchange.Memory          // for the bodies of callers that are being read
-	calls         map[uint64]*call         // owned by the event loop
-	delegations   map[delegationKey]uint64 // requests of other VMs, owned by the event loop
-	vmList        map[string]relay.VM      // owned by the event loop
-	quotaMsgs     []quota.Msg              // for the quota, see postQuota; owned by the event loop
-	credits       []relay.CreditMsg        // decisions for the relay, see handleQuota; owned by the event loop
-	start         start                    // owned by the event loop
-	unapplied     []change                 // changes that are not in force yet; owned by the event loop
-	postedEra     atomic.Uint64            // newest era of the store that the event loop was told of
-	vmListChanged bool                     // vmList was changed and is to be applied; owned by the event loop
+	callerConns    *callerConns
+	answerLag      answerLag
+	updatedAt      clock.Millis             // time of the last message to relayModel; owned by the event loop
+	acceptDone     chan struct{}            // closed when no more callers are accepted
+	memoryBytes    int64                    // of the process
+	bodies         exchange.Memory          // for the bodies of callers that are being read
+	calls          map[uint64]*call         // owned by the event loop
+	delegations    map[delegationKey]uint64 // requests of other VMs, owned by the event loop
+	vmList         map[string]relay.VM      // owned by the event loop
+	quotaMsgs      []quota.Msg              // for the quota, see postQuota; owned by the event loop
+	credits        []relay.CreditMsg        // decisions for the relay, see handleQuota; owned by the event loop
+	presetRevision uint64                   // of the last committed record; owned by the event loop
+	start          start                    // owned by the event loop
+	unapplied      []change                 // changes that are not in force yet; owned by the event loop
+	postedEra      atomic.Uint64            // newest era of the store that the event loop was told of
+	vmListChanged  bool                     // vmList was changed and is to be applied; owned by the event loop
 }
 
 // loopMsg is a message for the event loop. One field is set, except that call comes with
@@ -98,6 +101,7 @@
 	peer      *peerEvent
 	presets   *preset.Record
 	restorer  preset.RestorerMsg
+	era       era.Msg
 	result    *exchange.Result
 	explain   *explainCall
 }
@@ -130,6 +134,7 @@
 	g.registrar = roster.NewRegistrar(g.seed)
 	g.quota = quota.New(quota.WithSelf(g.self.ID, g.self.DataCentre), quota.WithSeed(g.seed), quota.WithBounds(g.quotaBounds))
 	g.restorer = preset.NewRestorer(g.seed)
+	g.eraGuard = era.New(g.seed)
 	g.mesh = peer.New(g.self.ID, g.seed, meshHandler{g})
 	g.catalog = catalog.New(g.seed, catalog.WithWatchInterval(g.watchInterval), catalog.WithSuperseded(g.isSuperseded), catalog.WithLeased(g.isLeased))
 	g.client = exchange.New(func(r exchange.Result) { g.post(loopMsg{result: &r}) },
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -7,6 +7,7 @@
 
 	"lentillink.example/lentillink/catalog"
 	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/era"
 	"lentillink.example/lentillink/exchange"
 	"lentillink.example/lentillink/peer"
 	"lentillink.example/lentillink/preset"
@@ -63,6 +64,7 @@
 	g.stepCatalog(ioCtx, catalog.ResumedMsg{})
 	g.stepRegistrar(ioCtx, roster.ResumedMsg{})
 	g.stepQuota(ioCtx, quota.ResumedMsg{})
+	g.stepEra(ioCtx, era.LostMsg{})
 }
 
 // handleQueued handles the messages in the queue, at most maxBatch.
@@ -91,6 +93,8 @@
 		g.setPresets(ioCtx, *msg.presets)
 	case msg.restorer != nil:
 		g.stepRestorer(ioCtx, msg.restorer)
+	case msg.era != nil:
+		g.stepEra(ioCtx, msg.era)
 	case msg.peer != nil:
 		g.handlePeer(ioCtx, msg.peer)
 	case msg.registrar != nil:
@@ -145,6 +149,9 @@
 	if at, ok := g.restorer.NextWake(); ok && at <= now {
 		g.stepRestorer(ioCtx, preset.RestoreTickMsg{})
 	}
+	if at, ok := g.eraGuard.NextWake(); ok && at <= now {
+		g.stepEra(ioCtx, era.TickMsg{})
+	}
 	g.handleQuota(ioCtx)
 	g.publishPlacing(now)
 }
@@ -168,6 +175,9 @@
 	if at, ok := g.restorer.NextWake(); ok {
 		wait = min(wait, at-now)
 	}
+	if at, ok := g.eraGuard.NextWake(); ok {
+		wait = min(wait, at-now)
+	}
 	return max(wait, 0)
 }
 
@@ -268,9 +278,9 @@
 			_ = g.logger.Log("event", "catalog_feeder", "feeder", c.VM)
 			g.stepRegistrar(ioCtx, roster.SubscriptionMsg{Subscribed: c.VM != ""})
 		case catalog.PutCmd:
-			g.unapplied = append(g.unapplied, change{item: c.Item, era: c.Era, returned: c.Returned})
+			g.addChange(ioCtx, g.decodeChange(c.Item, c.Era, c.Returned))
 		case catalog.DeleteCmd:
-			g.unapplied = append(g.unapplied, change{item: store.Item{Key: c.Key, Removed: true}, era: c.Era})
+			g.addChange(ioCtx, change{item: store.Item{Key: c.Key, Removed: true}, era: c.Era})
 		case catalog.EraCmd:
 			g.enterEra(ioCtx, c)
 		case catalog.StoreStatusCmd:
@@ -280,6 +290,10 @@
 			}
 		}
 	}
+	if failed, ok := msg.(catalog.FailedMsg); ok && failed.Kind != store.KindConflict {
+		g.stepEra(ioCtx, era.LostMsg{})
+	}
+	g.stepEra(ioCtx, era.ReadMsg{BegunAt: g.catalog.ConfirmedAt()})
 	if g.mayApply() {
 		g.applyItems(ioCtx)
 	}
@@ -302,6 +316,12 @@
 	return !ok
 }
 
+// addChange records a change that is not in force yet.
+func (g *Gateway) addChange(ioCtx context.Context, c change) {
+	g.unapplied = append(g.unapplied, c)
+	g.observeChange(ioCtx, c)
+}
+
 // applyItems applies the changes that the catalog has reported.
 func (g *Gateway) applyItems(ioCtx context.Context) {
 	items := g.unapplied
@@ -351,11 +371,10 @@
 // applyItem applies an item of the store. If the item of an upstream cannot be
 // decoded, the upstream is removed. Other undecodable items change nothing.
 func (g *Gateway) applyItem(ioCtx context.Context, c change) {
-	item := c.item
-	decoded, err := g.decodeItem(item)
-	if err != nil {
+	item, decoded := c.item, c.decoded
+	if c.err != nil {
 		g.metrics.skippedItems.Inc()
-		_ = g.logger.Log("event", "item_skipped", "key", item.Key, "revision", item.Revision, "err", shorten(err))
+		_ = g.logger.Log("event", "item_skipped", "key", item.Key, "revision", item.Revision, "err", shorten(c.err))
 		if id, ok := g.decoder.UpstreamID(item.Key); ok {
 			g.stepRelay(relay.UpstreamRemovedMsg{ID: id, Era: c.era})
 		}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -36,6 +36,7 @@
 	reserveCredits prometheus.Counter
 	ownedGroups    prometheus.Gauge
 	storeEra       prometheus.Gauge
+	settledEra     prometheus.Gauge
 	placing        *placing
 	explanations   prometheus.Counter
 }
@@ -82,6 +83,7 @@
 	m.ownedGroups = gauge("owned_groups", "Groups of customers whose credit this VM grants.")
 	m.explanations = counter("explanations_total", "Questions where a request would go.")
 	m.ready = gauge("ready", "1 if the VM is ready for the balancer.")
+	m.settledEra = gauge("store_settled_era", "Era of the store that is recorded as settled: nothing that was lost when it began is missing.")
 	m.storeEra = gauge("store_era", "Era of the store: it rises each time the store comes back from an older copy.")
 	return m
 }
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -6,6 +6,7 @@
 
 	"lentillink.example/lentillink/catalog"
 	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/era"
 	"lentillink.example/lentillink/exchange"
 	"lentillink.example/lentillink/quota"
 	"lentillink.example/lentillink/relay"
@@ -163,6 +164,7 @@
 	}
 	g.stepRelay(relay.FleetMsg{VMs: list})
 	g.postQuota(quota.FleetMsg{VMs: quotaVMs(list)})
+	g.stepEra(ioCtx, era.FleetMsg{VMs: len(list), Rank: g.rank()})
 	publishers, mayPublish := catalog.Publishers(g.self.ID, g.publisherCandidates(list))
 	g.stepCatalog(ioCtx, catalog.PublishersMsg{VMs: publishers, MayPublish: mayPublish})
 }
@@ -188,7 +190,7 @@
 		g.watcher.Reconnect()
 	}
 	self := g.self
-	self.ConfigVersion = g.relayModel.Version()
+	self.ConfigVersion, self.PresetRevision = g.relayModel.Version(), g.presetRevision
 	for _, cmd := range g.registrar.Update(g.clock.Now(), msg) {
 		go func() {
 			var result roster.RegistrarMsg = roster.FailedMsg{Kind: store.KindUnknown}
--- a/gateway/presets.go
+++ b/gateway/presets.go
@@ -17,6 +17,7 @@
 		return
 	}
 	g.presets.Store(&rec)
+	g.presetRevision = rec.Revision
 	g.stepRestorer(ioCtx, preset.KnownMsg{Record: rec})
 	g.stepRelay(relay.PresetMsg{Preset: rec.CurrentPreset()})
 	_ = g.logger.Log("event", "preset_in_force", "preset", rec.InForce, "revision", rec.Revision,
--- a/gateway/start.go
+++ b/gateway/start.go
@@ -1,50 +1,79 @@
 package gateway
 
-import "lentillink.example/lentillink/clock"
+import (
+	"context"
 
-// maxStartWaitMs bounds the time for which a VM that starts waits for a configuration that
-// other VMs have had. Operators write a lost one again within about 2 s.
-const maxStartWaitMs = 10 * clock.Second
+	"lentillink.example/lentillink/era"
+	"lentillink.example/lentillink/store"
+)
 
-// start decides when a VM that starts may use what it has read. After the store has come back
-// from an older copy, the newest configuration may be missing there. The other VMs still have
-// it in force, and say so in their entries.
+// start is the state of a VM that has not used yet what it has read from the store.
 type start struct {
-	done        bool
-	waitingFrom clock.Millis
+	done   bool
+	waitOn era.Wait // as last logged
 }
 
-// mayUse reports whether a VM may use a version of the configuration, when the highest one in
-// the entries of the VMs is fleetVersion.
-func (s *start) mayUse(now clock.Millis, version, fleetVersion uint64) bool {
-	if s.waitingFrom == 0 {
-		s.waitingFrom = now
-	}
-	s.done = s.done || version >= fleetVersion || now >= s.waitingFrom+maxStartWaitMs
-	return s.done
+// change is a decoded change of the store's items, with the era in which it was read.
+// returned is as in catalog.PutCmd.
+type change struct {
+	item     store.Item // without its value
+	decoded  DecodedItem
+	err      error // of decoding
+	era      uint64
+	returned bool
+}
+
+// decodeChange decodes an item that the catalog has reported.
+func (g *Gateway) decodeChange(item store.Item, era uint64, returned bool) change {
+	decoded, err := g.decodeItem(item)
+	item.Value = nil
+	return change{item: item, decoded: decoded, err: err, era: era, returned: returned}
 }
 
-// mayApply reports whether the changes that the catalog has reported may come into force.
+// mayApply reports whether the changes that the catalog has reported may come into force. On
+// a VM that starts they may not as long as the store may lack newer ones.
 func (g *Gateway) mayApply() bool {
 	if g.start.done || !g.catalog.Current() {
 		return g.start.done
 	}
-	var version, fleetVersion uint64
-	for _, c := range g.unapplied {
-		if _, ok := g.decoder.UpstreamID(c.item.Key); ok || c.item.Removed {
-			continue
-		}
-		switch d, err := g.decodeItem(c.item); {
-		case err != nil: // reported when the item is applied
-		case d.Table != nil:
-			version = max(version, d.Table.Version())
-		case d.VM != nil:
-			fleetVersion = max(fleetVersion, d.VM.ConfigVersion)
+	wait := g.eraGuard.Wait()
+	g.start.done = wait == era.WaitNone
+	if wait != g.start.waitOn {
+		g.start.waitOn = wait
+		newest, settled := g.eraGuard.Era()
+		read, ofFleet := g.eraGuard.Known()
+		event := "start_waits"
+		if g.start.done {
+			event = "start_continues"
 		}
+		g.metrics.events.WithLabelValues(event).Inc()
+		_ = g.logger.Log("event", event, "cause", wait, "era", newest, "settled_era", settled,
+			"version", read.ConfigVersion, "fleet_version", ofFleet.ConfigVersion,
+			"preset_revision", read.PresetRevision, "fleet_preset_revision", ofFleet.PresetRevision)
 	}
-	ok := g.start.mayUse(g.clock.Now(), version, fleetVersion)
-	if !ok {
-		_ = g.logger.Log("event", "configuration_awaited", "version", version, "fleet", fleetVersion)
+	return g.start.done
+}
+
+// observeChange passes to the guard of eras what a change says about the state of the store.
+func (g *Gateway) observeChange(ioCtx context.Context, c change) {
+	key, d := c.item.Key, c.decoded
+	id, isVM := g.decoder.VMID(key)
+	switch {
+	case c.err != nil: // reported when the item is applied
+	case d.Table != nil:
+		g.stepEra(ioCtx, era.ConfigMsg{Version: d.Table.Version()})
+	case d.Presets != nil:
+		g.stepEra(ioCtx, era.PresetMsg{Revision: d.Presets.Revision})
+	case d.VM != nil && id == d.VM.ID:
+		g.stepEra(ioCtx, era.VMMsg{ID: id, Facts: era.Facts{ConfigVersion: d.VM.ConfigVersion, PresetRevision: d.VM.PresetRevision}})
+	case d.Era != nil:
+		g.stepEra(ioCtx, era.RecordMsg{Record: *d.Era})
+	case !c.item.Removed:
+	case isVM:
+		g.stepEra(ioCtx, era.VMRemovedMsg{ID: id})
+	case g.decoder.IsPresets(key):
+		g.stepEra(ioCtx, era.PresetMsg{})
+	case g.decoder.IsEra(key):
+		g.stepEra(ioCtx, era.RecordMsg{})
 	}
-	return ok
 }
--- a/relay/carrier.go
+++ b/relay/carrier.go
@@ -26,12 +26,15 @@
 	// ConfigVersion is the version of the configuration that was in force when the VM wrote
 	// its entry; 0 if it is of an earlier release.
 	ConfigVersion uint64 `json:"config_version,omitempty"`
+
+	// PresetRevision is the revision of the preset record that was in force then.
+	PresetRevision uint64 `json:"preset_revision,omitempty"`
 }
 
 // isSameProcess reports whether an entry may come from the process that wrote another one.
 // A VM with another address has been restarted.
 func (v VM) isSameProcess(o VM) bool {
-	v.ConfigVersion = o.ConfigVersion
+	v.ConfigVersion, v.PresetRevision = o.ConfigVersion, o.PresetRevision
 	return v == o
 }
 
--- a/roster/registrar.go
+++ b/roster/registrar.go
@@ -168,10 +168,13 @@
 // is not renewed: its identifier may be given out again.
 func (r *Registrar) storeReturned(now clock.Millis, vms int) {
 	r.leaseID, r.entryWritten, r.callVoid, r.backoff = 0, false, r.callInFlight, 0
-	spread := max(maxReturnMs, clock.Millis(vms)*returnMsPerVM)
-	r.nextCallAt, r.returnAt = now, now+clock.Millis(r.rng.Int64N(int64(spread)))
+	r.nextCallAt, r.returnAt = now, now+clock.Millis(r.rng.Int64N(int64(ReturnSpread(vms))))
 }
 
+// ReturnSpread returns the time over which the VMs of a fleet spread the writes of their
+// entries after the store came back from an older copy.
+func ReturnSpread(vms int) clock.Millis { return max(maxReturnMs, clock.Millis(vms)*returnMsPerVM) }
+
 func (r *Registrar) renewInterval() clock.Millis {
 	if r.subscribed {
 		return subscribedRenewIntervalMs
