Bound the memory of all heads of requests together

What callers saw: bytes without end in the head of a request, on many connections, took more memory than a VM has. Heads to the balancer's and the operators' port had a limit of 1 MB each; those of callers 64 KB each, which is too much on 2,500 connections at once.

Change: package memory (from exchange) has a Meter that reserves memory for what a connection receives. All heads share an eighth of the process's memory, from their first byte beyond 4 KB to the answer. Heads to the balancer and to operators are at most 8 KB.

--- a/era/guard.go
+++ b/era/guard.go
@@ -57,7 +57,7 @@
 // Update applies msg at now and returns the writes to make.
 func (g *Guard) Update(now clock.Millis, msg Msg) []WriteCmd {
 	switch m := msg.(type) {
-	case EraMsg:
+	case NewestMsg:
 		if m.Era > g.era {
 			g.era, g.coveredMs, g.inContact, g.writeAt = m.Era, 0, false, 0
 		}
--- a/era/guard_test.go
+++ b/era/guard_test.go
@@ -41,25 +41,25 @@
 		want  era.Wait
 	}{
 		{"store without eras", [][]step{{{1000, config(3)}}, reads(1000, 1000)}, era.WaitNone},
-		{"era is recorded", [][]step{{{1000, era.EraMsg{Era: 2}}, record(2), {1000, config(3)}}, reads(1000, 1000)}, era.WaitNone},
-		{"no record", [][]step{{{1000, era.EraMsg{Era: 1}}, {1000, config(3)}}, reads(1000, 2000)}, era.WaitEra},
-		{"record of the era before", [][]step{{{1000, era.EraMsg{Era: 2}}, record(1), {1000, config(3)}}, reads(1000, 4500)}, era.WaitEra},
-		{"record of a later era", [][]step{{{1000, era.EraMsg{Era: 2}}, record(3), {1000, config(3)}}, reads(1000, 4500)}, era.WaitEra},
-		{"record is gone", [][]step{{{1000, era.EraMsg{Era: 2}}, record(2), record(0), {1000, config(3)}}, reads(1000, 4500)}, era.WaitEra},
-		{"nobody knows better", [][]step{{{1000, era.EraMsg{Era: 2}}, record(1), {1000, config(3)}}, reads(1000, 5000)}, era.WaitNone},
-		{"gap in the reads", [][]step{{{1000, era.EraMsg{Era: 2}}, {1000, config(3)}}, reads(1000, 3000), {{3100, era.LostMsg{}}}, reads(9000, 10_500)}, era.WaitEra},
-		{"long enough around a gap", [][]step{{{1000, era.EraMsg{Era: 2}}, {1000, config(3)}}, reads(1000, 3000), {{3100, era.LostMsg{}}}, reads(9000, 11_000)}, era.WaitNone},
-		{"a read that began before the gap", [][]step{{{1000, era.EraMsg{Era: 2}}}, reads(1000, 3000), {{3100, era.LostMsg{}}, {9000, era.ReadMsg{BegunAt: 3000}}}, reads(9000, 10_500)}, era.WaitEra},
-		{"second return", [][]step{{{1000, era.EraMsg{Era: 2}}}, reads(1000, 4500), {{4600, era.EraMsg{Era: 3}}}, reads(5000, 8500)}, era.WaitEra},
-		{"return after the record", [][]step{{{1000, era.EraMsg{Era: 2}}, record(2), {4600, era.EraMsg{Era: 3}}}, reads(5000, 5000)}, era.WaitEra},
-		{"large fleet", [][]step{{{1000, era.EraMsg{Era: 2}}, {1000, era.RecordMsg{Record: era.Record{Era: 1, VMs: 1600}}}}, reads(1000, 9000)}, era.WaitEra},
-		{"large fleet, long enough", [][]step{{{1000, era.EraMsg{Era: 2}}, {1000, era.RecordMsg{Record: era.Record{Era: 1, VMs: 1600}}}}, reads(1000, 9500)}, era.WaitNone},
-		{"odd size of the fleet", [][]step{{{1000, era.EraMsg{Era: 2}}, {1000, era.RecordMsg{Record: era.Record{Era: 1, VMs: 1_000_000}}}}, reads(1000, 16_000)}, era.WaitNone},
-		{"newer configuration elsewhere", [][]step{{{1000, era.EraMsg{Era: 2}}, record(2), {1000, config(3)}, {1000, entry(5, 0)}}, reads(1000, 60_000)}, era.WaitVersion},
-		{"newer preset elsewhere", [][]step{{{1000, era.EraMsg{Era: 2}}, record(2), {1000, entry(0, 4)}, {1000, era.PresetMsg{Revision: 3}}}, reads(1000, 60_000)}, era.WaitVersion},
-		{"written again", [][]step{{{1000, era.EraMsg{Era: 2}}, record(2), {1000, config(3)}, {1000, entry(5, 0)}, {3000, config(5)}}, reads(1000, 1000)}, era.WaitNone},
-		{"the other VM is gone", [][]step{{{1000, era.EraMsg{Era: 2}}, record(2), {1000, config(3)}, {1000, entry(5, 0)}, {2000, era.VMRemovedMsg{ID: "vm-1"}}}, reads(1000, 1000)}, era.WaitNone},
-		{"wrong entry", [][]step{{{1000, era.EraMsg{Era: 2}}, record(2), {1000, entry(1<<50, 0)}}, reads(1000, 61_000)}, era.WaitNone},
+		{"era is recorded", [][]step{{{1000, era.NewestMsg{Era: 2}}, record(2), {1000, config(3)}}, reads(1000, 1000)}, era.WaitNone},
+		{"no record", [][]step{{{1000, era.NewestMsg{Era: 1}}, {1000, config(3)}}, reads(1000, 2000)}, era.WaitEra},
+		{"record of the era before", [][]step{{{1000, era.NewestMsg{Era: 2}}, record(1), {1000, config(3)}}, reads(1000, 4500)}, era.WaitEra},
+		{"record of a later era", [][]step{{{1000, era.NewestMsg{Era: 2}}, record(3), {1000, config(3)}}, reads(1000, 4500)}, era.WaitEra},
+		{"record is gone", [][]step{{{1000, era.NewestMsg{Era: 2}}, record(2), record(0), {1000, config(3)}}, reads(1000, 4500)}, era.WaitEra},
+		{"nobody knows better", [][]step{{{1000, era.NewestMsg{Era: 2}}, record(1), {1000, config(3)}}, reads(1000, 5000)}, era.WaitNone},
+		{"gap in the reads", [][]step{{{1000, era.NewestMsg{Era: 2}}, {1000, config(3)}}, reads(1000, 3000), {{3100, era.LostMsg{}}}, reads(9000, 10_500)}, era.WaitEra},
+		{"long enough around a gap", [][]step{{{1000, era.NewestMsg{Era: 2}}, {1000, config(3)}}, reads(1000, 3000), {{3100, era.LostMsg{}}}, reads(9000, 11_000)}, era.WaitNone},
+		{"a read that began before the gap", [][]step{{{1000, era.NewestMsg{Era: 2}}}, reads(1000, 3000), {{3100, era.LostMsg{}}, {9000, era.ReadMsg{BegunAt: 3000}}}, reads(9000, 10_500)}, era.WaitEra},
+		{"second return", [][]step{{{1000, era.NewestMsg{Era: 2}}}, reads(1000, 4500), {{4600, era.NewestMsg{Era: 3}}}, reads(5000, 8500)}, era.WaitEra},
+		{"return after the record", [][]step{{{1000, era.NewestMsg{Era: 2}}, record(2), {4600, era.NewestMsg{Era: 3}}}, reads(5000, 5000)}, era.WaitEra},
+		{"large fleet", [][]step{{{1000, era.NewestMsg{Era: 2}}, {1000, era.RecordMsg{Record: era.Record{Era: 1, VMs: 1600}}}}, reads(1000, 9000)}, era.WaitEra},
+		{"large fleet, long enough", [][]step{{{1000, era.NewestMsg{Era: 2}}, {1000, era.RecordMsg{Record: era.Record{Era: 1, VMs: 1600}}}}, reads(1000, 9500)}, era.WaitNone},
+		{"odd size of the fleet", [][]step{{{1000, era.NewestMsg{Era: 2}}, {1000, era.RecordMsg{Record: era.Record{Era: 1, VMs: 1_000_000}}}}, reads(1000, 16_000)}, era.WaitNone},
+		{"newer configuration elsewhere", [][]step{{{1000, era.NewestMsg{Era: 2}}, record(2), {1000, config(3)}, {1000, entry(5, 0)}}, reads(1000, 60_000)}, era.WaitVersion},
+		{"newer preset elsewhere", [][]step{{{1000, era.NewestMsg{Era: 2}}, record(2), {1000, entry(0, 4)}, {1000, era.PresetMsg{Revision: 3}}}, reads(1000, 60_000)}, era.WaitVersion},
+		{"written again", [][]step{{{1000, era.NewestMsg{Era: 2}}, record(2), {1000, config(3)}, {1000, entry(5, 0)}, {3000, config(5)}}, reads(1000, 1000)}, era.WaitNone},
+		{"the other VM is gone", [][]step{{{1000, era.NewestMsg{Era: 2}}, record(2), {1000, config(3)}, {1000, entry(5, 0)}, {2000, era.VMRemovedMsg{ID: "vm-1"}}}, reads(1000, 1000)}, era.WaitNone},
+		{"wrong entry", [][]step{{{1000, era.NewestMsg{Era: 2}}, record(2), {1000, entry(1<<50, 0)}}, reads(1000, 61_000)}, era.WaitNone},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -83,13 +83,13 @@
 		g := era.New(1)
 		now, newest, recorded := clock.Millis(1000), uint64(1), uint64(0)
 		readSince, lastRead := clock.Millis(0), clock.Millis(0)
-		g.Update(now, era.EraMsg{Era: newest})
+		g.Update(now, era.NewestMsg{Era: newest})
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			now += clock.Millis(rapid.IntRange(1, 1500).Draw(t, "ms"))
 			switch rapid.IntRange(0, 9).Draw(t, "kind") {
 			case 0:
 				newest++
-				g.Update(now, era.EraMsg{Era: newest})
+				g.Update(now, era.NewestMsg{Era: newest})
 				readSince, lastRead = 0, 0
 			case 1:
 				g.Update(now, era.LostMsg{})
@@ -170,7 +170,7 @@
 			f := &recordFleet{now: 1000, record: era.Record{Era: 1, VMs: tt.vms}, fail: tt.fail}
 			for i := range tt.vms {
 				f.vms = append(f.vms, era.New(uint64(i)))
-				f.update(i, era.EraMsg{Era: 1})
+				f.update(i, era.NewestMsg{Era: 1})
 				f.update(i, era.RecordMsg{Record: f.record})
 				f.update(i, era.FleetMsg{VMs: tt.vms, Rank: i})
 				f.update(i, config(5))
@@ -180,7 +180,7 @@
 				t.Fatalf("got %d writes in a recorded era, want none", f.writes)
 			}
 			for i := range f.vms {
-				f.update(i, era.EraMsg{Era: 2})
+				f.update(i, era.NewestMsg{Era: 2})
 				f.update(i, config(tt.stored))
 				if tt.newerEntry {
 					f.update(i, entry(6, 0))
@@ -203,7 +203,7 @@
 func TestGuardCoversEntries(t *testing.T) {
 	for _, vms := range []int{1, 63, 195, 1600, 3000} {
 		g := era.New(1)
-		g.Update(0, era.EraMsg{Era: 2})
+		g.Update(0, era.NewestMsg{Era: 2})
 		g.Update(0, era.RecordMsg{Record: era.Record{Era: 1, VMs: vms}})
 		var waited clock.Millis
 		for at := clock.Millis(100); g.Wait() != era.WaitNone; at += 100 {
--- a/era/message.go
+++ b/era/message.go
@@ -5,8 +5,8 @@
 // Msg is an input of a Guard.
 type Msg interface{ eraMsg() }
 
-// EraMsg reports the newest era that the store has stated.
-type EraMsg struct{ Era uint64 }
+// NewestMsg reports the newest era that the store has stated.
+type NewestMsg struct{ Era uint64 }
 
 // ReadMsg reports a read that shows all changes up to its beginning, in the newest era.
 type ReadMsg struct{ BegunAt clock.Millis }
@@ -45,7 +45,7 @@
 // TickMsg triggers the work that is due at the time returned by NextWake.
 type TickMsg struct{}
 
-func (EraMsg) eraMsg()       {}
+func (NewestMsg) eraMsg()    {}
 func (ReadMsg) eraMsg()      {}
 func (LostMsg) eraMsg()      {}
 func (ConfigMsg) eraMsg()    {}
--- a/exchange/client.go
+++ b/exchange/client.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/memory"
 )
 
 // Defaults of the options, and idle times of connections.
@@ -64,7 +65,7 @@
 	report         func(Result)
 	connectTimeout clock.Millis
 	maxReplyBytes  int
-	replyMemory    Memory
+	replyMemory    memory.Bound
 	clock          clock.Clock
 
 	ctx        context.Context // cancels connecting
@@ -99,7 +100,7 @@
 		report: report, connectTimeout: defaultConnectTimeout, maxReplyBytes: defaultMaxReplyBytes, clock: clock.NewMonotonic(),
 		exits: make(chan struct{}, 64), upstreams: make(map[string]*upstreamConns), calls: make(map[uint64]*pendingCall),
 	}
-	c.replyMemory.Release(defaultReplyMemory)
+	c.replyMemory.Set(defaultReplyMemory)
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	for _, opt := range opts {
 		opt(c)
--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -14,6 +14,7 @@
 
 	"lentillink.example/lentillink/clock"
 	"lentillink.example/lentillink/httpcall"
+	"lentillink.example/lentillink/memory"
 )
 
 // readBufferBytes is the size of a connection's read buffer.
@@ -70,7 +71,7 @@
 // read reads replies until the connection is closed.
 func (cn *conn) read() {
 	defer cn.recoverRead()
-	in := &replyReader{nc: cn.nc, memory: NewReservation(&cn.client.replyMemory), maxBytes: cn.client.maxReplyBytes + maxHeadBytes}
+	in := &replyReader{nc: cn.nc, memory: memory.NewReservation(&cn.client.replyMemory), maxBytes: cn.client.maxReplyBytes + maxHeadBytes}
 	defer in.endReply()
 	br := bufio.NewReaderSize(in, readBufferBytes)
 	var h fasthttp.ResponseHeader
--- a/exchange/memory.go
+++ b/exchange/memory.go
@@ -3,7 +3,8 @@
 import (
 	"errors"
 	"net"
-	"sync/atomic"
+
+	"lentillink.example/lentillink/memory"
 )
 
 const (
@@ -32,57 +33,13 @@
 	errSwitching = errors.New("reply switches the protocol, which the request did not ask for")
 )
 
-// Memory bounds the memory of one kind of data, in bytes. The zero value has none left. It
-// is safe for concurrent use.
-type Memory struct{ left atomic.Int64 }
-
-// Reserve takes n bytes and reports whether they were left.
-func (m *Memory) Reserve(n int64) bool {
-	if m.left.Add(-n) >= 0 {
-		return true
-	}
-	m.left.Add(n)
-	return false
-}
-
-// Release adds n bytes.
-func (m *Memory) Release(n int64) { m.left.Add(n) }
-
-// Reservation is the part of a Memory that one user holds. It is not safe for concurrent
-// use.
-type Reservation struct {
-	memory *Memory
-	held   int64
-}
-
-// NewReservation returns a Reservation that holds nothing.
-func NewReservation(m *Memory) Reservation { return Reservation{memory: m} }
-
-// GrowTo reserves steps of some bytes until at least n are held. It reports whether they
-// were left.
-func (r *Reservation) GrowTo(n, step int64) bool {
-	for r.held < n {
-		if !r.memory.Reserve(step) {
-			return false
-		}
-		r.held += step
-	}
-	return true
-}
-
-// Release releases all that is held.
-func (r *Reservation) Release() {
-	r.memory.Release(r.held)
-	r.held = 0
-}
-
 // replyReader reads a connection. It fails once a reply is larger than its limit, or all
 // replies together need more memory than there is.
 type replyReader struct {
 	nc       net.Conn
-	memory   Reservation // for the current reply
-	maxBytes int         // of one reply with everything that comes with it
-	count    int         // bytes of the current reply
+	memory   memory.Reservation // for the current reply
+	maxBytes int                // of one reply with everything that comes with it
+	count    int                // bytes of the current reply
 }
 
 // Read reads from the connection.
--- a/exchange/options.go
+++ b/exchange/options.go
@@ -15,7 +15,7 @@
 func WithMaxReplyBytes(n int) Option { return func(c *Client) { c.maxReplyBytes = n } }
 
 // WithReplyMemory bounds the memory of all replies that are being read, in bytes.
-func WithReplyMemory(n int64) Option { return func(c *Client) { c.replyMemory.left.Store(n) } }
+func WithReplyMemory(n int64) Option { return func(c *Client) { c.replyMemory.Set(n) } }
 
 // WithClock sets the clock that measures idle times.
 func WithClock(cl clock.Clock) Option { return func(c *Client) { c.clock = cl } }
--- a/gateway/body.go
+++ b/gateway/body.go
@@ -4,7 +4,7 @@
 	"errors"
 	"io"
 
-	"lentillink.example/lentillink/exchange"
+	"lentillink.example/lentillink/memory"
 )
 
 // bodyStepBytes is by how much the memory of one body grows at a time.
@@ -17,7 +17,7 @@
 // would be refused meanwhile.
 type bodyReader struct {
 	io.Reader
-	memory exchange.Reservation
+	memory memory.Reservation
 	count  int64
 }
 
--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -13,6 +13,7 @@
 
 	"lentillink.example/lentillink/clock"
 	"lentillink.example/lentillink/exchange"
+	"lentillink.example/lentillink/memory"
 	"lentillink.example/lentillink/relay"
 	"lentillink.example/lentillink/socket"
 )
@@ -22,11 +23,14 @@
 
 	// Limits of a caller's request, in bytes and time. The configuration may set other
 	// limits for the bytes of header and body.
-	maxHeaderBytes    = 64 << 10
-	maxBodyBytes      = 8 << 20
-	readHeaderTimeout = 10 * time.Second
-	readBodyTimeout   = 30 * time.Second
-	idleTimeout       = 60 * time.Second
+	maxHeaderBytes = 64 << 10
+	maxBodyBytes   = 8 << 20
+
+	// maxOperatorHeaderBytes bounds the heads of the balancer's and operators' requests.
+	maxOperatorHeaderBytes = 8 << 10
+	readHeaderTimeout      = 10 * time.Second
+	readBodyTimeout        = 30 * time.Second
+	idleTimeout            = 60 * time.Second
 
 	// bodyRetryMs is the retry delay of a request that is refused because the bodies being
 	// read take too much memory.
@@ -41,7 +45,9 @@
 		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, ErrorLog: discardLog(), ConnState: g.callerConns.observe,
 		ConnContext: func(ctx context.Context, nc net.Conn) context.Context {
 			roundTrip, _ := socket.RoundTripTime(nc)
-			return context.WithValue(ctx, callerConnKey{}, &callerConn{roundTripMs: roundTrip})
+			c := &callerConn{roundTripMs: roundTrip}
+			c.tracked, _ = nc.(*trackedConn)
+			return context.WithValue(ctx, callerConnKey{}, c)
 		},
 	}
 }
@@ -53,6 +59,7 @@
 type callerConn struct {
 	roundTripMs clock.Millis // round-trip time to the caller; 0 if unknown
 	reused      atomic.Bool  // the connection has carried a request before
+	tracked     *trackedConn // nil if the connection is not one of TCP
 }
 
 // roundTripOf returns the network time of a request and its answer. For the first request
@@ -69,10 +76,18 @@
 	return c.roundTripMs
 }
 
+// holdHead keeps the memory of a request's head until its answer; what follows is its body.
+func holdHead(r *http.Request) {
+	if c, ok := r.Context().Value(callerConnKey{}).(*callerConn); ok && c.tracked != nil {
+		c.tracked.head.Hold()
+	}
+}
+
 // newReadyServer returns the server for the load balancer's readiness checks.
 func (g *Gateway) newReadyServer() *http.Server {
 	return &http.Server{
 		Handler: http.HandlerFunc(g.serveReady), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, ErrorLog: discardLog(),
+		MaxHeaderBytes: maxOperatorHeaderBytes, ConnState: resetWhenIdle,
 	}
 }
 
@@ -90,10 +105,11 @@
 func (g *Gateway) serveCaller(w http.ResponseWriter, r *http.Request) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
+	holdHead(r)
 	if g.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	reader := &bodyReader{Reader: r.Body, memory: exchange.NewReservation(&g.bodies)}
+	reader := &bodyReader{Reader: r.Body, memory: memory.NewReservation(&g.bodies)}
 	defer reader.memory.Release()
 	body, status := g.readBody(w, r, reader)
 	if status != 0 {
--- a/gateway/era.go
+++ b/gateway/era.go
@@ -30,7 +30,7 @@
 // preset record.
 func (g *Gateway) enterEra(ioCtx context.Context, c catalog.EraCmd) {
 	g.metrics.storeEra.Set(float64(c.Era))
-	g.stepEra(ioCtx, era.EraMsg{Era: c.Era})
+	g.stepEra(ioCtx, era.NewestMsg{Era: c.Era})
 	g.postQuota(quota.EraMsg{Era: c.Era})
 	if !c.Returned {
 		return
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"lentillink.example/lentillink/clock"
 	"lentillink.example/lentillink/era"
 	"lentillink.example/lentillink/exchange"
+	"lentillink.example/lentillink/memory"
 	"lentillink.example/lentillink/peer"
 	"lentillink.example/lentillink/preset"
 	"lentillink.example/lentillink/quota"
@@ -76,7 +77,8 @@
 	updatedAt      clock.Millis             // time of the last message to relayModel; owned by the event loop
 	acceptDone     chan struct{}            // closed when no more callers are accepted
 	memoryBytes    int64                    // of the process
-	bodies         exchange.Memory          // for the bodies of callers that are being read
+	bodies         memory.Bound             // for the bodies of callers that are being read
+	heads          memory.Bound             // for the heads of requests that are being read or answered
 	calls          map[uint64]*call         // owned by the event loop
 	delegations    map[delegationKey]uint64 // requests of other VMs, owned by the event loop
 	vmList         map[string]relay.VM      // owned by the event loop
@@ -120,7 +122,7 @@
 		logger: log.NewNopLogger(), clock: clock.NewMonotonic(), limits: Limits{GracePeriod: defaultGracePeriodMs}, readyPath: "/ready",
 		memoryBytes: defaultMemoryBytes,
 		inbox:       make(chan loopMsg, inboxLen), loopDone: make(chan struct{}), exits: make(chan error, exitsLen), failed: make(chan error, 1), explaining: make(chan struct{}, 1),
-		callerConns: newCallerConns(), acceptDone: make(chan struct{}), calls: make(map[uint64]*call), delegations: make(map[delegationKey]uint64), vmList: make(map[string]relay.VM),
+		acceptDone: make(chan struct{}), calls: make(map[uint64]*call), delegations: make(map[delegationKey]uint64), vmList: make(map[string]relay.VM),
 	}
 	for _, opt := range opts {
 		opt(g)
@@ -139,7 +141,9 @@
 	g.catalog = catalog.New(g.seed, catalog.WithWatchInterval(g.watchInterval), catalog.WithSuperseded(g.isSuperseded), catalog.WithLeased(g.isLeased))
 	g.client = exchange.New(func(r exchange.Result) { g.post(loopMsg{result: &r}) },
 		exchange.WithHeaders(g.headers.Headers), exchange.WithClock(g.clock), exchange.WithReplyMemory(g.memoryBytes/replyMemoryShare))
-	g.bodies.Release(g.memoryBytes / bodyMemoryShare)
+	g.bodies.Set(g.memoryBytes / bodyMemoryShare)
+	g.heads.Set(g.memoryBytes / headMemoryShare)
+	g.callerConns = newCallerConns(&g.heads)
 	return g
 }
 
@@ -166,6 +170,8 @@
 			lis := listeners.http[i]
 			if s == callerServer {
 				lis = trackedListener{Listener: lis, owner: g.callerConns}
+			} else {
+				lis = memory.Listener{Listener: lis, Bound: &g.heads}
 			}
 			go func() {
 				err := serve(s, lis)
--- a/gateway/memory.go
+++ b/gateway/memory.go
@@ -1,12 +1,27 @@
 package gateway
 
+import (
+	"net"
+	"net/http"
+
+	"lentillink.example/lentillink/memory"
+)
+
 const (
 	// defaultMemoryBytes is the memory of the process that is assumed without a setting.
 	defaultMemoryBytes = 256 << 20
 
-	// bodyMemoryShare and replyMemoryShare are the divisors of the process's memory that
-	// give the bounds of all bodies of callers, and of all replies of upstreams, that are
-	// being read.
+	// The divisors of the process's memory that give the bounds of all bodies of callers, of
+	// all replies of upstreams, and of all heads of requests, from callers, the balancer and
+	// operators, that are being read.
 	bodyMemoryShare  = 8
 	replyMemoryShare = 8
+	headMemoryShare  = 8
 )
+
+// resetWhenIdle is the ConnState hook of servers whose connections are of type *memory.Conn.
+func resetWhenIdle(nc net.Conn, state http.ConnState) {
+	if c, ok := nc.(*memory.Conn); ok && state == http.StateIdle {
+		c.Received.Reset()
+	}
+}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -120,5 +120,6 @@
 	mux.HandleFunc("GET /v1/presets", g.servePresets)
 	mux.HandleFunc("POST /v1/presets", g.servePresetChange)
 	mux.HandleFunc("POST /v1/explain", g.serveExplain)
-	return &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, ErrorLog: discardLog()}
+	return &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, ErrorLog: discardLog(),
+		MaxHeaderBytes: maxOperatorHeaderBytes, ConnState: resetWhenIdle}
 }
--- /dev/null
+++ b/memory/conn.go
@@ -0,0 +1,55 @@
+package memory
+
+import "net"
+
+// Conn is a connection with a Meter for what it receives.
+type Conn struct {
+	net.Conn
+	Received *Meter
+}
+
+// NewConn returns a Conn that reads from nc.
+func NewConn(nc net.Conn, b *Bound) *Conn { return &Conn{Conn: nc, Received: NewMeter(b)} }
+
+// Read reads from the connection. It fails with a *net.OpError if no memory is left.
+func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if exceeded := c.Received.Add(n); exceeded != nil {
+		return 0, ReadError(c.Conn, exceeded)
+	}
+	return n, err
+}
+
+// ReadError returns the error of a read that failed because of err.
+func ReadError(nc net.Conn, err error) error {
+	return &net.OpError{Op: "read", Net: nc.LocalAddr().Network(), Source: nc.LocalAddr(), Addr: nc.RemoteAddr(), Err: err}
+}
+
+// CloseWrite closes the writing side, if the connection has one.
+func (c *Conn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+// Close closes the connection and releases the memory.
+func (c *Conn) Close() error {
+	c.Received.Close()
+	return c.Conn.Close()
+}
+
+// Listener accepts connections that are of type *Conn.
+type Listener struct {
+	net.Listener
+	Bound *Bound
+}
+
+// Accept accepts a connection.
+func (l Listener) Accept() (net.Conn, error) {
+	nc, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return NewConn(nc, l.Bound), nil
+}
