Bound the memory of messages of other VMs together

What callers would see: a VM that receives messages of some MB, whole or never finished, on many connections to its internal port runs out of memory. Each message had a bound of 4 MB, their sum none, and a connection without a message stayed open for ever.

Change: all messages that are being received share a quarter of the process's memory, each stream from 4 KB on; the stream that finds none left is closed. The hello of the other side must come within 10 s and names a VM with at most 200 bytes, as the platform's keys do.

Evidence: platform/soak.TestEndlessBytes, 2,500 connections to a VM of 136 MB, peak before and after: great messages 3,687 MB, 105 MB; parts of great messages 3,285 MB, 100 MB. peer.TestMeshGreatMessages: sound streams go on beside them. peer.TestMeshHello.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -137,7 +137,7 @@
 	g.quota = quota.New(quota.WithSelf(g.self.ID, g.self.DataCentre), quota.WithSeed(g.seed), quota.WithBounds(g.quotaBounds))
 	g.restorer = preset.NewRestorer(g.seed)
 	g.eraGuard = era.New(g.seed)
-	g.mesh = peer.New(g.self.ID, g.seed, meshHandler{g})
+	g.mesh = peer.New(g.self.ID, g.seed, meshHandler{g}, peer.WithMemory(g.memoryBytes/peerMemoryShare))
 	g.catalog = catalog.New(g.seed, catalog.WithWatchInterval(g.watchInterval), catalog.WithSuperseded(g.isSuperseded), catalog.WithLeased(g.isLeased))
 	g.client = exchange.New(func(r exchange.Result) { g.post(loopMsg{result: &r}) },
 		exchange.WithHeaders(g.headers.Headers), exchange.WithClock(g.clock), exchange.WithReplyMemory(g.memoryBytes/replyMemoryShare))
--- a/gateway/memory.go
+++ b/gateway/memory.go
@@ -12,11 +12,12 @@
 	defaultMemoryBytes = 256 << 20
 
 	// The divisors of the process's memory that give the bounds of all bodies of callers, of
-	// all replies of upstreams, and of all heads of requests, from callers, the balancer and
-	// operators, that are being read.
+	// all replies of upstreams, of all heads of requests, from callers, the balancer and
+	// operators, and of all messages of other VMs, that are being read.
 	bodyMemoryShare  = 8
 	replyMemoryShare = 8
 	headMemoryShare  = 8
+	peerMemoryShare  = 4
 )
 
 // resetWhenIdle is the ConnState hook of servers whose connections are of type *memory.Conn.
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -6,10 +6,12 @@
 	"net"
 	"sync"
 
+	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
 	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/memory"
 	"lentillink.example/lentillink/peer/peerpb"
 	"lentillink.example/lentillink/vm"
 )
@@ -19,6 +21,9 @@
 	defaultQueueLen    = 8192
 	defaultIdleTimeout = 120 * clock.Second
 	defaultDialTimeout = 500 // milliseconds
+	defaultMemory      = 32 << 20
+
+	defaultHelloTimeout = 10 * clock.Second
 )
 
 // Handler receives messages and events of the streams. Its methods are called from
@@ -37,14 +42,16 @@
 
 // Mesh holds the streams between this VM and its peers, at most one link for each peer.
 type Mesh struct {
-	self        string
-	incarnation uint64
-	handler     Handler
-	clock       clock.Clock
-	queueLen    int
-	idleTimeout clock.Millis
-	dialTimeout clock.Millis
-	dial        func(string, clock.Millis) (net.Conn, error)
+	self         string
+	incarnation  uint64
+	handler      Handler
+	clock        clock.Clock
+	queueLen     int
+	idleTimeout  clock.Millis
+	dialTimeout  clock.Millis
+	dial         func(string, clock.Millis) (net.Conn, error)
+	helloTimeout clock.Millis
+	memory       memory.Bound // for messages that are being received
 
 	mu         sync.Mutex
 	links      map[string]*link
@@ -58,9 +65,10 @@
 func New(self string, incarnation uint64, h Handler, opts ...Option) *Mesh {
 	m := &Mesh{
 		self: self, incarnation: incarnation, handler: h, clock: clock.System{},
-		queueLen: defaultQueueLen, idleTimeout: defaultIdleTimeout, dialTimeout: defaultDialTimeout, dial: dialTCP,
+		queueLen: defaultQueueLen, idleTimeout: defaultIdleTimeout, helloTimeout: defaultHelloTimeout, dialTimeout: defaultDialTimeout, dial: dialTCP,
 		links: make(map[string]*link),
 	}
+	m.memory.Set(defaultMemory)
 	m.ctx, m.cancel = context.WithCancel(context.Background())
 	for _, opt := range opts {
 		opt(m)
@@ -75,7 +83,8 @@
 	if err := peerpb.DRPCRegisterPeer(mux, acceptor{m}); err != nil {
 		return wrap("register", KindServe, err)
 	}
-	err := drpcserver.New(mux).Serve(ctx, lis)
+	server := drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: drpcmanager.Options{InactivityTimeout: m.helloTimeout.Duration()}})
+	err := server.Serve(ctx, memory.Listener{Listener: lis, Bound: &m.memory})
 	m.cancel()
 	m.mu.Lock()
 	m.closed = true
--- a/peer/options.go
+++ b/peer/options.go
@@ -20,6 +20,13 @@
 // WithIdleTimeout sets the time after which a stream without traffic is closed.
 func WithIdleTimeout(d clock.Millis) Option { return func(m *Mesh) { m.idleTimeout = d } }
 
+// WithMemory bounds the memory of all messages that are being received, in bytes. The stream
+// that exceeds it is closed.
+func WithMemory(n int64) Option { return func(m *Mesh) { m.memory.Set(n) } }
+
+// WithHelloTimeout bounds the time from a connection to the hello of the other side.
+func WithHelloTimeout(d clock.Millis) Option { return func(m *Mesh) { m.helloTimeout = d } }
+
 // WithDialTimeout bounds the time to open a TCP connection.
 func WithDialTimeout(d clock.Millis) Option { return func(m *Mesh) { m.dialTimeout = d } }
 
--- a/peer/stream.go
+++ b/peer/stream.go
@@ -8,8 +8,10 @@
 
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcctx"
 
 	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/memory"
 	"lentillink.example/lentillink/peer/peerpb"
 	"lentillink.example/lentillink/vm"
 )
@@ -41,14 +43,19 @@
 
 // Exchange exchanges hellos with a peer and serves the stream until it ends.
 func (a acceptor) Exchange(s peerpb.DRPCPeer_ExchangeStream) error {
-	peer, err := a.m.readHello(s)
+	transport, _ := drpcctx.Transport(s.Context())
+	conn, ok := transport.(*memory.Conn)
+	if !ok {
+		return wrap("accept", KindStream, errors.New("connection is not one that Run has accepted"))
+	}
+	peer, err := a.m.readHello(s, conn)
 	if err != nil {
 		return err
 	}
 	if err := s.Send(a.m.hello()); err != nil {
 		return wrap("accept", KindStream, err)
 	}
-	return a.m.serveStream(s.Context(), peer, s, a.m.addAcceptedLink(peer))
+	return a.m.serveStream(s.Context(), peer, s, conn, a.m.addAcceptedLink(peer))
 }
 
 // addAcceptedLink adds and returns the link whose queue is sent on an accepted stream.
@@ -71,7 +78,8 @@
 		m.removeLink(l)
 		return
 	}
-	conn := drpcconn.New(netConn)
+	metered := memory.NewConn(netConn, &m.memory)
+	conn := drpcconn.New(metered)
 	defer func() { _ = conn.Close() }()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -80,33 +88,40 @@
 		m.removeLink(l)
 		return
 	}
-	peer, err := m.handshake(s)
+	peer, err := m.handshake(s, metered)
 	if err != nil || peer != l.peer {
 		// Only the hello was sent, so every queued message is reported as unsent.
 		m.removeLink(l)
 		return
 	}
-	_ = m.serveStream(ctx, peer, s, l)
+	_ = m.serveStream(ctx, peer, s, metered, l)
 }
 
-func (m *Mesh) handshake(s stream) (string, error) {
+func (m *Mesh) handshake(s stream, conn *memory.Conn) (string, error) {
 	if err := s.Send(m.hello()); err != nil {
 		return "", wrap("dial", KindStream, err)
 	}
-	return m.readHello(s)
+	return m.readHello(s, conn)
 }
 
 func (m *Mesh) hello() *peerpb.Envelope {
 	return &peerpb.Envelope{Body: &peerpb.Envelope_Hello{Hello: &peerpb.Hello{Vm: m.self, Incarnation: m.incarnation}}}
 }
 
-func (m *Mesh) readHello(s stream) (string, error) {
+// maxNameBytes bounds the name of a VM. The platform's keys, which hold it, have at most 200 bytes.
+const maxNameBytes = 200
+
+// readHello returns the name in the hello of the other side, which must arrive in time.
+func (m *Mesh) readHello(s stream, conn *memory.Conn) (string, error) {
+	timeout := time.AfterFunc(m.helloTimeout.Duration(), func() { _ = conn.Close() })
+	defer timeout.Stop()
 	env, err := s.Recv()
 	if err != nil {
 		return "", wrap("hello", KindStream, err)
 	}
+	conn.Received.Reset()
 	hello := env.GetHello()
-	if hello.GetVm() == "" {
+	if n := len(hello.GetVm()); n == 0 || n > maxNameBytes {
 		return "", wrap("hello", KindNoHello, errors.New("first envelope is not a hello that names a VM"))
 	}
 	return hello.GetVm(), nil
@@ -114,13 +129,13 @@
 
 // serveStream receives from s and sends the queue of l on it, until the stream
 // breaks. Then it calls Disconnected exactly once. A nil l sends nothing.
-func (m *Mesh) serveStream(ctx context.Context, peer string, s stream, l *link) error {
+func (m *Mesh) serveStream(ctx context.Context, peer string, s stream, conn *memory.Conn, l *link) error {
 	if f, ok := asFlusher(s); ok {
 		f.SetManualFlush(true) // before the reading goroutine starts, which reads this setting
 	}
 	r := &readState{done: make(chan error, 1), active: make(chan struct{}, 1)}
 	m.mu.Lock()
-	m.startGoroutine(func() { r.done <- m.readLoop(peer, s, r.active) })
+	m.startGoroutine(func() { r.done <- m.readLoop(peer, s, conn, r.active) })
 	m.mu.Unlock()
 	err := m.writeLoop(ctx, s, l, r)
 	if l != nil {
@@ -136,12 +151,13 @@
 	active chan struct{} // holds a token if a message arrived
 }
 
-func (m *Mesh) readLoop(peer string, s stream, active chan<- struct{}) error {
+func (m *Mesh) readLoop(peer string, s stream, conn *memory.Conn, active chan<- struct{}) error {
 	for {
 		env, err := s.Recv()
 		if err != nil {
 			return wrap("receive", KindStream, err)
 		}
+		conn.Received.Reset()
 		select {
 		case active <- struct{}{}:
 		default:
