Bound the memory of replies to the product's own clients together

What callers would see: upstreams of the product's own interface that announce a body of 8 MB each, and send it without end, take memory for each connection, however many there are.

Change: httpcall reads a body into a buffer that grows with what arrives, and reserves its memory from a bound that the hosts share. The client of upstreams gives all of them 64 MB.

--- a/httpcall/do.go
+++ b/httpcall/do.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"lentillink.example/lentillink/memory"
 )
 
 // Call is a request and its timeout.
@@ -166,16 +168,50 @@
 	case length > h.maxReplyBytes:
 		return Reply{}, KindTooLarge, errTooLarge
 	}
-	body := make([]byte, length)
-	if length > 0 {
-		if _, err := io.ReadFull(resp.BodyStream(), body); isTimeout(err) {
-			return Reply{}, KindTimeout, err
-		} else if err != nil {
-			return Reply{}, KindTruncated, errors.Join(errTruncated, err)
-		}
+	body, err := h.readFull(resp.BodyStream(), length)
+	switch {
+	case errors.Is(err, memory.ErrExceeded):
+		return Reply{}, KindTooLarge, err
+	case isTimeout(err):
+		return Reply{}, KindTimeout, err
+	case err != nil:
+		return Reply{}, KindTruncated, errors.Join(errTruncated, err)
 	}
 	if c.hasTrailingData(length) {
 		return Reply{}, KindTrailingData, errTrailingData
 	}
 	return Reply{Status: resp.StatusCode(), Body: body}, 0, nil
 }
+
+const (
+	// directBytes is the size up to which a body is read into a buffer of its full length. A
+	// longer one may never come, so its buffer grows with what arrives.
+	directBytes = 64 << 10
+
+	// bytesPerByte is the memory that a growing buffer takes for each of its bytes: it is
+	// copied to one twice as large.
+	bytesPerByte = 2
+)
+
+// readFull reads n bytes. It fails with memory.ErrExceeded if all bodies that are being read
+// take too much memory.
+func (h *Host) readFull(r io.Reader, n int) ([]byte, error) {
+	if n == 0 {
+		return []byte{}, nil
+	}
+	reserved := memory.NewReservation(h.memory)
+	defer reserved.Release()
+	body := make([]byte, 0, min(n, directBytes))
+	for {
+		got, err := io.ReadFull(r, body[len(body):cap(body)])
+		body = body[:len(body)+got]
+		if err != nil || len(body) == n {
+			return body, err
+		}
+		size := min(2*cap(body), n)
+		if !reserved.GrowTo(int64(size)*bytesPerByte, directBytes) {
+			return nil, memory.ErrExceeded
+		}
+		body = append(make([]byte, 0, size), body...)
+	}
+}
--- a/httpcall/host.go
+++ b/httpcall/host.go
@@ -10,6 +10,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"lentillink.example/lentillink/memory"
 	"lentillink.example/lentillink/socket"
 )
 
@@ -35,6 +36,7 @@
 	idleTimeout    time.Duration
 	waitTimeout    time.Duration
 	maxReplyBytes  int
+	memory         *memory.Bound // for bodies; nil if only maxReplyBytes bounds them
 
 	client      *fasthttp.HostClient
 	openedConns atomic.Int64
--- a/httpcall/options.go
+++ b/httpcall/options.go
@@ -1,6 +1,10 @@
 package httpcall
 
-import "time"
+import (
+	"time"
+
+	"lentillink.example/lentillink/memory"
+)
 
 // Option configures a Host.
 type Option func(*Host)
@@ -17,5 +21,8 @@
 // WithWaitTimeout lets a call wait up to d for a free connection. The default is not to wait.
 func WithWaitTimeout(d time.Duration) Option { return func(h *Host) { h.waitTimeout = d } }
 
+// WithMemory bounds the bodies that all hosts with the same Bound read at once.
+func WithMemory(b *memory.Bound) Option { return func(h *Host) { h.memory = b } }
+
 // WithMaxReplyBytes bounds the size of a reply's body.
 func WithMaxReplyBytes(n int) Option { return func(h *Host) { h.maxReplyBytes = n } }
--- a/memory/bound.go
+++ b/memory/bound.go
@@ -27,13 +27,13 @@
 	held  int64
 }
 
-// NewReservation returns a Reservation that holds nothing.
+// NewReservation returns a Reservation that holds nothing. Without a Bound it has no limit.
 func NewReservation(b *Bound) Reservation { return Reservation{bound: b} }
 
 // GrowTo reserves steps of some bytes until at least n are held. It reports whether they were
 // left.
 func (r *Reservation) GrowTo(n, step int64) bool {
-	for r.held < n {
+	for r.bound != nil && r.held < n {
 		if !r.bound.Reserve(step) {
 			return false
 		}
@@ -44,6 +44,8 @@
 
 // Release releases all that is held.
 func (r *Reservation) Release() {
-	r.bound.Release(r.held)
+	if r.bound != nil {
+		r.bound.Release(r.held)
+	}
 	r.held = 0
 }
--- a/upstream/httpup/client.go
+++ b/upstream/httpup/client.go
@@ -13,6 +13,7 @@
 	"lentillink.example/lentillink/attempt"
 	"lentillink.example/lentillink/clock"
 	"lentillink.example/lentillink/httpcall"
+	"lentillink.example/lentillink/memory"
 	"lentillink.example/lentillink/upstream"
 )
 
@@ -20,6 +21,9 @@
 // its last use: it counts against the limit that all VMs share.
 const controlIdleTimeoutMs clock.Millis = 1000
 
+// defaultReplyMemory bounds the memory of all replies that are being read.
+const defaultReplyMemory = 64 << 20
+
 var _ upstream.Client = (*Client)(nil)
 
 // Client implements upstream.Client over fasthttp.
@@ -30,6 +34,7 @@
 	idleTimeoutMs    clock.Millis
 	controlTimeoutMs clock.Millis
 	maxReplyBytes    int
+	replyMemory      memory.Bound // for the replies of all upstreams that are being read
 	hosts            map[upstream.ID]*host
 }
 
@@ -51,6 +56,7 @@
 		controlTimeoutMs: 500,
 		maxReplyBytes:    8 << 20,
 	}
+	c.replyMemory.Set(defaultReplyMemory)
 	for _, opt := range opts {
 		opt(c)
 	}
@@ -67,7 +73,7 @@
 		httpcall.WithMaxConns(connections),
 		httpcall.WithConnectTimeout(c.connectTimeoutMs.Duration()),
 		httpcall.WithIdleTimeout(idleMs.Duration()),
-		httpcall.WithMaxReplyBytes(c.maxReplyBytes),
+		httpcall.WithMaxReplyBytes(c.maxReplyBytes), httpcall.WithMemory(&c.replyMemory),
 	)
 	return httpcall.New(u.Address, opts...)
 }
--- a/upstream/httpup/options.go
+++ b/upstream/httpup/options.go
@@ -31,5 +31,8 @@
 // WithControlTimeout bounds the duration of a call of Cancel or Load.
 func WithControlTimeout(ms clock.Millis) Option { return func(c *Client) { c.controlTimeoutMs = ms } }
 
+// WithReplyMemory bounds the memory of all replies that are being read, in bytes.
+func WithReplyMemory(n int64) Option { return func(c *Client) { c.replyMemory.Set(n) } }
+
 // WithMaxReplyBytes bounds the size of the body of a reply.
 func WithMaxReplyBytes(n int) Option { return func(c *Client) { c.maxReplyBytes = n } }
