Bound the answers that the command line reads

What operators would see: a command that asks a VM, or whatever listens at its address, reads an answer without end until it ends itself.

Change: an answer has at most 64 MB.

Evidence: caller.TestEndlessAnswer/body without the change and with the test process limited to 9 GB of addresses: "fatal error: out of memory"; with it: an error after 0.15 s.

--- a/caller/client.go
+++ b/caller/client.go
@@ -19,6 +19,9 @@
 const (
 	defaultTimeout  = 30 * clock.Second
 	defaultMaxConns = 512
+
+	// maxAnswerBytes bounds the body of an answer.
+	maxAnswerBytes = 64 << 20
 )
 
 // Client calls one entry VM, or the load balancer in front of several. It is safe
@@ -46,7 +49,7 @@
 		opt(c)
 	}
 	c.http = &fasthttp.Client{
-		MaxConnsPerHost: defaultMaxConns, ReadTimeout: c.timeout.Duration(), WriteTimeout: c.timeout.Duration(),
+		MaxConnsPerHost: defaultMaxConns, MaxResponseBodySize: maxAnswerBytes, ReadTimeout: c.timeout.Duration(), WriteTimeout: c.timeout.Duration(),
 		// Never retry here. A repeated order would be harmless, but retries are left
 		// to the code that calls the client.
 		Dial: dial, MaxIdemponentCallAttempts: 1, RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
