Bound the memory of all requests to the product's own interface together

What callers would see: bodies below the limit of one request, sent on many connections and never finished, take all memory of a VM, and the requests of others end with it.

Change: all requests that are being read or answered share a bound, 64 MB or eight of the largest body. One that finds no memory is answered with 503, "not run", and a Retry-After of 1 s, after what arrives of it was read for a moment, so that the answer is not lost.

--- a/entry/http.go
+++ b/entry/http.go
@@ -14,6 +14,7 @@
 
 	"lentillink.example/lentillink/attempt"
 	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/memory"
 	"lentillink.example/lentillink/settings"
 	"lentillink.example/lentillink/vm"
 )
@@ -21,6 +22,9 @@
 const (
 	readTimeout = 30 * clock.Second // a connection is closed if reading one request takes longer
 	idleTimeout = 60 * clock.Second
+
+	// requestMemoryRetryMs is the time after which a request that found no memory may come back.
+	requestMemoryRetryMs = clock.Second
 )
 
 func (v *VM) newServer() *fasthttp.Server {
@@ -46,6 +50,7 @@
 			v.serveSafely(h, r)
 		},
 		ErrorHandler:       serveReadError,
+		ConnState:          releaseIdle,
 		MaxRequestBodySize: v.settings.Limits().RequestBodyBytes,
 		ReadTimeout:        readTimeout.Duration(),
 		IdleTimeout:        idleTimeout.Duration(),
@@ -78,6 +83,14 @@
 // serveReadError answers a request that could not be read completely. The core
 // never received it, so it was not executed.
 func serveReadError(r *fasthttp.RequestCtx, err error) {
+	if errors.Is(err, memory.ErrExceeded) {
+		if c, ok := r.Conn().(*lingerConn); ok {
+			c.bodyUnread = true
+		}
+		setRetryAfter(r, requestMemoryRetryMs)
+		writeJSON(r, fasthttp.StatusServiceUnavailable, ErrorDocument{Error: err.Error(), Execution: attempt.NotExecuted})
+		return
+	}
 	text := "request could not be read completely: " + err.Error()
 	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
 		text = "body: larger than limits.request_body_bytes"
--- a/entry/vm.go
+++ b/entry/vm.go
@@ -15,6 +15,7 @@
 	"lentillink.example/lentillink/clock"
 	"lentillink.example/lentillink/customer"
 	"lentillink.example/lentillink/fleet"
+	"lentillink.example/lentillink/memory"
 	"lentillink.example/lentillink/peer"
 	"lentillink.example/lentillink/preset"
 	"lentillink.example/lentillink/roster"
@@ -41,7 +42,8 @@
 	initial      preset.Record
 	meshOptions  []peer.Option
 	seed         uint64
-	listeners    *listeners // if nil, Run listens on the addresses in the settings
+	requests     memory.Bound // for requests that are being read or answered
+	listeners    *listeners   // if nil, Run listens on the addresses in the settings
 
 	core          *vm.Core
 	self          fleet.VM
@@ -100,6 +102,7 @@
 		vm.WithSelf(v.self), vm.WithSeed(v.seed), vm.WithServices(s.Services()...),
 		vm.WithInitialRecord(v.initial), vm.WithRingEvents(s.Limits().RingEvents),
 	)
+	v.requests.Set(max(minRequestMemory, bodiesInMemory*int64(s.Limits().RequestBodyBytes)))
 	v.metrics = newMetrics(v.registry)
 	meshOptions := append([]peer.Option{peer.WithClock(v.clock), peer.WithDialTimeout(s.Timeouts().PeerMs)}, v.meshOptions...)
 	v.mesh = peer.New(v.self.ID, v.self.Incarnation, meshHandler{v}, meshOptions...)
@@ -133,7 +136,7 @@
 	go func() { serverErrs <- v.pollVMList(ioCtx) }()
 	server := v.newServer()
 	for _, lis := range listeners.http {
-		go func() { serverErrs <- serve(server, lis) }()
+		go func() { serverErrs <- serve(server, lingerListener{lis, &v.requests}) }()
 	}
 	loopErr := make(chan error, 1)
 	go func() { loopErr <- v.loop(ctx, ioCtx) }()
@@ -198,7 +201,7 @@
 }
 
 func serve(s *fasthttp.Server, lis net.Listener) error {
-	if err := s.Serve(lingerListener{lis}); err != nil {
+	if err := s.Serve(lis); err != nil {
 		return wrap("serve", KindServe, err)
 	}
 	return nil
--- a/memory/conn.go
+++ b/memory/conn.go
@@ -1,6 +1,9 @@
 package memory
 
-import "net"
+import (
+	"errors"
+	"net"
+)
 
 // Conn is a connection with a Meter for what it receives.
 type Conn struct {
@@ -25,12 +28,13 @@
 	return &net.OpError{Op: "read", Net: nc.LocalAddr().Network(), Source: nc.LocalAddr(), Addr: nc.RemoteAddr(), Err: err}
 }
 
-// CloseWrite closes the writing side, if the connection has one.
+// CloseWrite closes the writing side. It returns errors.ErrUnsupported if the connection
+// cannot do that.
 func (c *Conn) CloseWrite() error {
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return half.CloseWrite()
 	}
-	return nil
+	return errors.ErrUnsupported
 }
 
 // Close closes the connection and releases the memory.
