Never wait for an upstream in the event loop

Cause: a connection counted as idle once its request was written, although the upstream had not read it, and short requests were written by the event loop under the lock of all connections. The write deadline of a long request stayed on the connection and let a later short one fail.

Change: the event loop writes what the socket takes at once, a goroutine the rest. After a request with a body a connection is reused only if the other side has acknowledged all bytes. The deadline is removed after the write.

--- a/exchange/client.go
+++ b/exchange/client.go
@@ -8,6 +8,7 @@
 
 	"lentillink.example/lentillink/clock"
 	"lentillink.example/lentillink/memory"
+	"lentillink.example/lentillink/socket"
 )
 
 // Defaults of the options, and idle times of connections.
@@ -324,28 +325,33 @@
 }
 
 // maxInlineBytes is the size up to which a request is written without starting a
-// goroutine. The write does not block, because a connection carries one request at a
-// time, and its empty socket buffer takes the whole request.
+// goroutine, as far as the socket's buffer takes it at once.
 const maxInlineBytes = 8 << 10
 
-// writeTimeout bounds the write of a request that is larger than maxInlineBytes.
+// writeTimeout bounds a write that waits for the upstream.
 const writeTimeout = 10 * time.Second
 
-// write sends the request of p. The caller holds c.mu.
+// write sends the request of p. It never waits for the upstream. The caller holds c.mu.
 func (c *Client) write(cn *conn, p *pendingCall) {
 	b := p.call.Request.appendTo(nil, c.headers, &p.call)
 	p.sent = true
+	n := 0
 	if len(b) <= maxInlineBytes {
-		n, err := cn.nc.Write(b)
-		c.finishWrite(cn, p, n, err)
-		return
+		var err error
+		if n, err = socket.TryWrite(cn.nc, b); err != nil || n == len(b) {
+			c.finishWrite(cn, p, n, err)
+			return
+		}
 	}
-	_ = cn.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
 	c.startGoroutine(func() {
-		n, err := cn.nc.Write(b)
+		_ = cn.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
+		more, err := cn.nc.Write(b[n:])
+		if err == nil {
+			err = cn.nc.SetWriteDeadline(time.Time{}) // a later request on the connection has its own
+		}
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		c.finishWrite(cn, p, n, err)
+		c.finishWrite(cn, p, n+more, err)
 	})
 }
 
--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -15,6 +15,7 @@
 	"lentillink.example/lentillink/clock"
 	"lentillink.example/lentillink/httpcall"
 	"lentillink.example/lentillink/memory"
+	"lentillink.example/lentillink/socket"
 )
 
 // readBufferBytes is the size of a connection's read buffer.
@@ -68,6 +69,14 @@
 	return idle < cn.maxIdleMs
 }
 
+// hasTakenAll reports whether the upstream's system has received all that was written. An
+// upstream may reply before it has read the body, and what follows on the connection would
+// then wait until it reads on.
+func (cn *conn) hasTakenAll() bool {
+	n, ok := socket.Unacknowledged(cn.nc)
+	return n == 0 || !ok
+}
+
 // read reads replies until the connection is closed.
 func (cn *conn) read() {
 	defer cn.recoverRead()
@@ -171,7 +180,7 @@
 	}
 	keepOpen := id != "" && !reply.CloseConn && buffered == 0 && (h.ContentLength() > lengthUntilEnd || p.call.Request.noReplyBody)
 	c.mu.Lock()
-	keepOpen = keepOpen && p.written && c.upstreams[cn.conns.id] == cn.conns
+	keepOpen = keepOpen && p.written && (len(p.call.Request.body) == 0 || cn.hasTakenAll()) && c.upstreams[cn.conns.id] == cn.conns
 	cn.pending = nil
 	cn.exchanges++
 	cn.lastRequest = p.call.Request.id
--- a/socket/option_linux.go
+++ b/socket/option_linux.go
@@ -18,3 +18,7 @@
 	}
 	return info.Rtt, nil
 }
+
+// unacknowledged returns the bytes that were written and that the other side has not
+// acknowledged.
+func unacknowledged(fd int) (int, error) { return unix.IoctlGetInt(fd, unix.SIOCOUTQ) }
--- a/socket/option_other.go
+++ b/socket/option_other.go
@@ -13,3 +13,6 @@
 
 // roundTripTimeUs returns an error on systems without the option.
 func roundTripTimeUs(int) (uint32, error) { return 0, errors.ErrUnsupported }
+
+// unacknowledged returns an error on systems without the request.
+func unacknowledged(int) (int, error) { return 0, errors.ErrUnsupported }
