Measure the steps of the event loop, and keep it from posting to its own queue

Cause: an unsent message to a VM, and an attempt without a request, were posted by the event loop to its own queue. If that is full, the loop waits for itself for ever. Found by reading.

Change: the loop keeps what it has for itself in a list. peer.Mesh.TrySend reports an unsent message by its result.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -86,6 +86,7 @@
 	credits        []relay.CreditMsg        // decisions for the relay, see handleQuota; owned by the event loop
 	presetRevision uint64                   // of the last committed record; owned by the event loop
 	start          start                    // owned by the event loop
+	deferred       []loopMsg                // messages of the event loop for itself, which owns them
 	unapplied      []change                 // changes that are not in force yet; owned by the event loop
 	postedEra      atomic.Uint64            // newest era of the store that the event loop was told of
 	vmListChanged  bool                     // vmList was changed and is to be applied; owned by the event loop
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -41,10 +41,12 @@
 			g.handle(ioCtx, msg)
 			g.handleQueued(ioCtx)
 			g.tick(ioCtx)
+			g.handleDeferred(ioCtx)
 		case <-timer.C:
 			g.checkPause(ioCtx, pauses)
 			g.handleQueued(ioCtx)
 			g.tick(ioCtx)
+			g.handleDeferred(ioCtx)
 		case <-ioCtx.Done():
 			return nil
 		}
@@ -80,11 +82,31 @@
 }
 
 func (g *Gateway) handle(ioCtx context.Context, msg loopMsg) {
+	defer g.observeStep(time.Now())
 	defer g.recoveredState("message")
 	g.handleMsg(ioCtx, msg)
 	g.handleQuota(ioCtx)
 }
 
+// defers queues a message that the event loop has for itself. It must not post it: if the
+// inbox is full, the loop would wait for itself.
+func (g *Gateway) defers(msg loopMsg) { g.deferred = append(g.deferred, msg) }
+
+// handleDeferred handles the messages that the event loop has for itself. Those that come up
+// meanwhile are left for the next time.
+func (g *Gateway) handleDeferred(ioCtx context.Context) {
+	msgs := g.deferred
+	g.deferred = nil
+	for _, msg := range msgs {
+		g.handle(ioCtx, msg)
+	}
+}
+
+// observeStep measures a step of the event loop.
+func (g *Gateway) observeStep(begin time.Time) {
+	g.metrics.loopStep.Observe(time.Since(begin).Seconds())
+}
+
 func (g *Gateway) handleMsg(ioCtx context.Context, msg loopMsg) {
 	switch {
 	case msg.catalog != nil:
@@ -132,6 +154,7 @@
 
 // tick passes a TickMsg to the state machines that have a timer due.
 func (g *Gateway) tick(ioCtx context.Context) {
+	defer g.observeStep(time.Now())
 	defer g.recoveredState("tick")
 	now := g.clock.Now()
 	if at, ok := g.catalog.NextWake(); ok && at <= now {
@@ -158,6 +181,9 @@
 
 // timeToWake returns the time until the next wake-up of a state machine, at most maxWaitMs.
 func (g *Gateway) timeToWake() clock.Millis {
+	if len(g.deferred) > 0 {
+		return 0
+	}
 	now := g.clock.Now()
 	wait := maxWaitMs
 	if at, ok := g.relayModel.NextWake(); ok {
@@ -195,7 +221,7 @@
 		g.metrics.attempts.Inc()
 		pending := g.calls[c.Request]
 		if pending == nil {
-			g.post(loopMsg{relay: relay.AttemptFailedMsg{Attempt: c.Attempt, NotSent: true, Cause: "no_request"}})
+			g.defers(loopMsg{relay: relay.AttemptFailedMsg{Attempt: c.Attempt, NotSent: true, Cause: "no_request"}})
 			return
 		}
 		g.client.Send(exchange.Call{
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -13,6 +13,10 @@
 // latency targets, 50 ms to 1.2 s.
 var latencyBuckets = []float64{0.005, 0.01, 0.02, 0.03, 0.04, 0.05, 0.075, 0.1, 0.15, 0.25, 0.5, 1, 2, 4}
 
+// loopStepBuckets holds bucket bounds in seconds. A step of over 50 ms delays the answers of
+// all other requests by as much as the shortest latency target.
+var loopStepBuckets = []float64{0.0001, 0.0005, 0.001, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2}
+
 // metrics holds the collectors. Every label has a small fixed set of values, which bounds
 // the number of time series.
 type metrics struct {
@@ -37,6 +41,7 @@
 	ownedGroups    prometheus.Gauge
 	storeEra       prometheus.Gauge
 	settledEra     prometheus.Gauge
+	loopStep       prometheus.Histogram
 	placing        *placing
 	explanations   prometheus.Counter
 }
@@ -51,6 +56,10 @@
 			Namespace: "lentillink", Subsystem: "gateway", Name: "request_duration_seconds",
 			Help: "Time from the end of the request to its answer, by outcome.", Buckets: latencyBuckets,
 		}, []string{"outcome"}),
+		loopStep: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Namespace: "lentillink", Subsystem: "gateway", Name: "loop_step_seconds",
+			Help: "Time that a step of the event loop takes, during which no other request is handled.", Buckets: loopStepBuckets,
+		}),
 		events: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: "lentillink", Subsystem: "gateway", Name: "events_total", Help: "Decisions, by kind.",
 		}, []string{"kind"}),
@@ -68,7 +77,7 @@
 		m.registry.MustRegister(g)
 		return g
 	}
-	m.registry.MustRegister(m.requests, m.duration, m.events, m.credit, m.placing)
+	m.registry.MustRegister(m.requests, m.duration, m.loopStep, m.events, m.credit, m.placing)
 	m.lateAnswers = counter("late_answers_total", "Answers after the target of their route.")
 	m.overShare = counter("over_share_total", "Queries that were refused before the fan-out, of customers above their share.")
 	m.missingShards = counter("missing_parts_total", "Shards that were left out of gathered answers.")
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -143,7 +143,9 @@
 	if address == "" {
 		address = g.vmList[to].Address
 	}
-	g.mesh.Send(to, address, clock.Timestamp{}, body)
+	if !g.mesh.TrySend(to, address, clock.Timestamp{}, body) {
+		g.defers(loopMsg{peer: &peerEvent{vm: to, body: body, unsent: true}})
+	}
 }
 
 // setVM stores the entry of a VM, or removes it if v is nil.
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -100,18 +100,20 @@
 // reported as unsent if the queue is full, or if there is no stream and the address is
 // empty, which means that it is not known.
 func (m *Mesh) Send(to, address string, stamp clock.Timestamp, body vm.PeerBody) {
-	if !m.enqueue(to, address, queuedMsg{stamp: stamp, body: body}) {
+	if !m.TrySend(to, address, stamp, body) {
 		m.handler.Unsent(to, body)
 	}
 }
 
-func (m *Mesh) enqueue(to, address string, msg queuedMsg) bool {
+// TrySend is Send for callers that must not be called back: it returns false in place of the
+// report that the message is unsent.
+func (m *Mesh) TrySend(to, address string, stamp clock.Timestamp, body vm.PeerBody) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.links[to] == nil && address == "" {
 		return false
 	}
-	return m.link(to, address).enqueue(msg)
+	return m.link(to, address).enqueue(queuedMsg{stamp: stamp, body: body})
 }
 
 // Connect opens a stream to a peer if there is none, so that the first message
