Count rights under a lease from the time to live that the store states

Cause: the ttl-ms in the store's answers was dropped, and an owner counted its right from the 12 s that it had asked for. The store applied 6 s and gave the claim to another VM.

Change: store.Leases returns the time to live. The shorter one of stated and asked for counts, from before the call; leases are renewed three times within it, those of the VM list too. None stated, or less than 3 s: no claims, with the events lease_ttl_differs and quota_lease_refused. store.Store loses its lease methods, which nobody used.

--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -211,9 +211,9 @@
 	var msg roster.RegistrarMsg
 	switch c := cmd.(type) {
 	case roster.GrantCmd:
-		var id store.LeaseID
-		id, err = g.leases.Grant(ctx, c.TTL)
-		msg = roster.GrantedMsg{Lease: id}
+		var l store.Lease
+		l, err = g.grantLease(ctx, "vm", c.TTL)
+		msg = roster.GrantedMsg{Lease: l.ID, TTL: l.TTL}
 	case roster.WriteCmd:
 		var value []byte
 		if value, err = json.Marshal(self); err == nil {
@@ -221,8 +221,9 @@
 		}
 		msg = roster.WrittenMsg{}
 	case roster.RenewCmd:
-		err = g.leases.KeepAlive(ctx, c.Lease)
-		msg = roster.RenewedMsg{}
+		var ttl clock.Millis
+		ttl, err = g.leases.KeepAlive(ctx, c.Lease)
+		msg = roster.RenewedMsg{TTL: store.CountedTTL(roster.LeaseTTL, ttl)}
 	case roster.RevokeCmd:
 		err = g.leases.Revoke(ctx, c.Lease)
 		msg = roster.RenewedMsg{}
@@ -233,3 +234,14 @@
 	_ = g.logger.Log("event", "registration_failed", "err", err)
 	return roster.FailedMsg{Kind: store.KindOf(err)}
 }
+
+// grantLease asks for a lease. The one that it returns has the time to live that counts, 0 if
+// the store states none.
+func (g *Gateway) grantLease(ctx context.Context, purpose string, ttl clock.Millis) (store.Lease, error) {
+	l, err := g.leases.Grant(ctx, ttl)
+	if err == nil && l.TTL != ttl {
+		_ = g.logger.Log("event", "lease_ttl_differs", "for", purpose, "asked_ms", int64(ttl), "stated_ms", int64(l.TTL))
+	}
+	l.TTL = store.CountedTTL(ttl, l.TTL)
+	return l, err
+}
--- a/gateway/quota.go
+++ b/gateway/quota.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 
+	"lentillink.example/lentillink/clock"
 	"lentillink.example/lentillink/quota"
 	"lentillink.example/lentillink/relay"
 	"lentillink.example/lentillink/route"
@@ -109,9 +110,9 @@
 	var msg quota.Msg
 	switch c := cmd.(type) {
 	case quota.LeaseCmd:
-		var id store.LeaseID
-		id, err = g.leases.Grant(ctx, c.TTL)
-		msg = quota.LeasedMsg{Lease: id}
+		var l store.Lease
+		l, err = g.grantLease(ctx, "quota", c.TTL)
+		msg = quota.LeasedMsg{Lease: l.ID, TTL: l.TTL}
 	case quota.ClaimCmd:
 		var value []byte
 		if value, err = json.Marshal(c.Claim); err == nil {
@@ -119,8 +120,9 @@
 		}
 		msg = quota.ClaimedMsg{}
 	case quota.RenewCmd:
-		err = g.leases.KeepAlive(ctx, c.Lease)
-		msg = quota.RenewedMsg{}
+		var ttl clock.Millis
+		ttl, err = g.leases.KeepAlive(ctx, c.Lease)
+		msg = quota.RenewedMsg{TTL: store.CountedTTL(quota.LeaseTTL, ttl)}
 	case quota.ReleaseCmd:
 		err = g.leases.Revoke(ctx, c.Lease)
 		msg = quota.RenewedMsg{}
--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -67,6 +67,8 @@
 	claims    [quota.Groups]quota.ClaimMsg
 	leases    map[store.LeaseID]clock.Millis // when each one ends
 	lastLease store.LeaseID
+	ttl       clock.Millis  // that the store applies to leases; 0 for the one asked for
+	ttlStated *clock.Millis // that it states; nil for the one that it applies
 
 	customers map[uint64]string // of the open requests
 	lastID    uint64
@@ -259,14 +261,14 @@
 	switch c := cmd.(type) {
 	case quota.LeaseCmd:
 		f.lastLease++
-		f.extend(f.lastLease, c.TTL)
-		return quota.LeasedMsg{Lease: f.lastLease}
+		f.extend(f.lastLease, f.appliedTTL(c.TTL))
+		return quota.LeasedMsg{Lease: f.lastLease, TTL: store.CountedTTL(c.TTL, f.stated(c.TTL))}
 	case quota.RenewCmd:
 		if f.leases[c.Lease] <= f.now {
 			return conflict
 		}
-		f.extend(c.Lease, quota.LeaseTTL)
-		return quota.RenewedMsg{}
+		f.extend(c.Lease, f.appliedTTL(quota.LeaseTTL))
+		return quota.RenewedMsg{TTL: store.CountedTTL(quota.LeaseTTL, f.stated(quota.LeaseTTL))}
 	case quota.ReleaseCmd:
 		f.leases[c.Lease] = f.now
 		f.expire()
@@ -281,6 +283,23 @@
 	return nil
 }
 
+// appliedTTL returns the time to live that the store applies to a lease that was asked for
+// with another one.
+func (f *fleet) appliedTTL(asked clock.Millis) clock.Millis {
+	if f.ttl > 0 {
+		return f.ttl
+	}
+	return asked
+}
+
+// stated returns the time to live that the store states.
+func (f *fleet) stated(asked clock.Millis) clock.Millis {
+	if f.ttlStated != nil {
+		return *f.ttlStated
+	}
+	return f.appliedTTL(asked)
+}
+
 func (f *fleet) extend(id store.LeaseID, ttl clock.Millis) {
 	f.leases[id] = f.now + ttl
 	f.after(ttl, f.expire)
--- a/quota/message.go
+++ b/quota/message.go
@@ -66,14 +66,18 @@
 // comes before the ClaimMsgs of that era.
 type EraMsg struct{ Era uint64 }
 
-// LeasedMsg is the result of LeaseCmd.
-type LeasedMsg struct{ Lease store.LeaseID }
+// LeasedMsg is the result of LeaseCmd. TTL is the time to live that counts, 0 if it is not known.
+type LeasedMsg struct {
+	Lease store.LeaseID
+	TTL   clock.Millis
+}
 
 // ClaimedMsg reports that ClaimCmd succeeded.
 type ClaimedMsg struct{}
 
-// RenewedMsg reports that RenewCmd or ReleaseCmd succeeded.
-type RenewedMsg struct{}
+// RenewedMsg reports that RenewCmd or ReleaseCmd succeeded. TTL is the time to live that counts
+// from a renewal on, 0 if it is the one before.
+type RenewedMsg struct{ TTL clock.Millis }
 
 // FailedMsg reports that the last call of the store failed.
 type FailedMsg struct{ Kind store.Kind }
--- a/quota/model.go
+++ b/quota/model.go
@@ -138,11 +138,11 @@
 	case EraMsg:
 		m.setEra(now, t.Era)
 	case LeasedMsg:
-		m.leased(t.Lease)
+		m.leased(now, t.Lease, t.TTL)
 	case ClaimedMsg:
 		m.claimed(now)
 	case RenewedMsg:
-		m.renewed(now)
+		m.renewed(now, t.TTL)
 	case FailedMsg:
 		m.callFailed(now, t.Kind)
 	case ResumedMsg:
--- a/quota/model_test.go
+++ b/quota/model_test.go
@@ -240,7 +240,7 @@
 	f.deliver(owner, quota.ClaimMsg{Group: -1})
 	f.deliver(owner, quota.ClaimMsg{Group: quota.Groups})
 	f.deliver(owner, quota.ClaimedMsg{})
-	f.deliver(owner, quota.LeasedMsg{Lease: 99})
+	f.deliver(owner, quota.LeasedMsg{Lease: 99, TTL: quota.LeaseTTL})
 	f.load(large, 200, 10_000, f.anyNode)
 	f.run(10_500)
 	f.checkBound(large)
@@ -288,7 +288,7 @@
 	m.Update(1000, quota.LimitedMsg{Limited: true})
 	m.Update(1000, quota.FleetMsg{VMs: []quota.VM{{ID: "a", DataCentre: "dc"}}})
 	m.Update(1000, quota.AcquireMsg{Request: 1, Limit: l})
-	m.Update(1000, quota.LeasedMsg{Lease: 1})
+	m.Update(1000, quota.LeasedMsg{Lease: 1, TTL: quota.LeaseTTL})
 	m.Update(1000, quota.ClaimedMsg{})
 	ask := quota.Ask{ID: 1, Entries: []quota.AskEntry{{Limit: l, Want: 1}}}
 	b.ReportAllocs()
--- a/quota/owner.go
+++ b/quota/owner.go
@@ -34,6 +34,7 @@
 // lease is the lease of this VM's claims.
 type lease struct {
 	id    store.LeaseID
+	ttl   clock.Millis // that the store applies
 	until clock.Millis // it ends no sooner: counted from before the last renewal was sent
 }
 
--- a/quota/storecall.go
+++ b/quota/storecall.go
@@ -1,6 +1,8 @@
 package quota
 
 import (
+	"fmt"
+
 	"lentillink.example/lentillink/clock"
 	"lentillink.example/lentillink/store"
 )
@@ -9,6 +11,15 @@
 	// renewIntervalMs is the time between renewals of the lease of an owner.
 	renewIntervalMs clock.Millis = 3500
 
+	// renewalsInTTL is how often a lease is renewed at least within its time to live, so that
+	// one renewal may fail.
+	renewalsInTTL = 3
+
+	// minTTLMs is the shortest time to live of a lease under which claims are made: a call of
+	// the store may take a second. leaseRetryMs is the time until another lease is asked for.
+	minTTLMs     clock.Millis = 3000
+	leaseRetryMs              = 10 * clock.Second
+
 	// Bounds of the backoff after failed calls of the store.
 	minBackoffMs clock.Millis = 250
 	maxBackoffMs clock.Millis = 2000
@@ -121,13 +132,25 @@
 	return false
 }
 
-func (m *Model) leased(id store.LeaseID) {
+// leased begins to use a lease, unless it is too short to be renewed in time.
+func (m *Model) leased(now clock.Millis, id store.LeaseID, ttl clock.Millis) {
 	if m.calls.open != callLease {
 		return
 	}
 	m.callDone()
-	m.lease = lease{id: id, until: m.calls.sentAt + LeaseTTL}
-	m.calls.renewAt = m.calls.sentAt + renewIntervalMs
+	if ttl < minTTLMs {
+		m.calls.notBefore = now + leaseRetryMs
+		m.emit(EventCmd{Event{Kind: "quota_lease_refused", Detail: fmt.Sprintf("counts for %d ms, want at least %d", ttl, minTTLMs)}})
+		return
+	}
+	m.lease = lease{id: id, ttl: ttl}
+	m.extendLease()
+}
+
+// extendLease records that the last call has granted or renewed the lease.
+func (m *Model) extendLease() {
+	m.lease.until = m.calls.sentAt + m.lease.ttl
+	m.calls.renewAt = m.calls.sentAt + min(renewIntervalMs, m.lease.ttl/renewalsInTTL)
 }
 
 func (m *Model) claimed(now clock.Millis) {
@@ -145,7 +168,7 @@
 	m.answerHeld(now)
 }
 
-func (m *Model) renewed(now clock.Millis) {
+func (m *Model) renewed(now clock.Millis, ttl clock.Millis) {
 	open := m.calls.open
 	m.callDone()
 	switch open {
@@ -153,13 +176,19 @@
 		m.lease = lease{}
 	case callRenew:
 		if m.lease.id == 0 && m.calls.lease == m.adoptable() {
+			if ttl < minTTLMs {
+				m.refusedLease = m.calls.lease
+				return
+			}
 			m.lease.id = m.calls.lease
 		}
 		if m.lease.id != m.calls.lease {
 			return // given up since, with the era of the store
 		}
-		m.lease.until = m.calls.sentAt + LeaseTTL
-		m.calls.renewAt = m.calls.sentAt + renewIntervalMs
+		if ttl > 0 {
+			m.lease.ttl = ttl
+		}
+		m.extendLease()
 		for g, c := range m.claims {
 			if c.VM == m.cfg.self && c.Lease == m.lease.id {
 				m.gain(now, g)
--- a/roster/registrar.go
+++ b/roster/registrar.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"cmp"
 	"math/rand/v2"
 
 	"lentillink.example/lentillink/clock"
@@ -22,6 +23,11 @@
 	// for two more tries.
 	subscribedRenewIntervalMs = 5 * clock.Second
 
+	// renewalsInTTL is how often a lease is renewed at least within its time to live, but not
+	// more often than every minRenewIntervalMs.
+	renewalsInTTL                   = 3
+	minRenewIntervalMs clock.Millis = 300
+
 	// Bounds of the backoff after failed calls. ResumedMsg ends it when the store is
 	// reached again.
 	minBackoffMs clock.Millis = 300
@@ -42,14 +48,18 @@
 // ReadyMsg reports that the VM is ready for work, which starts the registration.
 type ReadyMsg struct{}
 
-// GrantedMsg is the result of GrantCmd.
-type GrantedMsg struct{ Lease store.LeaseID }
+// GrantedMsg is the result of GrantCmd. TTL is the time to live that counts, 0 if it is not known.
+type GrantedMsg struct {
+	Lease store.LeaseID
+	TTL   clock.Millis
+}
 
 // WrittenMsg reports that WriteCmd succeeded.
 type WrittenMsg struct{}
 
-// RenewedMsg reports that RenewCmd or RevokeCmd succeeded.
-type RenewedMsg struct{}
+// RenewedMsg reports that RenewCmd or RevokeCmd succeeded. TTL is the time to live that counts
+// from a renewal on, 0 if it is the one before.
+type RenewedMsg struct{ TTL clock.Millis }
 
 // FailedMsg reports that the call of the last RegistrarCmd failed.
 type FailedMsg struct{ Kind store.Kind }
@@ -112,6 +122,7 @@
 	callInFlight bool
 	callVoid     bool // the store came back from an older copy after the call began
 	leaseID      store.LeaseID
+	ttl          clock.Millis // that the store applies to the lease; 0 before the first one
 	entryWritten bool
 	subscribed   bool
 	nextCallAt   clock.Millis
@@ -132,11 +143,12 @@
 		r.ready = true
 	case GrantedMsg:
 		if r.recordSuccess(now) {
-			r.leaseID, r.entryWritten = m.Lease, false
+			r.leaseID, r.entryWritten, r.ttl = m.Lease, false, cmp.Or(m.TTL, LeaseTTL)
 		}
 	case WrittenMsg:
 		r.entryWritten = r.recordSuccess(now + r.renewInterval())
 	case RenewedMsg:
+		r.ttl = cmp.Or(m.TTL, r.ttl)
 		r.recordSuccess(now + r.renewInterval())
 	case FailedMsg:
 		r.recordFailure(now, m.Kind)
@@ -175,11 +187,17 @@
 // entries after the store came back from an older copy.
 func ReturnSpread(vms int) clock.Millis { return max(maxReturnMs, clock.Millis(vms)*returnMsPerVM) }
 
+// renewInterval returns the time between renewals. A lease that the store applies for a
+// shorter time than asked is renewed more often.
 func (r *Registrar) renewInterval() clock.Millis {
+	interval := renewIntervalMs
 	if r.subscribed {
-		return subscribedRenewIntervalMs
+		interval = subscribedRenewIntervalMs
+	}
+	if r.ttl > 0 {
+		interval = min(interval, max(r.ttl/renewalsInTTL, minRenewIntervalMs))
 	}
-	return renewIntervalMs
+	return interval
 }
 
 func (r *Registrar) recordFailure(now clock.Millis, kind store.Kind) {
--- a/roster/registrar_test.go
+++ b/roster/registrar_test.go
@@ -135,3 +135,41 @@
 		}
 	}
 }
+
+// TestRegistrarShortLease guards against an entry that lapses while its VM runs, because the
+// store applies a shorter time to live than was asked for.
+func TestRegistrarShortLease(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		granted clock.Millis // 0 if the store states none
+		renewed clock.Millis
+		wantMs  clock.Millis // longest time between two renewals
+	}{
+		{"as asked for", roster.LeaseTTL, roster.LeaseTTL, 2000},
+		{"none stated", 0, 0, 2000},
+		{"shorter", 3000, 3000, 1000},
+		{"very short", 600, 600, 300},
+		{"shorter from a renewal on", roster.LeaseTTL, 1500, 500},
+		{"longer again", 1500, roster.LeaseTTL, 2000},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			r := roster.NewRegistrar(1)
+			r.Update(1000, roster.ReadyMsg{})
+			r.Update(1000, roster.GrantedMsg{Lease: 7, TTL: tt.granted})
+			now := clock.Millis(1004)
+			r.Update(now, roster.WrittenMsg{})
+			for round := range 5 {
+				at, ok := r.NextWake()
+				if !ok {
+					t.Fatal("got no time of a renewal, want one")
+				}
+				if got := at - now; round > 0 && got > tt.wantMs {
+					t.Errorf("round %d: got %d ms until the renewal, want at most %d", round, got, tt.wantMs)
+				}
+				now = at
+				r.Update(now, roster.TickMsg{})
+				r.Update(now, roster.RenewedMsg{TTL: tt.renewed})
+			}
+		})
+	}
+}
--- a/store/store.go
+++ b/store/store.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-
-	"lentillink.example/lentillink/clock"
 )
 
 // Entry is one value with its revision. Revision 0 means that the key does not exist.
@@ -27,12 +25,6 @@
 	Delete(ctx context.Context, key string, expect uint64) error
 	// Watch waits until the key's revision exceeds after, then returns it.
 	Watch(ctx context.Context, key string, after uint64) (Entry, error)
-	// Grant creates a lease.
-	Grant(ctx context.Context, ttl clock.Millis) (LeaseID, error)
-	// KeepAlive extends a lease. KindConflict means that the lease has expired.
-	KeepAlive(ctx context.Context, id LeaseID) error
-	// Revoke ends a lease at once.
-	Revoke(ctx context.Context, id LeaseID) error
 }
 
 // LeaseID identifies a lease.
