Carry headers of callers and upstreams between VMs as bytes

What callers would see: one receipt of an upstream, or one request ID, that is not UTF-8 could not be encoded for another VM, which ended the stream between the two and with it every request on it.

Change: both fields are bytes in the messages between VMs, which is the same on the wire. All other text in them comes from JSON, whose decoder replaces what is not UTF-8, or from this project.

Evidence: peer.TestNotUTF8 before: "no vm-a:before within 10s" after the message, FuzzEncode: "string field contains invalid UTF-8"; both pass.

--- a/peer/delegation.go
+++ b/peer/delegation.go
@@ -14,7 +14,7 @@
 
 func encodeDelegation(d relay.Delegation) *peerpb.HandOver {
 	out := &peerpb.HandOver{
-		Id: d.ID, Version: d.Version, Name: d.Name, Head: d.Head, Body: d.Body,
+		Id: d.ID, Version: d.Version, Name: []byte(d.Name), Head: d.Head, Body: d.Body,
 		LeftMs: int64(d.RemainingMs), AnswerInMs: int64(d.TargetInMs), LateInMs: int64(d.LateInMs), Services: d.Services,
 		Route: d.Terms.Route, TargetMs: int64(d.Terms.TargetMs), Priority: uint32(d.Terms.Priority),
 		MaxAttempts: uint32(d.Terms.MaxAttempts), TopK: uint32(d.Terms.TopK), MinShardRatio: d.Terms.MinShardRatio,
@@ -59,7 +59,7 @@
 	}
 	return relay.Delegation{
 		CostKeys: keys,
-		ID:       d.GetId(), Version: d.GetVersion(), Name: d.GetName(), Head: d.GetHead(), Body: d.GetBody(),
+		ID:       d.GetId(), Version: d.GetVersion(), Name: string(d.GetName()), Head: d.GetHead(), Body: d.GetBody(),
 		RemainingMs: clock.Millis(d.GetLeftMs()), TargetInMs: clock.Millis(d.GetAnswerInMs()), LateInMs: clock.Millis(d.GetLateInMs()),
 		Services: d.GetServices(),
 		Terms: relay.Terms{
@@ -77,12 +77,35 @@
 func encodeDelegationResult(r relay.DelegationResult) *peerpb.HandBack {
 	a := r.Answer
 	return &peerpb.HandBack{
-		Id: r.ID, Outcome: uint32(a.Outcome), Body: a.Body, Receipts: a.Receipts, Missing: uint32(a.Missing),
+		Id: r.ID, Outcome: uint32(a.Outcome), Body: a.Body, Receipts: encodeReceipts(a.Receipts), Missing: uint32(a.Missing),
 		Reason: a.Reason, RetryAfterMs: int64(a.RetryAfterMs), Version: a.Version, More: r.Partial, ExpectedMs: int64(r.ExpectedMs),
 		Throttled: encodeThrottled(r.Throttled),
 	}
 }
 
+// encodeReceipts converts receipts, which are whatever bytes an upstream has sent.
+func encodeReceipts(receipts []string) [][]byte {
+	if receipts == nil {
+		return nil
+	}
+	out := make([][]byte, len(receipts))
+	for i, r := range receipts {
+		out[i] = []byte(r)
+	}
+	return out
+}
+
+func decodeReceipts(receipts [][]byte) []string {
+	if receipts == nil {
+		return nil
+	}
+	out := make([]string, len(receipts))
+	for i, r := range receipts {
+		out[i] = string(r)
+	}
+	return out
+}
+
 func decodeDelegationResult(r *peerpb.HandBack) (relay.DelegationResult, error) {
 	outcome := relay.Outcome(r.GetOutcome())
 	if !inRange(r.GetRetryAfterMs()) || !inRange(r.GetExpectedMs()) || len(r.GetReceipts()) > maxDelegatedShards {
@@ -96,7 +119,7 @@
 		return relay.DelegationResult{}, err
 	}
 	return relay.DelegationResult{ID: r.GetId(), Partial: r.GetMore(), ExpectedMs: clock.Millis(r.GetExpectedMs()), Throttled: throttled, Answer: relay.Answer{
-		Outcome: outcome, Body: r.GetBody(), Receipts: r.GetReceipts(), Missing: int(r.GetMissing()),
+		Outcome: outcome, Body: r.GetBody(), Receipts: decodeReceipts(r.GetReceipts()), Missing: int(r.GetMissing()),
 		Reason: r.GetReason(), RetryAfterMs: clock.Millis(r.GetRetryAfterMs()), Version: r.GetVersion(),
 	}}, nil
 }
