Pass on replies with long heads

Cause: a head had to fit into the read buffer of a connection.

Change: a head that does not fit is read with a larger buffer, which counts in the bound for all replies. The setting heads.reply_bytes (32 KB) bounds it; a longer one fails as head_too_large, with the event attempt_failed. heads.request_bytes (64 KB) is the bound for callers, as before.

--- a/cmd/lentillinkd/gateway.go
+++ b/cmd/lentillinkd/gateway.go
@@ -65,7 +65,7 @@
 		}),
 		gateway.WithAddresses(s.Callers, s.Ready), gateway.WithReadyPath(platform.ReadyPath), gateway.WithMetricsAddress(s.Metrics),
 		gateway.WithLogger(logger), gateway.WithLimits(reloadableLimits(s)), gateway.WithSeed(rand.Uint64()), gateway.WithWatchInterval(watchInterval(s)),
-		gateway.WithMemory(s.MemoryMB*bytesPerMB), gateway.WithQuotaBounds(quota.Bounds{
+		gateway.WithMemory(s.MemoryMB*bytesPerMB), gateway.WithMaxHeads(s.Heads.RequestBytes, s.Heads.ReplyBytes), gateway.WithQuotaBounds(quota.Bounds{
 			WindowMs: clock.Millis(s.Quota.WindowSeconds) * clock.Second, Overshoot: s.Quota.Overshoot, Slack: s.Quota.Slack,
 		}),
 		gateway.WithRelayOptions(relay.WithVMs(s.ExpectedVMs), relay.WithPlacingByCost(s.Placing.ByCost)),
@@ -116,5 +116,5 @@
 func restartNeeded(current, next *settings.Gateway) bool {
 	return current.VM != next.VM || current.DataCentre != next.DataCentre || current.Callers != next.Callers ||
 		current.Ready != next.Ready || current.Peers != next.Peers ||
-		current.ExpectedVMs != next.ExpectedVMs || current.MemoryMB != next.MemoryMB || current.Quota != next.Quota || current.Placing != next.Placing
+		current.ExpectedVMs != next.ExpectedVMs || current.MemoryMB != next.MemoryMB || current.Quota != next.Quota || current.Heads != next.Heads || current.Placing != next.Placing
 }
--- a/exchange/client.go
+++ b/exchange/client.go
@@ -21,6 +21,10 @@
 	// defaultMaxReplyBytes bounds the body of a reply, and so its memory.
 	defaultMaxReplyBytes = 4 << 20
 
+	// defaultMaxHeadBytes bounds the head of a reply. Browsers keep at least 50 cookies of
+	// 4 KB for a site, but few sites set more than some of them at once.
+	defaultMaxHeadBytes = 32 << 10
+
 	// defaultIdleTimeoutMs is how long an idle connection stays usable if the upstream
 	// does not state its idle timeout. Such upstreams have an idle timeout of less than
 	// a second.
@@ -66,6 +70,7 @@
 	report         func(Result)
 	connectTimeout clock.Millis
 	maxReplyBytes  int
+	maxHeadBytes   int
 	replyMemory    memory.Bound
 	clock          clock.Clock
 
@@ -98,7 +103,7 @@
 // New returns a Client that passes results to report, from any of its goroutines.
 func New(report func(Result), opts ...Option) *Client {
 	c := &Client{
-		report: report, connectTimeout: defaultConnectTimeout, maxReplyBytes: defaultMaxReplyBytes, clock: clock.NewMonotonic(),
+		report: report, connectTimeout: defaultConnectTimeout, maxReplyBytes: defaultMaxReplyBytes, maxHeadBytes: defaultMaxHeadBytes, clock: clock.NewMonotonic(),
 		exits: make(chan struct{}, 64), upstreams: make(map[string]*upstreamConns), calls: make(map[uint64]*pendingCall),
 	}
 	c.replyMemory.Set(defaultReplyMemory)
--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -92,7 +92,7 @@
 			cn.close(p, errNoReply, err)
 			return
 		}
-		body, err := readReply(br, &h, p.call.Request.noReplyBody, cn.client.maxReplyBytes)
+		body, left, err := cn.readReply(in, br, &h, p.call.Request.noReplyBody)
 		if err == nil && h.StatusCode() == fasthttp.StatusSwitchingProtocols {
 			err = errSwitching
 		}
@@ -100,7 +100,7 @@
 			cn.close(p, errBadReply, err)
 			return
 		}
-		if !cn.deliver(p, &h, body, br.Buffered()) {
+		if !cn.deliver(p, &h, body, left) {
 			return
 		}
 	}
@@ -141,6 +141,8 @@
 		kind = KindNotSent
 	case errors.Is(reason, errWrongRequest):
 		kind = KindWrongRequest
+	case errors.Is(cause, errHeadTooLarge):
+		kind = KindHeadTooLarge
 	case errors.Is(reason, errBadReply) && errors.Is(cause, io.ErrUnexpectedEOF):
 		kind = KindTruncated
 	case errors.Is(reason, errBadReply):
--- a/exchange/error.go
+++ b/exchange/error.go
@@ -14,9 +14,10 @@
 	KindTruncated                // the reply ended early
 	KindWrongRequest             // the reply belongs to another request
 	KindInvalid                  // the reply is not valid HTTP, or is too large
+	KindHeadTooLarge             // the head of the reply is too large
 )
 
-var kindNames = [...]string{"not_sent", "dial", "broken", "cut", "foreign", "invalid"}
+var kindNames = [...]string{"not_sent", "dial", "broken", "cut", "foreign", "invalid", "head_too_large"}
 
 // String returns the name of k.
 func (k Kind) String() string {
--- a/exchange/memory.go
+++ b/exchange/memory.go
@@ -28,9 +28,10 @@
 )
 
 var (
-	errTooLarge  = errors.New("reply is too large")
-	errNoMemory  = errors.New("replies being read take too much memory")
-	errSwitching = errors.New("reply switches the protocol, which the request did not ask for")
+	errTooLarge     = errors.New("reply is too large")
+	errHeadTooLarge = errors.New("head of the reply is too large")
+	errNoMemory     = errors.New("replies being read take too much memory")
+	errSwitching    = errors.New("reply switches the protocol, which the request did not ask for")
 )
 
 // replyReader reads a connection. It fails once a reply is larger than its limit, or all
@@ -40,6 +41,7 @@
 	memory   memory.Reservation // for the current reply
 	maxBytes int                // of one reply with everything that comes with it
 	count    int                // bytes of the current reply
+	buffered int                // size of a larger buffer for its head
 }
 
 // Read reads from the connection.
@@ -49,14 +51,19 @@
 	if r.count > r.maxBytes {
 		return n, errTooLarge
 	}
-	if !r.memory.GrowTo(memoryFactor*int64(r.count-freeReplyBytes), memoryStep) {
+	if !r.reserve() {
 		return n, errNoMemory
 	}
 	return n, err
 }
 
+// reserve reserves the memory of the current reply.
+func (r *replyReader) reserve() bool {
+	return r.memory.GrowTo(memoryFactor*max(int64(r.count-freeReplyBytes), 0)+int64(r.buffered), memoryStep)
+}
+
 // endReply releases the memory of the current reply.
 func (r *replyReader) endReply() {
 	r.memory.Release()
-	r.count = 0
+	r.count, r.buffered = 0, 0
 }
--- a/exchange/options.go
+++ b/exchange/options.go
@@ -14,6 +14,9 @@
 // WithMaxReplyBytes bounds the size of a reply's body.
 func WithMaxReplyBytes(n int) Option { return func(c *Client) { c.maxReplyBytes = n } }
 
+// WithMaxHeadBytes bounds the size of a reply's head.
+func WithMaxHeadBytes(n int) Option { return func(c *Client) { c.maxHeadBytes = n } }
+
 // WithReplyMemory bounds the memory of all replies that are being read, in bytes.
 func WithReplyMemory(n int64) Option { return func(c *Client) { c.replyMemory.Set(n) } }
 
--- a/exchange/read.go
+++ b/exchange/read.go
@@ -26,30 +26,71 @@
 
 var errInterim = errors.New("too many interim replies")
 
-// readReply reads a reply into h and returns its body. It replaces the reader of fasthttp,
-// whose pool keeps large buffers and hands them to small replies.
-func readReply(br *bufio.Reader, h *fasthttp.ResponseHeader, skipBody bool, maxBytes int) ([]byte, error) {
+// readReply reads a reply into h. It returns the body, and how many bytes after the reply were
+// read.
+func (cn *conn) readReply(in *replyReader, br *bufio.Reader, h *fasthttp.ResponseHeader, skipBody bool) (body []byte, left int, err error) {
+	r := br
 	for n := 0; ; n++ {
-		start, err := br.Peek(httpcall.StatusEnd)
+		start, err := r.Peek(httpcall.StatusEnd)
 		if err != nil {
-			return nil, unexpectedEOF(err)
+			return nil, 0, unexpectedEOF(err)
 		}
 		if err := httpcall.CheckStatus(start); err != nil {
-			return nil, err
+			return nil, 0, err
+		}
+		err = h.Read(r)
+		if isTooSmall(err) && r == br {
+			if r, err = cn.largeReader(in, br); err == nil {
+				err = h.Read(r)
+			}
 		}
-		if err := h.Read(br); err != nil {
-			return nil, err
+		if isTooSmall(err) {
+			err = errHeadTooLarge
+		}
+		if err != nil {
+			return nil, 0, err
 		}
 		if !isInterim(h.StatusCode()) {
 			break
 		}
 		if n == maxInterim {
-			return nil, errInterim
+			return nil, 0, errInterim
 		}
 	}
-	if skipBody || hasNoBody(h.StatusCode()) {
-		return nil, nil
+	if !skipBody && !hasNoBody(h.StatusCode()) {
+		if body, err = readBody(r, h, cn.client.maxReplyBytes); err != nil {
+			return nil, 0, err
+		}
+	}
+	left = br.Buffered()
+	if r != br {
+		left += r.Buffered()
+	}
+	return body, left, nil
+}
+
+func isTooSmall(err error) bool {
+	var small *fasthttp.ErrSmallBuffer
+	return errors.As(err, &small)
+}
+
+// largeReader returns a reader for a head that does not fit into the buffer of a connection.
+// Its memory counts as part of the reply.
+func (cn *conn) largeReader(in *replyReader, br *bufio.Reader) (*bufio.Reader, error) {
+	size := cn.client.maxHeadBytes
+	if size <= br.Size() {
+		return nil, errHeadTooLarge
 	}
+	in.buffered = size
+	if !in.reserve() {
+		return nil, errNoMemory
+	}
+	return bufio.NewReaderSize(br, size), nil
+}
+
+// readBody reads the body of a reply. It replaces the reader of fasthttp, whose pool keeps
+// large buffers and hands them to small replies.
+func readBody(br *bufio.Reader, h *fasthttp.ResponseHeader, maxBytes int) ([]byte, error) {
 	length := h.ContentLength()
 	switch {
 	case length > maxBytes:
--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -23,8 +23,9 @@
 
 	// Limits of a caller's request, in bytes and time. The configuration may set other
 	// limits for the bytes of header and body.
-	maxHeaderBytes = 64 << 10
-	maxBodyBytes   = 8 << 20
+	defaultMaxRequestHead = 64 << 10
+	defaultMaxReplyHead   = 32 << 10
+	maxBodyBytes          = 8 << 20
 
 	// maxOperatorHeaderBytes bounds the heads of the balancer's and operators' requests.
 	maxOperatorHeaderBytes = 8 << 10
@@ -41,7 +42,7 @@
 // does not notice that a caller disconnects while its request runs.
 func (g *Gateway) newCallerServer() *http.Server {
 	return &http.Server{
-		Handler: g.guard(g.serveCaller), MaxHeaderBytes: maxHeaderBytes,
+		Handler: g.guard(g.serveCaller), MaxHeaderBytes: g.maxRequestHead,
 		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, ErrorLog: discardLog(), ConnState: g.callerConns.observe,
 		ConnContext: func(ctx context.Context, nc net.Conn) context.Context {
 			roundTrip, _ := socket.RoundTripTime(nc)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -76,6 +76,8 @@
 	answerLag      answerLag
 	updatedAt      clock.Millis             // time of the last message to relayModel; owned by the event loop
 	acceptDone     chan struct{}            // closed when no more callers are accepted
+	maxRequestHead int                      // in bytes
+	maxReplyHead   int                      // in bytes
 	memoryBytes    int64                    // of the process
 	bodies         memory.Bound             // for the bodies of callers that are being read
 	heads          memory.Bound             // for the heads of requests that are being read or answered
@@ -121,8 +123,8 @@
 func New(opts ...Option) *Gateway {
 	g := &Gateway{
 		logger: log.NewNopLogger(), clock: clock.NewMonotonic(), limits: Limits{GracePeriod: defaultGracePeriodMs}, readyPath: "/ready",
-		memoryBytes: defaultMemoryBytes,
-		inbox:       make(chan loopMsg, inboxLen), loopDone: make(chan struct{}), exits: make(chan error, exitsLen), failed: make(chan error, 1), explaining: make(chan struct{}, 1),
+		memoryBytes: defaultMemoryBytes, maxRequestHead: defaultMaxRequestHead, maxReplyHead: defaultMaxReplyHead,
+		inbox: make(chan loopMsg, inboxLen), loopDone: make(chan struct{}), exits: make(chan error, exitsLen), failed: make(chan error, 1), explaining: make(chan struct{}, 1),
 		acceptDone: make(chan struct{}), calls: make(map[uint64]*call), delegations: make(map[delegationKey]uint64), vmList: make(map[string]relay.VM),
 	}
 	for _, opt := range opts {
@@ -141,7 +143,7 @@
 	g.mesh = peer.New(g.self.ID, g.seed, meshHandler{g}, peer.WithMemory(g.memoryBytes/peerMemoryShare))
 	g.catalog = catalog.New(g.seed, catalog.WithWatchInterval(g.watchInterval), catalog.WithSuperseded(g.isSuperseded), catalog.WithLeased(g.isLeased))
 	g.client = exchange.New(func(r exchange.Result) { g.post(loopMsg{result: &r}) },
-		exchange.WithHeaders(g.headers.Headers), exchange.WithClock(g.clock), exchange.WithReplyMemory(g.memoryBytes/replyMemoryShare))
+		exchange.WithHeaders(g.headers.Headers), exchange.WithClock(g.clock), exchange.WithReplyMemory(g.memoryBytes/replyMemoryShare), exchange.WithMaxHeadBytes(g.maxReplyHead))
 	g.bodies.Set(g.memoryBytes / bodyMemoryShare)
 	g.heads.Set(g.memoryBytes / headMemoryShare)
 	g.callerConns = newCallerConns(&g.heads)
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"net"
 
 	"github.com/go-kit/log"
@@ -72,6 +73,14 @@
 	return func(g *Gateway) { g.relayOptions = append(g.relayOptions, opts...) }
 }
 
+// WithMaxHeads bounds the heads of callers' requests and of upstreams' replies, in bytes; 0
+// stands for the default.
+func WithMaxHeads(request, reply int) Option {
+	return func(g *Gateway) {
+		g.maxRequestHead, g.maxReplyHead = cmp.Or(request, g.maxRequestHead), cmp.Or(reply, g.maxReplyHead)
+	}
+}
+
 // WithMemory sets the memory of the process in bytes. Parts of it bound the bodies of
 // callers and the replies of upstreams that are being read.
 func WithMemory(n int64) Option {
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -26,7 +26,8 @@
 	ExpectedVMs  int          `json:"expected_vms"`
 	CPUShare     float64      `json:"cpu_share"` // number of cores that the VM may use
 	Placing      Placing      `json:"placing"`
-	DrainMs      clock.Millis `json:"drain_ms"` // time after which a leaving upstream must get no new requests
+	Heads        Heads        `json:"heads,omitzero"` // left out, the defaults hold
+	DrainMs      clock.Millis `json:"drain_ms"`       // time after which a leaving upstream must get no new requests
 }
 
 // RetryBudget bounds the retries of a service in any window, over all VMs: Ratio
@@ -45,6 +46,12 @@
 	Slack         float64 `json:"slack"`
 }
 
+// Heads bounds the request or status line and the headers of one message.
+type Heads struct {
+	RequestBytes int `json:"request_bytes"` // of callers' requests; the configuration may set less
+	ReplyBytes   int `json:"reply_bytes"`   // of upstreams' replies
+}
+
 // Placing states how upstreams are chosen. With ByCost the choice, the order in queues and
 // the time of hedges depend on what each request is expected to cost.
 type Placing struct {
@@ -62,6 +69,12 @@
 	maxOvershoot     = 10
 	maxSlack         = 1_000_000
 
+	minHeadBytes = 4 << 10
+	maxHeadBytes = 1 << 20
+
+	defaultRequestHeadBytes = 64 << 10
+	defaultReplyHeadBytes   = 32 << 10
+
 	defaultGraceSeconds = 6
 	defaultMemoryMB     = 284 // memory of the users' smallest VMs
 	defaultExpectedVMs  = 9   // the users run 7 to 9 entry VMs
@@ -86,7 +99,8 @@
 	g := &Gateway{
 		GraceSeconds: defaultGraceSeconds, MemoryMB: defaultMemoryMB, ExpectedVMs: defaultExpectedVMs,
 		DrainMs: defaultDrainMs,
-		Retry:   RetryBudget{Ratio: 0.2, WindowSeconds: 10},         // the users' bounds
+		Retry:   RetryBudget{Ratio: 0.2, WindowSeconds: 10}, // the users' bounds
+		Heads:   Heads{RequestBytes: defaultRequestHeadBytes, ReplyBytes: defaultReplyHeadBytes},
 		Quota:   Quota{WindowSeconds: 5, Overshoot: 0.1, Slack: 20}, // the users' bounds
 	}
 	b := &binder{rejected: make(map[string]bool)}
@@ -122,6 +136,8 @@
 	if g.Retry.Ratio < 0 || g.Retry.Ratio > 1 {
 		c.reject("retry_budget.ratio", "is %v, want a number from 0 to 1", g.Retry.Ratio)
 	}
+	c.checkNumber("heads.request_bytes", int64(g.Heads.RequestBytes), minHeadBytes, maxHeadBytes)
+	c.checkNumber("heads.reply_bytes", int64(g.Heads.ReplyBytes), minHeadBytes, maxHeadBytes)
 	c.checkNumber("quota.window_s", g.Quota.WindowSeconds, 1, maxWindowSeconds)
 	if g.Quota.Overshoot < 0 || g.Quota.Overshoot > maxOvershoot {
 		c.reject("quota.overshoot", "is %v, want a number from 0 to %d", g.Quota.Overshoot, maxOvershoot)
--- a/settings/gateway_test.go
+++ b/settings/gateway_test.go
@@ -29,6 +29,9 @@
 	if g.VM != "front-1" || g.CPUShare != 0.4 || g.Retry.Extra != 58 || g.DrainMs != 3000 {
 		t.Errorf("got %+v, want the values of the file and the default drain", g)
 	}
+	if g.Heads.RequestBytes < 16<<10 || g.Heads.ReplyBytes < 16<<10 {
+		t.Errorf("got heads %+v, want defaults of at least 16 KB", g.Heads)
+	}
 	if g.Placing.ByCost {
 		t.Error("got placing by cost, want it off unless it is set")
 	}
@@ -47,6 +50,8 @@
 		{"unknown kind of placing", `"grace_s": 6`, `"grace_s": 6, "placing": {"by_size": true}`, "placing.by_size"},
 		{"negative cpu_share", `0.4`, `-1`, "cpu_share"},
 		{"quota without a window", `"grace_s": 6`, `"grace_s": 6, "quota": {"window_s": 0, "overshoot": 0.1, "slack": 20}`, "quota.window_s"},
+		{"head too small", `"grace_s": 6`, `"grace_s": 6, "heads": {"request_bytes": 100, "reply_bytes": 32768}`, "heads.request_bytes"},
+		{"head too large", `"grace_s": 6`, `"grace_s": 6, "heads": {"reply_bytes": 9999999}`, "heads.reply_bytes"},
 		{"negative slack", `"grace_s": 6`, `"grace_s": 6, "quota": {"slack": -1}`, "quota.slack"},
 	}
 	for _, tt := range tests {
