Write a VM's entry again when a late write has replaced it

What operators would see: a VM that runs is missing from the list for good.

Change: the registrar learns how the store shows its entry and writes it again 0.5 to 1 s after it has seen that it is gone or not its own. A condition on the revision was weighed and rejected: after a return of the store the revision that a VM knows is wrong for up to 15 s.

--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -367,6 +367,7 @@
 	}
 	if id, ok := g.decoder.VMID(key); ok {
 		g.setVM(id, nil)
+		g.observeOwnEntry(ioCtx, id, nil)
 	}
 	if g.decoder.IsPresets(key) {
 		g.stepRestorer(ioCtx, preset.StoredMsg{Rank: g.rank()})
@@ -419,6 +420,7 @@
 	case decoded.VM != nil:
 		if id, ok := g.decoder.VMID(item.Key); ok && id == decoded.VM.ID {
 			g.setVM(id, decoded.VM)
+			g.observeOwnEntry(ioCtx, id, decoded.VM)
 		}
 	case decoded.Claim != nil:
 		g.applyClaim(item.Key, item.Revision, *decoded.Claim)
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -158,6 +158,18 @@
 	}
 }
 
+// observeOwnEntry informs the registrar of this VM's entry in the store; v is nil if it is gone.
+func (g *Gateway) observeOwnEntry(ioCtx context.Context, id string, v *relay.VM) {
+	if id != g.self.ID || g.stopping.Load() {
+		return
+	}
+	intact := v != nil && v.IsSameProcess(g.self)
+	if !intact {
+		_ = g.logger.Log("event", "entry_not_intact", "gone", v == nil)
+	}
+	g.stepRegistrar(ioCtx, roster.EntryMsg{Intact: intact})
+}
+
 // applyVMList passes the VM list to the state machines.
 func (g *Gateway) applyVMList(ioCtx context.Context) {
 	list := make([]relay.VM, 0, len(g.vmList))
--- a/relay/carrier.go
+++ b/relay/carrier.go
@@ -31,9 +31,9 @@
 	PresetRevision uint64 `json:"preset_revision,omitempty"`
 }
 
-// isSameProcess reports whether an entry may come from the process that wrote another one.
+// IsSameProcess reports whether an entry may come from the process that wrote another one.
 // A VM with another address has been restarted.
-func (v VM) isSameProcess(o VM) bool {
+func (v VM) IsSameProcess(o VM) bool {
 	v.ConfigVersion, v.PresetRevision = o.ConfigVersion, o.PresetRevision
 	return v == o
 }
@@ -97,7 +97,7 @@
 	for _, v := range vms {
 		inFleet = inFleet || v.ID == m.cfg.self
 		c := m.peers[v.ID]
-		if c != nil && c.info.isSameProcess(v) {
+		if c != nil && c.info.IsSameProcess(v) {
 			c.info = v
 		} else {
 			c = &peerVM{
--- a/roster/registrar.go
+++ b/roster/registrar.go
@@ -36,6 +36,10 @@
 	// maxReturnMs spreads the calls of VMs that reach the store again together.
 	maxReturnMs clock.Millis = 500
 
+	// repairDelayMs is the least time between the news that the entry is not intact and its
+	// next write. VMs whose entries are lost together spread over as much more.
+	repairDelayMs clock.Millis = 500
+
 	// returnMsPerVM spreads the calls of all VMs after the store came back from an older
 	// copy, which has none of their leases: two writes of each, at less than half of the
 	// 1,200 writes a second that the users' store takes.
@@ -76,6 +80,11 @@
 // has ended and the entry is lost. VMs is the number of VMs that write theirs again.
 type StoreReturnedMsg struct{ VMs int }
 
+// EntryMsg reports whether the store has this VM's entry as it was written. A write of an
+// earlier process that the store carries out late can replace it, or bind it to a lease that
+// ends.
+type EntryMsg struct{ Intact bool }
+
 // LeaveMsg ends the registration.
 type LeaveMsg struct{}
 
@@ -90,6 +99,7 @@
 func (SubscriptionMsg) registrarMsg()  {}
 func (ResumedMsg) registrarMsg()       {}
 func (StoreReturnedMsg) registrarMsg() {}
+func (EntryMsg) registrarMsg()         {}
 func (LeaveMsg) registrarMsg()         {}
 func (TickMsg) registrarMsg()          {}
 
@@ -126,6 +136,7 @@
 	entryWritten bool
 	subscribed   bool
 	nextCallAt   clock.Millis
+	repairAt     clock.Millis // time of the next write of an entry that is not intact; 0 if it is
 	returnAt     clock.Millis // no call is made before this time
 	backoff      clock.Millis
 }
@@ -159,6 +170,8 @@
 		r.nextCallAt = min(r.nextCallAt, now+clock.Millis(r.rng.Int64N(int64(maxReturnMs))))
 	case StoreReturnedMsg:
 		r.storeReturned(now, m.VMs)
+	case EntryMsg:
+		r.observeEntry(now, m.Intact)
 	case LeaveMsg:
 		r.leaving = true
 	case TickMsg:
@@ -187,6 +200,17 @@
 // entries after the store came back from an older copy.
 func ReturnSpread(vms int) clock.Millis { return max(maxReturnMs, clock.Millis(vms)*returnMsPerVM) }
 
+// observeEntry schedules another write of an entry that is not intact, unless the news is
+// older than the last write and the next report shows that.
+func (r *Registrar) observeEntry(now clock.Millis, intact bool) {
+	switch {
+	case intact:
+		r.repairAt = 0
+	case r.entryWritten && r.repairAt == 0:
+		r.repairAt = now + repairDelayMs + clock.Millis(r.rng.Int64N(int64(repairDelayMs)))
+	}
+}
+
 // renewInterval returns the time between renewals. A lease that the store applies for a
 // shorter time than asked is renewed more often.
 func (r *Registrar) renewInterval() clock.Millis {
@@ -217,9 +241,12 @@
 		lease := r.leaseID
 		r.leaseID, r.callInFlight = 0, true
 		return []RegistrarCmd{RevokeCmd{Lease: lease}}
-	case r.leaving, !r.ready, now < max(r.nextCallAt, r.returnAt):
+	case r.leaving, !r.ready, now < r.callAt():
 		return nil
 	}
+	if r.repairAt > 0 && now >= r.repairAt {
+		r.repairAt, r.entryWritten = 0, false
+	}
 	r.callInFlight = true
 	switch {
 	case r.leaseID == 0:
@@ -237,5 +264,14 @@
 	if r.callInFlight || !r.ready || r.leaving {
 		return 0, false
 	}
-	return max(r.nextCallAt, r.returnAt), true
+	return r.callAt(), true
+}
+
+// callAt returns the time of the next call.
+func (r *Registrar) callAt() clock.Millis {
+	at := r.nextCallAt
+	if r.repairAt > 0 && r.backoff == 0 {
+		at = min(at, r.repairAt)
+	}
+	return max(at, r.returnAt)
 }
