Bound what a connection of a VM may send before its hello, and the streams of one VM

Change: an accepted connection may send 4 KB before its hello, and a VM have four accepted streams. The bound for messages is an eighth of the memory, in place of a quarter, in steps of 8 KB.

exchange: the constant maxHeadBytes is renamed, as the client has a field of that name.

--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -80,7 +80,7 @@
 // read reads replies until the connection is closed.
 func (cn *conn) read() {
 	defer cn.recoverRead()
-	in := &replyReader{nc: cn.nc, memory: memory.NewReservation(&cn.client.replyMemory), maxBytes: cn.client.maxReplyBytes + maxHeadBytes}
+	in := &replyReader{nc: cn.nc, memory: memory.NewReservation(&cn.client.replyMemory), maxBytes: cn.client.maxReplyBytes + maxFramingBytes}
 	defer in.endReply()
 	br := bufio.NewReaderSize(in, readBufferBytes)
 	var h fasthttp.ResponseHeader
--- a/exchange/memory.go
+++ b/exchange/memory.go
@@ -22,9 +22,9 @@
 	// grows is copied to a larger one, and the old one is freed later.
 	memoryFactor = 4
 
-	// maxHeadBytes bounds what comes with a body: headers, chunk sizes, trailers and
+	// maxFramingBytes bounds what comes with a body: headers, chunk sizes, trailers and
 	// interim replies.
-	maxHeadBytes = 64 << 10
+	maxFramingBytes = 64 << 10
 )
 
 var (
--- a/gateway/memory.go
+++ b/gateway/memory.go
@@ -17,7 +17,7 @@
 	bodyMemoryShare  = 8
 	replyMemoryShare = 8
 	headMemoryShare  = 8
-	peerMemoryShare  = 4
+	peerMemoryShare  = 8
 )
 
 // resetWhenIdle is the ConnState hook of servers whose connections are of type *memory.Conn.
--- a/memory/conn.go
+++ b/memory/conn.go
@@ -47,6 +47,7 @@
 type Listener struct {
 	net.Listener
 	Bound *Bound
+	Limit int64 // of each connection until it is changed; 0 for none
 }
 
 // Accept accepts a connection.
@@ -55,5 +56,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return NewConn(nc, l.Bound), nil
+	c := NewConn(nc, l.Bound)
+	c.Received.SetLimit(l.Limit)
+	return c, nil
 }
--- a/memory/meter.go
+++ b/memory/meter.go
@@ -11,7 +11,7 @@
 	freeBytes = 4 << 10
 
 	// stepBytes is by how much the reservation of one connection grows at a time.
-	stepBytes = 16 << 10
+	stepBytes = 8 << 10
 
 	// bytesPerByte is the memory that is reserved for each byte received: a buffer that grows
 	// is copied to a larger one, and what is decoded takes memory beside it.
@@ -26,6 +26,7 @@
 	mu       sync.Mutex
 	reserved Reservation
 	count    int64 // bytes received since the last Reset
+	limit    int64 // of count; 0 for none
 	held     bool
 	closed   bool
 }
@@ -41,12 +42,23 @@
 		return nil
 	}
 	m.count += int64(n)
+	if m.limit > 0 && m.count > m.limit {
+		return ErrExceeded
+	}
 	if !m.reserved.GrowTo((m.count-freeBytes)*bytesPerByte, stepBytes) {
 		return ErrExceeded
 	}
 	return nil
 }
 
+// SetLimit bounds what is received until Reset, in bytes, whatever is left of the Bound; 0 ends
+// that.
+func (m *Meter) SetLimit(n int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.limit = n
+}
+
 // Hold keeps the reservation until Reset and counts nothing more.
 func (m *Meter) Hold() {
 	m.mu.Lock()
--- a/peer/endless_test.go
+++ b/peer/endless_test.go
@@ -117,3 +117,31 @@
 		t.Errorf("b received %q, want %q", got, want)
 	}
 }
+
+// TestMeshManyStreams guards against a VM in trouble that opens streams without end, and
+// against one that cannot open any more after its earlier ones have ended.
+func TestMeshManyStreams(t *testing.T) {
+	const most = 4
+	b := startVM(t, "vm-b")
+	for range 3 {
+		var conns []net.Conn
+		open := 0
+		for range 3 * most {
+			nc, s := openRaw(t, b, "vm-odd")
+			conns = append(conns, nc)
+			if _, err := s.Recv(); err == nil {
+				open++
+			}
+		}
+		if open != most {
+			t.Errorf("got %d streams of one VM, want %d", open, most)
+		}
+		for _, nc := range conns {
+			_ = nc.Close()
+		}
+		for range open {
+			await(t, b.recorder.disconnected, "end of a stream")
+		}
+		time.Sleep(50 * time.Millisecond) // until the last one is no longer counted
+	}
+}
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -54,6 +54,7 @@
 	memory       memory.Bound // for messages that are being received
 
 	mu         sync.Mutex
+	accepted   map[string]int // open accepted streams, by peer
 	links      map[string]*link
 	ctx        context.Context // its end closes the dialed streams; it ends with the context of Run
 	cancel     context.CancelFunc
@@ -66,7 +67,7 @@
 	m := &Mesh{
 		self: self, incarnation: incarnation, handler: h, clock: clock.System{},
 		queueLen: defaultQueueLen, idleTimeout: defaultIdleTimeout, helloTimeout: defaultHelloTimeout, dialTimeout: defaultDialTimeout, dial: dialTCP,
-		links: make(map[string]*link),
+		links: make(map[string]*link), accepted: make(map[string]int),
 	}
 	m.memory.Set(defaultMemory)
 	m.ctx, m.cancel = context.WithCancel(context.Background())
@@ -84,7 +85,7 @@
 		return wrap("register", KindServe, err)
 	}
 	server := drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: drpcmanager.Options{InactivityTimeout: m.helloTimeout.Duration()}})
-	err := server.Serve(ctx, memory.Listener{Listener: lis, Bound: &m.memory})
+	err := server.Serve(ctx, memory.Listener{Listener: lis, Bound: &m.memory, Limit: maxHelloBytes})
 	m.cancel()
 	m.mu.Lock()
 	m.closed = true
--- a/peer/stream.go
+++ b/peer/stream.go
@@ -52,12 +52,41 @@
 	if err != nil {
 		return err
 	}
+	if !a.m.admit(peer) {
+		return wrap("accept", KindStream, fmt.Errorf("%s has %d streams to this VM already", peer, maxAccepted))
+	}
+	defer a.m.release(peer)
+	conn.Received.SetLimit(0)
 	if err := s.Send(a.m.hello()); err != nil {
 		return wrap("accept", KindStream, err)
 	}
 	return a.m.serveStream(s.Context(), peer, s, conn, a.m.addAcceptedLink(peer))
 }
 
+// maxAccepted bounds the open streams that one peer has opened. It needs one; those of its
+// earlier processes may stay open for some seconds.
+const maxAccepted = 4
+
+// admit counts a stream that a peer has opened. It reports false if there are too many.
+func (m *Mesh) admit(peer string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.accepted[peer] >= maxAccepted {
+		return false
+	}
+	m.accepted[peer]++
+	return true
+}
+
+// release ends the count of a stream.
+func (m *Mesh) release(peer string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.accepted[peer]--; m.accepted[peer] == 0 {
+		delete(m.accepted, peer)
+	}
+}
+
 // addAcceptedLink adds and returns the link whose queue is sent on an accepted stream.
 // It returns nil if the peer already has a link, which another stream serves.
 func (m *Mesh) addAcceptedLink(peer string) *link {
@@ -111,6 +140,10 @@
 // maxNameBytes bounds the name of a VM. The platform's keys, which hold it, have at most 200 bytes.
 const maxNameBytes = 200
 
+// maxHelloBytes bounds what an accepted connection may send before and with its hello. The
+// other side sends nothing more until it has the hello of this one.
+const maxHelloBytes = 4 << 10
+
 // readHello returns the name in the hello of the other side, which must arrive in time.
 func (m *Mesh) readHello(s stream, conn *memory.Conn) (string, error) {
 	timeout := time.AfterFunc(m.helloTimeout.Duration(), func() { _ = conn.Close() })
