Take test addresses outside the kernel's own range, and reserve more for growing replies

TestEndlessReplies/body_of_8_MB had a peak of 22.2 of 20 MB: the buffers that a growing reply has left behind were not in the factor of its reservation.

Change: addresses from soak.FreeAddress; three bytes reserved for each byte of a reply in place of two.

--- a/cmd/lentillink/process_test.go
+++ b/cmd/lentillink/process_test.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -15,6 +14,7 @@
 	"time"
 
 	"lentillink.example/lentillink/caller"
+	"lentillink.example/lentillink/platform/soak"
 	"lentillink.example/lentillink/roster"
 	"lentillink.example/lentillink/settings"
 	"lentillink.example/lentillink/standin"
@@ -155,12 +155,11 @@
 
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := soak.FreeAddress(t.Context())
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = lis.Close() }()
-	return lis.Addr().String()
+	return address
 }
 
 func waitUntil(t *testing.T, condition string, ok func() bool) {
--- a/httpcall/do.go
+++ b/httpcall/do.go
@@ -190,7 +190,7 @@
 
 	// bytesPerByte is the memory that a growing buffer takes for each of its bytes: it is
 	// copied to one twice as large.
-	bytesPerByte = 2
+	bytesPerByte = 3
 )
 
 // readFull reads n bytes. It fails with memory.ErrExceeded if all bodies that are being read
