Share the question to a connection's descriptor, and drop a default that stood twice

The default size of a reply's head stands in exchange only; the gateway passes 0 for it. era.Guard no longer tests for a write under way where the time of the next one is 0 anyway. Two comments did not say what the code does (Meter.SetLimit, httpcall's factor).

--- a/era/guard.go
+++ b/era/guard.go
@@ -102,9 +102,7 @@
 // write starts the write of the record when it is due.
 func (g *Guard) write(now clock.Millis) []WriteCmd {
 	if g.writing || g.fleet.VMs == 0 || g.isRecorded() || !g.isSettled() {
-		if !g.writing {
-			g.writeAt = 0
-		}
+		g.writeAt = 0
 		return nil
 	}
 	if g.writeAt == 0 {
--- a/era/query.go
+++ b/era/query.go
@@ -30,7 +30,7 @@
 func (g *Guard) Known() (read, ofFleet Facts) { return g.known, g.ofFleet() }
 
 // NextWake returns when the Guard needs its next TickMsg, or false if it needs none.
-func (g *Guard) NextWake() (clock.Millis, bool) { return g.writeAt, g.writeAt > 0 && !g.writing }
+func (g *Guard) NextWake() (clock.Millis, bool) { return g.writeAt, g.writeAt > 0 }
 
 // isRecorded reports whether the era is recorded as settled. A store that states no era loses
 // nothing.
--- a/exchange/options.go
+++ b/exchange/options.go
@@ -1,6 +1,10 @@
 package exchange
 
-import "lentillink.example/lentillink/clock"
+import (
+	"cmp"
+
+	"lentillink.example/lentillink/clock"
+)
 
 // Option configures a Client.
 type Option func(*Client)
@@ -14,8 +18,10 @@
 // WithMaxReplyBytes bounds the size of a reply's body.
 func WithMaxReplyBytes(n int) Option { return func(c *Client) { c.maxReplyBytes = n } }
 
-// WithMaxHeadBytes bounds the size of a reply's head.
-func WithMaxHeadBytes(n int) Option { return func(c *Client) { c.maxHeadBytes = n } }
+// WithMaxHeadBytes bounds the size of a reply's head; 0 stands for the default.
+func WithMaxHeadBytes(n int) Option {
+	return func(c *Client) { c.maxHeadBytes = cmp.Or(n, c.maxHeadBytes) }
+}
 
 // WithReplyMemory bounds the memory of all replies that are being read, in bytes.
 func WithReplyMemory(n int64) Option { return func(c *Client) { c.replyMemory.Set(n) } }
--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -24,7 +24,6 @@
 	// Limits of a caller's request, in bytes and time. The configuration may set other
 	// limits for the bytes of header and body.
 	defaultMaxRequestHead = 64 << 10
-	defaultMaxReplyHead   = 32 << 10
 	maxBodyBytes          = 8 << 20
 
 	// maxOperatorHeaderBytes bounds the heads of the balancer's and operators' requests.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -77,7 +77,7 @@
 	updatedAt      clock.Millis             // time of the last message to relayModel; owned by the event loop
 	acceptDone     chan struct{}            // closed when no more callers are accepted
 	maxRequestHead int                      // in bytes
-	maxReplyHead   int                      // in bytes
+	maxReplyHead   int                      // in bytes; 0 for the default of exchange
 	memoryBytes    int64                    // of the process
 	bodies         memory.Bound             // for the bodies of callers that are being read
 	heads          memory.Bound             // for the heads of requests that are being read or answered
@@ -123,7 +123,7 @@
 func New(opts ...Option) *Gateway {
 	g := &Gateway{
 		logger: log.NewNopLogger(), clock: clock.NewMonotonic(), limits: Limits{GracePeriod: defaultGracePeriodMs}, readyPath: "/ready",
-		memoryBytes: defaultMemoryBytes, maxRequestHead: defaultMaxRequestHead, maxReplyHead: defaultMaxReplyHead,
+		memoryBytes: defaultMemoryBytes, maxRequestHead: defaultMaxRequestHead,
 		inbox: make(chan loopMsg, inboxLen), loopDone: make(chan struct{}), exits: make(chan error, exitsLen), failed: make(chan error, 1), explaining: make(chan struct{}, 1),
 		acceptDone: make(chan struct{}), calls: make(map[uint64]*call), delegations: make(map[delegationKey]uint64), vmList: make(map[string]relay.VM),
 	}
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -77,7 +77,7 @@
 // stands for the default.
 func WithMaxHeads(request, reply int) Option {
 	return func(g *Gateway) {
-		g.maxRequestHead, g.maxReplyHead = cmp.Or(request, g.maxRequestHead), cmp.Or(reply, g.maxReplyHead)
+		g.maxRequestHead, g.maxReplyHead = cmp.Or(request, g.maxRequestHead), reply
 	}
 }
 
--- a/httpcall/do.go
+++ b/httpcall/do.go
@@ -188,8 +188,8 @@
 	// longer one may never come, so its buffer grows with what arrives.
 	directBytes = 64 << 10
 
-	// bytesPerByte is the memory that a growing buffer takes for each of its bytes: it is
-	// copied to one twice as large.
+	// bytesPerByte is the memory that a growing buffer takes for each of its bytes: the smaller
+	// ones that were copied to it are freed later.
 	bytesPerByte = 3
 )
 
--- a/memory/meter.go
+++ b/memory/meter.go
@@ -51,8 +51,8 @@
 	return nil
 }
 
-// SetLimit bounds what is received until Reset, in bytes, whatever is left of the Bound; 0 ends
-// that.
+// SetLimit bounds the bytes that are received between two Resets, whatever is left of the
+// Bound; 0 ends that.
 func (m *Meter) SetLimit(n int64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/socket/roundtrip.go
+++ b/socket/roundtrip.go
@@ -2,7 +2,6 @@
 
 import (
 	"net"
-	"syscall"
 
 	"lentillink.example/lentillink/clock"
 )
@@ -12,17 +11,12 @@
 // RoundTripTime returns the kernel's estimate of the round-trip time of a TCP
 // connection, rounded up. It returns false if there is no estimate.
 func RoundTripTime(nc net.Conn) (clock.Millis, bool) {
-	sc, ok := nc.(syscall.Conn)
-	if !ok {
-		return 0, false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return 0, false
-	}
 	var us uint32
-	var optErr error
-	if err := raw.Control(func(fd uintptr) { us, optErr = roundTripTimeUs(int(fd)) }); err != nil || optErr != nil || us == 0 {
+	ok := control(nc, func(fd int) (err error) {
+		us, err = roundTripTimeUs(fd)
+		return err
+	})
+	if !ok || us == 0 {
 		return 0, false
 	}
 	return clock.Millis((us + usPerMs - 1) / usPerMs), true
