Use one table of endless replies in both tests

httpcall.TestEndlessReplies and platform/soak.TestEndlessBytes had nearly the same replies. The table stands beside the stand-in that sends them.

--- a/httpcall/endless_test.go
+++ b/httpcall/endless_test.go
@@ -1,7 +1,6 @@
 package httpcall_test
 
 import (
-	"fmt"
 	"net"
 	"net/http"
 	"runtime"
@@ -20,24 +19,8 @@
 func TestEndlessReplies(t *testing.T) {
 	const hosts, limit, timeout = 64, 16 << 20, 300 * time.Millisecond
 	defer debug.SetGCPercent(debug.SetGCPercent(10)) // what is measured is mostly in use
-	for _, tt := range []struct {
-		name  string
-		reply standin.EndlessReply
-	}{
-		{"status line", standin.EndlessReply{Start: "HTTP/1.1 200 ", Text: "x"}},
-		{"one field", standin.EndlessReply{Start: "HTTP/1.1 200 OK\r\nA: ", Text: "x"}},
-		{"fields", standin.EndlessReply{Start: "HTTP/1.1 200 OK\r\n", Text: "A: x\r\n"}},
-		{"interim replies", standin.EndlessReply{Text: "HTTP/1.1 103 Early Hints\r\nA: x\r\n\r\n"}},
-		{"continue", standin.EndlessReply{Text: "HTTP/1.1 100 Continue\r\n\r\n"}},
-		{"line ends", standin.EndlessReply{Text: "\r\n"}},
-		{"no reply at all", standin.EndlessReply{Text: "\x00"}},
-		{"body without a length", standin.EndlessReply{Start: "HTTP/1.1 200 OK\r\n\r\n", Text: "x"}},
-		{"body of a great length", standin.EndlessReply{Start: "HTTP/1.1 200 OK\r\nContent-Length: 999999999999\r\n\r\n", Text: "x"}},
-		{"body of 8 MB", standin.EndlessReply{Start: fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", 8<<20), Text: "x"}},
-		{"chunks", standin.EndlessReply{Start: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", Text: "1\r\nx\r\n"}},
-		{"trailers", standin.EndlessReply{Start: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", Text: "A: x\r\n"}},
-	} {
-		t.Run(tt.name, func(t *testing.T) {
+	for _, tt := range standin.EndlessReplies {
+		t.Run(tt.Name, func(t *testing.T) {
 			var bound memory.Bound
 			bound.Set(limit)
 			var all []*httpcall.Host
@@ -47,7 +30,7 @@
 					t.Fatal(err)
 				}
 				defer func() { _ = lis.Close() }()
-				go standin.ServeEndlessly(lis, tt.reply)
+				go standin.ServeEndlessly(lis, tt.EndlessReply)
 				h := httpcall.New(lis.Addr().String(), httpcall.WithMemory(&bound))
 				defer h.Close()
 				all = append(all, h)
@@ -83,7 +66,7 @@
 			if peak > limit+other {
 				t.Errorf("got a peak of %d KB, want at most %d", peak>>10, (limit+other)>>10)
 			}
-			if sound > 0 && !strings.HasPrefix(tt.name, "body of 8 MB") {
+			if sound > 0 && !strings.HasPrefix(tt.Name, "body of 8 MB") {
 				t.Errorf("got %d replies, want none", sound)
 			}
 			if !bound.Reserve(limit) {
