--- a/review/kit-3/main.go
+++ b/review/kit-3/main.go
@@ -21,7 +21,7 @@
 )
 
 // limit bounds a run.
-const limit = 110 * time.Second
+const limit = 116 * time.Second
 
 // run is what a case has at hand.
 type run struct {
@@ -39,6 +39,7 @@
 	"never-ready": neverReady,
 	"odd-entry":   oddEntry,
 	"odd-flood":   oddFlood,
+	"spoiled":     spoiledAnswers,
 	"watch-cut":   watchCut,
 }
 
--- a/review/kit-3/oddflood.go
+++ b/review/kit-3/oddflood.go
@@ -15,7 +15,7 @@
 	// unreadableEvery is the time between two entries of the other writer, and unreadableFor
 	// how long it writes them.
 	unreadableEvery = 200 * time.Millisecond
-	unreadableFor   = 88 * time.Second
+	unreadableFor   = 100 * time.Second
 
 	// smallMemoryMB is the memory of the smallest machines.
 	smallMemoryMB = 136
--- a/review/kit-3/requester.go
+++ b/review/kit-3/requester.go
@@ -19,7 +19,7 @@
 	id, machine, path string
 	sentAt, endedAt   int64
 	status            int // 0 if the connection ended without an answer
-	stamp             string
+	stamp, body       string
 	err               error
 }
 
@@ -53,8 +53,10 @@
 		req.Header.Set("X-Deadline-Ms", strconv.FormatInt(deadline.Milliseconds(), 10))
 		var resp *http.Response
 		if resp, err = q.client.Do(req); err == nil {
-			_, err = io.Copy(io.Discard, resp.Body)
+			var answer []byte
+			answer, err = io.ReadAll(resp.Body)
 			_ = resp.Body.Close()
+			o.body = string(answer)
 			o.status, o.stamp = resp.StatusCode, resp.Header.Get("X-Server-Stamp")
 		}
 	}
