--- a/review/kit-3/bigconfig.go
+++ b/review/kit-3/bigconfig.go
@@ -20,6 +20,7 @@
 	defer store.Close()
 	proxy := newStoreProxy(store.Address())
 	defer proxy.close()
+	proxy.inChunks = true
 	d, err := startOrders(r, store, proxy.address())
 	defer d.end()
 	if err != nil {
--- a/review/kit-3/main.go
+++ b/review/kit-3/main.go
@@ -39,6 +39,7 @@
 	"never-ready": neverReady,
 	"odd-entry":   oddEntry,
 	"odd-flood":   oddFlood,
+	"odd-list":    oddList,
 	"spoiled":     spoiledAnswers,
 	"watch-cut":   watchCut,
 }
--- a/review/kit-3/neverready.go
+++ b/review/kit-3/neverready.go
@@ -24,27 +24,34 @@
 	proxy := newStoreProxy(store.Address())
 	defer proxy.close()
 	if r.trouble {
-		proxy.longestWatch = longestWatch
+		proxy.longestWatch.Store(int64(longestWatch))
 	}
+	served, err := firstStart(r, store, proxy.address())
+	r.add("the store has cut %d watches", proxy.cuts.Load())
+	return served == 0, err
+}
+
+// firstStart starts a deployment for the first time and returns how many requests it serves.
+func firstStart(r *run, store *standin.Store, storeAddress string) (served int, err error) {
 	configure(store, 3, 0)
-	d := &deployment{q: newRequesters(r.recorder), stop: func() {}}
+	d := newDeployment(r, store)
 	defer d.end()
 	for i, zone := range []string{"a", "b", "c"} {
 		b, err := newBackend(r.recorder, "i-"+string(rune('1'+i)), "orders", zone, orderWork)
 		if err != nil {
-			return false, err
+			return 0, err
 		}
 		d.backends = append(d.backends, b)
-		store.Put(b.key(), b.entry("ready", 1))
-		m, err := newMachine(r.dir, "front-"+zone+"-1", zone, proxy.address())
+		m, err := newMachine(r.dir, "front-"+zone+"-1", zone, storeAddress)
 		if err != nil {
-			return false, err
+			return 0, err
 		}
 		d.machines = append(d.machines, m)
 	}
+	d.startBeating(r)
 	for _, m := range d.machines {
 		if err := m.start(); err != nil {
-			return false, err
+			return 0, err
 		}
 	}
 	startedAt := r.add("three machines were started; a configuration and three backends are in the store")
@@ -61,14 +68,13 @@
 		return false
 	}
 	isReady := waitFor(r.ctx, serveBy-10*time.Second, ready)
-	r.add("a machine is ready: %t, after %d ms; the store has cut %d watches", isReady, r.now()-startedAt, proxy.cuts.Load())
+	r.add("a machine is ready: %t, after %d ms", isReady, r.now()-startedAt)
 	pause(r.ctx, 2*time.Second)
-	served := 0
 	for _, o := range d.stopLoad(r) {
 		if o.status == http.StatusOK {
 			served++
 		}
 	}
 	r.add("%d requests were served", served)
-	return served == 0, nil
+	return served, nil
 }
--- a/review/kit-3/oddentry.go
+++ b/review/kit-3/oddentry.go
@@ -9,8 +9,6 @@
 )
 
 const (
-	heartbeat = 1200 * time.Millisecond
-
 	// oddEvery is the time between two entries of the other writer, and oddFor how long it
 	// writes them.
 	oddEvery = 200 * time.Millisecond
--- a/review/kit-3/orders.go
+++ b/review/kit-3/orders.go
@@ -3,20 +3,24 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
+	"sync"
 	"time"
 
 	"lentillink.example/lentillink/platform/standin"
 )
 
 const (
+	// heartbeat is the mean time between two entries of a backend, and heartbeatSpread how far
+	// one may lie off it.
+	heartbeat       = 1200 * time.Millisecond
+	heartbeatSpread = 100 * time.Millisecond
+
 	orderWork     = 120 * time.Millisecond
 	orderDeadline = 2 * time.Second
 	orderRate     = 40
 
-	// servesOn is how long a backend serves after its entry was removed: drain-ms and a little.
-	servesOn = drainMs*time.Millisecond + 1200*time.Millisecond
-
 	// warmUp is the time from the start of the machines to the first request.
 	warmUp = 5 * time.Second
 )
@@ -24,10 +28,54 @@
 // deployment is a small deployment with one service of three backends, and requesters who
 // send it orders, which may not be repeated.
 type deployment struct {
+	store    *standin.Store
 	backends []*backend
 	machines []*machine
 	q        *requesters
 	stop     context.CancelFunc // of the requesters
+
+	mu       sync.Mutex
+	gone     map[string]bool // backends that have left, by ID
+	stopBeat context.CancelFunc
+	beating  sync.WaitGroup
+}
+
+func newDeployment(r *run, store *standin.Store) *deployment {
+	return &deployment{store: store, q: newRequesters(r.recorder), stop: func() {}, gone: make(map[string]bool)}
+}
+
+// startBeating has each backend write its entry now, and then about each heartbeat, as the
+// others do at times of their own.
+func (d *deployment) startBeating(r *run) {
+	var ctx context.Context
+	ctx, d.stopBeat = context.WithCancel(r.ctx)
+	for i, b := range d.backends {
+		d.beat(b, 1)
+		d.beating.Go(func() {
+			draw := rand.New(rand.NewPCG(uint64(i), 3))
+			pause(ctx, time.Duration(draw.Int64N(int64(heartbeat))))
+			for n := 2; ctx.Err() == nil; n++ {
+				d.beat(b, n)
+				pause(ctx, heartbeat-heartbeatSpread+time.Duration(draw.Int64N(int64(2*heartbeatSpread))))
+			}
+		})
+	}
+}
+
+func (d *deployment) beat(b *backend, sequence int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.gone[b.id] {
+		d.store.Put(b.key(), b.entry("ready", sequence))
+	}
+}
+
+// leave removes the entry of a backend, which writes no more from then on.
+func (d *deployment) leave(b *backend) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.gone[b.id] = true
+	d.store.Delete(b.key())
 }
 
 // configure writes a version of the configuration with a number of routes beside the first.
@@ -56,7 +104,7 @@
 // startOrders starts a deployment whose machines call the store at an address, and its
 // requesters. The result is never nil.
 func startOrders(r *run, store *standin.Store, storeAddress string) (*deployment, error) {
-	d := &deployment{q: newRequesters(r.recorder), stop: func() {}}
+	d := newDeployment(r, store)
 	configure(store, 3, 0)
 	zones := []string{"a", "b", "c"}
 	for i, zone := range zones {
@@ -65,8 +113,8 @@
 			return d, err
 		}
 		d.backends = append(d.backends, b)
-		store.Put(b.key(), b.entry("ready", 1))
 	}
+	d.startBeating(r)
 	var err error
 	if d.machines, err = startMachines(r.ctx, r.dir, storeAddress, zones); err != nil {
 		return d, err
@@ -96,6 +144,10 @@
 
 func (d *deployment) end() {
 	d.stop()
+	if d.stopBeat != nil {
+		d.stopBeat()
+		d.beating.Wait()
+	}
 	for _, m := range d.machines {
 		m.kill()
 	}
--- a/review/kit-3/process.go
+++ b/review/kit-3/process.go
@@ -57,12 +57,28 @@
 	exited   chan struct{}
 }
 
+// Free ports are looked for below those that the system gives to connections, from another one
+// on in each process, so that connections and runs beside this one don't take them.
+const (
+	lowestPort  = 15000
+	highestPort = 32000
+)
+
+var nextPort = lowestPort + 97*os.Getpid()%(highestPort-lowestPort)
+
 func freeAddress() (string, error) {
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	var last error
+	for range highestPort - lowestPort {
+		if nextPort++; nextPort > highestPort {
+			nextPort = lowestPort
+		}
+		lis, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", nextPort))
+		if err == nil {
+			return lis.Addr().String(), lis.Close()
+		}
+		last = err
 	}
-	return lis.Addr().String(), lis.Close()
+	return "", last
 }
 
 // newMachine writes the settings of a machine into dir.
--- a/review/kit-3/spoiled.go
+++ b/review/kit-3/spoiled.go
@@ -59,6 +59,30 @@
 	return b, nil
 }
 
+// startBeating writes the entry of the backend, now and at each heartbeat, until stop is called.
+func (b *rawBackend) startBeating(ctx context.Context, store *standin.Store, zone string) (stop func()) {
+	write := func(sequence int) {
+		store.Put("servers/"+b.id, map[string]any{
+			"service": "records", "address": b.address(), "zone": zone, "version": "v1", "slots": 4,
+			"state": "ready", "cold-remaining-ms": 0, "sequence": sequence, "born": 1_700_000_000_000,
+		})
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	done := make(chan struct{})
+	write(1)
+	go func() {
+		defer close(done)
+		for n := 2; ctx.Err() == nil; n++ {
+			pause(ctx, heartbeat)
+			write(n)
+		}
+	}()
+	return func() {
+		cancel()
+		<-done
+	}
+}
+
 func (b *rawBackend) address() string { return b.lis.Addr().String() }
 
 // wholeBody is the body of the backend's answer to a request.
@@ -140,10 +164,8 @@
 		}
 		defer func() { _ = b.lis.Close() }()
 		backends = append(backends, b)
-		store.Put("servers/"+b.id, map[string]any{
-			"service": "records", "address": b.address(), "zone": zone, "version": "v1", "slots": 4,
-			"state": "ready", "cold-remaining-ms": 0, "sequence": 1, "born": 1_700_000_000_000,
-		})
+		stop := b.startBeating(r.ctx, store, zone)
+		defer stop()
 	}
 	machines, err := startMachines(r.ctx, r.dir, store.Address(), zones)
 	for _, m := range machines {
--- a/review/kit-3/storeproxy.go
+++ b/review/kit-3/storeproxy.go
@@ -2,14 +2,19 @@
 
 import (
 	"context"
+	"encoding/json"
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 )
 
+// pageBytes bounds the items of one page of a list, unless a single one is larger.
+const pageBytes = 1 << 20
+
 // maxPlainBytes is the size up to which the store knows the length of an answer before it
 // sends the first byte. A longer one it sends in chunks.
 const maxPlainBytes = 16 << 10
@@ -19,15 +24,19 @@
 	server *httptest.Server
 	target string
 
-	longestWatch time.Duration // after which a waiting watch is cut; 0 for none
+	inChunks bool   // long answers are sent in chunks
+	onCut    func() // called for each watch that is cut; may be nil
+
+	longestWatch atomic.Int64 // nanoseconds after which a waiting watch is cut; 0 for none
+	rest         atomic.Int64 // nanoseconds after a cut in which no watch is cut
 	cuts         atomic.Int64
 
 	mu      sync.Mutex
-	waiting map[*http.Request]context.CancelFunc
+	resting bool // less than rest has passed since the last cut
 }
 
 func newStoreProxy(target string) *storeProxy {
-	p := &storeProxy{target: target, waiting: make(map[*http.Request]context.CancelFunc)}
+	p := &storeProxy{target: target}
 	p.server = httptest.NewServer(http.HandlerFunc(p.serve))
 	return p
 }
@@ -43,20 +52,9 @@
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
 	if r.URL.Path == "/kv-watch" {
-		if p.longestWatch > 0 {
-			defer time.AfterFunc(p.longestWatch, func() {
-				p.cuts.Add(1)
-				cancel()
-			}).Stop()
+		if d := time.Duration(p.longestWatch.Load()); d > 0 {
+			defer time.AfterFunc(d, func() { p.cut(cancel) }).Stop()
 		}
-		p.mu.Lock()
-		p.waiting[r] = cancel
-		p.mu.Unlock()
-		defer func() {
-			p.mu.Lock()
-			delete(p.waiting, r)
-			p.mu.Unlock()
-		}()
 	}
 	req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+p.target+r.URL.RequestURI(), r.Body)
 	if err != nil {
@@ -75,19 +73,57 @@
 	for name, values := range resp.Header {
 		w.Header()[name] = values
 	}
-	if len(body) > maxPlainBytes {
+	if r.URL.Path == "/kv-range" {
+		body = onePage(body)
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	}
+	if p.inChunks && len(body) > maxPlainBytes {
 		w.Header().Del("Content-Length")
 	}
 	w.WriteHeader(resp.StatusCode)
 	_, _ = w.Write(body)
 }
 
-// cutWatches cuts the watches that wait and returns their number.
-func (p *storeProxy) cutWatches() int {
+// cut cuts a watch that waits, unless the store rests since its last cut.
+func (p *storeProxy) cut(cancel context.CancelFunc) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, cancel := range p.waiting {
-		cancel()
+	if p.resting {
+		return
+	}
+	p.cuts.Add(1)
+	cancel()
+	if p.onCut != nil {
+		p.onCut()
+	}
+	if d := time.Duration(p.rest.Load()); d > 0 {
+		p.resting = true
+		time.AfterFunc(d, func() {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			p.resting = false
+		})
+	}
+}
+
+// onePage returns the answer to a list with no more items than a page has.
+func onePage(body []byte) []byte {
+	var page map[string]json.RawMessage
+	var items []json.RawMessage
+	if json.Unmarshal(body, &page) != nil || json.Unmarshal(page["items"], &items) != nil {
+		return body
+	}
+	size := 0
+	for i, it := range items {
+		if size += len(it); i > 0 && size > pageBytes {
+			page["items"], _ = json.Marshal(items[:i])
+			page["truncated"] = json.RawMessage("true")
+			short, err := json.Marshal(page)
+			if err != nil {
+				return body
+			}
+			return short
+		}
 	}
-	return len(p.waiting)
+	return body
 }
