Move the review's stand-ins into the folder of case 11

Cause: the check of the review's folders takes review/kit-3 for a case without a claim.

Change: review/kit-3 is review/11/kit now; review/build-3.sh builds it from there. The sources are unchanged, so is the program's path.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of the third review's scripts.
+# Builds the stand-ins of the cases 11 to 15.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-go build -o target/review-3/kit-3 ./review/kit-3
+go build -o target/review-3/kit-3 ./review/11/kit
