Take a cut watch for a cut watch, not for the loss of the store

Cause: a single failed watch set storeLost. The next success then held all removals for 2.5 s, also those that already waited, so that a cut each second held them for good. A list followed each cut, and the next watch began at once: a store that cuts every watch was called without pause.

Change: a watch that fails alone is checked by a watch that does not wait, then by a fresh list; only if these fail the store is lost. Removals are held after failed calls without contact for 2 s, the least time in which an entry lapses; this also holds for a subscriber that was told of the loss by its publisher. A watch after a cut, and a list after an ended history, keep the usual interval. A reply of a watch that is missing for 0.5 s (before: 1 s) has failed, since a cut may show no sign.

--- /dev/null
+++ b/catalog/cut_watch_test.go
@@ -0,0 +1,152 @@
+package catalog_test
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"lentillink.example/lentillink/catalog"
+	"lentillink.example/lentillink/clock"
+	"lentillink.example/lentillink/store"
+)
+
+// cutWatches describes a store that cuts the watches that wait, and answers all other calls.
+type cutWatches struct {
+	after  clock.Millis // age at which a watch is cut; 0 for none
+	rest   clock.Millis // time after a cut in which no watch is cut
+	silent bool         // the VM is not told: no reply ever comes
+}
+
+// cut cuts the watch of v if it is due, and reports whether it did.
+func (g *cluster) cut(v *testVM) bool {
+	c := g.cuts
+	if c.after == 0 || v.watch == nil || g.now < max(v.watchAt+c.after, g.cutAt+c.rest) {
+		return false
+	}
+	wait := v.watch.WaitMs
+	v.watch, g.cutAt = nil, g.now
+	if !c.silent {
+		g.update(v, catalog.FailedMsg{Kind: store.KindUnavailable})
+		return true
+	}
+	g.send(max(v.watchAt+wait+watchSlackMs-g.now, 1), v, catalog.FailedMsg{Kind: store.KindUnavailable})
+	return true
+}
+
+// TestCutWatches guards against removals that are held back, VMs that report the store as lost
+// and calls without pause, while the store cuts the watches that wait and answers all else.
+func TestCutWatches(t *testing.T) {
+	for _, vms := range []int{1, 3, 20} {
+		for _, c := range []cutWatches{
+			{after: 50, rest: 1000}, {after: 50}, {after: 1}, {after: 400}, {after: 900}, {after: 999}, {after: 700, rest: 2500},
+			{after: 50, silent: true}, {after: 50, rest: 1000, silent: true}, {after: 900, rest: 1700, silent: true},
+		} {
+			t.Run(fmt.Sprintf("%d VMs, %+v", vms, c), func(t *testing.T) {
+				for offset := clock.Millis(0); offset < 2400; offset += 170 {
+					g := newCluster(vms)
+					g.change("upstream")
+					g.change("other")
+					g.advance(5000)
+					g.cuts = c
+					g.advance(8000 + offset)
+					g.calls = 0
+					g.remove("upstream")
+					g.advance(changeBoundMs - 200) // the rest is for the requests that are on their way
+					for _, v := range g.vms {
+						if _, ok := v.known["upstream"]; ok {
+							t.Errorf("%d ms: %s still has an upstream that was removed %d ms ago", offset, v.id, changeBoundMs-200)
+						}
+						if _, ok := v.known["other"]; !ok {
+							t.Errorf("%d ms: %s has lost an upstream that was not removed", offset, v.id)
+						}
+						if v.lost > 0 {
+							t.Errorf("%d ms: got %d reports of %s that the store is lost, want none", offset, v.lost, v.id)
+						}
+					}
+					// A watch and the call after its cut, as often as bursts are collected.
+					if limit := 2 * 3 * int(changeBoundMs/300); g.calls > limit {
+						t.Errorf("%d ms: got %d calls in 3 s, want at most %d", offset, g.calls, limit)
+					}
+				}
+			})
+		}
+	}
+}
+
+// TestOutageAfterCutWatches guards against upstreams that are dropped because the store is
+// believed to be there, after it has cut watches and then was down while their entries expired.
+func TestOutageAfterCutWatches(t *testing.T) {
+	for _, vms := range []int{1, 3, 20} {
+		for _, outage := range []clock.Millis{2400, 4000, 9000} {
+			t.Run(fmt.Sprintf("%d VMs, %d ms", vms, outage), func(t *testing.T) {
+				for offset := clock.Millis(0); offset < 2400; offset += 170 {
+					g := newCluster(vms)
+					g.change("upstream")
+					g.cuts = cutWatches{after: 50, rest: 1000}
+					g.advance(8000 + offset)
+					g.setStore(true)
+					g.advance(outage)
+					g.remove("upstream") // the store lets it expire
+					g.setStore(false)
+					for range 20 {
+						g.advance(100)
+						for _, v := range g.vms {
+							if _, ok := v.known["upstream"]; !ok {
+								t.Fatalf("%d ms: %s has dropped an upstream whose entry expired while the store was down", offset, v.id)
+							}
+						}
+					}
+					g.advance(4000)
+					for _, v := range g.vms {
+						if _, ok := v.known["upstream"]; ok {
+							t.Errorf("%d ms: %s still has an upstream that has not come back in 6 s", offset, v.id)
+						}
+					}
+				}
+			})
+		}
+	}
+}
+
+// setStore makes all calls of all VMs fail, or succeed again.
+func (g *cluster) setStore(down bool) {
+	for _, v := range g.vms {
+		v.storeFails = down
+		if down && v.watch != nil {
+			v.watch = nil
+			g.send(storeMs, v, catalog.FailedMsg{Kind: store.KindUnavailable})
+		}
+	}
+}
+
+// TestShortHistory guards against lists without pause from a store whose history ends before
+// a watch can follow it.
+func TestShortHistory(t *testing.T) {
+	r := newHarness(t)
+	r.update(catalog.ListedMsg{Batch: batch(10, item("a", 4))})
+	const seconds = 10
+	lists := 0
+	for end := r.now + seconds*clock.Second; r.now < end; {
+		switch last := r.commands; {
+		case slices.Contains(last, "fresh list"):
+			lists++
+			r.now += storeMs
+			r.commands = nil
+			r.update(catalog.ListedMsg{Batch: batch(uint64(10+r.now), item("a", 4))})
+		case slices.ContainsFunc(last, func(s string) bool { return strings.HasPrefix(s, "watch") }):
+			r.now += storeMs
+			r.commands = nil
+			r.update(catalog.FailedMsg{Kind: store.KindConflict})
+		default:
+			at, ok := r.m.NextWake()
+			if !ok {
+				t.Fatal("got no next call, want one")
+			}
+			r.advance(max(at, r.now))
+		}
+	}
+	if limit := 2 * seconds; lists > limit {
+		t.Errorf("got %d lists in %d s, want at most %d", lists, seconds, limit)
+	}
+}
--- a/catalog/query.go
+++ b/catalog/query.go
@@ -26,7 +26,7 @@
 	if due, subscribed := m.subscriptionWake(); subscribed && (!ok || due < at) {
 		at, ok = due, true
 	}
-	if m.storeLost || m.pos.era != m.era {
+	if m.keepsRemovals() {
 		return at, ok
 	}
 	for key, r := range m.pendingRemovals {
--- a/catalog/subscription.go
+++ b/catalog/subscription.go
@@ -184,6 +184,7 @@
 		return cmds
 	}
 	if u.StoreLost {
+		m.doubted = true
 		cmds = m.publisherLost(now, from, cmds)
 		if m.backoff == 0 {
 			// The others have probably lost the store too, and say so sooner.
--- a/catalog/subscription_test.go
+++ b/catalog/subscription_test.go
@@ -21,6 +21,8 @@
 	era    uint64       // of the store
 	writes int          // values written so far
 	calls  int          // store calls of all VMs since the last reset
+	cuts   cutWatches
+	cutAt  clock.Millis // when the last watch was cut
 	queue  []delivery
 }
 
@@ -35,6 +37,7 @@
 	known      map[string]uint64
 	values     map[string]string
 	lists      int // of the store
+	lost       int // reports that the store is lost
 	watch      *catalog.WatchCmd
 	watchAt    clock.Millis
 	compacted  bool // the history that the watch needs was compacted, which the store reports when the watch ends
@@ -140,6 +143,8 @@
 	storeMs = 4    // latency of a store call
 	peerMs  = 1    // one-way latency between VMs
 	callMs  = 1000 // timeout of a store call
+
+	watchSlackMs = 500 // time for the reply of a watch after its wait
 )
 
 func (g *cluster) execute(v *testVM, c catalog.Cmd) {
@@ -174,6 +179,10 @@
 	case catalog.DeleteCmd:
 		delete(v.known, c.Key)
 		delete(v.values, c.Key)
+	case catalog.StoreStatusCmd:
+		if !c.Reachable {
+			v.lost++
+		}
 	}
 }
 
@@ -197,6 +206,9 @@
 	for end := g.now + ms; g.now < end; {
 		g.now++
 		for _, v := range g.vms {
+			if g.cut(v) {
+				continue
+			}
 			if w := v.watch; w != nil && v.compacted {
 				if g.now >= v.watchAt+w.WaitMs {
 					v.watch = nil
