Let cut watches count as contact for a VM that starts

Cause: the guard of eras needs 4 s of reads without a gap before a VM that starts after a return of the store uses what it has read. Each failed call was a gap, also a watch that the store cut while it waited. With each watch cut no time ever counted, and the VM was never ready.

Change: a gap is what the catalog reports as loss of the store.

--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -313,12 +313,11 @@
 			_ = g.logger.Log("event", "store_contact", "reached", c.Reachable, "cause", c.Kind)
 			if c.Reachable {
 				g.stepRegistrar(ioCtx, roster.ResumedMsg{})
+			} else {
+				g.stepEra(ioCtx, era.LostMsg{})
 			}
 		}
 	}
-	if failed, ok := msg.(catalog.FailedMsg); ok && failed.Kind != store.KindConflict {
-		g.stepEra(ioCtx, era.LostMsg{})
-	}
 	g.stepEra(ioCtx, era.ReadMsg{BegunAt: g.catalog.ConfirmedAt()})
 	if g.mayApply() {
 		g.applyItems(ioCtx)
