Keep the watch of a store that refuses another call

Cause: any failed call for the VM's lease closed all connections to the store, because a pending watch might never return. A call that is refused (429, 503) was answered: the watch that waits is sound, and closing it looked like a loss of the store.

Change: connections are closed only after a call without an answer.

Measured: platform.TestRefusedRenewals, three refused renewals: 2 watches given up before, none now.

--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -199,8 +199,8 @@
 
 // stepRegistrar passes msg to the registrar, and starts the store calls that it asks for.
 func (g *Gateway) stepRegistrar(ioCtx context.Context, msg roster.RegistrarMsg) {
-	if f, ok := msg.(roster.FailedMsg); ok && f.Kind != store.KindConflict {
-		// The store does not answer this VM, so a pending watch may never return.
+	if f, ok := msg.(roster.FailedMsg); ok && f.Kind == store.KindUnknown {
+		// The store has not answered this VM, so a pending watch may never return.
 		g.watcher.Reconnect()
 	}
 	self := g.self
