Open a cut watch of the presets again within a second

Cause: each watch that the store cut counted as a failure of the store, and the next one came after a backoff of up to 22 s. With all three watchers in it, a switch of presets was in force only with the next read of each VM.

Change: the first failed watch is followed by a read, which shows whether the store is reachable, and by the next watch a second after the one that was cut began. Further failures back off as before.

--- a/experiment/kv.go
+++ b/experiment/kv.go
@@ -95,6 +95,11 @@
 // Fail makes the store unavailable and ends the open watches.
 func (k *KV) Fail() {
 	k.Down = true
+	k.CutWatches()
+}
+
+// CutWatches ends the open watches without a result.
+func (k *KV) CutWatches() {
 	for _, w := range k.watches {
 		w.reply(store.Reply{Kind: store.KindUnavailable})
 	}
--- a/fleet/storesync.go
+++ b/fleet/storesync.go
@@ -110,7 +110,7 @@
 		}
 		return
 	}
-	m.store.lastOK, m.store.failed = now, false
+	m.store.lastOK, m.store.failed, m.store.watch.failures = now, false, 0
 	if isCurrent {
 		c.tag, c.failures = 0, 0
 		c.nextAt = now + minCallDelay
@@ -180,6 +180,13 @@
 }
 
 func (m *Model) handleCallFailure(now clock.Millis, c *storeCall) {
+	if s := &m.store; c == &s.watch && c.failures == 0 && !s.failed {
+		// The store may cut a watch that waits. A read shows whether it is reachable.
+		c.tag, c.failures = 0, 1
+		c.nextAt = max(now, c.sentAt+retryMin) + m.jitter(minCallDelay)
+		s.get.nextAt = min(s.get.nextAt, now+minCallDelay)
+		return
+	}
 	if !m.store.failed {
 		m.emitEvent(timeline.Event{Kind: timeline.StoreFailed, Detail: "reading the presets failed"})
 	}
