Wait for a long reply of the store while it arrives

Cause: the timeout of a call, 1 s for a list, held for the whole reply. A page of 1 MB takes 0.6 s on the slowest links, and longer beside requests: a store that answers could not be read there.

Measured: httpcall.TestTransfer/slow, a reply that takes 0.5 s with a timeout of 0.2 s: timed out before, read now. One that stalls ends after 1 s, one that never ends after its bound.

--- a/httpcall/conn.go
+++ b/httpcall/conn.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"sync"
+	"time"
 
 	"lentillink.example/lentillink/framing"
 )
@@ -27,6 +28,8 @@
 	usedBefore bool // at least one exchange has completed
 	sent       bool // a byte of the current exchange may have been sent
 	received   bool // a byte was read in the current exchange
+
+	transferEnd time.Time // bounds a reply that has begun; zero for the deadline of the exchange
 }
 
 // Write sends p. Before the first write of an exchange it checks the connection, so
@@ -55,6 +58,15 @@
 
 // Read receives bytes of a reply.
 func (c *conn) Read(p []byte) (int, error) {
+	if !c.transferEnd.IsZero() {
+		deadline := time.Now().Add(stallTimeout)
+		if c.transferEnd.Before(deadline) {
+			deadline = c.transferEnd
+		}
+		if err := c.SetReadDeadline(deadline); err != nil {
+			return 0, err
+		}
+	}
 	n, err := c.Conn.Read(p)
 	c.received = c.received || n > 0
 	return n, err
@@ -62,7 +74,7 @@
 
 // endExchange resets the state of the exchange, so that the connection can be reused.
 func (c *conn) endExchange() {
-	c.firstWrite, c.usedBefore, c.sent, c.received = true, true, false, false
+	c.firstWrite, c.usedBefore, c.sent, c.received, c.transferEnd = true, true, false, false, time.Time{}
 }
 
 // Close closes the connection. The first call removes it from its host.
--- a/httpcall/do.go
+++ b/httpcall/do.go
@@ -12,13 +12,20 @@
 	"lentillink.example/lentillink/memory"
 )
 
+// stallTimeout bounds the time between two reads of a reply that takes longer than the timeout
+// of its call.
+const stallTimeout = time.Second
+
 // Call is a request and its timeout.
 type Call struct {
 	Method  string
 	Path    string // including the query string
 	Body    []byte // JSON; may be empty
 	Timeout time.Duration
-	Header  string // name of the reply's header to return; may be empty
+	// TransferTimeout, if not 0, replaces Timeout once the first byte of the reply has arrived,
+	// for as long as further ones follow within stallTimeout.
+	TransferTimeout time.Duration
+	Header          string // name of the reply's header to return; may be empty
 }
 
 // Reply is a complete reply.
@@ -96,6 +103,9 @@
 	if err := c.reader.Wait(); err != nil {
 		return Reply{}, err
 	}
+	if call.TransferTimeout > 0 {
+		c.transferEnd = time.Now().Add(call.TransferTimeout)
+	}
 	body, err := c.reader.Read(skipsBody(call))
 	if err != nil {
 		return Reply{}, err
