Refuse replies whose fields contradict each other about their end

Cause: the library ignores Transfer-Encoding in any version but HTTP/1.1, and a length beside it. The check of the first line looked only at the status.

Change: a version other than HTTP/1.1 and HTTP/1.0, a coding in HTTP/1.0 or beside a length, and a blank in the names of these fields make a reply invalid. This holds for upstreams, health checks, the store and the VM list.

--- a/framing/read.go
+++ b/framing/read.go
@@ -114,17 +114,10 @@
 func (r *Reader) readHead() (*bufio.Reader, error) {
 	br := r.br
 	for n := 0; ; n++ {
-		start, err := br.Peek(statusEnd)
-		if err != nil {
-			return nil, err
-		}
-		if err := checkStatus(start); err != nil {
-			return nil, err
-		}
-		err = r.head.Read(br)
+		err := r.readOneHead(br)
 		if isTooSmall(err) && br == r.br {
 			if br, err = r.largeReader(); err == nil {
-				err = r.head.Read(br)
+				err = r.readOneHead(br)
 			}
 		}
 		switch {
@@ -140,9 +133,25 @@
 	}
 }
 
+// readOneHead reads the head of a reply, which may be an interim one.
+func (r *Reader) readOneHead(br *bufio.Reader) error {
+	start, err := br.Peek(statusEnd)
+	if err != nil {
+		return err
+	}
+	if err := checkStatus(start); err != nil {
+		return err
+	}
+	if err := checkFields(br); err != nil {
+		return err
+	}
+	return r.head.Read(br)
+}
+
+// isTooSmall reports whether a head does not fit into the buffer of its reader.
 func isTooSmall(err error) bool {
 	var small *fasthttp.ErrSmallBuffer
-	return errors.As(err, &small)
+	return errors.As(err, &small) || errors.Is(err, bufio.ErrBufferFull)
 }
 
 // largeReader returns a reader for a head that does not fit into the buffer of the connection.
--- a/framing/status.go
+++ b/framing/status.go
@@ -1,6 +1,7 @@
 package framing
 
 import (
+	"bytes"
 	"errors"
 	"net"
 )
@@ -10,12 +11,18 @@
 
 const statusBegin = len("HTTP/1.1 ")
 
+var http11, http10 = []byte("HTTP/1.1"), []byte("HTTP/1.0")
+
 // ErrStatus reports a reply without a valid status.
 var ErrStatus = errors.New("reply has no valid status")
 
-// checkStatus returns an error unless the start of a reply, of statusEnd bytes, ends in a
-// blank and three digits from 100 on. fasthttp accepts other statuses, and reports 000 as 200.
+// checkStatus returns an error unless the start of a reply, of statusEnd bytes, has a version
+// of HTTP/1, a blank and three digits from 100 on. fasthttp accepts other versions and
+// statuses, and reports 000 as 200.
 func checkStatus(start []byte) error {
+	if !bytes.HasPrefix(start, http11) && !bytes.HasPrefix(start, http10) {
+		return ErrStatus
+	}
 	if len(start) < statusEnd || start[statusBegin-1] != ' ' || start[statusBegin] < '1' {
 		return ErrStatus
 	}
--- a/httpcall/do.go
+++ b/httpcall/do.go
@@ -175,7 +175,7 @@
 		return KindNotSent // also if the host is closed or no connection became free
 	case isTimeout(err):
 		return KindTimeout
-	case errors.Is(err, framing.ErrStatus), errors.Is(err, errSwitching):
+	case errors.Is(err, framing.ErrStatus), errors.Is(err, framing.ErrFraming), errors.Is(err, errSwitching):
 		return KindInvalid
 	case errors.Is(err, framing.ErrTooLarge), errors.Is(err, framing.ErrHeadTooLarge), errors.Is(err, memory.ErrExceeded):
 		return KindTooLarge
