--- a/catalog/model.go
+++ b/catalog/model.go
@@ -31,9 +31,9 @@
 	// signals subscribers that the store is reachable.
 	watchWaitMs = clock.Second
 
-	// minWatchWaitMs bounds one that follows an interval without a call. Its wait is shorter
-	// by that interval, so that two contacts are less than minOutageMs apart although the reply
-	// of the watch between them was lost.
+	// minWatchWaitMs is the least wait of a watch that follows an interval without a call. Its
+	// wait is shorter by that interval, so that two contacts are less than minOutageMs apart
+	// although the reply of the watch between them was lost.
 	minWatchWaitMs clock.Millis = 200
 
 	// probeWaitMs bounds the watch that shows whether the store is still reachable.
--- a/entry/request_framing_test.go
+++ b/entry/request_framing_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -33,22 +32,14 @@
 				_ = nc.SetDeadline(time.Now().Add(waitLimit))
 				r := bufio.NewReader(nc)
 				for n := range 2 {
-					if _, err := io.WriteString(nc, form.Request(tt.method, tt.target, "a", "", tt.body)); err != nil {
-						t.Fatal(err)
-					}
-					resp, err := http.ReadResponse(r, nil)
-					for err == nil && resp.StatusCode == http.StatusContinue {
-						resp, err = http.ReadResponse(r, nil)
-					}
+					answer, err := standin.RoundTrip(nc, r, form.Request(tt.method, tt.target, "a", "", tt.body))
 					if err != nil {
 						t.Fatal(err)
 					}
-					answer, _ := io.ReadAll(resp.Body)
-					_ = resp.Body.Close()
-					if resp.StatusCode != http.StatusOK && resp.StatusCode != http.StatusPartialContent {
-						t.Errorf("request %d: got status %d with %.200s, want 200", n, resp.StatusCode, answer)
+					if answer.Status != http.StatusOK && answer.Status != http.StatusPartialContent {
+						t.Errorf("request %d: got status %d with %.200s, want 200", n, answer.Status, answer.Body)
 					}
-					if resp.Close {
+					if answer.Close {
 						return
 					}
 				}
--- a/framing/read_test.go
+++ b/framing/read_test.go
@@ -137,6 +137,7 @@
 			t.Fatalf("%q: got %q, want an error: %v", reply, got, err)
 		}
 		want, err := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
 		if err != nil || !bytes.Equal(got, want) {
 			t.Fatalf("%q: got %q, want %q, %v", reply, got, want, err)
 		}
