Command line: accept answers with heads of up to 32 KB

Cause: the client read heads into a buffer of 4 KB, so an answer through a balancer that adds long fields was refused.

The daemon does not import this package.

--- a/caller/client.go
+++ b/caller/client.go
@@ -22,6 +22,9 @@
 
 	// maxAnswerBytes bounds the body of an answer.
 	maxAnswerBytes = 64 << 20
+
+	// maxHeadBytes bounds the head of an answer.
+	maxHeadBytes = 32 << 10
 )
 
 // Client calls one entry VM, or the load balancer in front of several. It is safe
@@ -49,7 +52,7 @@
 		opt(c)
 	}
 	c.http = &fasthttp.Client{
-		MaxConnsPerHost: defaultMaxConns, MaxResponseBodySize: maxAnswerBytes, ReadTimeout: c.timeout.Duration(), WriteTimeout: c.timeout.Duration(),
+		MaxConnsPerHost: defaultMaxConns, MaxResponseBodySize: maxAnswerBytes, ReadBufferSize: maxHeadBytes, ReadTimeout: c.timeout.Duration(), WriteTimeout: c.timeout.Duration(),
 		// Never retry here. A repeated order would be harmless, but retries are left
 		// to the code that calls the client.
 		Dial: dial, MaxIdemponentCallAttempts: 1, RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
