Begin the buffer of a body of unknown length with 512 bytes

Cause: it began with 4 KB, and replies of upstreams that come in chunks have 100 to 200 bytes. Many are held at once.

--- a/framing/read.go
+++ b/framing/read.go
@@ -26,7 +26,7 @@
 	directBytes = 64 << 10
 
 	// firstBytes is the first size of a buffer for a body of unknown length.
-	firstBytes = 4 << 10
+	firstBytes = 512
 
 	// freeBytes is the size up to which a buffer is not reserved. The read buffer of a
 	// connection takes as much anyway.
