--- a/catalog/cut_watch_test.go
+++ b/catalog/cut_watch_test.go
@@ -123,6 +123,19 @@
 	}
 }
 
+// TestStartDuringOutage guards against a VM that starts while the store is down and, once it is
+// back, hears late of the entries that are written again.
+func TestStartDuringOutage(t *testing.T) {
+	r := newHarness(t)
+	r.update(catalog.FailedMsg{Kind: store.KindUnavailable})
+	r.advance(r.now + 1000)
+	r.update(catalog.ListedMsg{Batch: batch(10, item("a", 4))})
+	r.update(catalog.WatchedMsg{Batch: batch(11, item("b", 11))})
+	r.commands = nil
+	r.advance(r.now + 200)
+	r.want("watch 11")
+}
+
 // TestShortHistory guards against lists without pause from a store whose history ends before
 // a watch can follow it.
 func TestShortHistory(t *testing.T) {
