--- a/cost/estimator_test.go
+++ b/cost/estimator_test.go
@@ -275,9 +275,9 @@
 	}
 }
 
-// TestKeys guards against features that share a key, and against keys that differ between
+// TestEstimateKeys guards against features that share a key, and against keys that differ between
 // VMs: those of a request travel with its delegation.
-func TestKeys(t *testing.T) {
+func TestEstimateKeys(t *testing.T) {
 	base := cost.Features{Route: "r", Customer: "c", Method: "GET", Path: "a/b?x=1&y=2", BodyBytes: 5}
 	k := cost.KeysOf(base)
 	if k != cost.KeysOf(base) {
