Read the store at the moment at which a starting VM's wait can end

What callers saw: a VM that starts after the store's return refused for up to 2 s longer than it had to.

Cause: the wait ends when a call that began 4 s after the first read has succeeded. Watches wait for up to 1 s, so the call that counts began up to 1 s late and lasted 1 s, unless an event of the store happened to end it.

Change: the guard states when a read ends its wait (SettlesAt), and the catalog ends its watch by then and reads again at once (ConfirmMsg).

--- a/catalog/message.go
+++ b/catalog/message.go
@@ -47,6 +47,10 @@
 // be out of date.
 type ResumedMsg struct{}
 
+// ConfirmMsg asks for a call that begins at a time, or just after it: the owner waits until
+// ConfirmedAt has reached that time.
+type ConfirmMsg struct{ At clock.Millis }
+
 // TickMsg triggers the work due at the time returned by NextWake.
 type TickMsg struct{}
 
@@ -59,6 +63,7 @@
 func (UpdateMsg) catalogMsg()     {}
 func (PeerLostMsg) catalogMsg()   {}
 func (ResumedMsg) catalogMsg()    {}
+func (ConfirmMsg) catalogMsg()    {}
 func (TickMsg) catalogMsg()       {}
 
 // Cmd is an output of a Model.
--- a/catalog/model.go
+++ b/catalog/model.go
@@ -85,6 +85,7 @@
 	begunAt       clock.Millis // when the outstanding call began
 	waitMs        clock.Millis // that a watch may wait
 	confirmedAt   clock.Millis // see ConfirmedAt
+	confirmAt     clock.Millis // see ConfirmMsg
 	nextCall      clock.Millis
 	backoff       clock.Millis
 	era           uint64           // newest era of the store that is known
@@ -190,6 +191,8 @@
 		if !m.doubted {
 			m.contactAt = now // it was this VM that stood still, not the store
 		}
+	case ConfirmMsg:
+		m.confirmAt = t.At
 	case TickMsg:
 	}
 	cmds = m.flushRemovals(now, cmds)
@@ -417,9 +420,20 @@
 // state in the newest era is not known.
 func (m *Model) keepsRemovals() bool { return m.storeLost || m.doubted || m.pos.era != m.era }
 
+// awaitsConfirmation reports whether the owner has asked for a call that has not begun yet.
+func (m *Model) awaitsConfirmation() bool { return m.confirmAt > m.confirmedAt }
+
+// nextCallAt returns when the next call is due.
+func (m *Model) nextCallAt() clock.Millis {
+	if m.awaitsConfirmation() && !m.doubted && !m.needRelist {
+		return min(m.nextCall, m.confirmAt)
+	}
+	return m.nextCall
+}
+
 // startCall starts the next store call if none is outstanding and its time has been reached.
 func (m *Model) startCall(now clock.Millis, cmds []Cmd) []Cmd {
-	if m.phase != phaseIdle || now < m.nextCall {
+	if m.phase != phaseIdle || now < m.nextCallAt() {
 		return cmds
 	}
 	if m.needRelist || now-m.listedAt >= relistIntervalMs {
@@ -430,8 +444,11 @@
 		return cmds
 	}
 	wait := max(watchWaitMs-(now-m.contactAt), minWatchWaitMs)
-	if !m.current {
+	switch {
+	case !m.current:
 		wait = firstWatchWaitMs
+	case m.awaitsConfirmation():
+		wait = min(wait, max(m.confirmAt-now, probeWaitMs))
 	}
 	m.phase, m.callPos, m.begunAt = phaseWatching, m.pos, now
 	if m.probe {
--- a/catalog/query.go
+++ b/catalog/query.go
@@ -18,7 +18,7 @@
 func (m *Model) NextWake() (clock.Millis, bool) {
 	at, ok := clock.Millis(0), false
 	if m.phase == phaseIdle {
-		at, ok = m.nextCall, true
+		at, ok = m.nextCallAt(), true
 		if m.subscription.replacesWatch(m.nextCall) && !m.needRelist {
 			at = max(at, m.listedAt+relistIntervalMs)
 		}
--- a/era/guard_test.go
+++ b/era/guard_test.go
@@ -104,6 +104,16 @@
 				}
 				lastRead = now
 			}
+			if at, ok := g.SettlesAt(); ok {
+				early, due := *g, *g
+				early.Update(at, era.ReadMsg{BegunAt: at - 1})
+				due.Update(at, era.ReadMsg{BegunAt: at})
+				if early.Wait() != era.WaitEra || due.Wait() != era.WaitNone {
+					t.Fatalf("got waits %q and %q with reads just before and at %d, want %q and none", early.Wait(), due.Wait(), at, era.WaitEra)
+				}
+			} else if g.Wait() == era.WaitEra && lastRead > 0 {
+				t.Fatalf("got no time at which the era settles, want one in contact with the store")
+			}
 			if used := g.Wait() == era.WaitNone; used != (recorded == newest || readSince >= 4000) {
 				t.Fatalf("era %d, recorded %d, read for %d ms: got use %t", newest, recorded, readSince, used)
 			}
--- a/era/query.go
+++ b/era/query.go
@@ -23,6 +23,15 @@
 	return WaitEra
 }
 
+// SettlesAt returns when a read must begin that ends a wait for the era, if no gap comes before
+// it. It returns false if there is no such wait, or contact with the store is lost.
+func (g *Guard) SettlesAt() (clock.Millis, bool) {
+	if !g.inContact || g.isRecorded() || g.coveredMs >= g.settleMs() {
+		return 0, false
+	}
+	return g.readAt + g.settleMs() - g.coveredMs, true
+}
+
 // Era returns the newest era and the one that is recorded as settled.
 func (g *Guard) Era() (newest, settled uint64) { return g.era, g.record.Era }
 
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -321,6 +321,8 @@
 	g.stepEra(ioCtx, era.ReadMsg{BegunAt: g.catalog.ConfirmedAt()})
 	if g.mayApply() {
 		g.applyItems(ioCtx)
+	} else {
+		g.confirmSettled(ioCtx)
 	}
 	if g.vmListChanged {
 		g.vmListChanged = false
--- a/gateway/start.go
+++ b/gateway/start.go
@@ -3,14 +3,17 @@
 import (
 	"context"
 
+	"lentillink.example/lentillink/catalog"
+	"lentillink.example/lentillink/clock"
 	"lentillink.example/lentillink/era"
 	"lentillink.example/lentillink/store"
 )
 
 // start is the state of a VM that has not used yet what it has read from the store.
 type start struct {
-	done   bool
-	waitOn era.Wait // as last logged
+	done      bool
+	waitOn    era.Wait     // as last logged
+	settlesAt clock.Millis // for which the catalog was last asked to confirm
 }
 
 // change is a decoded change of the store's items, with the era in which it was read.
@@ -54,6 +57,17 @@
 	return g.start.done
 }
 
+// confirmSettled asks the catalog to read the store as soon as that can end this VM's wait for
+// the era.
+func (g *Gateway) confirmSettled(ioCtx context.Context) {
+	at, ok := g.eraGuard.SettlesAt()
+	if !ok || g.start.done || at == g.start.settlesAt {
+		return
+	}
+	g.start.settlesAt = at
+	g.stepCatalog(ioCtx, catalog.ConfirmMsg{At: at})
+}
+
 // observeChange passes to the guard of eras what a change says about the state of the store.
 func (g *Gateway) observeChange(ioCtx context.Context, c change) {
 	key, d := c.item.Key, c.decoded
