Bound the updates that a publisher keeps by their bytes

Cause: a publisher keeps the last 32 updates for VMs that subscribe late, bounded by their number only.

Change: at most 4 MB of them are kept; a VM that subscribes from before lists again.

--- a/catalog/publish.go
+++ b/catalog/publish.go
@@ -16,6 +16,10 @@
 	// maxRecentUpdates is the number of updates kept for VMs that subscribe shortly
 	// after their own list.
 	maxRecentUpdates = 32
+
+	// maxRecentBytes bounds their keys and values. A VM that subscribes from before them lists
+	// again.
+	maxRecentBytes = 4 << 20
 )
 
 // Update carries the changes between two revisions of the store to a subscriber. If they
@@ -37,7 +41,32 @@
 // subscribers holds the VMs that subscribe to this one, and the updates kept for them.
 type subscribers struct {
 	byID   map[string]subscriber
-	recent []Update
+	recent []recentUpdate
+}
+
+// recentUpdate is an update that is kept.
+type recentUpdate struct {
+	Update
+	bytes int // of its keys and values
+}
+
+func newRecentUpdate(u Update) recentUpdate {
+	r := recentUpdate{Update: u}
+	for _, it := range u.Items {
+		r.bytes += len(it.Key) + len(it.Value)
+	}
+	return r
+}
+
+// keep adds an update to the recent ones, and drops the oldest beyond the bounds.
+func (s *subscribers) keep(u Update) {
+	s.recent = append(s.recent, newRecentUpdate(u))
+	from, size := len(s.recent), 0
+	for from > 0 && len(s.recent)-from < maxRecentUpdates && size+s.recent[from-1].bytes <= maxRecentBytes {
+		from--
+		size += s.recent[from].bytes
+	}
+	s.recent = slices.Clone(s.recent[from:]) // not the dropped ones' memory
 }
 
 type subscriber struct {
@@ -74,8 +103,7 @@
 		m.subscribers.recent = nil // the kept updates must be contiguous, and only the first may cross eras
 	}
 	if !u.StoreLost && u.from().isBefore(u.to()) && u.From > 0 { // excludes the first list, which is large
-		m.subscribers.recent = append(m.subscribers.recent, u)
-		m.subscribers.recent = m.subscribers.recent[max(0, len(m.subscribers.recent)-maxRecentUpdates):]
+		m.subscribers.keep(u)
 	}
 	for _, compressed := range []bool{false, true} {
 		var to []string
