Accept fractions in the settings that the deployment's bounds fill

Cause: the settings took grace_s, window_s, memory_mb and drain_ms as integers, and only in digits.

Change: these are numbers now, and a setting that stays whole may be written in any form of a whole number (6.0, 60e-1). What cannot be used is refused with its field, whose name has the unit, as before; a reload then keeps the last settings.

--- a/cmd/lentillinkd/gateway.go
+++ b/cmd/lentillinkd/gateway.go
@@ -48,7 +48,7 @@
 			fmt.Fprintln(os.Stderr, "log:", err)
 		}
 	}()
-	debug.SetMemoryLimit(int64(heapRatio * float64(s.MemoryMB) * bytesPerMB))
+	debug.SetMemoryLimit(int64(heapRatio * s.MemoryMB * bytesPerMB))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	signal.Ignore(syscall.SIGPIPE)
@@ -65,8 +65,8 @@
 		}),
 		gateway.WithAddresses(s.Callers, s.Ready), gateway.WithReadyPath(platform.ReadyPath), gateway.WithMetricsAddress(s.Metrics),
 		gateway.WithLogger(logger), gateway.WithLimits(reloadableLimits(s)), gateway.WithSeed(rand.Uint64()), gateway.WithWatchInterval(watchInterval(s)),
-		gateway.WithMemory(s.MemoryMB*bytesPerMB), gateway.WithMaxHeads(s.Heads.RequestBytes, s.Heads.ReplyBytes), gateway.WithQuotaBounds(quota.Bounds{
-			WindowMs: clock.Millis(s.Quota.WindowSeconds) * clock.Second, Overshoot: s.Quota.Overshoot, Slack: s.Quota.Slack,
+		gateway.WithMemory(int64(s.MemoryMB*bytesPerMB)), gateway.WithMaxHeads(s.Heads.RequestBytes, s.Heads.ReplyBytes), gateway.WithQuotaBounds(quota.Bounds{
+			WindowMs: seconds(s.Quota.WindowSeconds), Overshoot: s.Quota.Overshoot, Slack: s.Quota.Slack,
 		}),
 		gateway.WithRelayOptions(relay.WithVMs(s.ExpectedVMs), relay.WithPlacingByCost(s.Placing.ByCost)),
 	)
@@ -101,14 +101,16 @@
 // watchInterval returns the minimum time between two watches: half of the drain
 // bound that remains after a store outage is detected.
 func watchInterval(s *settings.Gateway) clock.Millis {
-	return max((s.DrainMs-storeOutageDetectMs)/2, minWatchInterval)
+	return max((clock.Millis(s.DrainMs)-storeOutageDetectMs)/2, minWatchInterval)
 }
 
+func seconds(s float64) clock.Millis { return clock.Millis(s * float64(clock.Second)) }
+
 // reloadableLimits returns the settings that can change while the VM runs.
 func reloadableLimits(s *settings.Gateway) gateway.Limits {
 	return gateway.Limits{
-		GracePeriod: clock.Millis(s.GraceSeconds) * clock.Second,
-		Budget:      relay.BudgetMsg{Ratio: s.Retry.Ratio, Extra: s.Retry.Extra, WindowMs: clock.Millis(s.Retry.WindowSeconds) * clock.Second},
+		GracePeriod: seconds(s.GraceSeconds),
+		Budget:      relay.BudgetMsg{Ratio: s.Retry.Ratio, Extra: s.Retry.Extra, WindowMs: seconds(s.Retry.WindowSeconds)},
 	}
 }
 
--- a/settings/bind.go
+++ b/settings/bind.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 	"reflect"
 	"strconv"
 	"strings"
@@ -95,37 +96,55 @@
 }
 
 func (b *binder) bindNumber(path string, v any, dst reflect.Value) {
+	want := "a whole number"
+	if dst.CanFloat() {
+		want = "a number"
+	}
 	num, ok := v.(json.Number)
 	if !ok {
-		b.reject(path, "is %s, want a whole number", typeName(v))
+		b.reject(path, "is %s, want %s", typeName(v), want)
 		return
 	}
 	if dst.CanFloat() {
 		x, err := strconv.ParseFloat(num.String(), dst.Type().Bits())
 		if err != nil {
-			b.reject(path, "is %s, want a number", num)
+			b.reject(path, "is %s, want %s", num, want)
 			return
 		}
 		dst.SetFloat(x)
 		return
 	}
+	n, ok := wholeNumber(num)
 	if dst.CanUint() {
-		n, err := strconv.ParseUint(num.String(), 10, dst.Type().Bits())
-		if err != nil {
+		if !ok || n < 0 || dst.OverflowUint(uint64(n)) {
 			b.reject(path, "is %s, want a whole number from 0 to %d", num, uint64(1)<<dst.Type().Bits()-1)
 			return
 		}
-		dst.SetUint(n)
+		dst.SetUint(uint64(n))
 		return
 	}
-	n, err := strconv.ParseInt(num.String(), 10, dst.Type().Bits())
-	if err != nil {
-		b.reject(path, "is %s, want a whole number", num)
+	if !ok || dst.OverflowInt(n) {
+		b.reject(path, "is %s, want %s", num, want)
 		return
 	}
 	dst.SetInt(n)
 }
 
+// maxExactInteger is the largest integer up to which a float64 holds each one.
+const maxExactInteger = 1 << 53
+
+// wholeNumber returns the value of a number that is whole, in any form: 6, 6.0 or 60e-1.
+func wholeNumber(num json.Number) (int64, bool) {
+	if n, err := strconv.ParseInt(num.String(), 10, 64); err == nil {
+		return n, true
+	}
+	x, err := strconv.ParseFloat(num.String(), 64)
+	if err != nil || x != math.Trunc(x) || math.Abs(x) > maxExactInteger {
+		return 0, false
+	}
+	return int64(x), true
+}
+
 func fieldByName(dst reflect.Value, name string) (reflect.Value, bool) {
 	for i := range dst.NumField() {
 		if jsonName(dst.Type().Field(i)) == name {
--- a/settings/check.go
+++ b/settings/check.go
@@ -153,6 +153,12 @@
 	}
 }
 
+func (c *checker) checkFraction(path string, x float64, low, high int64) {
+	if x < float64(low) || x > float64(high) {
+		c.reject(path, "is %v, want a number from %d to %d", x, low, high)
+	}
+}
+
 func (c *checker) checkName(path, name string) {
 	if !namePattern.MatchString(name) {
 		c.reject(path, "is %q, want 1 to 63 of a-z, 0-9 and -, not starting with -", name)
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -5,29 +5,27 @@
 	"reflect"
 
 	"github.com/gravitational/trace"
-
-	"lentillink.example/lentillink/clock"
 )
 
 // Gateway holds the settings of a VM that forwards requests according to the
 // operators' configuration, which it reads from the platform's store.
 type Gateway struct {
-	VM           string       `json:"vm"`
-	DataCentre   string       `json:"data_centre"`
-	Callers      string       `json:"callers"` // address for requests from callers
-	Ready        string       `json:"ready"`   // address for the load balancer's readiness check
-	Peers        string       `json:"peers"`   // address for other VMs
-	Metrics      string       `json:"metrics"` // address for metrics and status; may be empty
-	Store        string       `json:"store"`   // address of the platform's store
-	GraceSeconds int64        `json:"grace_s"` // time from the stop signal until the process is killed
-	Retry        RetryBudget  `json:"retry_budget"`
-	Quota        Quota        `json:"quota,omitzero"` // left out, the defaults hold
-	MemoryMB     int64        `json:"memory_mb"`      // memory limit of the process
-	ExpectedVMs  int          `json:"expected_vms"`
-	CPUShare     float64      `json:"cpu_share"` // number of cores that the VM may use
-	Placing      Placing      `json:"placing"`
-	Heads        Heads        `json:"heads,omitzero"` // left out, the defaults hold
-	DrainMs      clock.Millis `json:"drain_ms"`       // time after which a leaving upstream must get no new requests
+	VM           string      `json:"vm"`
+	DataCentre   string      `json:"data_centre"`
+	Callers      string      `json:"callers"` // address for requests from callers
+	Ready        string      `json:"ready"`   // address for the load balancer's readiness check
+	Peers        string      `json:"peers"`   // address for other VMs
+	Metrics      string      `json:"metrics"` // address for metrics and status; may be empty
+	Store        string      `json:"store"`   // address of the platform's store
+	GraceSeconds float64     `json:"grace_s"` // time from the stop signal until the process is killed
+	Retry        RetryBudget `json:"retry_budget"`
+	Quota        Quota       `json:"quota,omitzero"` // left out, the defaults hold
+	MemoryMB     float64     `json:"memory_mb"`      // memory limit of the process
+	ExpectedVMs  int         `json:"expected_vms"`
+	CPUShare     float64     `json:"cpu_share"` // number of cores that the VM may use
+	Placing      Placing     `json:"placing"`
+	Heads        Heads       `json:"heads,omitzero"` // left out, the defaults hold
+	DrainMs      float64     `json:"drain_ms"`       // time after which a leaving upstream must get no new requests
 }
 
 // RetryBudget bounds the retries of a service in any window, over all VMs: Ratio
@@ -35,13 +33,13 @@
 type RetryBudget struct {
 	Ratio         float64 `json:"ratio"`
 	Extra         float64 `json:"extra"`
-	WindowSeconds int64   `json:"window_s"`
+	WindowSeconds float64 `json:"window_s"`
 }
 
 // Quota states by how much the limits of customers may be exceeded: in any window, at most
 // (rate times the window + burst) x (1 + Overshoot) + Slack requests of one run.
 type Quota struct {
-	WindowSeconds int64   `json:"window_s"`
+	WindowSeconds float64 `json:"window_s"`
 	Overshoot     float64 `json:"overshoot"`
 	Slack         float64 `json:"slack"`
 }
@@ -78,7 +76,7 @@
 	defaultGraceSeconds = 6
 	defaultMemoryMB     = 284 // memory of the users' smallest VMs
 	defaultExpectedVMs  = 9   // the users run 7 to 9 entry VMs
-	defaultDrainMs      = 3 * clock.Second
+	defaultDrainMs      = 3000
 )
 
 // LoadGateway reads, decodes and validates a file. Its errors are of type *Error.
@@ -125,20 +123,20 @@
 		c.checkAddress("metrics", g.Metrics, "")
 	}
 	c.checkAddress("store", g.Store, "")
-	c.checkNumber("grace_s", g.GraceSeconds, 1, maxGraceSeconds)
-	c.checkNumber("retry_budget.window_s", g.Retry.WindowSeconds, 1, maxWindowSeconds)
-	c.checkNumber("memory_mb", g.MemoryMB, minMemoryMB, maxMemoryMB)
+	c.checkFraction("grace_s", g.GraceSeconds, 1, maxGraceSeconds)
+	c.checkFraction("retry_budget.window_s", g.Retry.WindowSeconds, 1, maxWindowSeconds)
+	c.checkFraction("memory_mb", g.MemoryMB, minMemoryMB, maxMemoryMB)
 	c.checkNumber("expected_vms", int64(g.ExpectedVMs), 1, maxVMs)
 	if g.CPUShare < 0 || g.CPUShare > maxCPUShare {
 		c.reject("cpu_share", "is %v, want a number of cores from 0 to %d", g.CPUShare, maxCPUShare)
 	}
-	c.checkNumber("drain_ms", int64(g.DrainMs), 1, int64(MaxTimeoutMs))
+	c.checkFraction("drain_ms", g.DrainMs, 1, int64(MaxTimeoutMs))
 	if g.Retry.Ratio < 0 || g.Retry.Ratio > 1 {
 		c.reject("retry_budget.ratio", "is %v, want a number from 0 to 1", g.Retry.Ratio)
 	}
 	c.checkNumber("heads.request_bytes", int64(g.Heads.RequestBytes), minHeadBytes, maxHeadBytes)
 	c.checkNumber("heads.reply_bytes", int64(g.Heads.ReplyBytes), minHeadBytes, maxHeadBytes)
-	c.checkNumber("quota.window_s", g.Quota.WindowSeconds, 1, maxWindowSeconds)
+	c.checkFraction("quota.window_s", g.Quota.WindowSeconds, 1, maxWindowSeconds)
 	if g.Quota.Overshoot < 0 || g.Quota.Overshoot > maxOvershoot {
 		c.reject("quota.overshoot", "is %v, want a number from 0 to %d", g.Quota.Overshoot, maxOvershoot)
 	}
