Hold back a write of an upstream that is carried out after its removal

Cause: departures were remembered against copies of the store only, that is for entries of a later era.

Change: in the same era too, an entry that is older by its own counters than the one that was removed is held back like one of an older copy: it counts if it is still there after 15 s. One that lives is believed at once with a newer entry, or with four older ones that rise; a restart is newer. One that was leaving stays so for its incarnation.

--- a/relay/departure.go
+++ b/relay/departure.go
@@ -26,6 +26,7 @@
 	era      uint64 // in which it was removed
 	revision uint64 // of its last entry
 	at       clock.Millis
+	older    olderReports // since then
 }
 
 // departures records removed upstreams, so that a store that comes back from an older copy
@@ -65,8 +66,15 @@
 	return msg.Era > d.era && (msg.Upstream.isOlderThan(d.info) || !d.info.isOlderThan(msg.Upstream) && msg.Revision <= d.revision)
 }
 
-// holdReturned holds the entry of a removed upstream back if it may be of an older copy, and
-// reports whether it did. An upstream that was leaving stays so for its incarnation.
+// isLateWrite reports whether an entry of the same era was probably written before the
+// removal, and carried out by the store after it. One that lives goes on with newer entries.
+func (d *departure) isLateWrite(msg *UpstreamMsg) bool {
+	return msg.Era == d.era && msg.Upstream.isOlderThan(d.info) && !d.older.outvote(msg.Upstream)
+}
+
+// holdReturned holds the entry of a removed upstream back if it may be of an older copy or a
+// late write, and reports whether it did. An upstream that was leaving stays so for its
+// incarnation.
 func (m *Model) holdReturned(now clock.Millis, msg *UpstreamMsg) bool {
 	id := msg.Upstream.ID
 	delete(m.departures.held, id)
@@ -75,13 +83,15 @@
 		// This VM does not know when the upstream left, as it may have started later.
 		return msg.Returned && msg.Upstream.Incarnation <= m.departures.newestIncarnation && m.holdEntry(now, msg)
 	}
-	if msg.Era <= d.era {
+	if msg.Era < d.era {
 		return false
 	}
 	if msg.Upstream.Incarnation == d.info.Incarnation && d.info.Leaving {
 		msg.Upstream.Leaving = true
 	}
-	return d.isFromOlderCopy(msg) && m.holdEntry(now, msg)
+	held := d.isFromOlderCopy(msg) || d.isLateWrite(msg)
+	m.departures.byID.set(id, d)
+	return held && m.holdEntry(now, msg)
 }
 
 func (m *Model) holdEntry(now clock.Millis, msg *UpstreamMsg) bool {
--- a/relay/departure_test.go
+++ b/relay/departure_test.go
@@ -47,6 +47,17 @@
 		{"removed before this VM started", []relay.Msg{other, returned(7)}, 10, false},
 		{"removed before this VM started, and kept alive", []relay.Msg{other, returned(7)}, 20_000, true},
 		{"started after the return", []relay.Msg{other, returned(9)}, 10, true},
+		{"late write", []relay.Msg{entry(1, 50, 7, 3, false), removed(1), entry(1, 60, 7, 2, false)}, 10, false},
+		{"late write, removed too", []relay.Msg{entry(1, 50, 7, 3, false), removed(1), entry(1, 60, 7, 2, false), removed(1)}, 20_000, false},
+		{"late write in a later era", []relay.Msg{entry(1, 50, 7, 3, false), removed(1), entry(2, 60, 7, 2, false)}, 10, false},
+		{"late write of an earlier incarnation", []relay.Msg{entry(1, 50, 7, 3, false), removed(1), entry(1, 60, 6, 9, false)}, 10, false},
+		{"two late writes", []relay.Msg{entry(1, 50, 7, 3, false), removed(1), entry(1, 60, 7, 1, false), entry(1, 61, 7, 2, false)}, 10, false},
+		{"late write of one that was draining", []relay.Msg{entry(1, 50, 7, 3, true), removed(1), entry(1, 60, 7, 2, false)}, 20_000, false},
+		{"late write that is still there", []relay.Msg{entry(1, 50, 7, 3, false), removed(1), entry(1, 60, 7, 2, false)}, 20_000, true},
+		{"late write, then the next report", []relay.Msg{entry(1, 50, 7, 3, false), removed(1), entry(1, 60, 7, 2, false), entry(1, 61, 7, 4, false)}, 10, true},
+		{"lapsed, and the counter starts anew", []relay.Msg{entry(1, 50, 7, 9, false), removed(1), entry(1, 60, 7, 1, false), entry(1, 61, 7, 2, false), entry(1, 62, 7, 3, false), entry(1, 63, 7, 4, false)}, 10, true},
+		{"restarted in the same era", []relay.Msg{entry(1, 50, 7, 3, false), removed(1), entry(1, 60, 8, 1, false)}, 10, true},
+		{"restarted after a late write", []relay.Msg{entry(1, 50, 7, 3, false), removed(1), entry(1, 60, 7, 2, false), entry(1, 61, 8, 1, false)}, 10, true},
 		{"store without eras", []relay.Msg{entry(0, 50, 7, 3, false), removed(0), entry(0, 40, 7, 2, false)}, 10, true},
 	}
 	for _, tt := range tests {
