--- a/quota/account.go
+++ b/quota/account.go
@@ -235,8 +235,8 @@
 	targets := m.targets(now, a.group)
 	for a.stage < len(targets) && !a.triedLong(now) {
 		to := targets[a.stage]
-		l := m.links[to]
-		if (l == nil || now >= l.avoidUntil) && !(to == m.claims[a.group].VM && m.isDeclined(now, a.group)) {
+		declined := to == m.claims[a.group].VM && m.isDeclined(now, a.group)
+		if l := m.links[to]; !declined && (l == nil || now >= l.avoidUntil) {
 			return to
 		}
 		a.advance(now)
