--- a/quota/account.go
+++ b/quota/account.go
@@ -235,7 +235,7 @@
 	targets := m.targets(now, a.group)
 	for a.stage < len(targets) && !a.triedLong(now) {
 		to := targets[a.stage]
-		declined := to == m.claims[a.group].VM && m.isDeclined(now, a.group)
+		declined := m.isOwner(to, a.group) && m.isDeclined(now, a.group)
 		if l := m.links[to]; !declined && (l == nil || now >= l.avoidUntil) {
 			return to
 		}
--- a/quota/decline.go
+++ b/quota/decline.go
@@ -18,7 +18,7 @@
 func (m *Model) noteDeclined(now clock.Millis, from string, g Grant) {
 	for _, e := range g.Entries {
 		group := GroupOf(e.Customer)
-		if m.claims[group].VM != from || from == m.cfg.self {
+		if !m.isOwner(from, group) || from == m.cfg.self {
 			continue
 		}
 		switch {
