Refuse a switch of protocols where replies are read

exchange and httpcall each checked for a 101 with an error of their own, and told the reader again whether a reply has a body, which it knows from Read. framing.Read now returns ErrSwitching, and EndsConnection takes no argument. The kinds of errors stay as they are: invalid in httpcall, a bad reply in exchange.

--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -28,7 +28,6 @@
 	errNoReply      = errors.New("connection closed before a reply")
 	errBadReply     = errors.New("reply is incomplete or invalid")
 	errNoReceipt    = errors.New("success has no receipt")
-	errSwitching    = errors.New("reply switches the protocol, which the request did not ask for")
 )
 
 // Reply is a complete reply of an upstream.
@@ -94,9 +93,6 @@
 			return
 		}
 		body, err := r.Read(p.call.Request.noReplyBody)
-		if err == nil && r.Head().StatusCode() == fasthttp.StatusSwitchingProtocols {
-			err = errSwitching
-		}
 		if err != nil {
 			cn.close(p, errBadReply, err)
 			return
@@ -181,7 +177,7 @@
 	if p.call.NeedHeader {
 		reply.Fields = forwardedFields(h)
 	}
-	keepOpen := id != "" && !r.EndsConnection(p.call.Request.noReplyBody)
+	keepOpen := id != "" && !r.EndsConnection()
 	c.mu.Lock()
 	keepOpen = keepOpen && p.written && (len(p.call.Request.body) == 0 || cn.hasTakenAll()) && c.upstreams[cn.conns.id] == cn.conns
 	cn.pending = nil
--- a/framing/read.go
+++ b/framing/read.go
@@ -44,6 +44,7 @@
 var (
 	ErrTooLarge     = errors.New("reply is too large")
 	ErrHeadTooLarge = errors.New("head of the reply is too large")
+	ErrSwitching    = errors.New("reply switches the protocol, which the request did not ask for")
 	errInterim      = errors.New("too many interim replies")
 )
 
@@ -55,6 +56,7 @@
 	bodyBytes int
 	memory    memory.Reservation // for the current reply
 	headSize  int64              // size of a larger buffer for its head
+	noBody    bool               // whatever its head says of a length
 	left      int                // bytes that were read after the reply
 }
 
@@ -79,8 +81,12 @@
 	if err != nil {
 		return nil, unexpectedEOF(err)
 	}
+	if r.head.StatusCode() == fasthttp.StatusSwitchingProtocols {
+		return nil, ErrSwitching
+	}
 	var body []byte
-	if !skipBody && !hasNoBody(r.head.StatusCode()) {
+	r.noBody = skipBody || hasNoBody(r.head.StatusCode())
+	if !r.noBody {
 		if body, err = r.readBody(br); err != nil {
 			return nil, unexpectedEOF(err)
 		}
@@ -99,8 +105,8 @@
 func (r *Reader) Left() int { return r.left }
 
 // EndsConnection reports whether the connection cannot carry a reply after the last one.
-func (r *Reader) EndsConnection(skipBody bool) bool {
-	untilEnd := r.head.ContentLength() <= lengthUntilEnd && !skipBody && !hasNoBody(r.head.StatusCode())
+func (r *Reader) EndsConnection() bool {
+	untilEnd := !r.noBody && r.head.ContentLength() <= lengthUntilEnd
 	return r.left > 0 || untilEnd || r.head.ConnectionClose()
 }
 
@@ -229,7 +235,7 @@
 }
 
 func hasNoBody(status int) bool {
-	return status < 200 || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified
+	return status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified
 }
 
 func ignoreEOF(err error) error {
--- a/httpcall/do.go
+++ b/httpcall/do.go
@@ -76,7 +76,7 @@
 		return Reply{}, nil, errClosed
 	}
 	reply, err := c.exchange(req, call, deadline, check)
-	if err != nil || c.reader.EndsConnection(skipsBody(call)) || h.overLimit() {
+	if err != nil || c.reader.EndsConnection() || h.overLimit() {
 		h.client.CloseConn(cc)
 	} else {
 		c.endExchange()
@@ -106,17 +106,14 @@
 	if call.TransferTimeout > 0 {
 		c.transferEnd = time.Now().Add(call.TransferTimeout)
 	}
-	body, err := c.reader.Read(skipsBody(call))
+	body, err := c.reader.Read(call.Method == fasthttp.MethodHead)
 	if err != nil {
 		return Reply{}, err
 	}
-	head := c.reader.Head()
-	switch {
-	case head.StatusCode() == fasthttp.StatusSwitchingProtocols:
-		return Reply{}, errSwitching
-	case c.reader.Left() > 0:
+	if c.reader.Left() > 0 {
 		return Reply{}, errTrailingData
 	}
+	head := c.reader.Head()
 	reply := Reply{Status: head.StatusCode(), Body: body}
 	if call.Header != "" {
 		reply.Header = string(head.Peek(call.Header))
@@ -129,9 +126,6 @@
 	return reply, nil
 }
 
-// skipsBody reports whether the reply to a call has no body whatever its head says.
-func skipsBody(call Call) bool { return call.Method == fasthttp.MethodHead }
-
 func (h *Host) checkReady(ctx context.Context, timeout time.Duration) error {
 	if err := ctx.Err(); err != nil {
 		return err
@@ -175,7 +169,7 @@
 		return KindNotSent // also if the host is closed or no connection became free
 	case isTimeout(err):
 		return KindTimeout
-	case errors.Is(err, framing.ErrStatus), errors.Is(err, framing.ErrFraming), errors.Is(err, errSwitching):
+	case errors.Is(err, framing.ErrStatus), errors.Is(err, framing.ErrFraming), errors.Is(err, framing.ErrSwitching):
 		return KindInvalid
 	case errors.Is(err, framing.ErrTooLarge), errors.Is(err, framing.ErrHeadTooLarge), errors.Is(err, memory.ErrExceeded):
 		return KindTooLarge
@@ -193,10 +187,7 @@
 	return errors.Is(err, fasthttp.ErrTimeout) || errors.As(err, &nerr) && nerr.Timeout()
 }
 
-var (
-	errSwitching    = errors.New("reply switches the protocol, which the request did not ask for")
-	errTrailingData = errors.New("reply is followed by unexpected bytes")
-)
+var errTrailingData = errors.New("reply is followed by unexpected bytes")
 
 // rejectedError marks the error of a CheckReply.
 type rejectedError struct{ error }
