Publish what a publisher has read of a list that begins again

Logs: a publisher had version 25 in force from the first page of its list, then its watch got 410; its subscribers had 22 until 29 came.

Causes, all of the change before: the changes that a page had shown were kept with the pass, and lost for subscribers when it began again; the first byte of a refused page (503) counted as contact, so publishers lost the store again and again, and each time delayed the lists of their subscribers; a watch that had begun behind a gap was taken as one from the known position when a publisher's update had ended the pass meanwhile.

Change: changes that are applied ahead of the position are kept until it is published past them, or crossed into a new era. A pass whose watch gets 410 goes on, with a watch from its pages. Only a whole page is contact. Publishers without the store delay a subscriber's call once. A watch whose position is ahead of what is known is not applied.

--- a/catalog/era.go
+++ b/catalog/era.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"maps"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -86,23 +87,29 @@
 func (m *Model) crossByList(now clock.Millis, p *pass, cmds []Cmd) []Cmd {
 	m.listedAt, m.current, m.confirmedAt = now, true, p.begunAt
 	u := newUpdate(m.pos, position{m.era, p.revision}, nil)
-	present := make(map[string]bool, len(p.items))
+	present, ahead := make(map[string]bool, len(p.items)), make(map[string]bool)
+	for _, it := range m.ahead {
+		ahead[it.Key] = true // subscribers may know another state of it
+	}
 	for _, it := range p.items {
 		present[it.Key] = true
 		k, ok := m.items[it.Key]
 		_, pending := m.pendingRemovals[it.Key]
-		if !ok || pending || k.hash != xxhash.Sum64(it.Value) {
+		if !ok || pending || ahead[it.Key] || k.hash != xxhash.Sum64(it.Value) {
 			u.Items = append(u.Items, it)
 		}
 	}
-	var absent []string
+	absent := make(map[string]bool)
 	for key := range m.items {
-		if !present[key] {
-			absent = append(absent, key)
-		}
+		absent[key] = !present[key]
+	}
+	for key := range ahead {
+		absent[key] = !present[key]
 	}
-	slices.Sort(absent)
-	for _, key := range absent {
+	for _, key := range slices.Sorted(maps.Keys(absent)) {
+		if !absent[key] {
+			continue
+		}
 		u.Items = append(u.Items, store.Item{Key: key, Revision: p.revision, Removed: true})
 	}
 	return m.crossEra(now, u, cmds)
@@ -111,7 +118,7 @@
 // crossEra applies the difference between a state and one of a new era, and publishes it.
 // Keys that it does not name have the same value in both.
 func (m *Model) crossEra(now clock.Millis, u Update, cmds []Cmd) []Cmd {
-	m.needRelist, m.needFresh, m.historyLost, m.pass, m.nextCall = false, false, false, nil, now
+	m.needRelist, m.needFresh, m.historyLost, m.pass, m.ahead, m.nextCall = false, false, false, nil, nil, now
 	m.pos = u.to()
 	// The revisions of the new era are at most u.To; a later change has a higher one.
 	for key, k := range m.items {
--- a/catalog/model.go
+++ b/catalog/model.go
@@ -100,8 +100,9 @@
 	backoff       clock.Millis
 	era           uint64           // newest era of the store that is known
 	pos           position         // what is known of the store; its era is behind era until a list or an update has caught up
-	callPos       position         // pos when the outstanding watch began
+	callPos       position         // from which the outstanding watch continues
 	items         map[string]known // the keys reported as present
+	ahead         []store.Item     // changes after pos that were applied and are not published with a position yet
 
 	storeLost         bool
 	lossPublished     bool // the subscribers were told of the loss
@@ -189,8 +190,7 @@
 	switch t := msg.(type) {
 	case ListedMsg:
 		cmds = m.handlePage(now, t, cmds)
-	case PageBegunMsg:
-		cmds = m.storeReached(now, cmds)
+	case PageBegunMsg: // no contact yet: it may be a refusal
 		if m.pass.awaits(m, t.Page) {
 			m.pass.arriving = true
 		}
@@ -315,15 +315,18 @@
 	cmds = m.storeReached(now, cmds)
 	again := m.historyEnded // before a watch could follow the list
 	m.historyEnded, m.backoff, m.nextCall = true, 0, now
-	if again && m.isBehindGap() {
-		// A pass that began again each time would never end.
-		m.pass.unwatched = true
-		return cmds
-	}
-	if again {
-		m.nextCall = max(now, m.listedAt+m.callInterval())
+	m.needRelist, m.needFresh, m.historyLost = true, true, true
+	switch p := m.pass; {
+	case p != nil && p.pages > 0 && !p.gap: // what follows its pages can be watched from them on
+		p.gap, p.since, p.position = true, p.revision, p.revision
+	case again && m.isBehindGap(): // a pass that began again each time would never end
+		p.unwatched = true
+	default:
+		m.pass = nil
+		if again {
+			m.nextCall = max(now, m.listedAt+m.callInterval())
+		}
 	}
-	m.pass, m.needRelist, m.needFresh, m.historyLost = nil, true, true, true
 	return cmds
 }
 
@@ -362,7 +365,11 @@
 		m.nextCall = max(now, m.resumeAt) // no burst of events is in progress
 	}
 	b.Items = slices.DeleteFunc(slices.Clone(b.Items), func(it store.Item) bool { return !m.reads(it.Key) })
-	if m.isBehindGap() {
+	switch {
+	case m.watchFrom().isBefore(m.callPos): // the pass that was to show what precedes it has ended early
+		m.nextCall = now
+		return cmds
+	case m.isBehindGap():
 		return m.handleWatchBehindGap(now, b, cmds)
 	}
 	m.current, m.confirmedAt, m.historyEnded = true, m.begunAt, false
@@ -381,6 +388,7 @@
 	cmds = m.applyItems(now, u.Items, cmds)
 	from := m.pos
 	m.pos.revision = max(m.pos.revision, u.To)
+	m.dropAhead()
 	published := newUpdate(from, m.pos, u.Items)
 	published.Listed = u.Listed
 	return m.publish(published, cmds)
@@ -535,7 +543,7 @@
 	case m.awaitsConfirmation():
 		wait = min(wait, max(m.confirmAt-now, probeWaitMs))
 	}
-	m.phase, m.callPos, m.begunAt = phaseWatching, m.pos, now
+	m.phase, m.callPos, m.begunAt = phaseWatching, m.watchFrom(), now
 	if m.probe || m.storeLost || m.catchUp {
 		m.phase, wait, m.catchUp = phaseProbing, probeWaitMs, false
 	}
@@ -543,9 +551,6 @@
 		p.watched = p.watched || p.gap
 		slack = p.slackMs()
 	}
-	if m.isBehindGap() {
-		m.callPos.era = m.pass.era
-	}
 	m.waitMs, m.slackMs = wait, slack
-	return append(cmds, WatchCmd{After: m.watchFrom(), WaitMs: wait, SlackMs: slack})
+	return append(cmds, WatchCmd{After: m.callPos.revision, WaitMs: wait, SlackMs: slack})
 }
--- a/catalog/pass.go
+++ b/catalog/pass.go
@@ -64,8 +64,8 @@
 	era      uint64 // of the pages
 	revision uint64 // lowest of the pages
 	crossing bool   // from an earlier era: applied as a whole, and a gap
-	items    []store.Item
-	changes  []store.Item // that are not published as a whole yet; of a crossing those of watches
+	items    []store.Item // of a crossing: those of the pages,
+	changes  []store.Item // and the changes of watches
 
 	// Of a pass with a gap.
 	watched     bool              // since the revision since
@@ -137,12 +137,12 @@
 // probedByWatch reports whether a watch, not the next page, shows if the store is reachable.
 func (p *pass) probedByWatch() bool { return p.pages > 0 && p.isWatchable() }
 
-// watchFrom returns the revision from which the next watch continues.
-func (m *Model) watchFrom() uint64 {
+// watchFrom returns the position from which the next watch continues.
+func (m *Model) watchFrom() position {
 	if m.isBehindGap() {
-		return m.pass.position
+		return position{m.pass.era, m.pass.position}
 	}
-	return m.pos.revision
+	return m.pos
 }
 
 // isBehindGap reports whether watches show what follows a gap that a pass is still to close.
@@ -281,23 +281,27 @@
 		changed = append(changed, store.Item{Key: key, Revision: msg.Batch.Revision, Removed: true})
 	}
 	cmds = m.applyItems(now, changed, cmds)
-	return m.addToPass(changed, cmds)
+	return m.keepAhead(changed, cmds)
 }
 
-// addToPass keeps changes until the pass has ended. Subscribers get them at once, but stay at
-// their position, because pages that show earlier changes may follow.
-func (m *Model) addToPass(items []store.Item, cmds []Cmd) []Cmd {
+// keepAhead keeps changes that were applied although earlier ones may be missing. Subscribers get
+// those behind a gap at once, but stay at their position; the others come with a watch.
+func (m *Model) keepAhead(items []store.Item, cmds []Cmd) []Cmd {
 	if m.pos.revision == 0 {
 		return cmds // there are no subscribers before the first pass has ended
 	}
-	p := m.pass
-	p.changes = append(p.changes, items...)
-	if p.gap && p.pages > 0 && (len(items) > 0 || p.watched) {
+	m.ahead = append(m.ahead, items...)
+	if m.isBehindGap() && (len(items) > 0 || m.pass.watched) {
 		return m.publish(newUpdate(m.pos, m.pos, items), cmds)
 	}
 	return cmds
 }
 
+// dropAhead drops the changes up to pos, which are published with it.
+func (m *Model) dropAhead() {
+	m.ahead = slices.DeleteFunc(m.ahead, func(it store.Item) bool { return it.Revision <= m.pos.revision })
+}
+
 // handleWatchBehindGap handles the changes of a watch that has begun behind a gap.
 func (m *Model) handleWatchBehindGap(now clock.Millis, b store.Batch, cmds []Cmd) []Cmd {
 	p := m.pass
@@ -313,7 +317,7 @@
 		return cmds
 	}
 	cmds = m.applyItems(now, b.Items, cmds)
-	return m.addToPass(b.Items, cmds)
+	return m.keepAhead(b.Items, cmds)
 }
 
 // endPass ends the pass after its last page.
@@ -342,8 +346,9 @@
 	}
 	from := m.pos
 	m.pos.revision = max(m.pos.revision, to)
-	u := newUpdate(from, m.pos, m.withoutSuperseded(p.changes))
+	u := newUpdate(from, m.pos, m.withoutSuperseded(m.ahead))
 	u.Listed = true
+	m.ahead = nil
 	return m.publish(u, cmds)
 }
 
--- a/catalog/pass_test.go
+++ b/catalog/pass_test.go
@@ -427,3 +427,57 @@
 		}
 	}
 }
+
+// TestRefusedPage guards against a store that counts as reached because the refusal of a page
+// has begun to arrive.
+func TestRefusedPage(t *testing.T) {
+	r := newHarness(t)
+	for range 5 {
+		page := *r.page
+		r.update(catalog.PageBegunMsg{Page: page})
+		r.update(catalog.FailedMsg{Kind: store.KindUnavailable})
+		for r.page == nil {
+			at, _ := r.m.NextWake()
+			r.advance(at)
+		}
+	}
+	r.want("list", "reachable false", "list", "list", "list", "list", "list")
+}
+
+// TestHistoryEndsDuringOutage guards against a change that a publisher has read from a page and
+// does not pass on, because the history before it is gone and its list begins again.
+func TestHistoryEndsDuringOutage(t *testing.T) {
+	for _, w := range []otherWriter{{}, {entries: 3, firstByteMs: 5}, {entries: 3, firstByteMs: 400}, {entries: 10, arrivalMs: 700}} {
+		for _, reach := range []string{"all at once", "publisher first", "publisher last"} {
+			for offset := clock.Millis(0); offset < 2000; offset += 130 {
+				t.Run(fmt.Sprintf("%s, %s, %d ms", w, reach, offset), func(t *testing.T) {
+					g := newCluster(20)
+					for i := range 5 {
+						g.change(fmt.Sprint("up", i))
+					}
+					g.advance(5000)
+					g.others = w
+					root := g.root()
+					g.setStore(true)
+					g.advance(3000 + offset)
+					g.change("config")
+					g.change("up1")
+					g.remove("up2")
+					g.change("up7")
+					g.historyFrom = g.revision()
+					for _, v := range g.vms {
+						v.storeFails = (v == root) == (reach == "publisher last") && reach != "all at once"
+					}
+					g.advance(600)
+					g.historyFrom = g.revision()
+					g.change("config")
+					for _, v := range g.vms {
+						v.storeFails = false
+					}
+					g.advance(w.passMs() + changeBoundMs + 3000)
+					g.expect(t, "outage", g.values(), false)
+				})
+			}
+		}
+	}
+}
--- a/catalog/subscription.go
+++ b/catalog/subscription.go
@@ -179,8 +179,9 @@
 	sub := &m.subscription
 	// A publisher that lost the store keeps its subscribers, and sends to them once it
 	// reaches the store again.
+	asked := from == sub.publisher || from == sub.pending
 	returned := sub.publisher == "" && slices.Contains(sub.candidates, from)
-	if from != sub.publisher && from != sub.pending && !returned {
+	if !asked && !returned {
 		return cmds
 	}
 	if u.StoreLost {
@@ -189,8 +190,9 @@
 			m.needRelist, m.needFresh = true, true // a watch that fails would be followed by a list
 		}
 		cmds = m.publisherLost(now, from, cmds)
-		if m.backoff == 0 {
-			// The others have probably lost the store too, and say so sooner.
+		if m.backoff == 0 && asked {
+			// The others have probably lost the store too, and say so sooner. Those that lose it again
+			// and again delay the call once.
 			m.nextCall = max(m.nextCall, now+clock.Millis(len(sub.candidates))*subscribeTimeoutMs)
 		}
 		return cmds
--- a/catalog/subscription_test.go
+++ b/catalog/subscription_test.go
@@ -26,6 +26,8 @@
 	cutAt  clock.Millis // when the last watch was cut
 	others otherWriter
 	queue  []delivery
+
+	historyFrom uint64 // the changes up to this revision can't be watched
 }
 
 // testVM is one VM of a cluster.
@@ -229,6 +231,9 @@
 				v.watch = nil // the store does not have this revision
 				g.update(v, catalog.EraMsg{Era: g.era})
 				g.update(v, catalog.FailedMsg{Kind: store.KindConflict})
+			} else if w != nil && !v.storeHangs && w.After < g.historyFrom {
+				v.watch = nil
+				g.update(v, catalog.FailedMsg{Kind: store.KindConflict})
 			} else if w != nil && !v.storeHangs && (g.revision() > w.After || g.now >= v.watchAt+w.WaitMs) {
 				v.watch = nil
 				g.update(v, catalog.WatchedMsg{Batch: g.eventsAfter(w.After)})
@@ -567,3 +572,25 @@
 		})
 	}
 }
+
+// TestPublishersLoseStoreAgain guards against a subscriber that does not read the store itself,
+// because its publishers reach the store and lose it again and again.
+func TestPublishersLoseStoreAgain(t *testing.T) {
+	r := newHarness(t)
+	r.update(catalog.ListedMsg{Batch: batch(10, item("a", 4))})
+	r.update(catalog.WatchedMsg{Batch: batch(10)})
+	r.update(catalog.PublishersMsg{VMs: []string{"p", "q"}})
+	r.update(catalog.UpdateMsg{From: "p", Update: catalog.Update{From: 10, To: 11, Items: []store.Item{item("a", 11)}}})
+	r.advance(r.now + 900)
+	r.commands = nil
+	lost := catalog.Update{StoreLost: true}
+	for range 20 {
+		for _, p := range []string{"p", "q"} {
+			r.update(catalog.UpdateMsg{From: p, Update: lost})
+			r.advance(r.now + 100)
+		}
+	}
+	if !slices.Contains(r.commands, "fresh list") {
+		t.Errorf("got %v in 4 s, want a fresh list", r.commands)
+	}
+}
