--- a/catalog/pass.go
+++ b/catalog/pass.go
@@ -61,9 +61,9 @@
 
 	pages    int
 	bytes    int
-	era      uint64 // of the pages
-	revision uint64 // lowest of the pages
-	crossing bool   // from an earlier era: applied as a whole, and a gap
+	era      uint64       // of the pages
+	revision uint64       // lowest of the pages
+	crossing bool         // from an earlier era: applied as a whole, and a gap
 	items    []store.Item // of a crossing: those of the pages,
 	changes  []store.Item // and the changes of watches
 
