Ignore late stale pages, and keys of other writers in updates

A stale page that is older than the watch beside its pass is asked for again; the reply to a second call for the stale one was then taken as fresh. A publisher of an earlier release sends keys that lists do not show any more, and so would never remove. TestStalePageBehindWatch and TestKeysOfOthers show both.

--- a/catalog/model.go
+++ b/catalog/model.go
@@ -364,7 +364,7 @@
 	if m.current && len(b.Items) == 0 {
 		m.nextCall = max(now, m.resumeAt) // no burst of events is in progress
 	}
-	b.Items = slices.DeleteFunc(slices.Clone(b.Items), func(it store.Item) bool { return !m.reads(it.Key) })
+	b.Items = m.withoutOthers(b.Items)
 	switch {
 	case m.watchFrom().isBefore(m.callPos): // the pass that was to show what precedes it has ended early
 		m.nextCall = now
@@ -376,9 +376,12 @@
 	return m.applyChanges(now, Update{Items: b.Items, To: b.Revision}, cmds)
 }
 
-// reads reports whether a key is one of those to read. Other writers may put others beside them.
-func (m *Model) reads(key string) bool {
-	return slices.ContainsFunc(m.prefixes, func(prefix string) bool { return strings.HasPrefix(key, prefix) })
+// withoutOthers returns the items without those that other writers have put beside the keys to
+// read.
+func (m *Model) withoutOthers(items []store.Item) []store.Item {
+	return slices.DeleteFunc(slices.Clone(items), func(it store.Item) bool {
+		return !slices.ContainsFunc(m.prefixes, func(prefix string) bool { return strings.HasPrefix(it.Key, prefix) })
+	})
 }
 
 // applyChanges applies the changes of an update from the revision known here, and publishes
--- a/catalog/pass.go
+++ b/catalog/pass.go
@@ -99,7 +99,7 @@
 
 // awaits reports whether a call is for the page that is read.
 func (p *pass) awaits(m *Model, c ListCmd) bool {
-	return p != nil && c.Pass == p.id && c.Prefix == m.prefixes[p.prefix] && c.After == p.after
+	return p != nil && c.Pass == p.id && c.Prefix == m.prefixes[p.prefix] && c.After == p.after && c.AllowStale == p.stale
 }
 
 // covers reports whether a page that ends at a key, or with its prefix, would show a key.
@@ -214,7 +214,8 @@
 		m.listAfresh(now)
 		return cmds
 	case p.stale && p.watched && b.Revision < p.since:
-		p.stale, p.calls, p.arriving, p.retryAt = false, 0, false, now // older than the first change that the watch shows
+		// Changes between the page and the beginning of the watch would never be seen.
+		p.stale, p.calls, p.arriving, p.retryAt = false, 0, false, now
 		return cmds
 	}
 	p.add(now, b)
--- a/catalog/pass_test.go
+++ b/catalog/pass_test.go
@@ -233,8 +233,10 @@
 	r.update(catalog.ListedMsg{Batch: batch(90, item("a", 4)), Next: "a"})
 	r.advance(r.now + 400)
 	r.want("list", "reachable true", "put a", "list", "watch 90")
+	stale := *r.page
 	r.update(catalog.ListedMsg{Batch: batch(60, item("b", 5))})
 	r.want("fresh list")
+	r.m.Update(r.now, catalog.ListedMsg{Page: stale, Batch: batch(60, item("b", 5))}) // of a second call
 	r.update(catalog.ListedMsg{Batch: batch(95)})
 	r.update(catalog.WatchedMsg{Batch: batch(95, removed("b", 80))})
 	r.want()
@@ -428,6 +430,39 @@
 	}
 }
 
+// TestKeysOfOthers guards against keys that lists do not show, and so never remove, because other
+// writers have put them beside those that a VM reads.
+func TestKeysOfOthers(t *testing.T) {
+	m, now := catalog.New(1, catalog.WithPrefixes("op/", "servers/")), clock.Millis(1000)
+	var got []string
+	update := func(msg catalog.Msg) (out catalog.Msg) {
+		for _, cmd := range m.Update(now, msg) {
+			switch c := cmd.(type) {
+			case catalog.ListCmd:
+				got = append(got, "list "+c.Prefix)
+				out = catalog.ListedMsg{Page: c, Batch: batch(10, item(c.Prefix+"a", 4))}
+			case catalog.PutCmd:
+				got = append(got, "put "+c.Item.Key)
+			case catalog.PublishCmd:
+				got = append(got, fmt.Sprint("publish ", len(c.Update.Items)))
+			}
+		}
+		return out
+	}
+	for msg := update(catalog.TickMsg{}); msg != nil; {
+		msg = update(msg)
+	}
+	update(catalog.PublishersMsg{VMs: []string{"p"}, MayPublish: true})
+	update(catalog.SubscribeMsg{From: "q", Subscribe: catalog.Subscribe{After: 10}})
+	items := []store.Item{item("other/a", 11), item("servers/b", 12)}
+	update(catalog.WatchedMsg{Batch: batch(12, items...)})
+	update(catalog.UpdateMsg{From: "p", Update: catalog.Update{From: 12, To: 14, Items: []store.Item{item("other/a", 13), item("op/b", 14)}}})
+	want := "list op/, put op/a, list servers/, put servers/a, publish 0, put servers/b, publish 1, put op/b, publish 1"
+	if strings.Join(got, ", ") != want {
+		t.Errorf("got %s, want %s", strings.Join(got, ", "), want)
+	}
+}
+
 // TestRefusedPage guards against a store that counts as reached because the refusal of a page
 // has begun to arrive.
 func TestRefusedPage(t *testing.T) {
