Keep the place of leaving upstreams in the order on which VMs agree

Cause: VMs agree on the upstreams that a carrier and the VM that gathers again after its loss may both use, by an order of those that can be used. An upstream that was leaving lost its place at once, so a VM that had learned of it earlier than the carrier took another one.

Change: for 2 s after it begins to leave, or its entry is removed, an upstream counts in the order and is not used.

--- a/relay/candidate.go
+++ b/relay/candidate.go
@@ -3,8 +3,15 @@
 import (
 	"cmp"
 	"slices"
+
+	"lentillink.example/lentillink/clock"
 )
 
+// rankedMs is how long an upstream that is leaving, or has left, keeps its place in the order on which VMs agree.
+// Within that time all of them have learned that it leaves, and what they had sent by the order
+// before has ended.
+const rankedMs = 2 * clock.Second
+
 // mayUse reports whether another attempt of a sub-request may go to u.
 //
 // One request may run on MaxAttempts upstreams of a shard, also if its carrier is lost and
@@ -24,15 +31,22 @@
 func (m *Model) isCommon(sub *subrequest, u *upstream) bool {
 	limit := max(sub.req.route.MaxAttempts, 1)
 	others, ahead := 0, 0
-	for _, o := range sub.service.upstreams {
-		if o == u || !sub.mayGoTo(o) {
-			continue
-		}
+	count := func(o *upstream) {
 		others++
 		if m.compareCandidates(sub, o, u) < 0 {
 			ahead++
 		}
 	}
+	for _, o := range sub.service.upstreams {
+		if o != u && (sub.mayGoTo(o) || o.info.Leaving && o.leftLately(m.now)) {
+			count(o)
+		}
+	}
+	for _, o := range sub.service.departed {
+		if o.leftLately(m.now) && m.upstreams[o.info.ID] == nil {
+			count(o)
+		}
+	}
 	return others < limit || ahead > 0 && ahead < limit // the first is near the carrier
 }
 
@@ -50,6 +64,15 @@
 	return nothing
 }
 
+// leftLately reports whether other VMs may not know yet that u is leaving, or has left.
+func (u *upstream) leftLately(now clock.Millis) bool { return now < u.leavingAt+rankedMs }
+
+// addDeparted records that u has left the service, and drops those that left long ago.
+func (s *service) addDeparted(now clock.Millis, u *upstream) {
+	u.leavingAt = now
+	s.departed = append(slices.DeleteFunc(s.departed, func(o *upstream) bool { return !o.leftLately(now) }), u)
+}
+
 // compareCandidates orders upstreams in a way on which all VMs agree: those in the data
 // centre of the carrier first, then by a hash of the request.
 func (m *Model) compareCandidates(sub *subrequest, a, b *upstream) int {
--- a/relay/carrier_test.go
+++ b/relay/carrier_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"regexp"
+	"slices"
 	"strings"
 	"testing"
 
@@ -689,3 +690,102 @@
 		}
 	}
 }
+
+// TestRunsBesideLeavingUpstream guards against a sub-request that may run on more upstreams than
+// its route allows, because the carrier is lost and the VM that gathers its shards again has
+// learned earlier or later that an upstream is leaving, or has left.
+func TestRunsBesideLeavingUpstream(t *testing.T) {
+	const maxAttempts = 2
+	all := []string{"s1a", "s1b", "s1c"}
+	info := func(id string) relay.Upstream {
+		dc := map[byte]string{'a': "a", 'b': "b", 'c': "b"}[id[2]]
+		return relay.Upstream{ID: id, Service: id[:2], Address: "10.0.0.9:" + fmt.Sprint(id[2]), DataCentre: dc, Slots: 2, Sequence: 1}
+	}
+	newModel := func(self, dc string) *relay.Model {
+		m := newShardedModel(t, self, dc)
+		m.Update(1000, productionBudget)
+		for _, id := range append([]string{"s2c"}, all...) {
+			m.Update(1000, relay.UpstreamMsg{Upstream: info(id)})
+		}
+		return m
+	}
+	most := 0
+	for _, leaving := range append([]string{"removed s1a", "removed s1c"}, all...) {
+		leaving, removed := strings.CutPrefix(leaving, "removed ")
+		for _, failing := range append([]string{""}, all...) {
+			for _, carrierAt := range []clock.Millis{1500, 2002, 2003, 4000} {
+				for _, here := range []clock.Millis{1500, 1999, 2004, 4000} {
+					for id := range uint64(12) {
+						ran := make(map[string]bool)
+						learn := func(m *relay.Model, now, at clock.Millis) {
+							u := info(leaving)
+							u.Leaving, u.Sequence = true, 2
+							switch {
+							case at > now:
+							case removed:
+								m.Update(now, relay.UpstreamRemovedMsg{ID: leaving})
+							default:
+								m.Update(now, relay.UpstreamMsg{Upstream: u})
+							}
+						}
+						// gather plays attempts that fail, and returns the upstreams that got any.
+						gather := func(m *relay.Model, now, at clock.Millis, cmds []relay.Cmd, got map[string]bool) {
+							for ; len(cmds) > 0; now++ {
+								cmds = slices.Clone(cmds) // valid until the next Update
+								learn(m, now, at)
+								var next []relay.Cmd
+								for _, c := range cmds {
+									if s, ok := c.(relay.SendCmd); ok && strings.HasPrefix(s.Upstream, "s1") {
+										got[s.Upstream] = true
+										next = append(next, m.Update(now, relay.AttemptFailedMsg{Attempt: s.Attempt})...)
+									}
+								}
+								cmds = next
+							}
+						}
+						vc := newModel("vc", "c")
+						learn(vc, 1500, here)
+						learn(vc, 1999, here)
+						var delegate relay.DelegateCmd
+						for _, c := range vc.Update(2000, arrival(id+1)) {
+							if d, ok := c.(relay.DelegateCmd); ok {
+								delegate = d
+							}
+						}
+						carrier := newModel(delegate.To, strings.TrimPrefix(delegate.To, "v"))
+						learn(carrier, 1500, carrierAt)
+						for n := uint64(100); n < 110 && failing != ""; n++ {
+							got := make(map[string]bool)
+							msg := arrival(n)
+							msg.Delegation = &delegate.Delegation
+							cmds := slices.Clone(carrier.Update(1990, msg))
+							for _, c := range cmds {
+								if s, ok := c.(relay.SendCmd); ok && s.Upstream == failing {
+									got[failing] = true
+									carrier.Update(1991, relay.AttemptFailedMsg{Attempt: s.Attempt})
+								}
+							}
+							carrier.Update(1992, relay.CallerDisconnectedMsg{ID: n})
+							if got[failing] {
+								break
+							}
+						}
+						msg := arrival(delegate.Delegation.ID)
+						msg.Name, msg.Delegation = delegate.Delegation.Name, &delegate.Delegation
+						gather(carrier, 2002, carrierAt, carrier.Update(2001, msg), ran)
+						learn(vc, 2004, here)
+						gather(vc, 2006, here, vc.Update(2005, relay.PeerDisconnectedMsg{VM: delegate.To}), ran)
+						most = max(most, len(ran))
+						if len(ran) > maxAttempts {
+							t.Errorf("%s leaves (removed %t), known to the carrier at %d and here at %d, %q failed, request %d: got runs on %v, want at most %d",
+								leaving, removed, carrierAt, here, failing, id, ran, maxAttempts)
+						}
+					}
+				}
+			}
+		}
+	}
+	if most < maxAttempts {
+		t.Errorf("got runs on at most %d upstreams, want %d in some case", most, maxAttempts)
+	}
+}
--- a/relay/model.go
+++ b/relay/model.go
@@ -190,6 +190,7 @@
 		u.service.upstreams = append(u.service.upstreams, u)
 	}
 	if info.Leaving && !u.info.Leaving {
+		u.leavingAt = now
 		m.emit(EventCmd{Event: Event{Kind: "upstream_leaving", Upstream: info.ID, Detail: info.Service}})
 	}
 	m.departures.newestIncarnation = max(m.departures.newestIncarnation, info.Incarnation)
@@ -212,6 +213,7 @@
 		m.departures.record(now, u, era)
 		delete(m.upstreams, id)
 		m.detach(now, u)
+		u.service.addDeparted(now, u)
 		m.emit(EventCmd{Event: Event{Kind: "upstream_removed", Upstream: id, Detail: u.service.name}})
 	}
 }
--- a/relay/notice.go
+++ b/relay/notice.go
@@ -97,7 +97,7 @@
 	if u.info.Leaving {
 		return
 	}
-	u.info.Leaving = true
+	u.info.Leaving, u.leavingAt = true, m.now
 	u.service.upstreamsChanged()
 	m.emit(EventCmd{Event: Event{Kind: "upstream_leaving", Upstream: u.info.ID, Detail: u.service.name + " " + source}})
 }
--- a/relay/service.go
+++ b/relay/service.go
@@ -39,6 +39,7 @@
 	name      string
 	hash      uint64 // of the name
 	upstreams []*upstream
+	departed  []*upstream // removed lately, see rankedMs
 	queue     []*subrequest
 	budget    budget.Window
 	shares    shares // unless it is a shard
--- a/relay/upstream.go
+++ b/relay/upstream.go
@@ -71,6 +71,7 @@
 	avoidUntil     clock.Millis
 	holdUntil      clock.Millis // the upstream asked for no requests before this time
 	reportedAt     clock.Millis // when its last report arrived
+	leavingAt      clock.Millis // when this VM learned that it is leaving, or has left
 	coldUntil      clock.Millis
 	warming        warming
 	removed        bool
