Apply the pages of a new era as they are read

After a return of the store the new configuration waited until the last page of the list, and so did changes of the watch beside it.

Change: keys keep what is known of them until their page of the new era shows another value, and then take effect; so do changes of the watch beside the pass. Subscribers get the difference between both states at the end, as before. What was applied ahead of the position in the earlier era is published with it. Only revisions that go back without a new era still wait for the last page.

catalog.TestReturnBesideLargeEntries checks the configuration while pages of 60 ms to 20 s are read.

--- a/catalog/era.go
+++ b/catalog/era.go
@@ -35,7 +35,7 @@
 	returned := m.pos.revision > 0 || len(m.items) > 0
 	cmds = append(cmds, EraCmd{Era: era, Returned: returned})
 	if !returned {
-		m.pos.era = era
+		m.pos.era, m.itemsEra = era, era
 		return cmds
 	}
 	m.holdRemovalsUntil = max(m.holdRemovalsUntil, now+recoveryGraceMs)
@@ -82,9 +82,9 @@
 	return m.handleWatch(now, b, cmds)
 }
 
-// crossByList applies the state in a new era from a pass that is not stale, and publishes what
-// differs from the state before.
-func (m *Model) crossByList(now clock.Millis, p *pass, cmds []Cmd) []Cmd {
+// goBackByList applies the state after a return that shows no new era, from a pass that is not
+// stale, and publishes what differs from the state before.
+func (m *Model) goBackByList(now clock.Millis, p *pass, cmds []Cmd) []Cmd {
 	m.listedAt, m.current, m.confirmedAt = now, true, p.begunAt
 	u := newUpdate(m.pos, position{m.era, p.revision}, nil)
 	present, ahead := make(map[string]bool, len(p.items)), make(map[string]bool)
@@ -118,16 +118,28 @@
 // crossEra applies the difference between a state and one of a new era, and publishes it.
 // Keys that it does not name have the same value in both.
 func (m *Model) crossEra(now clock.Millis, u Update, cmds []Cmd) []Cmd {
-	m.needRelist, m.needFresh, m.historyLost, m.pass, m.ahead, m.nextCall = false, false, false, nil, nil, now
+	m.needRelist, m.needFresh, m.historyLost, m.pass, m.nextCall = false, false, false, nil, now
 	m.pos = u.to()
+	if u.crossesEras() {
+		m.enterItemsEra(u.Era)
+	}
+	// A page of the new era may have shown a later state.
+	news := slices.DeleteFunc(slices.Clone(u.Items), func(it store.Item) bool {
+		return u.crossesEras() && it.Revision < m.items[it.Key].revision
+	})
 	// The revisions of the new era are at most u.To; a later change has a higher one.
 	for key, k := range m.items {
-		m.items[key] = known{revision: u.To, hash: k.hash}
+		if u.crossesEras() {
+			k.revision = max(k.revision, u.To)
+		} else {
+			k.revision = u.To
+		}
+		m.items[key] = k
 	}
 	for key, r := range m.pendingRemovals {
 		m.pendingRemovals[key] = removal{revision: u.To, reportAt: r.reportAt}
 	}
-	for _, it := range u.Items {
+	for _, it := range news {
 		if it.Removed {
 			m.holdRemoval(now, it)
 			continue
@@ -136,6 +148,7 @@
 		_, existed := m.items[it.Key]
 		cmds = m.reportItem(it, !existed && it.Revision <= u.From, cmds)
 	}
+	m.ahead, m.republish = nil, make(map[string]bool)
 	if !u.crossesEras() {
 		// Subscribers cannot follow revisions that go back within an era.
 		return m.publish(Update{FromEra: m.era, Era: m.era, StoreLost: true}, cmds)
--- a/catalog/model.go
+++ b/catalog/model.go
@@ -102,7 +102,9 @@
 	pos           position         // what is known of the store; its era is behind era until a list or an update has caught up
 	callPos       position         // from which the outstanding watch continues
 	items         map[string]known // the keys reported as present
+	itemsEra      uint64           // of their revisions
 	ahead         []store.Item     // changes after pos that were applied and are not published with a position yet
+	republish     map[string]bool  // keys of which that is true in an earlier era than itemsEra
 
 	storeLost         bool
 	lossPublished     bool // the subscribers were told of the loss
@@ -122,7 +124,7 @@
 
 // known is what was last reported of a key.
 type known struct {
-	revision uint64 // in the era of Model.pos
+	revision uint64 // in Model.itemsEra; 0 if it is known from an earlier one
 	hash     uint64 // of the value
 }
 
@@ -174,7 +176,7 @@
 	m := &Model{
 		rng: rand.New(rand.NewPCG(seed, seed)), watchInterval: defaultWatchIntervalMs, needRelist: true,
 		superseded: func(string) bool { return false }, leased: func(string) bool { return false }, prefixes: []string{""},
-		items: make(map[string]known), pendingRemovals: make(map[string]removal),
+		items: make(map[string]known), republish: make(map[string]bool), pendingRemovals: make(map[string]removal),
 		subscription: subscription{backoffUntil: make(map[string]clock.Millis)}, subscribers: subscribers{byID: make(map[string]subscriber)},
 	}
 	for _, opt := range opts {
@@ -437,6 +439,9 @@
 	if m.pass != nil && it.Revision <= m.pass.removed[it.Key] {
 		return false
 	}
+	if m.pos.era < m.itemsEra {
+		return true
+	}
 	return listRevision >= m.pos.revision || it.Revision > m.pos.revision
 }
 
@@ -455,7 +460,7 @@
 // reportItem reports an item as present.
 func (m *Model) reportItem(it store.Item, returned bool, cmds []Cmd) []Cmd {
 	m.items[it.Key] = known{revision: it.Revision, hash: xxhash.Sum64(it.Value)}
-	return append(cmds, PutCmd{Item: it, Era: m.pos.era, Returned: returned})
+	return append(cmds, PutCmd{Item: it, Era: m.itemsEra, Returned: returned})
 }
 
 // holdRemoval records a removal; flushRemovals reports it once the hold has ended.
@@ -482,14 +487,14 @@
 	for _, key := range due {
 		delete(m.pendingRemovals, key)
 		delete(m.items, key)
-		cmds = append(cmds, DeleteCmd{Key: key, Era: m.pos.era})
+		cmds = append(cmds, DeleteCmd{Key: key, Era: m.itemsEra})
 	}
 	return cmds
 }
 
 // keepsRemovals reports whether no removal is reported for now: the store is not reached, or its
 // state in the newest era is not known.
-func (m *Model) keepsRemovals() bool { return m.storeLost || m.doubted || m.pos.era != m.era }
+func (m *Model) keepsRemovals() bool { return m.storeLost || m.doubted || m.itemsEra != m.era }
 
 // awaitsConfirmation reports whether the owner has asked for a call that has not begun yet.
 func (m *Model) awaitsConfirmation() bool { return m.confirmAt > m.confirmedAt }
--- a/catalog/pass.go
+++ b/catalog/pass.go
@@ -4,6 +4,8 @@
 	"slices"
 	"strings"
 
+	"github.com/cespare/xxhash/v2"
+
 	"lentillink.example/lentillink/clock"
 	"lentillink.example/lentillink/store"
 )
@@ -63,8 +65,9 @@
 	bytes    int
 	era      uint64       // of the pages
 	revision uint64       // lowest of the pages
-	crossing bool         // from an earlier era: applied as a whole, and a gap
-	items    []store.Item // of a crossing: those of the pages,
+	newEra   bool         // leads from an earlier era
+	goesBack bool         // its revisions are lower in the same era: applied as a whole
+	items    []store.Item // if it goes back: those of the pages,
 	changes  []store.Item // and the changes of watches
 
 	// Of a pass with a gap.
@@ -226,10 +229,12 @@
 	if p.pages == 1 {
 		// A list that is not stale is never older than what was known when it was asked for. So
 		// what is known is from before a return that showed no new era.
-		p.crossing = m.pos.era < m.era || !p.stale && b.Revision < p.from.revision && p.from.era == m.era
-		p.gap = p.gap || p.crossing
+		p.newEra = m.pos.era < m.era
+		p.goesBack = !p.newEra && !p.stale && b.Revision < p.from.revision && p.from.era == m.era
+		p.gap = p.gap || p.newEra || p.goesBack
+		m.enterItemsEra(p.era)
 	}
-	if p.crossing {
+	if p.goesBack {
 		p.items = append(p.items, b.Items...)
 	} else {
 		cmds = m.mergePage(now, msg, cmds)
@@ -266,7 +271,7 @@
 	var changed []store.Item
 	for _, it := range msg.Batch.Items {
 		present[it.Key] = true
-		if m.isNewer(it, msg.Batch.Revision) {
+		if m.isNewer(it, msg.Batch.Revision) && !m.isUnchanged(it) {
 			changed = append(changed, it)
 		}
 	}
@@ -277,22 +282,75 @@
 			absent = append(absent, key)
 		}
 	}
+	for key := range m.republish {
+		if _, ok := m.items[key]; !ok && !present[key] && msg.Page.covers(key, msg.Next) {
+			absent = append(absent, key)
+		}
+	}
 	slices.Sort(absent)
 	for _, key := range absent {
 		changed = append(changed, store.Item{Key: key, Revision: msg.Batch.Revision, Removed: true})
 	}
-	cmds = m.applyItems(now, changed, cmds)
+	for _, it := range changed {
+		_, existed := m.items[it.Key]
+		switch {
+		case it.Removed:
+			m.holdRemoval(now, it)
+		case m.pass.newEra:
+			delete(m.pendingRemovals, it.Key)
+			cmds = m.reportItem(it, !existed && it.Revision <= m.pos.revision, cmds)
+		default:
+			cmds = m.putItem(it, cmds)
+		}
+	}
 	return m.keepAhead(changed, cmds)
 }
 
+// enterItemsEra makes the known keys those of a new era. Their revisions there are not known yet.
+func (m *Model) enterItemsEra(era uint64) {
+	if m.itemsEra >= era {
+		return
+	}
+	m.itemsEra = era
+	for key, k := range m.items {
+		m.items[key] = known{hash: k.hash}
+	}
+	for key, r := range m.pendingRemovals {
+		m.pendingRemovals[key] = removal{reportAt: r.reportAt}
+	}
+	for _, it := range m.ahead {
+		m.republish[it.Key] = true
+	}
+	m.ahead = nil
+}
+
+// isAheadOfEra reports whether changes of an era before another one were applied that a difference
+// between the known position and the later era does not cover.
+func (m *Model) isAheadOfEra(era uint64) bool {
+	return len(m.republish) > 0 || m.itemsEra < era && len(m.ahead) > 0
+}
+
+// isUnchanged reports whether an item of a new era has the value that is known from an earlier
+// one, and records its revision.
+func (m *Model) isUnchanged(it store.Item) bool {
+	k, ok := m.items[it.Key]
+	_, pending := m.pendingRemovals[it.Key]
+	if !ok || pending || k.revision > 0 || k.hash != xxhash.Sum64(it.Value) || m.republish[it.Key] {
+		return false
+	}
+	m.items[it.Key] = known{revision: it.Revision, hash: k.hash}
+	return true
+}
+
 // keepAhead keeps changes that were applied although earlier ones may be missing. Subscribers get
-// those behind a gap at once, but stay at their position; the others come with a watch.
+// those behind a gap at once, but stay at their position; the others come with a watch. Those of a
+// new era they can apply only together.
 func (m *Model) keepAhead(items []store.Item, cmds []Cmd) []Cmd {
 	if m.pos.revision == 0 {
 		return cmds // there are no subscribers before the first pass has ended
 	}
 	m.ahead = append(m.ahead, items...)
-	if m.isBehindGap() && (len(items) > 0 || m.pass.watched) {
+	if m.isBehindGap() && !m.pass.newEra && (len(items) > 0 || m.pass.watched) {
 		return m.publish(newUpdate(m.pos, m.pos, items), cmds)
 	}
 	return cmds
@@ -313,7 +371,7 @@
 			p.removed[it.Key] = max(p.removed[it.Key], it.Revision)
 		}
 	}
-	if p.crossing {
+	if p.goesBack {
 		p.changes = append(p.changes, b.Items...)
 		return cmds
 	}
@@ -325,8 +383,8 @@
 func (m *Model) endPass(now clock.Millis, cmds []Cmd) []Cmd {
 	p := m.pass
 	m.pass = nil
-	if p.crossing {
-		cmds = m.crossByList(now, p, cmds)
+	if p.goesBack {
+		cmds = m.goBackByList(now, p, cmds)
 		m.confirmedAt = max(m.confirmedAt, p.confirmedAt)
 		return m.applyChanges(now, Update{Items: p.changes, To: p.position}, cmds)
 	}
@@ -347,9 +405,12 @@
 	}
 	from := m.pos
 	m.pos.revision = max(m.pos.revision, to)
+	if p.newEra {
+		m.pos = position{p.era, to}
+	}
 	u := newUpdate(from, m.pos, m.withoutSuperseded(m.ahead))
-	u.Listed = true
-	m.ahead = nil
+	u.Listed = !p.newEra
+	m.ahead, m.republish = nil, make(map[string]bool)
 	return m.publish(u, cmds)
 }
 
--- a/catalog/pass_test.go
+++ b/catalog/pass_test.go
@@ -404,9 +404,19 @@
 					v.lists, v.lost = 0, 0
 				}
 				g.restore(copied)
-				for end := g.now + w.passMs() + 5000; g.now < end; {
+				// Subscribers wait 3 s for their publisher before they read the list.
+				begin, written := g.now, make(map[clock.Millis]uint64)
+				for g.now < begin+w.passMs()+5000 {
 					g.advance(500)
+					if want := written[g.now-changeBoundMs]; g.now > begin+3000+2*changeBoundMs {
+						for _, v := range g.vms {
+							if got := v.known["config"]; got < want {
+								t.Errorf("%s at %d: got revision %d of the configuration, want %d", v.id, g.now, got, want)
+							}
+						}
+					}
 					g.change("config")
+					written[g.now] = g.revision()
 					g.change("up2")
 				}
 				g.remove("up3")
--- a/catalog/subscription.go
+++ b/catalog/subscription.go
@@ -215,7 +215,7 @@
 	sub.lastUpdateAt = now
 	cmds = m.storeReached(now, cmds)
 	u.Items = m.withoutOthers(u.Items)
-	if !u.follows(m.pos) {
+	if !u.follows(m.pos) || u.crossesEras() && m.isAheadOfEra(u.Era) {
 		// Changes that precede the update are missing here, or it may lack the removal of a
 		// key that is known here. The update is not applied, so that all later updates show
 		// the gap too, until a list has closed it.
