Do not take the store for lost while it cuts watches and sends pages

A VM that starts in a new era waits for 4 s of reads without a gap.

Cause: two watches that failed in a row, without a page between them, were the loss of the store, also if both had been cut at once while the next page was on its way. Each page of a pass brought a watch and its probe, so a pass of three pages that take 40 ms lost the store, and each loss began the wait again.

Change: a watch beside an outstanding page that ends before its time is tried again after a backoff. While a page arrives, such a watch is no reason for doubt at all: if the page stops, its call fails within 1 s.

--- a/catalog/cut_watch_test.go
+++ b/catalog/cut_watch_test.go
@@ -77,6 +77,44 @@
 	}
 }
 
+// TestCutWatchesBesidePass guards against a store that counts as lost, and calls without pause,
+// while it cuts each watch and answers the pages of a long list: a VM that starts in a new era
+// would wait anew with each loss.
+func TestCutWatchesBesidePass(t *testing.T) {
+	const periodMs = 8 * clock.Second
+	for _, w := range append([]otherWriter{{entries: 3, firstByteMs: 40}, {entries: 400, firstByteMs: 20}}, slowPages...) {
+		if w.firstByteMs > clock.Second {
+			continue // the store answers nothing meanwhile
+		}
+		for _, after := range []clock.Millis{1, 50} {
+			t.Run(fmt.Sprintf("%s, cut after %d ms", w, after), func(t *testing.T) {
+				for offset := clock.Millis(0); offset < 2400; offset += 170 {
+					g := newCluster(1)
+					v := g.vms[0]
+					g.change("upstream")
+					g.advance(5000)
+					g.others, g.cuts = w, cutWatches{after: after}
+					g.advance(offset)
+					if offset%2 == 0 {
+						g.restart(v)
+					}
+					v.lost, v.lists, v.pages, g.calls = 0, 0, 0, 0
+					g.advance(periodMs)
+					if v.lost > 0 {
+						t.Errorf("%d ms: got %d reports that the store is lost, want none", offset, v.lost)
+					}
+					if got, limit := g.calls-v.pages, 2*int(periodMs/minCutRetryMs)+2*v.lists; got > limit {
+						t.Errorf("%d ms: got %d watches beside %d pages, want at most %d", offset, got, v.pages, limit)
+					}
+				}
+			})
+		}
+	}
+}
+
+// minCutRetryMs is the least time between two watches that were cut and the probes after them.
+const minCutRetryMs clock.Millis = 125
+
 // TestOutageAfterCutWatches guards against upstreams that are dropped because the store is
 // believed to be there, after it has cut watches and then was down while their entries expired.
 func TestOutageAfterCutWatches(t *testing.T) {
--- a/catalog/model.go
+++ b/catalog/model.go
@@ -289,22 +289,28 @@
 	if kind == store.KindConflict || kind == store.KindTooLarge {
 		return m.endHistory(now, cmds)
 	}
+	ended := now < m.begunAt+m.waitMs+m.slackMs // cut, or refused
+	if p := m.pass; p != nil && p.arriving && ended {
+		m.nextCall = now + m.backOff()
+		return cmds
+	}
 	first := !m.doubted
 	m.doubted = true
-	if m.pass != nil && now >= m.begunAt+m.waitMs+m.slackMs {
+	if m.pass != nil && !ended {
 		m.pass.watchUnanswered()
 	}
 	switch p := m.pass; {
 	case first && (p != nil || failed == phaseWatching):
 		m.probe, m.nextCall = true, now
-		if p == nil && now < m.begunAt+m.waitMs { // cut
+		if p == nil && now < m.begunAt+m.waitMs {
 			m.resumeAt = m.begunAt + m.callInterval()
 		}
 		return cmds
-	case p != nil && p.calls > 0 && !p.probedByWatch(): // the page shows whether the store is reachable
+	case p != nil && p.calls > 0 && (!p.probedByWatch() || ended && now < m.contactAt+minOutageMs):
+		// The page shows whether the store is reachable.
 		m.nextCall = now + m.backOff()
 		return cmds
-	case p == nil && now < m.begunAt+m.waitMs+m.slackMs: // cut too, or refused
+	case p == nil && ended:
 		m.probe, m.needRelist, m.needFresh, m.nextCall = false, true, true, now
 		return cmds
 	}
