--- a/catalog/era.go
+++ b/catalog/era.go
@@ -41,7 +41,7 @@
 	m.holdRemovalsUntil = max(m.holdRemovalsUntil, now+recoveryGraceMs)
 	m.holdLeasedUntil = now + leasedGraceMs
 	if m.pass != nil && m.pass.pages > 0 {
-		m.pass = nil // its pages are of the earlier era
+		cmds = m.leavePass(now, false, cmds) // its pages are of the earlier era
 	}
 	m.listAfresh(now)
 	return cmds
@@ -118,7 +118,8 @@
 // crossEra applies the difference between a state and one of a new era, and publishes it.
 // Keys that it does not name have the same value in both.
 func (m *Model) crossEra(now clock.Millis, u Update, cmds []Cmd) []Cmd {
-	m.needRelist, m.needFresh, m.historyLost, m.pass, m.nextCall = false, false, false, nil, now
+	m.needRelist, m.needFresh, m.historyLost, m.nextCall = false, false, false, now
+	cmds = m.leavePass(now, false, cmds)
 	m.pos = u.to()
 	if u.crossesEras() {
 		m.enterItemsEra(u.Era)
--- a/catalog/message.go
+++ b/catalog/message.go
@@ -127,6 +127,13 @@
 	Kind      store.Kind // cause of the loss
 }
 
+// ListReadCmd reports that the list was read, or that its reading has ended early.
+type ListReadCmd struct {
+	Pages      int
+	DurationMs clock.Millis
+	Complete   bool
+}
+
 // SubscribeCmd sends a subscription, or its renewal, to a publisher.
 type SubscribeCmd struct {
 	To        string
@@ -149,6 +156,7 @@
 func (DeleteCmd) catalogCmd()      {}
 func (EraCmd) catalogCmd()         {}
 func (StoreStatusCmd) catalogCmd() {}
+func (ListReadCmd) catalogCmd()    {}
 func (SubscribeCmd) catalogCmd()   {}
 func (PublishCmd) catalogCmd()     {}
 func (PublisherCmd) catalogCmd()   {}
--- a/catalog/model.go
+++ b/catalog/model.go
@@ -330,7 +330,7 @@
 	case again && m.isBehindGap(): // a pass that began again each time would never end
 		p.unwatched = true
 	default:
-		m.pass = nil
+		cmds = m.leavePass(now, false, cmds)
 		if again {
 			m.nextCall = max(now, m.listedAt+m.callInterval())
 		}
--- a/catalog/pass.go
+++ b/catalog/pass.go
@@ -100,6 +100,16 @@
 	}
 }
 
+// leavePass ends the pass, if there is one.
+func (m *Model) leavePass(now clock.Millis, complete bool, cmds []Cmd) []Cmd {
+	p := m.pass
+	if p == nil {
+		return cmds
+	}
+	m.pass = nil
+	return append(cmds, ListReadCmd{Pages: p.pages, DurationMs: now - p.begunAt, Complete: complete})
+}
+
 // awaits reports whether a call is for the page that is read.
 func (p *pass) awaits(m *Model, c ListCmd) bool {
 	return p != nil && c.Pass == p.id && c.Prefix == m.prefixes[p.prefix] && c.After == p.after && c.AllowStale == p.stale
@@ -209,13 +219,12 @@
 	case p == nil:
 		return cmds
 	case b.Era < m.era || p.pages > 0 && b.Era != p.era:
-		m.pass, m.needRelist, m.needFresh = nil, true, true
+		m.needRelist, m.needFresh = true, true
 		m.scheduleCall(now)
-		return cmds
+		return m.leavePass(now, false, cmds)
 	case m.pos.era < m.era && p.stale:
-		m.pass = nil
 		m.listAfresh(now)
-		return cmds
+		return m.leavePass(now, false, cmds)
 	case p.stale && p.watched && b.Revision < p.since:
 		// Changes between the page and the beginning of the watch would never be seen.
 		p.stale, p.calls, p.arriving, p.retryAt = false, 0, false, now
@@ -223,7 +232,7 @@
 	}
 	p.add(now, b)
 	if p.bytes > maxPassBytes {
-		m.pass = nil
+		cmds = m.leavePass(now, false, cmds)
 		return m.lose(now, store.KindTooLarge, cmds)
 	}
 	if p.pages == 1 {
@@ -382,7 +391,7 @@
 // endPass ends the pass after its last page.
 func (m *Model) endPass(now clock.Millis, cmds []Cmd) []Cmd {
 	p := m.pass
-	m.pass = nil
+	cmds = m.leavePass(now, true, cmds)
 	if p.goesBack {
 		cmds = m.goBackByList(now, p, cmds)
 		m.confirmedAt = max(m.confirmedAt, p.confirmedAt)
--- a/catalog/subscription.go
+++ b/catalog/subscription.go
@@ -228,7 +228,7 @@
 		return cmds
 	}
 	if m.needRelist {
-		m.pass = nil // what it was to show is known now
+		cmds = m.leavePass(now, false, cmds) // what it was to show is known now
 	}
 	m.needRelist, m.historyLost, m.catchUp, m.backoff, m.current = false, false, false, 0, true
 	// Changes up to the known revision were applied before, or a removal followed them.
--- a/cmd/lentillinkd/gateway.go
+++ b/cmd/lentillinkd/gateway.go
@@ -34,7 +34,7 @@
 func runGateway(path string) int {
 	s, err := settings.LoadGateway(path)
 	if err != nil {
-		_ = log.NewLogfmtLogger(os.Stdout).Log("event", "settings_refused", "file", path, "err", err)
+		_ = log.With(log.NewLogfmtLogger(os.Stdout), "ts", log.DefaultTimestampUTC).Log("event", "settings_refused", "file", path, "err", err)
 		return exitUsage
 	}
 	out := gateway.NewLogWriter(os.Stdout)
@@ -55,7 +55,7 @@
 	// SIGHUP is registered before any slow step, because its default action ends the process.
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
-	logger = log.With(logger, "vm", s.VM, "data_centre", s.DataCentre)
+	logger = log.With(logger, "ts", log.DefaultTimestampUTC, "vm", s.VM, "data_centre", s.DataCentre)
 	st := platform.NewStore(s.Store)
 	defer st.Close()
 	g := gateway.New(
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -310,6 +310,8 @@
 			g.addChange(ioCtx, change{item: store.Item{Key: c.Key, Removed: true}, era: c.Era})
 		case catalog.EraCmd:
 			g.enterEra(ioCtx, c)
+		case catalog.ListReadCmd:
+			_ = g.logger.Log("event", "store_list_read", "complete", c.Complete, "pages", c.Pages, "duration_ms", c.DurationMs)
 		case catalog.StoreStatusCmd:
 			_ = g.logger.Log("event", "store_contact", "reached", c.Reachable, "cause", c.Kind)
 			if c.Reachable {
