Count the wait for an era from the first contact in it, not from the end of a long list

Trace: they read the list once, for 8.4 to 9.6 s, and then waited 3 to 4 s for the era (start_waits until start_continues), although the store had been reached throughout.

Cause: the guard of eras counted time between reads that show all changes. The first such read of a VM that starts is the last watch beside its pass.

Change: the catalog says since when the store was reached without a gap in the newest era, and the guard counts from there. A loss, a pause and another era begin it again.

--- a/catalog/era.go
+++ b/catalog/era.go
@@ -31,7 +31,7 @@
 	if era <= m.era {
 		return cmds
 	}
-	m.era = era
+	m.era, m.contactSince = era, now
 	returned := m.pos.revision > 0 || len(m.items) > 0
 	cmds = append(cmds, EraCmd{Era: era, Returned: returned})
 	if !returned {
--- a/catalog/model.go
+++ b/catalog/model.go
@@ -110,6 +110,7 @@
 	lossPublished     bool // the subscribers were told of the loss
 	contacted         bool
 	contactAt         clock.Millis       // last contact of this VM or its publisher with the store
+	contactSince      clock.Millis       // see ContactSince
 	doubted           bool               // a call has failed since
 	probe             bool               // the next call is a probe
 	historyEnded      bool               // since the last watch that succeeded
@@ -221,6 +222,7 @@
 		if m.pass != nil {
 			m.pass.expedite(now)
 		}
+		m.contactSince = now
 		if !m.doubted {
 			m.contactAt = now // it was this VM that stood still, not the store
 		}
@@ -270,6 +272,7 @@
 		}
 	}
 	if outage || m.storeLost || !m.contacted {
+		m.contactSince = now
 		cmds = append(cmds, StoreStatusCmd{Reachable: true})
 	}
 	if m.doubted && m.pass != nil {
--- a/catalog/query.go
+++ b/catalog/query.go
@@ -11,6 +11,10 @@
 // beginning, in the newest era at its end; 0 if none has.
 func (m *Model) ConfirmedAt() clock.Millis { return m.confirmedAt }
 
+// ContactSince returns since when this VM or its publisher has reached the store without a gap in
+// the newest era; 0 if it has not yet.
+func (m *Model) ContactSince() clock.Millis { return m.contactSince }
+
 // Era returns the newest era of the store that is known, or 0.
 func (m *Model) Era() uint64 { return m.era }
 
--- a/era/guard.go
+++ b/era/guard.go
@@ -39,7 +39,8 @@
 	record    Record
 	readAt    clock.Millis // beginning of the last read
 	inContact bool         // no gap since readAt
-	coveredMs clock.Millis // time between reads without a gap, in this era
+	gapAt     clock.Millis // end of the last gap, or of the era before, at the earliest
+	coveredMs clock.Millis // time without a gap in this era up to reads
 	stored    Facts        // in the store
 	known     Facts        // highest that were ever read
 	vms       map[string]Facts
@@ -59,12 +60,12 @@
 	switch m := msg.(type) {
 	case NewestMsg:
 		if m.Era > g.era {
-			g.era, g.coveredMs, g.inContact, g.writeAt = m.Era, 0, false, 0
+			g.era, g.coveredMs, g.inContact, g.gapAt, g.writeAt = m.Era, 0, false, now, 0
 		}
 	case ReadMsg:
-		g.recordRead(m.BegunAt)
+		g.recordRead(m)
 	case LostMsg:
-		g.inContact = false
+		g.inContact, g.gapAt = false, now
 	case ConfigMsg:
 		g.stored.ConfigVersion = m.Version
 	case PresetMsg:
@@ -89,14 +90,19 @@
 	return g.write(now)
 }
 
-func (g *Guard) recordRead(begunAt clock.Millis) {
-	if begunAt <= g.readAt {
+func (g *Guard) recordRead(m ReadMsg) {
+	if m.BegunAt <= g.readAt {
 		return
 	}
-	if g.inContact {
-		g.coveredMs += begunAt - g.readAt
+	from := m.BegunAt
+	switch {
+	case g.inContact:
+		from = g.readAt
+	case m.ContactSince > 0:
+		from = min(max(m.ContactSince, g.gapAt), m.BegunAt)
 	}
-	g.readAt, g.inContact = begunAt, true
+	g.coveredMs += m.BegunAt - from
+	g.readAt, g.inContact = m.BegunAt, true
 }
 
 // write starts the write of the record when it is due.
--- a/era/guard_test.go
+++ b/era/guard_test.go
@@ -50,6 +50,11 @@
 		{"gap in the reads", [][]step{{{1000, era.NewestMsg{Era: 2}}, {1000, config(3)}}, reads(1000, 3000), {{3100, era.LostMsg{}}}, reads(9000, 10_500)}, era.WaitEra},
 		{"long enough around a gap", [][]step{{{1000, era.NewestMsg{Era: 2}}, {1000, config(3)}}, reads(1000, 3000), {{3100, era.LostMsg{}}}, reads(9000, 11_000)}, era.WaitNone},
 		{"a read that began before the gap", [][]step{{{1000, era.NewestMsg{Era: 2}}}, reads(1000, 3000), {{3100, era.LostMsg{}}, {9000, era.ReadMsg{BegunAt: 3000}}}, reads(9000, 10_500)}, era.WaitEra},
+		{"long list", [][]step{{{1000, era.NewestMsg{Era: 2}}, {9000, era.ReadMsg{BegunAt: 5000, ContactSince: 1000}}}}, era.WaitNone},
+		{"short list", [][]step{{{1000, era.NewestMsg{Era: 2}}, {9000, era.ReadMsg{BegunAt: 4900, ContactSince: 1000}}}}, era.WaitEra},
+		{"gap in a long list", [][]step{{{1000, era.NewestMsg{Era: 2}}, {3000, era.LostMsg{}}, {9000, era.ReadMsg{BegunAt: 6900, ContactSince: 1000}}}}, era.WaitEra},
+		{"return in a long list", [][]step{{{1000, era.NewestMsg{Era: 2}}, {3000, era.NewestMsg{Era: 3}}, {9000, era.ReadMsg{BegunAt: 6900, ContactSince: 1000}}}}, era.WaitEra},
+		{"read from before the contact", [][]step{{{1000, era.NewestMsg{Era: 2}}, {9000, era.ReadMsg{BegunAt: 900, ContactSince: 1000}}}, reads(1000, 4500), {{4900, era.ReadMsg{BegunAt: 4900}}}}, era.WaitNone},
 		{"second return", [][]step{{{1000, era.NewestMsg{Era: 2}}}, reads(1000, 4500), {{4600, era.NewestMsg{Era: 3}}}, reads(5000, 8500)}, era.WaitEra},
 		{"return after the record", [][]step{{{1000, era.NewestMsg{Era: 2}}, record(2), {4600, era.NewestMsg{Era: 3}}}, reads(5000, 5000)}, era.WaitEra},
 		{"large fleet", [][]step{{{1000, era.NewestMsg{Era: 2}}, {1000, era.RecordMsg{Record: era.Record{Era: 1, VMs: 1600}}}}, reads(1000, 9000)}, era.WaitEra},
@@ -82,7 +87,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		g := era.New(1)
 		now, newest, recorded := clock.Millis(1000), uint64(1), uint64(0)
-		readSince, lastRead := clock.Millis(0), clock.Millis(0)
+		readSince, lastRead, gapAt := clock.Millis(0), clock.Millis(0), now
 		g.Update(now, era.NewestMsg{Era: newest})
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			now += clock.Millis(rapid.IntRange(1, 1500).Draw(t, "ms"))
@@ -90,17 +95,20 @@
 			case 0:
 				newest++
 				g.Update(now, era.NewestMsg{Era: newest})
-				readSince, lastRead = 0, 0
+				readSince, lastRead, gapAt = 0, 0, now
 			case 1:
 				g.Update(now, era.LostMsg{})
-				lastRead = 0
+				lastRead, gapAt = 0, now
 			case 2:
 				recorded = rapid.Uint64Range(0, newest+1).Draw(t, "record")
 				g.Update(now, era.RecordMsg{Record: era.Record{Era: recorded}})
 			default:
-				g.Update(now, era.ReadMsg{BegunAt: now})
+				since := clock.Millis(rapid.IntRange(0, int(now)).Draw(t, "contact since"))
+				g.Update(now, era.ReadMsg{BegunAt: now, ContactSince: since})
 				if lastRead > 0 {
 					readSince += now - lastRead
+				} else if since > 0 {
+					readSince += now - max(since, gapAt)
 				}
 				lastRead = now
 			}
--- a/era/message.go
+++ b/era/message.go
@@ -9,7 +9,12 @@
 type NewestMsg struct{ Era uint64 }
 
 // ReadMsg reports a read that shows all changes up to its beginning, in the newest era.
-type ReadMsg struct{ BegunAt clock.Millis }
+type ReadMsg struct {
+	BegunAt clock.Millis
+	// ContactSince is since when the store was reached in that era without a gap; 0 if only at
+	// the read.
+	ContactSince clock.Millis
+}
 
 // LostMsg reports that a store call failed, or that the VM was paused. What happened in the
 // store since the last read is unknown.
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -321,7 +321,7 @@
 			}
 		}
 	}
-	g.stepEra(ioCtx, era.ReadMsg{BegunAt: g.catalog.ConfirmedAt()})
+	g.stepEra(ioCtx, era.ReadMsg{BegunAt: g.catalog.ConfirmedAt(), ContactSince: g.catalog.ContactSince()})
 	if g.mayApply() {
 		g.applyItems(ioCtx)
 	} else {
