Wait in TestMeshManyStreams until a stream is served before its connection closes

The test was wrong, not the code. Now each stream carries a message before its connection closes, and must then report its end.

--- a/peer/endless_test.go
+++ b/peer/endless_test.go
@@ -126,13 +126,27 @@
 	for range 3 {
 		var conns []net.Conn
 		open := 0
-		for range 3 * most {
+		openStream := func() {
 			nc, s := openRaw(t, b, "vm-odd")
 			conns = append(conns, nc)
-			if _, err := s.Recv(); err == nil {
-				open++
+			if _, err := s.Recv(); err != nil {
+				return
+			}
+			open++
+			// Until the stream is served its end is not reported.
+			if err := s.Send(&peerpb.Envelope{Body: &peerpb.Envelope_Fleet{Fleet: []byte("hi")}}); err != nil {
+				t.Fatal(err)
+			}
+			if got, want := await(t, b.recorder.received, "message on a stream"), "vm-odd:hi"; got != want {
+				t.Errorf("got message %s, want %s", got, want)
 			}
 		}
+		for deadline := time.Now().Add(waitLimit); open < most && time.Now().Before(deadline); {
+			openStream() // refused until the earlier ones are no longer counted
+		}
+		for range 3 * most {
+			openStream()
+		}
 		if open != most {
 			t.Errorf("got %d streams of one VM, want %d", open, most)
 		}
@@ -142,6 +156,5 @@
 		for range open {
 			await(t, b.recorder.disconnected, "end of a stream")
 		}
-		time.Sleep(50 * time.Millisecond) // until the last one is no longer counted
 	}
 }
