--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -4,6 +4,7 @@
 	"net/http"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"lentillink.example/lentillink/relay"
@@ -77,7 +78,7 @@
 		m.registry.MustRegister(g)
 		return g
 	}
-	m.registry.MustRegister(m.requests, m.duration, m.loopStep, m.events, m.credit, m.placing)
+	m.registry.MustRegister(collectors.NewGoCollector(), m.requests, m.duration, m.loopStep, m.events, m.credit, m.placing)
 	m.lateAnswers = counter("late_answers_total", "Answers after the target of their route.")
 	m.overShare = counter("over_share_total", "Queries that were refused before the fan-out, of customers above their share.")
 	m.missingShards = counter("missing_parts_total", "Shards that were left out of gathered answers.")
