Bound the updates that wait to be sent to a VM by their bytes

A VM that does not read, being paused or cut off, had up to 8,192 updates queued for it at the publisher, of up to 1 MB each, since their number alone was bounded. Now updates that are not sent yet take at most 4 MB a peer; a larger one waits alone. What does not fit is reported as unsent, and the subscriber closes the gap with a watch, as for each update that it missed.

peer.TestMeshQueuedUpdates: 64 of 64 updates of 1 MB queued before, plain and compressed; now at most 4.

--- a/catalog/publish.go
+++ b/catalog/publish.go
@@ -38,6 +38,15 @@
 // PeerBody marks Update as the body of a message between VMs.
 func (Update) PeerBody() {}
 
+// Bytes returns the size of the keys and values.
+func (u Update) Bytes() int {
+	n := 0
+	for _, it := range u.Items {
+		n += len(it.Key) + len(it.Value)
+	}
+	return n
+}
+
 // subscribers holds the VMs that subscribe to this one, and the updates kept for them.
 type subscribers struct {
 	byID   map[string]subscriber
@@ -50,17 +59,9 @@
 	bytes int // of its keys and values
 }
 
-func newRecentUpdate(u Update) recentUpdate {
-	r := recentUpdate{Update: u}
-	for _, it := range u.Items {
-		r.bytes += len(it.Key) + len(it.Value)
-	}
-	return r
-}
-
 // keep adds an update to the recent ones, and drops the oldest beyond the bounds.
 func (s *subscribers) keep(u Update) {
-	s.recent = append(s.recent, newRecentUpdate(u))
+	s.recent = append(s.recent, recentUpdate{Update: u, bytes: u.Bytes()})
 	from, size := len(s.recent), 0
 	for from > 0 && len(s.recent)-from < maxRecentUpdates && size+s.recent[from-1].bytes <= maxRecentBytes {
 		from--
--- a/peer/link.go
+++ b/peer/link.go
@@ -1,14 +1,31 @@
 package peer
 
 import (
+	"lentillink.example/lentillink/catalog"
 	"lentillink.example/lentillink/clock"
 	"lentillink.example/lentillink/vm"
 )
 
+// maxQueuedUpdateBytes bounds the updates of the catalog that wait to be sent to one peer: their
+// values come from the store. A peer that misses one reads the store itself.
+const maxQueuedUpdateBytes = 4 << 20
+
 // queuedMsg is a message that waits to be sent.
 type queuedMsg struct {
 	stamp clock.Timestamp
 	body  vm.PeerBody
+	bytes int // of an update
+}
+
+// updateBytes returns the size of a message if it is an update of the catalog, else 0.
+func updateBytes(body vm.PeerBody) int {
+	switch b := body.(type) {
+	case compressedUpdate:
+		return len(b.update.GetCompressed())
+	case catalog.Update:
+		return b.Bytes()
+	}
+	return 0
 }
 
 // link is the queue of messages to one peer. The lock of the Mesh guards it and
@@ -18,6 +35,7 @@
 	peer     string
 	maxLen   int
 	queue    []queuedMsg
+	bytes    int           // of the updates that are not sent yet
 	nonEmpty chan struct{} // holds a token while the queue may have messages
 	closed   bool
 }
@@ -28,9 +46,11 @@
 
 // enqueue adds a message. It returns false if the queue is full or closed.
 func (l *link) enqueue(msg queuedMsg) bool {
-	if l.closed || len(l.queue) >= l.maxLen {
+	msg.bytes = updateBytes(msg.body)
+	if l.closed || len(l.queue) >= l.maxLen || l.bytes > 0 && l.bytes+msg.bytes > maxQueuedUpdateBytes && msg.bytes > 0 {
 		return false
 	}
+	l.bytes += msg.bytes
 	l.queue = append(l.queue, msg)
 	select {
 	case l.nonEmpty <- struct{}{}:
@@ -39,7 +59,10 @@
 	return true
 }
 
-// takeAll removes and returns all queued messages.
+// sent records that a message has left this VM.
+func (l *link) sent(msg queuedMsg) { l.bytes -= msg.bytes }
+
+// takeAll removes and returns all queued messages. Their updates count until they are sent.
 func (l *link) takeAll() []queuedMsg {
 	out := l.queue
 	l.queue = nil
--- a/peer/stream.go
+++ b/peer/stream.go
@@ -254,6 +254,11 @@
 			m.reportUnsent(l.peer, batch[i+1:])
 			return wrap("send", KindStream, err)
 		}
+		if msg.bytes > 0 {
+			m.mu.Lock()
+			l.sent(msg)
+			m.mu.Unlock()
+		}
 	}
 	if !canFlush {
 		return nil
--- a/peer/update_test.go
+++ b/peer/update_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"compress/flate"
 	"fmt"
+	"math/rand/v2"
+	"net"
 	"reflect"
 	"runtime"
 	"strings"
@@ -112,3 +114,53 @@
 		}
 	}
 }
+
+// TestMeshQueuedUpdates guards against a VM that runs out of memory because of large values of
+// the store that it publishes, while a subscriber does not read.
+func TestMeshQueuedUpdates(t *testing.T) {
+	const updates, valueBytes, most = 64, 1 << 20, 4
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = lis.Close() })
+	a := startVM(t, "vm-a")
+	random := make([]byte, valueBytes) // not to be compressed
+	_, _ = rand.NewChaCha8([32]byte{}).Read(random)
+	update := func(to uint64) catalog.Update {
+		return catalog.Update{From: to - 1, To: to, Items: []store.Item{{Key: "op/config", Value: random, Revision: to}}}
+	}
+	for name, body := range map[string]func(uint64) vm.PeerBody{
+		"plain":      func(to uint64) vm.PeerBody { return update(to) },
+		"compressed": func(to uint64) vm.PeerBody { return peer.Compress(update(to)) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			queued := 0
+			for to := range uint64(updates) {
+				if a.mesh.TrySend(name, lis.Addr().String(), clock.Timestamp{}, body(to+1)) {
+					queued++
+				}
+			}
+			if queued == 0 || queued > most {
+				t.Errorf("got %d updates of 1 MB queued, want 1 to %d", queued, most)
+			}
+			if !a.mesh.TrySend(name, "", clock.Timestamp{}, vm.FleetMessage{Payload: []byte("hi")}) {
+				t.Error("got a small message refused, want it queued")
+			}
+		})
+	}
+}
+
+// TestMeshSendsUpdates guards against a peer that gets no more updates after as many as may be
+// queued at once.
+func TestMeshSendsUpdates(t *testing.T) {
+	a, b := startVM(t, "vm-a"), startVM(t, "vm-b")
+	value := make([]byte, 1<<20)
+	for to := range uint64(20) {
+		u := catalog.Update{From: to, To: to + 1, Items: []store.Item{{Key: "op/config", Value: value, Revision: to + 1}}}
+		if !a.mesh.TrySend("vm-b", b.addr, clock.Timestamp{}, u) {
+			t.Fatalf("update %d is refused", to+1)
+		}
+		await(t, b.recorder.received, "update")
+	}
+}
