Read the operators' keys again beside a list that no watch can follow

Cause: a pass whose history ended twice went on without a watch. On a running VM a configuration, an evacuation or its end that was written after the page of op/ took effect with the next pass only. Other writers can bring that about: more than 8 MB of values between two watches do not fit a reply.

Change: beside such a pass the first prefix is read again every 0.8 s, on a connection of its own; its pages are contact. Changes that wait for the end of a pass are kept without those that a later one supersedes.

catalog.TestChangesWithoutHistory, on a virtual clock: without the change the configuration was missing after 3 s in each round but some, with 20 pages of 0.9 s and with 200 of 0.4 s; now none is.

--- a/catalog/message.go
+++ b/catalog/message.go
@@ -87,6 +87,7 @@
 	Prefix     string
 	After      string // key after which the page begins; "" for the first of the prefix
 	AllowStale bool
+	Refresh    uint64       // number of a call beside those for the pages in turn; 0 for one of these
 	TimeoutMs  clock.Millis // to the first byte of the reply
 }
 
--- a/catalog/model.go
+++ b/catalog/model.go
@@ -156,7 +156,8 @@
 }
 
 // WithPrefixes sets the prefixes of the keys to read, in the order in which a list reads them;
-// none may begin with another. By default all keys are read.
+// none may begin with another. The first is read again and again during a list that no watch can
+// follow, so it should have few keys. By default all keys are read.
 func WithPrefixes(prefixes ...string) Option {
 	return func(m *Model) {
 		if len(prefixes) > 0 {
@@ -546,6 +547,7 @@
 		m.beginPass(now)
 	}
 	cmds = m.askPage(now, cmds)
+	cmds = m.askRefresh(now, cmds)
 	if !due() {
 		return cmds
 	}
--- a/catalog/pass.go
+++ b/catalog/pass.go
@@ -86,6 +86,8 @@
 	timeoutMs clock.Millis
 	longestMs clock.Millis // time that a page has taken
 
+	refresh refresh
+
 	watchSlackMs clock.Millis
 	watchedAt    clock.Millis // beginning of the last watch that was answered
 	watchReplyMs clock.Millis // time for replies beyond the wait; falls slowly
@@ -112,7 +114,7 @@
 
 // awaits reports whether a call is for the page that is read.
 func (p *pass) awaits(m *Model, c ListCmd) bool {
-	return p != nil && c.Pass == p.id && c.Prefix == m.prefixes[p.prefix] && c.After == p.after && c.AllowStale == p.stale
+	return p != nil && c.Refresh == 0 && c.Pass == p.id && c.Prefix == m.prefixes[p.prefix] && c.After == p.after && c.AllowStale == p.stale
 }
 
 // covers reports whether a page that ends at a key, or with its prefix, would show a key.
@@ -205,7 +207,10 @@
 func (m *Model) handlePage(now clock.Millis, msg ListedMsg, cmds []Cmd) []Cmd {
 	awaited := m.pass.awaits(m, msg.Page)
 	cmds = m.storeReached(now, cmds)
-	if !awaited {
+	switch {
+	case m.pass.awaitsRefresh(msg.Page):
+		return m.handleRefresh(now, msg, cmds)
+	case !awaited:
 		return cmds
 	}
 	b := msg.Batch
@@ -358,7 +363,7 @@
 	if m.pos.revision == 0 {
 		return cmds // there are no subscribers before the first pass has ended
 	}
-	m.ahead = append(m.ahead, items...)
+	m.ahead = m.withoutSuperseded(append(m.ahead, items...))
 	if m.isBehindGap() && !m.pass.newEra && (len(items) > 0 || m.pass.watched) {
 		return m.publish(newUpdate(m.pos, m.pos, items), cmds)
 	}
@@ -427,7 +432,10 @@
 // stay read.
 func (m *Model) pageFailed(now clock.Millis, c ListCmd, kind store.Kind, cmds []Cmd) []Cmd {
 	p := m.pass
-	if !p.awaits(m, c) {
+	switch {
+	case p.awaitsRefresh(c):
+		return m.refreshFailed(now, kind, cmds)
+	case !p.awaits(m, c):
 		return cmds
 	}
 	if c.TimeoutMs == p.timeoutMs {
--- a/catalog/pass_test.go
+++ b/catalog/pass_test.go
@@ -526,3 +526,47 @@
 		}
 	}
 }
+
+// TestChangesWithoutHistory guards against a configuration that waits for the end of a long list
+// on a running VM, because no watch can follow the pages: the store keeps no history, or other
+// writers put more into it than a reply can hold.
+func TestChangesWithoutHistory(t *testing.T) {
+	for _, w := range slowPages {
+		if w.firstByteMs+w.arrivalMs > clock.Second {
+			continue // the next call for the configuration is behind one page
+		}
+		w.prefix = "servers/"
+		t.Run(w.String(), func(t *testing.T) {
+			g := newCluster(1, catalog.WithPrefixes("op/", "servers/"))
+			v := g.vms[0]
+			g.change("op/config")
+			g.change("servers/up")
+			g.advance(5000)
+			g.others, g.historyFrom = w, 1<<40
+			g.advance(3000)
+			v.lost, v.lists = 0, 0
+			for range 10 {
+				g.change("op/config")
+				g.change("op/evacuate/a")
+				want := g.values()
+				g.advance(changeBoundMs)
+				for _, key := range []string{"op/config", "op/evacuate/a"} {
+					if v.values[key] != want[key] {
+						t.Errorf("at %d: got %q for %s, want %q", g.now, v.values[key], key, want[key])
+					}
+				}
+				g.remove("op/evacuate/a")
+				g.advance(changeBoundMs)
+				if _, ok := v.values["op/evacuate/a"]; ok {
+					t.Errorf("at %d: still has a key that was removed", g.now)
+				}
+			}
+			if v.lost > 0 {
+				t.Errorf("got %d reports that the store is lost, want none", v.lost)
+			}
+			if limit := 2 + int(20*changeBoundMs/min(w.passMs()-2*clock.Second, 20*changeBoundMs)); v.lists > limit && w.passMs() > 3*clock.Second {
+				t.Errorf("got %d passes, want at most %d", v.lists, limit)
+			}
+		})
+	}
+}
--- a/catalog/query.go
+++ b/catalog/query.go
@@ -24,6 +24,9 @@
 	if due, asked := m.pageDueAt(); asked && (!ok || due < at) {
 		at, ok = due, true
 	}
+	if due, refreshes := m.refreshDueAt(); refreshes && (!ok || due < at) {
+		at, ok = due, true
+	}
 	if due, subscribed := m.subscriptionWake(); subscribed && (!ok || due < at) {
 		at, ok = due, true
 	}
--- a/catalog/subscription_test.go
+++ b/catalog/subscription_test.go
@@ -55,10 +55,10 @@
 	msg catalog.Msg
 }
 
-func newCluster(n int) *cluster {
+func newCluster(n int, opts ...catalog.Option) *cluster {
 	g := &cluster{now: 1000}
 	for i := range n {
-		g.vms = append(g.vms, &testVM{id: fmt.Sprint("vm", i), m: catalog.New(uint64(i)), known: make(map[string]uint64), values: make(map[string]string)})
+		g.vms = append(g.vms, &testVM{id: fmt.Sprint("vm", i), m: catalog.New(uint64(i), opts...), known: make(map[string]uint64), values: make(map[string]string)})
 	}
 	g.change("config")
 	for _, v := range g.vms {
@@ -266,6 +266,7 @@
 
 // otherWriter describes entries of another writer in the store, each a page of its own.
 type otherWriter struct {
+	prefix      string // of their keys
 	entries     int
 	firstByteMs clock.Millis // of their pages
 	arrivalMs   clock.Millis // time that they take to arrive after that
@@ -275,11 +276,11 @@
 func (g *cluster) sendPage(v *testVM, c catalog.ListCmd) {
 	all := g.state()
 	for i := range g.others.entries {
-		all.Items = append(all.Items, store.Item{Key: fmt.Sprintf("odd%04d", i), Revision: 1})
+		all.Items = append(all.Items, store.Item{Key: fmt.Sprintf("%sodd%04d", g.others.prefix, i), Revision: 1})
 	}
 	slices.SortFunc(all.Items, func(a, b store.Item) int { return strings.Compare(a.Key, b.Key) })
 	page := catalog.ListedMsg{Page: c, Batch: store.Batch{Era: all.Era, Revision: all.Revision}}
-	isOdd := func(it store.Item) bool { return strings.HasPrefix(it.Key, "odd") }
+	isOdd := func(it store.Item) bool { return strings.HasPrefix(it.Key, g.others.prefix+"odd") }
 	odd := false
 	for _, it := range all.Items {
 		if it.Key <= c.After || !strings.HasPrefix(it.Key, c.Prefix) {
