--- a/catalog/pass_test.go
+++ b/catalog/pass_test.go
@@ -534,38 +534,49 @@
 	const rounds = 10
 	for _, w := range slowPages {
 		w.prefix = "servers/"
-		t.Run(w.String(), func(t *testing.T) {
-			g := newCluster(1, catalog.WithPrefixes("op/", "servers/"))
-			v := g.vms[0]
-			g.change("op/config")
-			g.change("servers/up")
-			g.advance(5000)
-			g.others, g.historyFrom = w, 1<<40
-			g.advance(3000)
-			v.lost, v.lists = 0, 0
-			for range rounds {
+		for _, vms := range []int{1, 20} {
+			t.Run(fmt.Sprintf("%s, %d VMs", w, vms), func(t *testing.T) {
+				g := newCluster(vms, catalog.WithPrefixes("op/", "servers/"))
 				g.change("op/config")
-				g.change("op/evacuate/a")
-				want := g.values()
-				g.advance(changeBoundMs)
-				for _, key := range []string{"op/config", "op/evacuate/a"} {
-					if v.values[key] != want[key] {
-						t.Errorf("at %d: got %q for %s, want %q", g.now, v.values[key], key, want[key])
-					}
+				g.change("servers/up")
+				g.advance(5000)
+				g.others, g.historyFrom = w, 1<<40
+				g.advance(3000)
+				for _, v := range g.vms {
+					v.lost, v.lists = 0, 0
 				}
-				g.remove("op/evacuate/a")
-				g.advance(changeBoundMs)
-				if _, ok := v.values["op/evacuate/a"]; ok {
-					t.Errorf("at %d: still has a key that was removed", g.now)
+				for range rounds {
+					g.change("op/config")
+					g.change("op/evacuate/a")
+					g.expectOperators(t)
+					g.remove("op/evacuate/a")
+					g.expectOperators(t)
 				}
+				pagesMs := clock.Millis(w.entries) * (w.firstByteMs + w.arrivalMs)
+				limit := 2 + int(2*rounds*changeBoundMs/pagesMs)
+				for _, v := range g.vms {
+					if v.lost > 0 {
+						t.Errorf("%s: got %d reports that the store is lost, want none", v.id, v.lost)
+					}
+					if v.lists > limit {
+						t.Errorf("%s: got %d passes, want at most %d", v.id, v.lists, limit)
+					}
+				}
+			})
+		}
+	}
+}
+
+// expectOperators checks that what operators have written is known within its bound.
+func (g *cluster) expectOperators(t *testing.T) {
+	t.Helper()
+	want := g.values()
+	g.advance(changeBoundMs)
+	for _, v := range g.vms {
+		for _, key := range []string{"op/config", "op/evacuate/a"} {
+			if v.values[key] != want[key] {
+				t.Errorf("at %d: %s: got %q for %s, want %q", g.now, v.id, v.values[key], key, want[key])
 			}
-			if v.lost > 0 {
-				t.Errorf("got %d reports that the store is lost, want none", v.lost)
-			}
-			pagesMs := clock.Millis(w.entries) * (w.firstByteMs + w.arrivalMs)
-			if limit := 2 + int(2*rounds*changeBoundMs/pagesMs); v.lists > limit {
-				t.Errorf("got %d passes, want at most %d", v.lists, limit)
-			}
-		})
+		}
 	}
 }
